--- /dev/null
+++ b/table/csv.go
@@ -0,0 +1,251 @@
+package table
+
+import (
+	"encoding/csv"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Header is the first line of a table as CSV.
+var Header = []string{"service", "from", "to", "weight", "cap", "shift", "ramp"}
+
+// Column numbers in Header.
+const (
+	colService = iota
+	colFrom
+	colTo
+	colWeight
+	colCap
+	colShift
+	colRamp
+)
+
+// MaxCSVBytes is the largest text that ReadCSV takes.
+const MaxCSVBytes = 1 << 20
+
+// place is where a row stands in a text.
+type place struct {
+	line    int
+	columns [7]int
+}
+
+// Sheet is a table's rows as read from CSV, with the place of each.
+type Sheet struct {
+	Rows   []Row
+	places map[RowKey]place
+}
+
+// ReadCSV reads rows from CSV. It reads to the end whatever it meets, and
+// returns all faults together as Findings. Empty cells stand for: weight 0, no
+// cap, shift 100, ramp 0.
+func ReadCSV(r io.Reader) (*Sheet, error) {
+	reader := csv.NewReader(io.LimitReader(r, MaxCSVBytes))
+	reader.FieldsPerRecord = -1
+	reader.TrimLeadingSpace = true
+	reader.Comment = '#'
+	p := &csvParser{reader: reader, sheet: &Sheet{places: make(map[RowKey]place)}}
+	p.run()
+	return p.sheet, p.findings.Err()
+}
+
+type csvParser struct {
+	reader   *csv.Reader
+	sheet    *Sheet
+	findings Findings
+	at       place
+}
+
+func (p *csvParser) run() {
+	p.header()
+	for {
+		record, err := p.reader.Read()
+		if errors.Is(err, io.EOF) {
+			return
+		}
+		if err != nil {
+			p.syntax(err)
+			return
+		}
+		p.record(record)
+	}
+}
+
+func (p *csvParser) header() {
+	record, err := p.reader.Read()
+	if errors.Is(err, io.EOF) {
+		p.findings = append(p.findings, Finding{Line: 1, Column: 1, Message: "empty file: want the header " + strings.Join(Header, ",")})
+		return
+	}
+	if err != nil {
+		p.syntax(err)
+		return
+	}
+	p.locate(record)
+	for i, want := range Header {
+		if i >= len(record) {
+			p.add(len(record)-1, "header lacks "+want)
+			continue
+		}
+		if got := strings.TrimSpace(strings.ToLower(record[i])); got != want {
+			p.add(i, fmt.Sprintf("header is %q, want %q", got, want))
+		}
+	}
+}
+
+func (p *csvParser) syntax(err error) {
+	var parse *csv.ParseError
+	if errors.As(err, &parse) {
+		p.findings = append(p.findings, Finding{Line: parse.Line, Column: parse.Column, Message: parse.Err.Error()})
+		return
+	}
+	p.findings = append(p.findings, Finding{Message: err.Error()})
+}
+
+func (p *csvParser) locate(record []string) {
+	p.at = place{}
+	for i := range record {
+		if i >= len(Header) {
+			return
+		}
+		p.at.line, p.at.columns[i] = p.reader.FieldPos(i)
+	}
+}
+
+func (p *csvParser) add(col int, message string) {
+	field := ""
+	column := 1
+	if col >= 0 && col < len(Header) {
+		field = Header[col]
+		column = p.at.columns[col]
+	}
+	p.findings = append(p.findings, Finding{Line: p.at.line, Column: column, Field: field, Message: message})
+}
+
+func (p *csvParser) record(record []string) {
+	p.locate(record)
+	if len(record) != len(Header) {
+		p.add(-1, fmt.Sprintf("%d cells, want %d", len(record), len(Header)))
+		return
+	}
+	for i := range record {
+		record[i] = strings.TrimSpace(record[i])
+	}
+	row := Row{
+		Service: p.name(record, colService),
+		From:    p.name(record, colFrom),
+		To:      p.name(record, colTo),
+		Weight:  p.number(record, colWeight, 0, MaxWeight),
+		Cap:     p.number(record, colCap, NoCap, MaxCap),
+		Shift:   p.number(record, colShift, FullShift, FullShift),
+		Ramp:    p.duration(record, colRamp),
+	}
+	if first, twice := p.sheet.places[row.Key()]; twice {
+		p.add(colService, fmt.Sprintf("row %s stands already on line %d", row.Key(), first.line))
+		return
+	}
+	p.sheet.places[row.Key()] = p.at
+	p.sheet.Rows = append(p.sheet.Rows, row)
+}
+
+func (p *csvParser) name(record []string, col int) string {
+	if record[col] == "" {
+		p.add(col, "must not be empty")
+	}
+	return record[col]
+}
+
+func (p *csvParser) number(record []string, col, empty, most int) int {
+	text := record[col]
+	if text == "" {
+		return empty
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		p.add(col, fmt.Sprintf("%q is not a whole number", text))
+		return empty
+	}
+	if n < 0 || n > most {
+		p.add(col, fmt.Sprintf("%d is not in 0 to %d", n, most))
+		return empty
+	}
+	return n
+}
+
+func (p *csvParser) duration(record []string, col int) time.Duration {
+	text := record[col]
+	if text == "" {
+		return 0
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil {
+		p.add(col, fmt.Sprintf("%q is not a duration such as 5s", text))
+		return 0
+	}
+	if d < 0 || d > MaxRamp {
+		p.add(col, fmt.Sprintf("%s is not in 0 to %s", d, MaxRamp))
+		return 0
+	}
+	return d
+}
+
+// WriteCSV writes rows as CSV in the form that ReadCSV reads.
+func WriteCSV(w io.Writer, rows []Row) error {
+	out := csv.NewWriter(w)
+	err := out.Write(Header)
+	if err != nil {
+		return fmt.Errorf("write table: %w", err)
+	}
+	for _, r := range rows {
+		err := out.Write(r.record())
+		if err != nil {
+			return fmt.Errorf("write table: %w", err)
+		}
+	}
+	out.Flush()
+	return out.Error()
+}
+
+func (r Row) record() []string {
+	limit := ""
+	if r.Cap != NoCap {
+		limit = strconv.Itoa(r.Cap)
+	}
+	return []string{
+		r.Service,
+		r.From,
+		r.To,
+		strconv.Itoa(r.Weight),
+		limit,
+		strconv.Itoa(r.Shift),
+		r.Ramp.String(),
+	}
+}
+
+// SetCell parses text as the cell called field of row and returns the row with
+// it. Field is one of weight, cap, shift and ramp.
+func SetCell(row Row, field, text string) (Row, error) {
+	record := row.record()
+	col := -1
+	for i := colWeight; i <= colRamp; i++ {
+		if Header[i] == field {
+			col = i
+		}
+	}
+	if col < 0 {
+		return row, fmt.Errorf("table: no cell %q: want weight, cap, shift or ramp", field)
+	}
+	record[col] = text
+	p := &csvParser{sheet: &Sheet{places: make(map[RowKey]place)}}
+	row.Weight = p.number(record, colWeight, 0, MaxWeight)
+	row.Cap = p.number(record, colCap, NoCap, MaxCap)
+	row.Shift = p.number(record, colShift, FullShift, FullShift)
+	row.Ramp = p.duration(record, colRamp)
+	for i := range p.findings {
+		p.findings[i].Column = 0
+	}
+	return row, p.findings.Err()
+}
--- /dev/null
+++ b/telemetry/doc.go
@@ -0,0 +1,3 @@
+// Package telemetry provides the metrics of an instance, recorded by
+// OpenTelemetry and served in the Prometheus text format.
+package telemetry
