--- /dev/null
+++ b/balance/balance_test.go
@@ -0,0 +1,263 @@
+package balance_test
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/rainford/rainford/balance"
+)
+
+// The properties draw the same cases in every run unless -rapid.seed says
+// otherwise.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+var epoch = time.Unix(0, 0)
+
+func newPool(t testing.TB, slots ...int) *balance.Pool {
+	t.Helper()
+	p := balance.NewPool(balance.Config{Rand: rand.New(rand.NewPCG(1, 1))})
+	p.SetTargets(epoch, specs(slots...))
+	return p
+}
+
+func specs(slots ...int) []balance.Spec {
+	var out []balance.Spec
+	for i, n := range slots {
+		id := fmt.Sprintf("t%d", i)
+		out = append(out, balance.Spec{ID: id, Addr: id, Slots: n})
+	}
+	return out
+}
+
+func request(id uint64) balance.Request {
+	return balance.Request{ID: id, Deadline: epoch.Add(time.Hour), Patience: time.Hour}
+}
+
+// warmUp answers until every target may use its whole share.
+func warmUp(p *balance.Pool, want int) {
+	for i := uint64(1); p.Load(epoch).Limit < want; i++ {
+		var taken []string
+		for {
+			r := request(i)
+			r.Patience = 0
+			d := p.Acquire(epoch, r)
+			if d.Verdict != balance.Run {
+				break
+			}
+			taken = append(taken, d.Target.ID)
+		}
+		for _, id := range taken {
+			p.Release(epoch, id, balance.Answered, 10*time.Millisecond)
+		}
+	}
+}
+
+// TestNeverOverSlots drives a pool through arrivals, answers, refusals, broken
+// exchanges, drains and changes of the shares. No target may get more than its
+// share at the time, none new work while it leaves, every queued request ends
+// in one grant, and a request of another region stays off the floor.
+func TestNeverOverSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := balance.NewPool(balance.Config{Rand: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "rand"), 1))})
+		floor := rapid.IntRange(0, 100).Draw(t, "floor")
+		p.SetFloor(floor)
+		m := &poolModel{t: t, slots: map[string]int{}, inFlight: map[string]int{}, shifted: map[string]int{}, waiting: map[uint64]bool{}}
+		now := epoch
+		for step := range rapid.IntRange(1, 150).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 5).Draw(t, "action") {
+			case 0:
+				var next []balance.Spec
+				m.slots = map[string]int{}
+				for i := range rapid.IntRange(0, 4).Draw(t, "targets") {
+					n := rapid.IntRange(0, 5).Draw(t, "slots")
+					id := fmt.Sprintf("t%d", i)
+					next = append(next, balance.Spec{ID: id, Addr: id, Slots: n})
+					m.slots[id] = n
+				}
+				m.granted(p.SetTargets(now, next))
+			case 1, 2, 3:
+				r := balance.Request{
+					ID:       uint64(step + 1),
+					Deadline: now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "deadline")) * time.Millisecond),
+					Patience: time.Duration(rapid.IntRange(0, 2000).Draw(t, "patience")) * time.Millisecond,
+					Shifted:  rapid.Bool().Draw(t, "shifted"),
+				}
+				before := p.Load(now)
+				d := p.Acquire(now, r)
+				if d.Verdict == balance.Run && r.Shifted {
+					require.Less(t, before.InFlight, before.Limit-before.Limit*floor/100+1)
+				}
+				m.decided(r.ID, d)
+			default:
+				if id := m.anyInFlight(); id != "" {
+					m.inFlight[id]--
+					result := balance.Result(rapid.IntRange(0, 4).Draw(t, "result"))
+					m.granted(p.Release(now, id, result, time.Duration(rapid.IntRange(1, 50).Draw(t, "latency"))*time.Millisecond))
+				}
+			}
+			m.granted(p.Tick(now))
+			require.Equal(t, len(m.waiting), p.Load(now).Queued)
+		}
+	})
+}
+
+type poolModel struct {
+	t        *rapid.T
+	slots    map[string]int
+	inFlight map[string]int
+	shifted  map[string]int
+	waiting  map[uint64]bool
+}
+
+func (m *poolModel) decided(id uint64, d balance.Decision) {
+	switch d.Verdict {
+	case balance.Run:
+		m.ran(d)
+	case balance.Wait:
+		m.waiting[id] = true
+	case balance.Refuse:
+		require.Positive(m.t, d.RetryAfter)
+	}
+}
+
+func (m *poolModel) ran(d balance.Decision) {
+	slots, named := m.slots[d.Target.ID]
+	require.True(m.t, named, "a leaving target got new work")
+	m.inFlight[d.Target.ID]++
+	require.LessOrEqual(m.t, m.inFlight[d.Target.ID], slots)
+}
+
+func (m *poolModel) granted(grants []balance.Grant) {
+	for _, g := range grants {
+		require.True(m.t, m.waiting[g.ID], "a grant for nobody")
+		delete(m.waiting, g.ID)
+		require.NotEqual(m.t, balance.Wait, g.Decision.Verdict)
+		m.decided(g.ID, g.Decision)
+	}
+}
+
+func (m *poolModel) anyInFlight() string {
+	for i := range 5 {
+		if id := fmt.Sprintf("t%d", i); m.inFlight[id] > 0 {
+			return id
+		}
+	}
+	return ""
+}
+
+func TestSlowStart(t *testing.T) {
+	p := newPool(t, 8)
+	require.Equal(t, 1, p.Load(epoch).Limit, "a new target gets one request at a time")
+	limits := []int{}
+	for range 3 {
+		n := p.Load(epoch).Limit
+		for i := range n {
+			require.Equal(t, balance.Run, p.Acquire(epoch, request(uint64(i))).Verdict)
+		}
+		for range n {
+			p.Release(epoch, "t0", balance.Answered, 10*time.Millisecond)
+		}
+		limits = append(limits, p.Load(epoch).Limit)
+	}
+	require.Equal(t, []int{2, 4, 8}, limits)
+}
+
+// TestOneCutPerCooldown checks that a burst of refusals halves the limit once.
+func TestOneCutPerCooldown(t *testing.T) {
+	p := newPool(t, 8)
+	warmUp(p, 8)
+	for i := range 8 {
+		p.Acquire(epoch, request(uint64(100+i)))
+	}
+	for range 8 {
+		p.Release(epoch, "t0", balance.Refused, time.Millisecond)
+	}
+	require.Equal(t, 4, p.Load(epoch).Limit)
+}
+
+func TestColdTargetRisesSlowlyAndNeverFoldsUp(t *testing.T) {
+	p := newPool(t, 8, 8)
+	warmUp(p, 16)
+	p.SetTargets(epoch, []balance.Spec{{ID: "t0", Addr: "t0", Slots: 8}, {ID: "cold", Addr: "cold", Slots: 8}})
+	last := 0
+	for range 200 {
+		d := p.Acquire(epoch, request(1))
+		latency := 10 * time.Millisecond
+		if d.Target.ID == "cold" {
+			latency = 200 * time.Millisecond
+		}
+		p.Release(epoch, d.Target.ID, balance.Answered, latency)
+		require.GreaterOrEqual(t, p.Load(epoch).Limit, last)
+		last = p.Load(epoch).Limit
+	}
+	require.Greater(t, last, 9)
+}
+
+// TestGivenUpAtOnce checks that a queued request is refused when its place says
+// that it will be late, not when it is.
+func TestGivenUpAtOnce(t *testing.T) {
+	p := newPool(t, 1)
+	require.Equal(t, balance.Run, p.Acquire(epoch, request(1)).Verdict)
+	late := balance.Request{ID: 2, Deadline: epoch.Add(30 * time.Millisecond), Patience: time.Hour}
+	require.Equal(t, balance.Refuse, p.Acquire(epoch, late).Verdict)
+	late.Deadline = epoch.Add(time.Second)
+	require.Equal(t, balance.Wait, p.Acquire(epoch, late).Verdict)
+	require.Empty(t, p.Release(epoch, "t0", balance.Unreachable, 0), "it may still make it: the target is tried again after 500 ms")
+	require.Empty(t, p.Tick(epoch.Add(100*time.Millisecond)))
+	grants := p.SetTargets(epoch.Add(200*time.Millisecond), nil)
+	require.Len(t, grants, 1, "no target is left, 800 ms before the deadline")
+	require.Equal(t, balance.Refuse, grants[0].Decision.Verdict)
+}
+
+func TestBrokenTargetIsLeftOutAfterThreeInARow(t *testing.T) {
+	p := newPool(t, 1)
+	r := request(1)
+	r.Patience = 0
+	for i := range 3 {
+		require.Equal(t, balance.Run, p.Acquire(epoch, r).Verdict, "exchange %d", i)
+		p.Release(epoch, "t0", balance.Broken, 0)
+	}
+	d := p.Acquire(epoch, r)
+	require.Equal(t, balance.Refuse, d.Verdict)
+	require.InDelta(t, 0.78, d.RetryAfter.Seconds(), 0.27, "about when it is tried again, with jitter")
+	require.Equal(t, balance.Run, p.Acquire(epoch.Add(time.Second), r).Verdict)
+}
+
+func BenchmarkPool(b *testing.B) {
+	for _, n := range []int{4, 32, 256} {
+		b.Run(fmt.Sprintf("targets%d", n), func(b *testing.B) {
+			slots := make([]int, n)
+			for i := range slots {
+				slots[i] = 6
+			}
+			p := newPool(b, slots...)
+			b.ReportAllocs()
+			for b.Loop() {
+				d := p.Acquire(epoch, request(1))
+				p.Release(epoch, d.Target.ID, balance.Answered, time.Millisecond)
+			}
+		})
+	}
+}
+
+func ExamplePool() {
+	p := balance.NewPool(balance.Config{Rand: rand.New(rand.NewPCG(1, 2))})
+	now := time.Unix(0, 0)
+	p.SetTargets(now, []balance.Spec{{ID: "a", Addr: "127.0.0.1:80", Slots: 2}})
+	first := p.Acquire(now, balance.Request{ID: 1, Deadline: now.Add(time.Second), Patience: time.Second})
+	second := p.Acquire(now, balance.Request{ID: 2, Deadline: now.Add(time.Second), Patience: time.Second})
+	fmt.Println(first.Verdict == balance.Run, second.Verdict == balance.Wait)
+	for _, g := range p.Release(now, first.Target.ID, balance.Answered, 10*time.Millisecond) {
+		fmt.Println("request", g.ID, "runs on", g.Decision.Target.ID)
+	}
+	// Output:
+	// true true
+	// request 2 runs on a
+}
--- a/balance/doc.go
+++ b/balance/doc.go
@@ -8,7 +8,8 @@
 //
 // A target's limit is at most its share. It starts at one and doubles with
 // every round of answers while the target is warm, that is, while its latency
-// stays near the pool's usual; a cold target's limit rises by one a round. When
+// stays near the pool's usual; a cold target's limit rises by one a round. A
+// target that stays at its limit gets one more each growEvery. When
 // the target refuses work the limit is halved, once per cooldown however many
 // refusals arrive. A target that can't be reached is left out for a while that
 // doubles with each failure.
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -152,6 +152,7 @@
 // Acquire decides on a request. After Run the caller must call Release; after
 // Wait it gets a Grant from a later call, or calls Cancel.
 func (p *Pool) Acquire(now time.Time, req Request) Decision {
+	p.creep(now)
 	if !p.queuedAhead(req) {
 		if spec, ok := p.pick(now, req); ok {
 			return Decision{Verdict: Run, Target: spec}
@@ -178,7 +179,9 @@
 }
 
 // Release ends a request that ran on a target, and returns the grants that
-// this makes possible.
+// this makes possible. Latency is the time to the head of the answer; 0 says
+// nothing of the target's speed, as for an upload that took as long as its
+// sender did.
 func (p *Pool) Release(now time.Time, id string, result Result, latency time.Duration) []Grant {
 	t := p.targets[id]
 	if t == nil {
@@ -188,8 +191,10 @@
 	p.inFlight--
 	switch result {
 	case Answered:
-		t.observe(latency)
-		p.observe(latency)
+		if latency > 0 {
+			t.observe(latency)
+			p.observe(latency)
+		}
 		t.grow(p.warm(t))
 	case Refused:
 		t.cut(now)
@@ -220,9 +225,16 @@
 // Tick gives up the queued requests that can't make their deadline any more,
 // and serves others if targets have come back.
 func (p *Pool) Tick(now time.Time) []Grant {
+	p.creep(now)
 	return p.dispatch(now)
 }
 
+func (p *Pool) creep(now time.Time) {
+	for _, t := range p.targets {
+		t.creep(now)
+	}
+}
+
 // dispatch serves the queue in order. A request that, by its place in the
 // queue, can't make its deadline any more is refused now and not when it has
 // passed.
--- a/balance/target.go
+++ b/balance/target.go
@@ -39,6 +39,10 @@
 	warmFactor = 2
 	// warmSlack keeps latencies of a few milliseconds from counting as cold.
 	warmSlack = 5 * time.Millisecond
+	// growEvery is the time after which a target that is at its limit and
+	// refuses nothing gets one more, whether or not it has answered: long
+	// uploads would else hold a new target at one request.
+	growEvery = 100 * time.Millisecond
 	// latencyWeight is the weight of a new latency in the average.
 	latencyWeight = 0.2
 	firstBackoff  = 500 * time.Millisecond
@@ -59,6 +63,8 @@
 	slowStart bool
 	successes int
 	lastCut   time.Time
+	// fullSince is when the target reached its limit, or the zero time.
+	fullSince time.Time
 	latency   time.Duration
 	// retryAt is when an unreachable target is tried again.
 	retryAt time.Time
@@ -112,10 +118,24 @@
 	t.limit = min(t.limit, max(t.spec.Slots, firstLimit))
 }
 
+// creep raises the limit of a target that has been at it for growEvery.
+func (t *target) creep(now time.Time) {
+	switch {
+	case t.inFlight < t.limit || t.limit >= t.spec.Slots || !t.usable(now):
+		t.fullSince = time.Time{}
+	case t.fullSince.IsZero():
+		t.fullSince = now
+	case now.Sub(t.fullSince) >= growEvery:
+		t.limit++
+		t.fullSince = now
+	}
+}
+
 // cut halves the limit, once per cooldown.
 func (t *target) cut(now time.Time) {
 	t.successes = 0
 	t.slowStart = false
+	t.fullSince = now
 	if !t.lastCut.IsZero() && now.Sub(t.lastCut) < cutCooldown {
 		return
 	}
--- /dev/null
+++ b/claim/claim_test.go
@@ -0,0 +1,198 @@
+package claim_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/rainford/rainford/claim"
+)
+
+// The properties draw the same cases in every run unless -rapid.seed says
+// otherwise.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+// attempt is one attempt at an operation, as an entry instance makes it.
+type attempt struct {
+	op      claim.Op
+	sent    bool
+	granted bool
+	ran     bool
+	// told is the last word to the caller: "", "not run" or "ran".
+	told string
+}
+
+// TestNeverRunsTwice drives one key through attempts whose writes are applied
+// late, twice, out of order or never, whose replies are lost, and whose
+// instances die between claim and answer. The operation must run once at most,
+// and never after the caller was told that the latest attempt did not run.
+func TestNeverRunsTwice(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		shard := &claim.Shard{}
+		var attempts []*attempt
+		var late []claim.Op
+		refused := 0
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 6).Draw(t, "action") {
+			case 0:
+				n := len(attempts) + 1
+				attempts = append(attempts, &attempt{op: claim.Op{Verb: claim.Take, Key: "k", Owner: fmt.Sprint(n), Attempt: n}})
+			case 1:
+				if a := pick(t, attempts); a != nil && a.told == "" {
+					// The write takes effect; its reply may be lost.
+					reply := shard.Apply(a.op)
+					a.sent = true
+					a.granted = reply.Answer == claim.Granted && rapid.Bool().Draw(t, "reply comes")
+				}
+			case 2:
+				if a := pick(t, attempts); a != nil {
+					late = append(late, a.op)
+				}
+			case 3:
+				if len(late) > 0 {
+					i := rapid.IntRange(0, len(late)-1).Draw(t, "late")
+					shard.Apply(late[i])
+				}
+			case 4:
+				if a := pick(t, attempts); a != nil && a.granted && a.told == "" {
+					a.ran = true
+					a.told = "ran"
+					finish := a.op
+					finish.Verb, finish.Status = claim.Finish, 200
+					late = append(late, finish)
+				}
+			case 5:
+				// Given up before it ran: told so at once, released later.
+				if a := pick(t, attempts); a != nil && a.told == "" {
+					release := a.op
+					release.Verb = claim.Release
+					if a.granted {
+						a.told = "not run"
+						refused = max(refused, a.op.Attempt)
+					} else {
+						a.told = "unknown"
+					}
+					late = append(late, release)
+				}
+			case 6:
+				if a := pick(t, attempts); a != nil && a.told == "" {
+					a.told = "dead"
+				}
+			}
+			check(t, attempts)
+		}
+	})
+}
+
+func pick(t *rapid.T, attempts []*attempt) *attempt {
+	if len(attempts) == 0 {
+		return nil
+	}
+	return attempts[rapid.IntRange(0, len(attempts)-1).Draw(t, "attempt")]
+}
+
+func check(t *rapid.T, attempts []*attempt) {
+	runs, holders := 0, 0
+	for _, a := range attempts {
+		if a.ran {
+			runs++
+		}
+		if a.granted && a.told == "" {
+			holders++
+		}
+	}
+	require.LessOrEqual(t, runs, 1, "runs")
+	require.LessOrEqual(t, runs+holders, 1, "an attempt may run beside another")
+}
+
+func TestStaleAttemptIsRefused(t *testing.T) {
+	shard := &claim.Shard{}
+	take := func(n int) claim.Reply {
+		return shard.Apply(claim.Op{Verb: claim.Take, Key: "k", Owner: fmt.Sprint(n), Attempt: n})
+	}
+	require.Equal(t, claim.Granted, take(2).Answer)
+	require.Equal(t, claim.Held, take(3).Answer)
+	shard.Apply(claim.Op{Verb: claim.Release, Key: "k", Owner: "2", Attempt: 2})
+	require.Equal(t, claim.Superseded, take(1).Answer, "an earlier attempt that arrives late")
+	require.Equal(t, claim.Superseded, take(2).Answer, "the refused attempt itself")
+	require.Equal(t, claim.Granted, take(3).Answer)
+	shard.Apply(claim.Op{Verb: claim.Finish, Key: "k", Owner: "3", Status: 201})
+	require.Equal(t, claim.Reply{Answer: claim.AlreadyDone, Status: 201}, take(4))
+}
+
+func TestParseKey(t *testing.T) {
+	now := time.Date(2026, 3, 1, 12, 0, 0, 0, time.UTC)
+	cases := []struct {
+		name, key string
+		ok        bool
+	}{
+		{"fresh", claim.NewKey(now, "abc"), true},
+		{"old", claim.NewKey(now.Add(-claim.MaxAge+time.Minute), "abc"), true},
+		{"too old", claim.NewKey(now.Add(-claim.MaxAge-time.Minute), "abc"), false},
+		{"ahead", claim.NewKey(now.Add(claim.MaxAhead-time.Second), "abc"), true},
+		{"too far ahead", claim.NewKey(now.Add(claim.MaxAhead+time.Second), "abc"), false},
+		{"no random part", claim.NewKey(now, ""), false},
+		{"no time", "abc-def", false},
+		{"empty", "", false},
+		{"control character", claim.NewKey(now, "a\nb"), false},
+		{"long", claim.NewKey(now, string(make([]byte, 200))), false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, err := claim.ParseKey(c.key, now)
+			require.Equal(t, c.ok, err == nil, "%v", err)
+		})
+	}
+}
+
+// TestShardOutlivesKeys checks that no shard is swept while a key of it would
+// still be taken.
+func TestShardOutlivesKeys(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(rapid.Int64Range(1e9, 2e9).Draw(t, "now"), 0)
+		age := time.Duration(rapid.Int64Range(0, int64(claim.MaxAge)).Draw(t, "age"))
+		made, err := claim.ParseKey(claim.NewKey(now.Add(-age), "x"), now)
+		if err != nil {
+			return
+		}
+		prefix := claim.Prefix + claim.ShardOf("x", made).Slice + "/"
+		require.NotContains(t, claim.ExpiredSlices(now, 10*time.Minute), prefix)
+	})
+}
+
+func TestQueueGroupsByShard(t *testing.T) {
+	var q claim.Queue
+	a, b := claim.ShardID{Slice: "s", Number: 1}, claim.ShardID{Slice: "t", Number: 1}
+	op := func(n int) claim.Op { return claim.Op{Verb: claim.Take, Owner: fmt.Sprint(n)} }
+	q.Add(a, op(1), false)
+	require.False(t, q.Waiting(1, false))
+	require.True(t, q.Waiting(1, true))
+	q.Add(a, op(2), true)
+	q.Add(b, op(3), true)
+	shard, ops := q.Next(1, false)
+	require.Equal(t, a, shard)
+	require.Len(t, ops, 2)
+	q.Add(a, op(4), true)
+	shard, ops = q.Next(1, false)
+	require.Equal(t, b, shard, "a shard has one write at a time")
+	require.Len(t, ops, 1)
+	require.False(t, q.Waiting(1, true))
+	q.Written(a)
+	require.True(t, q.Withdraw(a, op(4)))
+	require.False(t, q.Withdraw(a, op(2)))
+}
+
+func ExampleShard_Apply() {
+	var s claim.Shard
+	first := claim.Op{Verb: claim.Take, Key: "20260301T120000Z-7f", Owner: "one", Attempt: 1}
+	again := claim.Op{Verb: claim.Take, Key: "20260301T120000Z-7f", Owner: "two", Attempt: 2}
+	fmt.Println(s.Apply(first).Answer == claim.Granted)
+	fmt.Println(s.Apply(again).Answer == claim.Held)
+	// Output:
+	// true
+	// true
+}
--- /dev/null
+++ b/config/config_test.go
@@ -0,0 +1,330 @@
+package config_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/rainford/rainford/config"
+	"github.com/rainford/rainford/platform"
+	"github.com/rainford/rainford/table"
+)
+
+// The properties draw the same cases in every run unless -rapid.seed says
+// otherwise.
+func init() { _ = flag.Set("rapid.seed", "1") }
+
+// fakeStore is a store whose replies to writes can be lost, whose writes can
+// take effect late, and in whose gaps others write.
+type fakeStore struct {
+	objects  map[string]platform.Object
+	previous map[string]platform.Object
+	revision int64
+	// before is called before each write.
+	before func(key string)
+	// fault gives what happens to a write.
+	fault func(key string) writeFault
+	stale bool
+	// late holds writes that may still take effect.
+	late []func()
+}
+
+type writeFault int
+
+const (
+	fine writeFault = iota
+	refused
+	lostReply
+	lostBefore
+	takesEffectLate
+)
+
+func newFakeStore() *fakeStore {
+	return &fakeStore{objects: map[string]platform.Object{}, previous: map[string]platform.Object{}}
+}
+
+func (s *fakeStore) Get(_ context.Context, key string) (platform.Object, error) {
+	if old, ok := s.previous[key]; ok && s.stale {
+		return old, nil
+	}
+	obj, ok := s.objects[key]
+	if !ok {
+		return obj, platform.ErrNotFound
+	}
+	return obj, nil
+}
+
+func (s *fakeStore) List(_ context.Context, prefix string) (platform.Listing, error) {
+	out := platform.Listing{Revision: s.revision}
+	for key, obj := range s.objects {
+		if strings.HasPrefix(key, prefix) {
+			out.Objects = append(out.Objects, obj)
+		}
+	}
+	return out, nil
+}
+
+func (s *fakeStore) Put(_ context.Context, key string, version int64, value any) (platform.Object, error) {
+	raw, err := json.Marshal(value)
+	if err != nil {
+		return platform.Object{}, err
+	}
+	if s.before != nil {
+		s.before(key)
+	}
+	fault := fine
+	if s.fault != nil {
+		fault = s.fault(key)
+	}
+	switch fault {
+	case refused:
+		return platform.Object{}, platform.ErrUnavailable
+	case lostBefore:
+		return platform.Object{}, platform.ErrUncertain
+	case takesEffectLate:
+		s.late = append(s.late, func() { _, _ = s.put(key, version, raw) })
+		return platform.Object{}, platform.ErrUncertain
+	}
+	obj, err := s.put(key, version, raw)
+	if fault == lostReply {
+		return platform.Object{}, platform.ErrUncertain
+	}
+	return obj, err
+}
+
+func (s *fakeStore) put(key string, version int64, raw []byte) (platform.Object, error) {
+	have := s.objects[key]
+	if have.Version != version {
+		return platform.Object{}, &platform.ConflictError{Key: key, Current: have}
+	}
+	if have.Version > 0 {
+		s.previous[key] = have
+	}
+	s.revision++
+	s.objects[key] = platform.Object{Key: key, Version: s.revision, Value: raw}
+	return s.objects[key], nil
+}
+
+func (s *fakeStore) document(t require.TestingT) *config.Document {
+	doc, err := config.Decode(s.objects[config.Key].Value)
+	require.NoError(t, err)
+	return doc
+}
+
+var ids int
+
+func editor(s *fakeStore, who string) *config.Editor {
+	return &config.Editor{
+		Store: s, Who: who, What: "test", Pause: time.Microsecond,
+		NewID: func() string { ids++; return fmt.Sprint(ids) },
+		Now:   func() time.Time { return time.Unix(0, 0) },
+	}
+}
+
+func seed(t require.TestingT, s *fakeStore) {
+	_, err := editor(s, "seed").Edit(context.Background(), func(tab *table.Table) error {
+		tab.Regions = []table.Region{{Name: "a", Halls: []string{"a1"}}, {Name: "b", Halls: []string{"b1"}}}
+		tab.Services = []table.Service{{Name: "s"}}
+		tab.Rows = []table.Row{
+			{Service: "s", From: "a", To: "a", Weight: 5, Cap: table.NoCap, Shift: 100},
+			{Service: "s", From: "a", To: "b", Weight: 5, Cap: 5, Shift: 100},
+		}
+		return nil
+	})
+	require.NoError(t, err)
+}
+
+// setWeight and setCap change one cell of the row from a to b.
+func setWeight(n int) func(*table.Table) error {
+	return func(tab *table.Table) error { tab.Rows[1].Weight = n; return nil }
+}
+
+func setCap(n int) func(*table.Table) error {
+	return func(tab *table.Table) error { tab.Rows[1].Cap = n; return nil }
+}
+
+// TestEditThroughFaults edits one cell again and again while writes are lost
+// before and after they take effect, take effect late, or are refused, reads
+// are stale, and another operator edits other cells and the same one in
+// between. What Edit says must be true, and no cell is lost without a conflict.
+func TestEditThroughFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newFakeStore()
+		seed(t, s)
+		var history []int64
+		ctx := context.Background()
+		for step := range rapid.IntRange(1, 12).Draw(t, "edits") {
+			s.stale = rapid.IntRange(0, 3).Draw(t, "stale") == 0
+			left := rapid.IntRange(0, 4).Draw(t, "faults")
+			s.fault = func(string) writeFault {
+				if left == 0 {
+					return fine
+				}
+				left--
+				return writeFault(rapid.IntRange(0, 4).Draw(t, "fault"))
+			}
+			rival := rapid.IntRange(0, 3).Draw(t, "rival")
+			s.before = func(key string) {
+				if key != config.Key {
+					return
+				}
+				if len(s.late) > 0 && rapid.Bool().Draw(t, "late lands") {
+					s.late[0]()
+					s.late = s.late[1:]
+				}
+				if rival > 0 {
+					rivalWrites(t, s, rival, step)
+					rival = 0
+				}
+			}
+			want := 100 + step
+			change, err := editor(s, "me").Edit(ctx, setWeight(want))
+			s.before = nil
+			for _, land := range s.late {
+				land()
+			}
+			s.late = nil
+			verdict(t, s, want, change, err)
+			number := s.document(t).Number
+			if len(history) > 0 {
+				require.GreaterOrEqual(t, number, history[len(history)-1], "the number fell")
+			}
+			history = append(history, number)
+		}
+		s.stale = false
+		trail, err := config.Trail(ctx, s)
+		require.NoError(t, err)
+		for i, c := range trail {
+			require.EqualValues(t, i+1, c.Number, "a gap in the audit trail")
+		}
+		require.Len(t, trail, int(s.document(t).Number))
+	})
+}
+
+// rivalWrites has another operator change the cap (1), the weight (2) or both.
+func rivalWrites(t *rapid.T, s *fakeStore, what, step int) {
+	doc := s.document(t)
+	before := doc.Table.Clone()
+	if what != 2 {
+		doc.Table.Rows[1].Cap = 1000 + step
+	}
+	if what != 1 {
+		doc.Table.Rows[1].Weight = 5000 + step
+	}
+	doc.Number++
+	doc.Recent = append(doc.Recent, config.Change{Number: doc.Number, ID: fmt.Sprintf("rival%d", step), Cells: table.Diff(before, &doc.Table)})
+	raw, err := json.Marshal(doc)
+	require.NoError(t, err)
+	_, err = s.put(config.Key, s.objects[config.Key].Version, raw)
+	require.NoError(t, err)
+}
+
+func verdict(t *rapid.T, s *fakeStore, want int, change config.Change, err error) {
+	doc := s.document(t)
+	inTrail := false
+	for _, c := range doc.Recent {
+		inTrail = inTrail || c.ID == change.ID && c.Who == "me"
+	}
+	var conflict *config.ConflictError
+	switch {
+	case err == nil:
+		require.True(t, inTrail, "accepted and not in the trail")
+	case errors.As(err, &conflict):
+		require.NotEmpty(t, conflict.Cells)
+		require.NotEqual(t, want, doc.Table.Rows[1].Weight, "a conflict was reported and the edit is in")
+	case errors.Is(err, platform.ErrUnavailable):
+		require.NotEqual(t, want, doc.Table.Rows[1].Weight, "refused and yet in")
+	default:
+		require.NoError(t, err)
+	}
+}
+
+func TestTwoOperators(t *testing.T) {
+	ctx := context.Background()
+	s := newFakeStore()
+	seed(t, s)
+	s.before = func(string) {
+		s.before = nil
+		_, err := editor(s, "other").Edit(ctx, setCap(7))
+		require.NoError(t, err)
+	}
+	change, err := editor(s, "me").Edit(ctx, setWeight(9))
+	require.NoError(t, err, "different cells are merged")
+	require.EqualValues(t, 3, change.Number)
+	row := s.document(t).Table.Rows[1]
+	require.Equal(t, []int{9, 7}, []int{row.Weight, row.Cap})
+
+	s.before = func(string) {
+		s.before = nil
+		_, err := editor(s, "other").Edit(ctx, setCap(8))
+		require.NoError(t, err)
+	}
+	_, err = editor(s, "me").Edit(ctx, setCap(9))
+	var conflict *config.ConflictError
+	require.ErrorAs(t, err, &conflict, "the same cell never silently")
+	require.Equal(t, []table.Conflict{{Cell: table.Cell{Kind: table.CellRow, Name: "s/a/b", Field: "cap"}, Base: "7", Mine: "9", Theirs: "8"}}, conflict.Cells)
+	require.Equal(t, 8, s.document(t).Table.Rows[1].Cap)
+}
+
+func TestReplaceFromOldExport(t *testing.T) {
+	ctx := context.Background()
+	s := newFakeStore()
+	seed(t, s)
+	_, err := editor(s, "other").Edit(ctx, setCap(7))
+	require.NoError(t, err)
+	_, err = editor(s, "me").Replace(ctx, 1, setWeight(9), nil)
+	require.NoError(t, err)
+	row := s.document(t).Table.Rows[1]
+	require.Equal(t, []int{9, 7}, []int{row.Weight, row.Cap}, "the file's old cap must not undo the other's")
+	_, err = editor(s, "me").Replace(ctx, 99, setWeight(9), nil)
+	require.Error(t, err)
+}
+
+func TestInvalidTableChangesNothing(t *testing.T) {
+	s := newFakeStore()
+	seed(t, s)
+	version := s.objects[config.Key].Version
+	_, err := editor(s, "me").Edit(context.Background(), func(tab *table.Table) error {
+		tab.Rows[1].Cap = table.NoCap
+		tab.Rows[0].Shift = 0
+		return nil
+	})
+	var findings table.Findings
+	require.ErrorAs(t, err, &findings)
+	require.Len(t, findings, 3)
+	require.Equal(t, version, s.objects[config.Key].Version)
+}
+
+// TestTrailOutlivesDocument checks that changes leave the document for the
+// audit pages before it grows too large, and that none is lost.
+func TestTrailOutlivesDocument(t *testing.T) {
+	const edits = 300
+	s := newFakeStore()
+	seed(t, s)
+	for i := range edits {
+		e := editor(s, "me")
+		e.What = strings.Repeat("long command ", 200)
+		_, err := e.Edit(context.Background(), setWeight(10+i%2))
+		require.NoError(t, err)
+	}
+	trail, err := config.Trail(context.Background(), s)
+	require.NoError(t, err)
+	require.Len(t, trail, edits+1)
+	for i, c := range trail {
+		require.EqualValues(t, i+1, c.Number)
+	}
+	for key, obj := range s.objects {
+		require.Less(t, len(obj.Value), 300<<10, key)
+	}
+	require.Less(t, len(s.document(t).Recent), edits)
+	_, err = s.document(t).At(1)
+	require.ErrorIs(t, err, config.ErrTooOld)
+}
--- a/entry/forward.go
+++ b/entry/forward.go
@@ -69,7 +69,9 @@
 	err      error
 	watch    *stallWatch
 	began    time.Time
-	latency  time.Duration
+	// latency is the time to the head of the answer, or 0 for a large body:
+	// that takes as long as its sender does.
+	latency time.Duration
 }
 
 // close ends the attempt.
@@ -133,7 +135,9 @@
 	}
 	mark(req.Header)
 	a.resp, a.err = t.of(ex).RoundTrip(req)
-	a.latency = time.Since(a.began)
+	if !ex.body.large() {
+		a.latency = time.Since(a.began)
+	}
 	a.evidence = evidenceOf(connected.Load(), a.resp)
 	return a
 }
--- a/entry/region.go
+++ b/entry/region.go
@@ -144,7 +144,9 @@
 	}
 	switch outcome {
 	case retry.Ran:
-		e.config.Fleet.Answered(ex.Service.Name, row.To, a.latency)
+		if a.latency > 0 {
+			e.config.Fleet.Answered(ex.Service.Name, row.To, a.latency)
+		}
 		ex.target = a.resp.Header.Get(protocol.HeaderTarget)
 		return e.pass(ex, a, func(http.Header) {}), false
 	case retry.NotRun:
--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -334,12 +334,14 @@
 
 const pollEvery = 20 * time.Millisecond
 
-// AwaitReady waits until every instance is ready and every seat is held.
+// AwaitReady waits until every instance is ready, holds seats and has heard
+// every other one.
 func (c *Cluster) AwaitReady(ctx context.Context) error {
 	return c.await(ctx, func() bool {
-		for _, in := range c.Instances() {
+		all := c.Instances()
+		for _, in := range all {
 			st := in.Status()
-			if !st.Ready || st.Seats == 0 {
+			if !st.Ready || st.Seats == 0 || heard(st) < len(all)-1 {
 				return false
 			}
 		}
@@ -347,6 +349,17 @@
 	})
 }
 
+// heard returns the number of live instances that one has heard.
+func heard(st node.Status) int {
+	n := 0
+	for _, p := range st.Peers {
+		if p.State == member.Live && p.Version > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // AwaitVersion waits until every instance has a version in force.
 func (c *Cluster) AwaitVersion(ctx context.Context, number int64) error {
 	return c.await(ctx, func() bool {
--- /dev/null
+++ b/internal/demo/invariant_test.go
@@ -0,0 +1,395 @@
+package demo
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rainford/rainford/caller"
+	"github.com/rainford/rainford/config"
+	"github.com/rainford/rainford/internal/load"
+	"github.com/rainford/rainford/internal/standin/backend"
+	"github.com/rainford/rainford/internal/standin/platformstore"
+	"github.com/rainford/rainford/node"
+	"github.com/rainford/rainford/table"
+)
+
+// versionWatch follows the versions in force and finds one that falls.
+type versionWatch struct {
+	cluster *Cluster
+	stop    chan struct{}
+	done    chan struct{}
+	fell    bool
+}
+
+func watchVersions(c *Cluster) *versionWatch {
+	w := &versionWatch{cluster: c, stop: make(chan struct{}), done: make(chan struct{})}
+	go w.run()
+	return w
+}
+
+func (w *versionWatch) run() {
+	defer close(w.done)
+	seen := make(map[string]int64)
+	for {
+		for _, in := range w.cluster.Instances() {
+			id, version := in.Node.Instance().ID, in.Version()
+			w.fell = w.fell || version < seen[id]
+			seen[id] = version
+		}
+		select {
+		case <-w.stop:
+			return
+		case <-time.After(5 * time.Millisecond):
+		}
+	}
+}
+
+func (w *versionWatch) end() bool {
+	close(w.stop)
+	<-w.done
+	return w.fell
+}
+
+func (c *Cluster) weight(t *testing.T, n int) int64 {
+	t.Helper()
+	change, err := c.Editor("weight").Edit(context.Background(), func(tab *table.Table) error {
+		tab.Rows[0].Weight = n
+		return nil
+	})
+	require.NoError(t, err)
+	return change.Number
+}
+
+func (c *Cluster) inForce(t *testing.T, what string, number int64) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	began := time.Now()
+	require.NoError(t, c.AwaitVersion(ctx, number), what)
+	t.Logf("%s: in force everywhere after %.3f s", what, time.Since(began).Seconds())
+}
+
+// TestConfigurationThroughFaults brings about each failure that the fourth
+// invariant names and checks that an accepted change comes in force everywhere
+// and that no instance ever goes back.
+func TestConfigurationThroughFaults(t *testing.T) {
+	c := startCluster(t, Options{Estate: small(2)})
+	w := watchVersions(c)
+	c.inForce(t, "no fault", c.weight(t, 11))
+
+	c.Links["accra-1"].SetFaults(platformstore.Faults{Down: true})
+	c.inForce(t, "hall cut from the platform only", c.weight(t, 12))
+	c.SetFaults(platformstore.Faults{})
+
+	c.SetFaults(platformstore.Faults{StaleReads: true})
+	_, err := c.Editor("stale").Edit(context.Background(), func(tab *table.Table) error {
+		tab.Rows[0].Weight = 13
+		return nil
+	})
+	var conflict *config.ConflictError
+	require.ErrorAs(t, err, &conflict, "an edit of a cell as it was before the last change")
+	change, err := c.Editor("stale").Edit(context.Background(), func(tab *table.Table) error {
+		tab.Rows[1].Weight = 13
+		return nil
+	})
+	require.NoError(t, err)
+	c.inForce(t, "stale reads", change.Number)
+	c.SetFaults(platformstore.Faults{})
+	c.SetFaults(platformstore.Faults{LoseReplies: 1})
+	c.inForce(t, "lost reply", c.weight(t, 14))
+
+	for _, hall := range c.Estate.AllHalls()[1:] {
+		c.Links[hall].SetFaults(platformstore.Faults{Down: true})
+	}
+	number := c.weight(t, 15)
+	c.inForce(t, "all halls but one cut from the platform", number)
+	c.SetFaults(platformstore.Faults{Down: true})
+
+	self := c.Instances()[0].Node.Instance()
+	peers := []string{c.Instances()[1].Node.Instance().PeerAddr, c.Instances()[5].Node.Instance().PeerAddr}
+	c.options.Change = func(cfg *node.Config) { cfg.Bootstrap = peers }
+	late, err := c.StartInstance(self.Region, self.Hall, "late")
+	require.NoError(t, err)
+	c.inForce(t, "an instance that starts while the platform is down", number)
+	require.Eventually(t, func() bool { return late.Status().Ready }, time.Minute, 10*time.Millisecond)
+
+	c.SetFaults(platformstore.Faults{})
+	c.inForce(t, "after the outage", c.weight(t, 16))
+	require.False(t, w.end(), "a version fell")
+}
+
+// TestNotReadyWithoutTable checks that an instance that finds neither the
+// platform nor peers says so, and refuses at once.
+func TestNotReadyWithoutTable(t *testing.T) {
+	c := startCluster(t, Options{Estate: small(1)})
+	c.Links["accra-1"].SetFaults(platformstore.Faults{Down: true})
+	lone, err := c.StartInstance("accra", "accra-1", "lone")
+	require.NoError(t, err)
+	addrs := lone.Node.Instance()
+	resp, err := http.Get("http://" + addrs.AdminAddr + node.ReadyPath)
+	require.NoError(t, err)
+	body, _ := io.ReadAll(resp.Body)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.Contains(t, string(body), "no table in force yet")
+	resp, err = http.Get("http://" + addrs.CallerAddr + "/v1/call/listings/x")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.NotEmpty(t, resp.Header.Get("Retry-After"))
+}
+
+// slowBody trickles its data.
+type slowBody struct {
+	*bytes.Reader
+	chunk int
+	pause time.Duration
+}
+
+func (b *slowBody) Read(p []byte) (int, error) {
+	time.Sleep(b.pause)
+	return b.Reader.Read(p[:min(len(p), b.chunk)])
+}
+
+func (b *slowBody) Close() error { return nil }
+
+// slowUpload sends data over about a time and returns the answer's digest.
+func slowUpload(client *caller.Client, service string, data []byte, over time.Duration) error {
+	const chunks = 100
+	req := caller.Request{Service: service, Method: http.MethodPost, Path: "/scan", Length: int64(len(data))}
+	req.Body = func() (io.ReadCloser, error) {
+		return &slowBody{bytes.NewReader(data), len(data)/chunks + 1, over / chunks}, nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
+	defer cancel()
+	resp, err := client.Do(ctx, req)
+	for err != nil {
+		wait, comeBack := load.RetryAfter(err)
+		var notRun *caller.NotRunError
+		if !comeBack || !errors.As(err, &notRun) {
+			return err
+		}
+		time.Sleep(wait)
+		resp, err = client.Do(ctx, req)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var answer struct{ SHA256 string }
+	err = json.NewDecoder(resp.Body).Decode(&answer)
+	if err != nil {
+		return err
+	}
+	sum := sha256.Sum256(data)
+	if answer.SHA256 != hex.EncodeToString(sum[:]) {
+		return errors.New("wrong digest")
+	}
+	return nil
+}
+
+// TestLeavingTarget drains one target by the table and has another leave by
+// the platform's list, each with a long upload in flight and a health endpoint
+// that lies.
+func TestLeavingTarget(t *testing.T) {
+	estate := small(1)
+	estate.Services[0].Targets = 12
+	c := startCluster(t, Options{Estate: estate})
+	clients := c.callers(t)
+	service := c.Estate.Services[0].Name
+	generator := load.NewGenerator()
+	ctx, cancel := context.WithCancel(context.Background())
+	var loads sync.WaitGroup
+	for i, client := range clients {
+		s := load.Stream{Service: service, Kind: load.Read, Rate: 60, Timeout: 5 * time.Second, Client: client}
+		loads.Add(1)
+		go func() { defer loads.Done(); generator.Run(ctx, s, rand.NewPCG(1, uint64(i))) }()
+	}
+	uploads := make(chan error, 24)
+	for _, client := range clients {
+		for range 4 {
+			go func() { uploads <- slowUpload(client, service, backend.Blob(300_000), 6*time.Second) }()
+		}
+	}
+	time.Sleep(500 * time.Millisecond)
+	var leaving []*Target
+	for _, region := range c.Estate.Regions[:2] {
+		for _, target := range c.Targets(region) {
+			if target.Service == service {
+				target.Server.Set(func(s *backend.Settings) { s.LieHealth = true })
+				leaving = append(leaving, target)
+				break
+			}
+		}
+	}
+	began := time.Now()
+	_, err := c.Editor("drain").Edit(context.Background(), func(tab *table.Table) error {
+		tab.SetDrain(table.Drain{Scope: table.ScopeTarget, Name: leaving[0].ID}, true)
+		return nil
+	})
+	require.NoError(t, err)
+	leaving[1].Leaving = true
+	require.NoError(t, c.PublishTargets(context.Background(), leaving[1].Hall))
+	for range cap(uploads) {
+		require.NoError(t, <-uploads, "an upload was cut")
+	}
+	cancel()
+	loads.Wait()
+	generator.Wait()
+	for _, target := range leaving {
+		last := target.Server.LastNew().Sub(began)
+		require.False(t, target.Server.LastNew().IsZero(), "the target had no work at all")
+		t.Logf("%s: last new request %.3f s after the drain", target.ID, last.Seconds())
+		require.Less(t, last, 5*time.Second)
+	}
+	st := generator.Stats(service)
+	require.Zero(t, st.Broken+st.Unknown+st.Truncated)
+	t.Logf("%d requests, %d ok, %d not run %v", st.Requests, st.OK, st.NotRun, st.Reasons)
+}
+
+// TestRollingRestart replaces every instance under load, with uploads of
+// several seconds in flight and callers on stale look-ups.
+func TestRollingRestart(t *testing.T) {
+	c := startCluster(t, Options{Estate: small(1)})
+	clients := c.callers(t)
+	reads, pays := c.Estate.Services[0].Name, c.Estate.Services[1].Name
+	generator := load.NewGenerator()
+	ctx, cancel := context.WithCancel(context.Background())
+	var loads sync.WaitGroup
+	for i, client := range clients {
+		for j, s := range []load.Stream{
+			{Service: reads, Kind: load.Read, Rate: 30, Timeout: 5 * time.Second, Client: client},
+			{Service: reads, Kind: load.Download, Rate: 2, Bytes: 400_000, Timeout: 10 * time.Second, Client: client},
+			{Service: pays, Kind: load.Operate, Rate: 5, Bytes: 200, Timeout: 5 * time.Second, Client: client, AskAgain: 2},
+		} {
+			loads.Add(1)
+			go func() { defer loads.Done(); generator.Run(ctx, s, rand.NewPCG(2, uint64(10*i+j))) }()
+		}
+	}
+	var uploads sync.WaitGroup
+	var mu sync.Mutex
+	sent := 0
+	for _, client := range clients {
+		uploads.Add(1)
+		go func() {
+			defer uploads.Done()
+			for ctx.Err() == nil {
+				err := slowUpload(client, reads, backend.Blob(200_000), 4*time.Second)
+				mu.Lock()
+				sent++
+				mu.Unlock()
+				if err != nil {
+					t.Errorf("upload: %v", err)
+				}
+			}
+		}()
+	}
+	c.replaceAll(t)
+	cancel()
+	loads.Wait()
+	generator.Wait()
+	uploads.Wait()
+	for _, service := range []string{reads, pays} {
+		st := generator.Stats(service)
+		t.Logf("%s: %d requests, %d ok, %d not run, %d unknown, %d broken, %v", service, st.Requests, st.OK, st.NotRun, st.Unknown, st.Broken, st.Reasons)
+		require.Zero(t, st.Broken+st.Unknown+st.Truncated, "requests cut")
+	}
+	require.Zero(t, c.Runs.Twice())
+	t.Logf("%d uploads of 4 s, none cut", sent)
+}
+
+// replaceAll replaces the instances one after the other, three at a time.
+func (c *Cluster) replaceAll(t *testing.T) {
+	all := c.Instances()
+	for from := 0; from < len(all); from += 3 {
+		var wg sync.WaitGroup
+		for _, in := range all[from:min(from+3, len(all))] {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+				defer cancel()
+				took, err := c.Replace(ctx, in)
+				if err != nil {
+					t.Errorf("replace: %v", err)
+				}
+				t.Logf("%s stopped after %.2f s", in.Node.Instance().ID, took.Seconds())
+			}()
+		}
+		wg.Wait()
+	}
+}
+
+// TestWholeAnswers has targets break answers midway and callers go away, and
+// checks every answer that looks whole against its digest.
+func TestWholeAnswers(t *testing.T) {
+	c := startCluster(t, Options{Estate: small(1)})
+	for _, target := range c.Targets("") {
+		target.Server.Set(func(s *backend.Settings) { s.DropAfter = 0.2 })
+	}
+	service := c.Estate.Services[2].Name
+	generator := load.NewGenerator()
+	ctx, cancel := context.WithTimeout(context.Background(), 4*time.Second)
+	defer cancel()
+	var loads sync.WaitGroup
+	for i, client := range c.callers(t) {
+		for j, s := range []load.Stream{
+			{Service: service, Kind: load.Download, Rate: 10, Bytes: 300_000 + 1000*i, Timeout: 5 * time.Second, Client: client},
+			{Service: service, Kind: load.Upload, Rate: 10, Bytes: 100_000 + 1000*i, Timeout: 5 * time.Second, Client: client},
+			{Service: service, Kind: load.Download, Rate: 10, Bytes: 2_000_000, Timeout: 8 * time.Millisecond, Client: client},
+		} {
+			loads.Add(1)
+			go func() { defer loads.Done(); generator.Run(ctx, s, rand.NewPCG(3, uint64(10*i+j))) }()
+		}
+	}
+	loads.Wait()
+	generator.Wait()
+	st := generator.Stats(service)
+	t.Logf("%d requests, %d ok, %d visibly broken, %d not run, %d wrong or short yet whole", st.Requests, st.OK, st.Broken, st.NotRun, st.Truncated)
+	require.Zero(t, st.Truncated)
+	require.Positive(t, st.Broken)
+	require.Positive(t, st.OK)
+}
+
+// TestNoTargetOverSlots sends one and a half times what the targets carry, then
+// halves what one region's targets truly carry, and checks what each target was
+// offered at a time.
+func TestNoTargetOverSlots(t *testing.T) {
+	estate := small(2)
+	estate.Services = estate.Services[:1]
+	estate.Services[0].Time = 60 * time.Millisecond
+	c := startCluster(t, Options{Estate: estate})
+	service := estate.Services[0]
+	capacity := float64(service.Targets*service.Slots) / service.Time.Seconds()
+	generator := load.NewGenerator()
+	ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
+	defer cancel()
+	var loads sync.WaitGroup
+	clients := c.callers(t)
+	for i, client := range clients {
+		s := load.Stream{Service: service.Name, Kind: load.Read, Rate: 1.5 * capacity / float64(len(clients)), Timeout: time.Second, Client: client}
+		loads.Add(1)
+		go func() { defer loads.Done(); generator.Run(ctx, s, rand.NewPCG(4, uint64(i))) }()
+	}
+	time.Sleep(3 * time.Second)
+	for _, target := range c.Targets(c.Estate.Regions[0]) {
+		target.Server.Set(func(s *backend.Settings) { s.Slots /= 2 })
+	}
+	loads.Wait()
+	generator.Wait()
+	for _, target := range c.Targets("") {
+		require.LessOrEqual(t, target.Server.Peak(), target.Slots, target.ID)
+	}
+	st := generator.Stats(service.Name)
+	t.Logf("capacity %.0f/s, offered %.0f/s for 6 s: %d requests, %d ok, %d not run %v; refusals p50 %.1f ms p99 %.1f ms",
+		capacity, 1.5*capacity, st.Requests, st.OK, st.NotRun, st.Reasons,
+		float64(st.Refusal.ValueAtQuantile(50))/1000, float64(st.Refusal.ValueAtQuantile(99))/1000)
+	require.Zero(t, st.Unknown)
+}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -199,7 +199,7 @@
 	for try := range s.AskAgain + 1 {
 		req.FirstAttempt = 10*try + 1
 		err = g.attempt(s, req, want)
-		wait, comeBack := retryAfter(err)
+		wait, comeBack := RetryAfter(err)
 		if !comeBack || try == s.AskAgain {
 			break
 		}
@@ -215,7 +215,8 @@
 // asks again.
 const copyAttempt = 5
 
-func retryAfter(err error) (time.Duration, bool) {
+// RetryAfter returns when to come back after an error, and whether to.
+func RetryAfter(err error) (time.Duration, bool) {
 	var notRun *caller.NotRunError
 	if errors.As(err, &notRun) {
 		return notRun.RetryAfter, notRun.RetryAfter > 0
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -56,15 +56,14 @@
 	offered  int
 	peak     int
 	lastNew  time.Time
-	slots    chan struct{}
 }
 
 // NewServer returns the target called id. Runs may be shared.
 func NewServer(id string, settings Settings, runs *Runs) *Server {
-	return &Server{id: id, runs: runs, settings: settings, slots: make(chan struct{}, max(settings.Slots, 1))}
+	return &Server{id: id, runs: runs, settings: settings}
 }
 
-// Set changes the settings; the number of slots stays.
+// Set changes the settings.
 func (s *Server) Set(change func(*Settings)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -175,23 +174,30 @@
 	s.run(w, r, now)
 }
 
+// slotPoll is how often work that waits looks for a free slot.
+const slotPoll = time.Millisecond
+
 // take takes a slot, waiting for one if the target does not shed.
 func (s *Server) take(r *http.Request, shed bool) bool {
-	if shed {
-		select {
-		case s.slots <- struct{}{}:
-		default:
+	for !s.tryTake() {
+		if shed {
 			return false
 		}
-	} else {
 		select {
-		case s.slots <- struct{}{}:
+		case <-time.After(slotPoll):
 		case <-r.Context().Done():
 			return false
 		}
 	}
+	return true
+}
+
+func (s *Server) tryTake() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.inFlight >= s.settings.Slots {
+		return false
+	}
 	s.inFlight++
 	s.lastNew = time.Now()
 	return true
@@ -199,9 +205,8 @@
 
 func (s *Server) free() {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.inFlight--
-	s.mu.Unlock()
-	<-s.slots
 }
 
 // run does the work. It counts the run before it works, since a caller that
--- a/internal/standin/platformstore/faults.go
+++ b/internal/standin/platformstore/faults.go
@@ -14,7 +14,8 @@
 	// LoseReplies lets the next n writes take effect and breaks the
 	// connection in place of an answer.
 	LoseReplies int `json:"lose_replies"`
-	// StaleReads answers a get with the value before the last write.
+	// StaleReads answers a get with the value before the last write, and a
+	// watch with such values besides the new ones.
 	StaleReads bool `json:"stale_reads"`
 }
 
--- a/internal/standin/platformstore/server.go
+++ b/internal/standin/platformstore/server.go
@@ -163,6 +163,9 @@
 	for {
 		listing, changed := s.store.Changes(query["prefix"], after)
 		if len(listing.Objects) > 0 {
+			if s.currentFaults().StaleReads {
+				listing.Objects = append(listing.Objects, s.store.Previous(query["prefix"])...)
+			}
 			writeJSON(w, http.StatusOK, listing)
 			return
 		}
--- a/internal/standin/platformstore/store.go
+++ b/internal/standin/platformstore/store.go
@@ -70,6 +70,20 @@
 	return out, s.changed
 }
 
+// Previous returns what the objects below the prefixes were before their last
+// write.
+func (s *Store) Previous(prefixes []string) []platform.Object {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []platform.Object
+	for key, obj := range s.previous {
+		if hasAnyPrefix(key, prefixes) {
+			out = append(out, obj)
+		}
+	}
+	return out
+}
+
 // Put writes value if the object is at version. When it is not, the current
 // object and false are returned.
 func (s *Store) Put(key string, version int64, value json.RawMessage) (platform.Object, bool) {
--- /dev/null
+++ b/member/member_test.go
@@ -0,0 +1,113 @@
+package member_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rainford/rainford/member"
+)
+
+var (
+	epoch    = time.Unix(1000, 0)
+	settings = member.DefaultSettings
+)
+
+func in(id, hall string) member.Instance { return member.Instance{ID: id, Hall: hall} }
+
+func states(v *member.View, now time.Time) map[string]member.State {
+	out := make(map[string]member.State)
+	for _, s := range v.All(now) {
+		out[s.ID] = s.State
+	}
+	return out
+}
+
+func TestView(t *testing.T) {
+	v := member.NewView(in("me", "h"), settings)
+	v.SetList(epoch, []member.Instance{in("me", "h"), in("a", "h"), in("far", "g"), in("far2", "g")})
+	require.Equal(t, map[string]member.State{"a": member.Live, "far": member.Live, "far2": member.Live}, states(v, epoch),
+		"new ones count as alive until they had time to be heard; oneself is left out")
+	later := epoch.Add(settings.SuspectAfter + time.Second)
+	require.Equal(t, member.Suspect, states(v, later)["a"])
+	v.Hear(later, member.Heartbeat{From: in("a", "h")})
+	v.Hear(later, member.Heartbeat{From: in("far", "g"), Heard: []string{"far2", "stranger"}})
+	require.Equal(t, map[string]member.State{"a": member.Live, "far": member.Live, "far2": member.Live}, states(v, later),
+		"one of a hall speaks for the others that it hears")
+	require.Equal(t, []string{"a"}, v.HeardInHall(later))
+}
+
+// TestLeavingIsForGood checks that neither an old heartbeat nor an old list
+// brings a leaving instance back.
+func TestLeavingIsForGood(t *testing.T) {
+	v := member.NewView(in("me", "h"), settings)
+	leaving := in("a", "h")
+	leaving.Leaving = true
+	v.Hear(epoch, member.Heartbeat{From: in("a", "h")})
+	v.Hear(epoch, member.Heartbeat{From: leaving})
+	v.Hear(epoch, member.Heartbeat{From: in("a", "h")})
+	v.SetList(epoch, []member.Instance{in("a", "h")})
+	require.Equal(t, member.Leaving, states(v, epoch)["a"])
+	b := in("b", "h")
+	b.Leaving = true
+	v.SetList(epoch, []member.Instance{b})
+	v.Hear(epoch, member.Heartbeat{From: in("b", "h")})
+	require.Equal(t, member.Leaving, states(v, epoch)["b"], "the list may be first to know")
+	v.SetList(epoch, nil)
+	v.Forget(epoch.Add(settings.ForgetAfter + time.Second))
+	require.Empty(t, v.All(epoch))
+}
+
+// TestRecipientsReachEveryone checks that the whole own hall is told every
+// round, and each instance of the other halls within as many rounds as its
+// hall has instances.
+func TestRecipientsReachEveryone(t *testing.T) {
+	v := member.NewView(in("me", "h0"), settings)
+	var list []member.Instance
+	for hall := range 5 {
+		for i := range 6 {
+			list = append(list, in(fmt.Sprintf("h%d-%d", hall, i), fmt.Sprintf("h%d", hall)))
+		}
+	}
+	v.SetList(epoch, list)
+	told := make(map[string]int)
+	for round := range uint64(6) {
+		recipients := v.Recipients(epoch, round)
+		require.Len(t, recipients, 6+4)
+		for _, r := range recipients {
+			told[r.ID]++
+		}
+	}
+	require.Len(t, told, 30)
+	for i := range 6 {
+		require.Equal(t, 6, told[fmt.Sprintf("h0-%d", i)])
+	}
+}
+
+func BenchmarkAll(b *testing.B) {
+	for _, n := range []int{12, 100, 730} {
+		b.Run(fmt.Sprintf("instances%d", n), func(b *testing.B) {
+			v := member.NewView(in("me", "h"), settings)
+			for i := range n {
+				v.Hear(epoch, member.Heartbeat{From: in(fmt.Sprintf("instance-%03d", i), fmt.Sprintf("h%d", i%19))})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				v.All(epoch)
+			}
+		})
+	}
+}
+
+func ExampleView() {
+	v := member.NewView(member.Instance{ID: "me", Hall: "accra-1"}, member.DefaultSettings)
+	now := time.Unix(0, 0)
+	v.Hear(now, member.Heartbeat{From: member.Instance{ID: "other", Hall: "accra-1"}})
+	fmt.Println(v.All(now)[0].State)
+	fmt.Println(v.All(now.Add(time.Minute))[0].State)
+	// Output:
+	// live
+	// suspect
+}
--- a/node/beat.go
+++ b/node/beat.go
@@ -87,6 +87,9 @@
 		Heard:   n.view.HeardInHall(now),
 	}
 	hb.From.Leaving = n.leaving
+	if n.closing {
+		hb.Loads = nil
+	}
 	return hb
 }
 
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -31,7 +31,9 @@
 	f := &fleet{hops: make(map[destination][]entry.Hop)}
 	alive := map[string]string{n.self.ID: n.self.PeerAddr}
 	for _, s := range all {
-		if s.State != member.Live {
+		// One of the own hall that leaves still has slots for a while.
+		leaving := s.State == member.Leaving && s.Hall == n.self.Hall && now.Sub(s.HeardAt) < n.config.Members.SuspectAfter
+		if s.State != member.Live && !leaving {
 			continue
 		}
 		alive[s.ID] = s.PeerAddr
--- a/node/node.go
+++ b/node/node.go
@@ -56,9 +56,11 @@
 	drainedAt map[string]time.Time
 	blocks    *lookup.Blocks
 	leaving   bool
-	rand      *rand.Rand
-	round     uint64
-	fleetOld  bool
+	// closing is set when a stopping instance wants no more from others.
+	closing  bool
+	rand     *rand.Rand
+	round    uint64
+	fleetOld bool
 
 	plan      atomic.Pointer[table.Plan]
 	fleet     atomic.Pointer[fleet]
--- a/node/stop.go
+++ b/node/stop.go
@@ -9,6 +9,9 @@
 	// minLinger is the shortest time that a stopping instance goes on
 	// serving. It outlasts the idle connections that others keep to it.
 	minLinger = 3 * time.Second
+	// hopRest is the part of the linger in which other instances send nothing
+	// more: longer than a heartbeat and the idle time of their connections.
+	hopRest = 2500 * time.Millisecond
 	// flushMax bounds the wait for the ends of claims at a stop.
 	flushMax = 5 * time.Second
 	// lastBeats is the number of rounds in which the last state is told.
@@ -17,16 +20,19 @@
 
 // stop ends the instance without cutting off a request:
 //
-//   - it drops out of look-ups and of the other instances' choices at once;
-//   - it serves on for the time that callers may keep a look-up;
+//   - it drops out of look-ups and of other halls' choices at once, and gives
+//     half of its seats back;
+//   - it serves on for the time that callers may keep a look-up, and its hall's
+//     other instances may send to it for the first part of that;
 //   - it waits for the requests in flight, uploads included;
-//   - it gives its seats back and tells its peers so;
+//   - it gives its other seats back and tells its peers so;
 //   - it takes itself off the platform's list.
 func (n *Node) stop() error {
 	began := time.Now()
 	n.mu.Lock()
 	n.leaving = true
 	n.ledger.StopLending()
+	n.agent.Retire()
 	n.rebuild(began)
 	n.mu.Unlock()
 	n.announce()
@@ -35,7 +41,13 @@
 	ctx, cancel := n.drainContext()
 	defer cancel()
 	go n.register(ctx)
-	n.sleep(ctx, max(n.config.LookupTTL, minLinger))
+	linger := max(n.config.LookupTTL, minLinger)
+	n.sleep(ctx, linger-hopRest)
+	n.mu.Lock()
+	n.closing = true
+	n.mu.Unlock()
+	n.announce()
+	n.sleep(ctx, hopRest)
 	cut := n.closeServers(ctx)
 	flush, stopFlush := context.WithTimeout(ctx, flushMax)
 	n.claims.flush(flush)
--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,55 @@
+package retry_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rainford/rainford/retry"
+)
+
+func TestJudge(t *testing.T) {
+	cases := []struct {
+		name string
+		e    retry.Evidence
+		want retry.Outcome
+	}{
+		{"no connection", retry.Evidence{}, retry.NotRun},
+		{"connected, no answer", retry.Evidence{Connected: true}, retry.Unknown},
+		{"answered", retry.Evidence{Connected: true, Answered: true}, retry.Ran},
+		{"refused", retry.Evidence{Connected: true, Answered: true, Refusal: true}, retry.NotRun},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			require.Equal(t, c.want, retry.Judge(c.e))
+			require.Equal(t, c.want, retry.Parse(c.want.String()))
+		})
+	}
+}
+
+func TestMay(t *testing.T) {
+	for _, retriable := range []bool{true, false} {
+		require.True(t, retry.May(retry.NotRun, retriable))
+		require.Equal(t, retriable, retry.May(retry.Unknown, retriable))
+		require.False(t, retry.May(retry.Ran, retriable))
+	}
+}
+
+// TestBudgetBoundsRetries checks that retries stay a tenth of the successes,
+// the start aside.
+func TestBudgetBoundsRetries(t *testing.T) {
+	var b retry.Budget
+	start := 0
+	for b.Spend() {
+		start++
+	}
+	require.Equal(t, 10, start)
+	retries := 0
+	for range 1000 {
+		b.Success()
+		if b.Spend() {
+			retries++
+		}
+	}
+	require.Equal(t, 100, retries)
+}
--- a/seat/agent.go
+++ b/seat/agent.go
@@ -23,6 +23,9 @@
 	// the instance says so.
 	giving  map[SeatTerm]time.Time
 	leaving bool
+	// retiring and retireTo are set by Retire.
+	retiring bool
+	retireTo int
 
 	renewedAt time.Time
 	lastWrite time.Time
@@ -48,6 +51,7 @@
 	echo     uint64
 	released []SeatTerm
 	leaving  bool
+	retiring bool
 }
 
 // Write is a conditional write of the roster that an agent wants tried.
@@ -78,7 +82,7 @@
 
 // Beat returns what the heartbeat of the current round says to one peer.
 func (a *Agent) Beat(now time.Time, to string) Beat {
-	b := Beat{Seq: a.sent.seq, Released: a.released(now)}
+	b := Beat{Seq: a.sent.seq, Released: a.released(now), Retiring: a.retiring}
 	// Peers do without the echo of one that leaves, so it must have no write
 	// under way that takes their seats.
 	b.Leaving = a.leaving && len(a.takes) == 0
@@ -110,6 +114,7 @@
 	p.epoch = max(p.epoch, b.Epoch)
 	p.echo = max(p.echo, b.Echo)
 	p.leaving = p.leaving || b.Leaving
+	p.retiring = p.retiring || b.Retiring
 	if b.Seq >= p.seq {
 		p.seq = b.Seq
 		p.released = b.Released
--- a/seat/beat.go
+++ b/seat/beat.go
@@ -19,6 +19,8 @@
 	Released []SeatTerm `msgpack:"g,omitempty"`
 	// Leaving says that the sender is about to end and takes no seat again.
 	Leaving bool `msgpack:"l,omitempty"`
+	// Retiring says that the sender wants no more seats.
+	Retiring bool `msgpack:"w,omitempty"`
 }
 
 // SeatTerm names one term of a seat.
--- a/seat/keep.go
+++ b/seat/keep.go
@@ -5,6 +5,13 @@
 // Leave makes the instance give back all its seats and take none again.
 func (a *Agent) Leave() { a.leaving = true }
 
+// Retire makes the instance give back half of its seats and take no more, so
+// that others can serve while callers still move away from it.
+func (a *Agent) Retire() {
+	a.retiring = true
+	a.retireTo = len(a.Assigned()) / 2
+}
+
 // Left tells whether a leaving instance holds no seat any more.
 func (a *Agent) Left() bool {
 	return a.roster == nil || len(a.roster.Held(a.id)) == 0
@@ -20,6 +27,8 @@
 	keep := a.roster.fair()
 	if a.leaving {
 		keep = 0
+	} else if a.retiring {
+		keep = a.retireTo
 	} else if !now.Before(a.PlatformLeaseEnd()) {
 		// Without the platform nobody could take over what is given.
 		return
@@ -166,11 +175,19 @@
 	return p != nil && p.leaving
 }
 
+func (a *Agent) isRetiring(id string) bool {
+	if id == a.id {
+		return a.retiring
+	}
+	p := a.peers[id]
+	return p != nil && p.retiring
+}
+
 // skip returns the members that get no more seats.
 func (a *Agent) skip(r *Roster) map[string]bool {
 	out := make(map[string]bool)
 	for _, m := range r.Members {
-		if a.isLeaving(m.ID) {
+		if a.isLeaving(m.ID) || a.isRetiring(m.ID) {
 			out[m.ID] = true
 		}
 	}
--- /dev/null
+++ b/seat/seat_test.go
@@ -0,0 +1,290 @@
+package seat_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rainford/rainford/seat"
+)
+
+var timing = seat.DefaultTiming
+
+// stage is a hall with agents that hear each other and the platform as the
+// test says.
+type stage struct {
+	t       *testing.T
+	now     time.Time
+	agents  map[string]*seat.Agent
+	order   []string
+	roster  *seat.Roster
+	version int64
+	// offline agents do not reach the platform, deaf pairs do not hear each
+	// other.
+	offline map[string]bool
+	deaf    map[string]bool
+}
+
+func newStage(t *testing.T, ids ...string) *stage {
+	s := &stage{t: t, now: time.Unix(1000, 0), agents: map[string]*seat.Agent{}, offline: map[string]bool{}, deaf: map[string]bool{}}
+	for _, id := range ids {
+		s.add(id, id)
+	}
+	s.run(30 * time.Second)
+	for _, id := range ids {
+		require.InDelta(t, seat.Count/len(ids), s.held(id), 1)
+	}
+	return s
+}
+
+func (s *stage) add(id, addr string) {
+	s.agents[id] = seat.NewAgent(id, addr, "hall", timing)
+	s.order = append(s.order, id)
+}
+
+// cut separates an agent from all others.
+func (s *stage) cut(id string) {
+	for _, other := range s.order {
+		s.deaf[id+other], s.deaf[other+id] = true, true
+	}
+}
+
+func (s *stage) kill(id string) {
+	delete(s.agents, id)
+	for i, other := range s.order {
+		if other == id {
+			s.order = append(s.order[:i:i], s.order[i+1:]...)
+		}
+	}
+}
+
+func (s *stage) run(length time.Duration) {
+	for end := s.now.Add(length); s.now.Before(end); s.now = s.now.Add(500 * time.Millisecond) {
+		for _, id := range s.order {
+			s.round(id)
+		}
+		s.exclusive()
+	}
+}
+
+func (s *stage) round(id string) {
+	a := s.agents[id]
+	if !s.offline[id] {
+		if s.version == 0 {
+			a.LearnEmpty()
+		} else {
+			a.Learn(s.now, s.roster, s.version)
+		}
+	}
+	a.Begin(s.now)
+	a.Tick(s.now, time.Time{})
+	for _, other := range s.order {
+		if other != id && !s.deaf[id+other] {
+			s.agents[other].Hear(s.now, id, a.Beat(s.now, other))
+		}
+	}
+	w := a.Propose(s.now)
+	switch {
+	case w == nil:
+	case s.offline[id] || w.Version != s.version:
+		a.WriteFailed(w)
+	default:
+		s.version++
+		s.roster = w.Roster
+		a.Learn(s.now, w.Roster, s.version)
+	}
+}
+
+// exclusive checks that no seat is held by two.
+func (s *stage) exclusive() {
+	holder := make(map[int]string)
+	for _, id := range s.order {
+		for _, n := range s.agents[id].Held(s.now) {
+			require.Empty(s.t, holder[n], "seat %d is held by %s too", n, id)
+			holder[n] = id
+		}
+	}
+}
+
+func (s *stage) held(id string) int { return len(s.agents[id].Held(s.now)) }
+
+// The cases of the table in docs/DESIGN.md, "Who may use which units".
+
+func TestPlatformDown(t *testing.T) {
+	s := newStage(t, "a", "b", "c")
+	for _, id := range s.order {
+		s.offline[id] = true
+	}
+	s.run(10 * time.Minute)
+	for _, id := range s.order {
+		require.Positive(t, s.held(id), "all hear each other: all go on")
+	}
+	s.run(timing.Offline)
+	require.Zero(t, s.held("a"), "after Offline nobody does")
+}
+
+func TestPlatformDownAndInstanceDead(t *testing.T) {
+	s := newStage(t, "a", "b")
+	s.offline["a"], s.offline["b"] = true, true
+	s.run(time.Minute)
+	s.kill("b")
+	s.run(timing.Lease + timing.Grant)
+	require.Zero(t, s.held("a"), "b may be alive and reach the platform")
+	s.offline["a"] = false
+	s.run(30 * time.Second)
+	require.Equal(t, seat.Count, s.held("a"))
+}
+
+func TestOnlyInstanceGoesOnAlone(t *testing.T) {
+	s := newStage(t, "a")
+	s.offline["a"] = true
+	s.run(timing.Offline - time.Minute)
+	require.Equal(t, seat.Count, s.held("a"))
+}
+
+func TestInstanceCutFromAll(t *testing.T) {
+	s := newStage(t, "a", "b", "c")
+	s.offline["a"] = true
+	s.cut("a")
+	s.run(timing.Lease + time.Second)
+	require.Zero(t, s.held("a"))
+	s.run(30 * time.Second)
+	require.Equal(t, seat.Count, s.held("b")+s.held("c"), "the others take its seats")
+}
+
+func TestInstanceCutFromPlatformOnly(t *testing.T) {
+	s := newStage(t, "a", "b", "c")
+	s.offline["a"] = true
+	s.run(10 * time.Minute)
+	require.Positive(t, s.held("a"), "its peers renew it")
+}
+
+func TestInstanceCutFromPeersOnly(t *testing.T) {
+	s := newStage(t, "a", "b", "c")
+	s.cut("a")
+	s.run(10 * time.Minute)
+	require.Positive(t, s.held("a"), "it renews itself")
+	require.Positive(t, s.held("b"))
+}
+
+// TestJoinerWaitsForAck has an instance join that the old ones can't hear of:
+// they are cut from the platform, and it from them.
+func TestJoinerWaitsForAck(t *testing.T) {
+	s := newStage(t, "a", "b")
+	s.offline["a"], s.offline["b"] = true, true
+	s.add("j", "j")
+	s.cut("j")
+	s.run(10 * time.Minute)
+	require.Zero(t, s.held("j"), "it can't know that a and b have stopped")
+	require.Equal(t, seat.Count, s.held("a")+s.held("b"), "they go on by each other's echoes")
+	s.run(timing.Offline + time.Hour)
+	require.Equal(t, seat.Count, s.held("j"), "after Offline they have stopped")
+}
+
+// TestJoinerOnSameAddress has an instance come back on the address of the
+// hall's only one, which has died.
+func TestJoinerOnSameAddress(t *testing.T) {
+	s := newStage(t, "a")
+	s.kill("a")
+	s.add("a2", "a")
+	s.run(30 * time.Second)
+	require.Equal(t, seat.Count, s.held("a2"))
+}
+
+// TestNoEchoWhileTaking checks that a member whose seats are being taken by a
+// write of uncertain end gets no echo, which would renew its peer lease.
+func TestNoEchoWhileTaking(t *testing.T) {
+	s := newStage(t, "a", "b")
+	s.offline["a"] = true
+	s.cut("a")
+	s.run(timing.Lease)
+	b := s.agents["b"]
+	var w *seat.Write
+	for w == nil || len(w.Roster.Members) == 2 {
+		s.now = s.now.Add(500 * time.Millisecond)
+		if w != nil {
+			s.version++
+			s.roster = w.Roster
+			b.Learn(s.now, w.Roster, s.version)
+		}
+		b.Begin(s.now)
+		w = b.Propose(s.now)
+		require.Less(t, s.now.Unix(), int64(1200), "b never takes over")
+	}
+	b.WriteUncertain(w)
+	a := s.agents["a"]
+	a.Begin(s.now)
+	b.Hear(s.now, "a", a.Beat(s.now, "b"))
+	require.Zero(t, b.Beat(s.now, "a").Echo, "the write may yet take effect")
+	a.Hear(s.now, "b", b.Beat(s.now, "a"))
+	require.Zero(t, s.held("a"))
+	b.Learn(s.now, s.roster.Clone(), s.version+1)
+	require.NotZero(t, b.Beat(s.now, "a").Echo, "a later version without the write settles it")
+}
+
+// TestPlannedStop checks that seats given back pass on without a wait for the
+// lease.
+func TestPlannedStop(t *testing.T) {
+	s := newStage(t, "a", "b")
+	s.agents["a"].Leave()
+	began := s.now
+	for !s.agents["a"].Left() {
+		s.run(500 * time.Millisecond)
+		require.Less(t, s.now.Sub(began), time.Minute)
+	}
+	t.Logf("given back after %s", s.now.Sub(began))
+	require.Less(t, s.now.Sub(began), timing.Lease)
+	s.run(2 * time.Second)
+	require.Equal(t, seat.Count, s.held("b"))
+	_, member := s.roster.Member("a")
+	require.False(t, member)
+}
+
+func TestReleased(t *testing.T) {
+	s := newStage(t, "a", "b")
+	free := s.roster.Released()
+	require.Empty(t, free.Members)
+	for i := range free.Seats {
+		require.Empty(t, free.Seats[i].Holder)
+		require.Greater(t, free.Seats[i].Term, s.roster.Seats[i].Term)
+	}
+}
+
+func BenchmarkPropose(b *testing.B) {
+	for _, n := range []int{2, 12, 38} {
+		b.Run(fmt.Sprintf("members%d", n), func(b *testing.B) {
+			now := time.Unix(0, 0)
+			a := seat.NewAgent("m000", "m000", "hall", timing)
+			a.LearnEmpty()
+			version := int64(0)
+			for i := range n {
+				a.Begin(now)
+				a.Hear(now, fmt.Sprintf("m%03d", i), seat.Beat{Seq: 1})
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(timing.Renew)
+				a.Begin(now)
+				w := a.Propose(now)
+				version++
+				a.Learn(now, w.Roster, version)
+			}
+		})
+	}
+}
+
+func ExampleAgent() {
+	now := time.Unix(0, 0)
+	a := seat.NewAgent("a", "127.0.0.1:1", "hall", seat.DefaultTiming)
+	a.LearnEmpty()
+	a.Begin(now)
+	w := a.Propose(now)
+	a.Learn(now, w.Roster, 1)
+	fmt.Println(len(a.Held(now)), "seats until", a.LeaseEnd().Sub(now) >= seat.DefaultTiming.Lease)
+	fmt.Println(len(a.Held(a.LeaseEnd())), "after")
+	// Output:
+	// 64 seats until true
+	// 0 after
+}
--- a/share/model_test.go
+++ b/share/model_test.go
@@ -238,7 +238,13 @@
 	w.nodes = kept
 }
 
+// step lets an instance act. Requests may come before anything else, as they
+// do when a paused process wakes.
 func (w *world) step(n *modelNode) {
+	early := w.chance(0.5)
+	if early {
+		w.arrivals(n)
+	}
 	if !w.now.Before(n.beatAt) {
 		n.beatAt = w.now.Add(modelBeat)
 		w.beat(n)
@@ -247,6 +253,12 @@
 		n.pollAt = w.now.Add(w.between(50*time.Millisecond, 300*time.Millisecond))
 		w.poll(n)
 	}
+	if !early {
+		w.arrivals(n)
+	}
+}
+
+func (w *world) arrivals(n *modelNode) {
 	arrivals := 0
 	for w.chance(0.3 * n.busy) {
 		arrivals++
@@ -375,9 +387,12 @@
 		n.agent.LearnEmpty()
 		return
 	}
+	version := obj.version
+	if version <= n.agent.Version() {
+		return
+	}
 	var roster seat.Roster
 	require.NoError(w.t, json.Unmarshal(obj.raw, &roster))
-	version := obj.version
 	w.mail = append(w.mail, modelMail{at: w.now.Add(w.between(0, 30*time.Millisecond)), to: n, do: func(now time.Time) {
 		n.agent.Learn(n.local(now), &roster, version)
 		w.seats(n)
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/rainford/rainford/share"
+	"github.com/rainford/rainford/table"
 )
 
 // The properties draw the same cases in every run unless -rapid.seed says
@@ -170,6 +171,25 @@
 	require.True(t, lentAny)
 }
 
+// TestFence checks that units end with the lease by the clock alone, as for a
+// process that was paused and handles a request before anything else.
+func TestFence(t *testing.T) {
+	plan := table.Compile(&table.Table{
+		Regions: []table.Region{{Name: "r", Halls: []string{"h"}}, {Name: "q", Halls: []string{"z"}}},
+		Rows:    []table.Row{{Service: "s", From: "r", To: "q", Weight: 1, Cap: 64, Shift: 100}},
+	}, 1)
+	row := plan.Table.Rows[0]
+	l := share.NewLedger("h", "r", 64, 1)
+	l.SetPlan(plan)
+	start := time.Unix(0, 0)
+	l.SetSeats([]int{0, 1, 2}, start.Add(10*time.Second))
+	require.Equal(t, share.Admitted, l.Take(start, row))
+	require.Equal(t, share.Admitted, l.Take(start.Add(10*time.Second-1), row))
+	require.Equal(t, share.NoUnits, l.Take(start.Add(10*time.Second), row))
+	_, lent := l.Lend(start.Add(10*time.Second), share.Ask{Row: row.Key(), Units: 1})
+	require.False(t, lent)
+}
+
 func TestRampRisesInSteps(t *testing.T) {
 	const total = 100
 	r := &share.Ramp{Shift: 25, Period: time.Second}
