--- a/balance/policy.go
+++ b/balance/policy.go
@@ -40,6 +40,21 @@
 	return best
 }
 
+// LeastInFlight picks the candidate with the fewest requests in flight, the
+// first among equals. It is a baseline.
+type LeastInFlight struct{}
+
+// Pick implements Policy.
+func (LeastInFlight) Pick(candidates []Candidate) int {
+	best := 0
+	for i := range candidates {
+		if candidates[i].InFlight < candidates[best].InFlight {
+			best = i
+		}
+	}
+	return best
+}
+
 // RoundRobin picks the candidates in turn. It is the baseline that the other
 // policies are measured against.
 type RoundRobin struct {
--- /dev/null
+++ b/cmd/rainfordload/main.go
@@ -0,0 +1,179 @@
+// Command rainfordload runs measured experiments of a whole estate on loopback
+// and prints one table, or JSON.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"strconv"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+
+	"github.com/rainford/rainford/internal/demo"
+	"github.com/rainford/rainford/internal/experiment"
+)
+
+// Exit codes.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	os.Exit(run(ctx, os.Args[1:], os.Stdout, os.Stderr))
+}
+
+type settings struct {
+	estates   []demo.Estate
+	scenarios []experiment.Scenario
+	policies  []experiment.Policy
+	loads     []float64
+	loans     []time.Duration
+	duration  time.Duration
+	slow      float64
+	seed      uint64
+	json      bool
+}
+
+func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
+	s, err := parse(args, stderr)
+	if errors.Is(err, flag.ErrHelp) {
+		return exitUsage
+	}
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitUsage
+	}
+	var results []*experiment.Result
+	for _, o := range s.matrix() {
+		result, err := experiment.Run(ctx, o)
+		if err != nil {
+			fmt.Fprintln(stderr, err)
+			return exitFailure
+		}
+		results = append(results, result)
+		fmt.Fprintln(stderr, "done:", result.Options)
+	}
+	err = output(stdout, s.json, results)
+	if err != nil {
+		fmt.Fprintln(stderr, err)
+		return exitFailure
+	}
+	return exitOK
+}
+
+// matrix returns every combination of the settings.
+func (s *settings) matrix() []experiment.Options {
+	var out []experiment.Options
+	for _, estate := range s.estates {
+		for _, scenario := range s.scenarios {
+			for _, load := range s.loads {
+				for _, policy := range s.policies {
+					for _, loan := range s.loans {
+						out = append(out, experiment.Options{
+							Estate: clone(estate), Scenario: scenario, Policy: policy, Load: load, LoanLength: loan,
+							Duration: s.duration, Slow: s.slow, Seed: s.seed,
+						})
+					}
+				}
+			}
+		}
+	}
+	return out
+}
+
+func clone(e demo.Estate) demo.Estate {
+	e.Services = append([]demo.ServiceSize(nil), e.Services...)
+	return e
+}
+
+func parse(args []string, stderr io.Writer) (*settings, error) {
+	s := &settings{}
+	fs := flag.NewFlagSet("rainfordload", flag.ContinueOnError)
+	fs.SetOutput(stderr)
+	estates := fs.String("estate", "estatedesk", "estatedesk, pampa, or both with a comma")
+	scenarios := fs.String("scenario", "steady", "steady, region-lost, drain, cold, platform-down, cap-bound; several with commas")
+	policies := fs.String("policy", "full", "full, round-robin, least-in-flight, no-slow-start, no-loans; several with commas")
+	loads := fs.String("load", "0.7", "offered load as a part of the capacity; several with commas")
+	loans := fs.String("loan", "0s", "length of loans; 0s leaves the default; several with commas")
+	fs.DurationVar(&s.duration, "duration", 12*time.Second, "length of each run")
+	fs.Float64Var(&s.slow, "slow", 10, "factor of the service times")
+	fs.Uint64Var(&s.seed, "seed", 1, "seed of the arrivals")
+	fs.BoolVar(&s.json, "json", false, "print JSON")
+	err := ff.Parse(fs, args, ff.WithEnvVarPrefix("RAINFORDLOAD"))
+	if err != nil {
+		return nil, err
+	}
+	var errs []error
+	each(*estates, func(v string) {
+		e, err := demo.ByName(v)
+		s.estates = append(s.estates, e)
+		errs = append(errs, err)
+	})
+	each(*scenarios, func(v string) {
+		s.scenarios = append(s.scenarios, experiment.Scenario(v))
+		errs = append(errs, known(experiment.Scenario(v), experiment.Scenarios))
+	})
+	each(*policies, func(v string) {
+		s.policies = append(s.policies, experiment.Policy(v))
+		errs = append(errs, known(experiment.Policy(v), experiment.Policies))
+	})
+	each(*loads, func(v string) {
+		n, err := strconv.ParseFloat(v, 64)
+		s.loads = append(s.loads, n)
+		errs = append(errs, err)
+	})
+	each(*loans, func(v string) {
+		d, err := time.ParseDuration(v)
+		s.loans = append(s.loans, d)
+		errs = append(errs, err)
+	})
+	return s, errors.Join(errs...)
+}
+
+func each(list string, f func(string)) {
+	for _, v := range strings.Split(list, ",") {
+		f(strings.TrimSpace(v))
+	}
+}
+
+func known[T comparable](v T, all []T) error {
+	for _, have := range all {
+		if have == v {
+			return nil
+		}
+	}
+	return fmt.Errorf("no %v: want one of %v", v, all)
+}
+
+func output(w io.Writer, asJSON bool, results []*experiment.Result) error {
+	if asJSON {
+		return json.NewEncoder(w).Encode(results)
+	}
+	tw := tabwriter.NewWriter(w, 2, 8, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(tw, "run\tservice\trequests\tok\tnot run\tunknown\tused\tp50 ms\tp99 ms\tp99.9 ms\trefusal p99 ms\tdrain s\trecover s\tcap use\tover slots\ttwice\t")
+	for _, r := range results {
+		for _, s := range r.Services {
+			if s.Requests == 0 {
+				continue
+			}
+			fmt.Fprintf(tw, "%s\t%s\t%d\t%d\t%d\t%d\t%.2f\t%.1f\t%.1f\t%.1f\t%.1f\t%.2f\t%.2f\t%.2f\t%d\t%d\t\n",
+				r.Options, s.Service, s.Requests, s.OK, s.NotRun, s.Unknown, s.Used, s.P50Ms, s.P99Ms, s.P999Ms, s.RefusalP99Ms,
+				r.DrainSeconds, r.RecoverSeconds, r.CapUse, r.OverSlots, r.RunTwice)
+		}
+	}
+	return tw.Flush()
+}
--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -387,13 +387,20 @@
 
 // Caller returns a client that calls from a hall's block of addresses.
 func (c *Cluster) Caller(hall int) (*caller.Client, error) {
+	return c.CallerOf(hall, 0)
+}
+
+// CallerOf returns a client that makes at most a number of attempts; 0 leaves
+// the client's default.
+func (c *Cluster) CallerOf(hall, attempts int) (*caller.Client, error) {
 	var bootstrap []string
 	for _, in := range c.Instances() {
 		bootstrap = append(bootstrap, in.Node.Instance().CallerAddr)
 	}
 	return caller.New(caller.Config{
-		Bootstrap: bootstrap,
-		LocalAddr: &net.TCPAddr{IP: net.IPv4(127, byte(firstBlock+hall), 0, 1)},
+		Bootstrap:   bootstrap,
+		LocalAddr:   &net.TCPAddr{IP: net.IPv4(127, byte(firstBlock+hall), 0, 1)},
+		MaxAttempts: attempts,
 	})
 }
 
--- a/internal/demo/fault_test.go
+++ b/internal/demo/fault_test.go
@@ -44,11 +44,13 @@
 }
 
 // callers returns one client for each hall.
-func (c *Cluster) callers(t *testing.T) []*caller.Client {
+func (c *Cluster) callers(t *testing.T) []*caller.Client { return c.callersOf(t, 0) }
+
+func (c *Cluster) callersOf(t *testing.T, attempts int) []*caller.Client {
 	t.Helper()
 	var out []*caller.Client
 	for i := range c.Estate.AllHalls() {
-		client, err := c.Caller(i)
+		client, err := c.CallerOf(i, attempts)
 		require.NoError(t, err)
 		t.Cleanup(client.Close)
 		out = append(out, client)
--- a/internal/demo/invariant_test.go
+++ b/internal/demo/invariant_test.go
@@ -202,7 +202,7 @@
 	estate := small(1)
 	estate.Services[0].Targets = 12
 	c := startCluster(t, Options{Estate: estate})
-	clients := c.callers(t)
+	clients := c.callersOf(t, 1)
 	service := c.Estate.Services[0].Name
 	generator := load.NewGenerator()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -258,7 +258,8 @@
 // several seconds in flight and callers on stale look-ups.
 func TestRollingRestart(t *testing.T) {
 	c := startCluster(t, Options{Estate: small(1)})
-	clients := c.callers(t)
+	// One attempt only: a second one would hide that the first was cut.
+	clients := c.callersOf(t, 1)
 	reads, pays := c.Estate.Services[0].Name, c.Estate.Services[1].Name
 	generator := load.NewGenerator()
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/e2e/system_test.go
+++ b/internal/e2e/system_test.go
@@ -120,6 +120,7 @@
 	instances map[string]*process
 	halls     []string
 	perHall   int
+	logLevel  string
 }
 
 const anyPort = "127.0.0.1:0"
@@ -152,7 +153,11 @@
 }
 
 func newSystem(t *testing.T, perHall int, limit int) *system {
-	s := &system{t: t, targets: make(map[string][]*process), lists: make(map[string]*node.TargetList), instances: make(map[string]*process), perHall: perHall}
+	return newSystemAt(t, perHall, limit, "warn")
+}
+
+func newSystemAt(t *testing.T, perHall int, limit int, logLevel string) *system {
+	s := &system{t: t, logLevel: logLevel, targets: make(map[string][]*process), lists: make(map[string]*node.TargetList), instances: make(map[string]*process), perHall: perHall}
 	s.platform = start(t, "standin", "platform", "-listen", anyPort, "-control", anyPort)
 	s.client = platform.NewClient("http://"+s.platform.service, 0)
 	t.Cleanup(s.client.Close)
@@ -213,7 +218,7 @@
 	args := append([]string{
 		"-name", name, "-region", region, "-hall", hall, "-secret", "test",
 		"-listen", anyPort, "-hop-listen", anyPort, "-peer-listen", anyPort, "-admin-listen", anyPort,
-		"-platform", "http://" + s.platform.service, "-lookup-ttl", "500ms", "-log-level", "warn",
+		"-platform", "http://" + s.platform.service, "-lookup-ttl", "500ms", "-log-level", s.logLevel,
 	}, more...)
 	p := start(s.t, "rainfordd", args...)
 	s.instances[name] = p
@@ -273,6 +278,19 @@
 	})
 }
 
+// awaitVersion waits until every instance that answers has a version in force.
+func (s *system) awaitVersion(number int64) time.Duration {
+	s.t.Helper()
+	return s.await("version in force", func() bool {
+		for _, in := range s.listed() {
+			if st, ok := status(in.AdminAddr); ok && st.Version < number {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 // hears tells whether an instance sees at least count others alive and ready.
 func hears(st node.Status, count int) bool {
 	alive := 0
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -112,6 +112,13 @@
 	return g.of(service)
 }
 
+// OK returns the number of good answers for a service so far.
+func (g *Generator) OK(service string) int64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.of(service).OK
+}
+
 func (g *Generator) of(service string) *Stats {
 	if g.stats[service] == nil {
 		g.stats[service] = newStats()
--- a/internal/standin/backend/server.go
+++ b/internal/standin/backend/server.go
@@ -70,6 +70,13 @@
 	change(&s.settings)
 }
 
+// Cool makes the target cold again.
+func (s *Server) Cool() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.served = 0
+}
+
 // LastNew returns when the target last took new work.
 func (s *Server) LastNew() time.Time {
 	s.mu.Lock()
--- a/node/config.go
+++ b/node/config.go
@@ -59,6 +59,8 @@
 	NoLoans     bool
 	NoSlowStart bool
 	Policy      balance.Policy
+	// LoanLength is the length of loans; 0 leaves the default.
+	LoanLength time.Duration
 }
 
 // Defaults returns the settings of a daemon, without names and addresses.
--- a/node/node.go
+++ b/node/node.go
@@ -172,6 +172,9 @@
 	n.agent = seat.NewAgent(n.self.ID, n.self.PeerAddr, n.self.Hall, n.config.Timing)
 	n.ledger = share.NewLedger(n.self.Hall, n.self.Region, seat.Count, n.rand.Uint64())
 	n.ledger.NoLoans = n.config.Baseline.NoLoans
+	if n.config.Baseline.LoanLength > 0 {
+		n.ledger.Terms.Length = n.config.Baseline.LoanLength
+	}
 	n.hall = entry.NewHall(balance.Config{
 		Policy:      n.config.Baseline.Policy,
 		Rand:        newRand(),
