A queue's wait is bounded by patience and by the drain seen; no queue without a share

Cause: TestRollingRestart with uploads of 8 s showed one read held to its caller's deadline and, in the logs, hops with a patience of 100 ms that waited 4.8 s. (1) Patience was looked at only on arrival. (2) The wait was estimated by the service time of reads while uploads held every slot. (3) An instance that had given its seats back estimated no wait at all, since its targets were "tried again now", and queued requests for slots that never came.

Change: patience is checked while waiting; the estimate goes by the rate at which slots were seen to come free and, when none has for longer than usual, expects as long again; targets without a share do not count.

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -216,6 +216,44 @@
 	require.Equal(t, balance.Refuse, grants[0].Decision.Verdict)
 }
 
+// TestWaitIsBounded has uploads hold every slot while the usual request takes
+// 10 ms. Who waits is refused after its patience, and else when as much time has
+// passed without a free slot as is left.
+func TestWaitIsBounded(t *testing.T) {
+	p := newPool(t, 2)
+	warmUp(p, 2)
+	p.Acquire(epoch, request(1))
+	p.Acquire(epoch, request(2))
+	deadline := epoch.Add(4 * time.Second)
+	require.Equal(t, balance.Wait, p.Acquire(epoch, balance.Request{ID: 3, Deadline: deadline, Patience: 100 * time.Millisecond}).Verdict)
+	require.Equal(t, balance.Wait, p.Acquire(epoch, balance.Request{ID: 4, Deadline: deadline, Patience: 4 * time.Second}).Verdict)
+	refused := make(map[uint64]time.Duration)
+	for at := time.Duration(0); at < 4*time.Second; at += 50 * time.Millisecond {
+		for _, g := range p.Tick(epoch.Add(at)) {
+			require.Equal(t, balance.Refuse, g.Decision.Verdict)
+			refused[g.ID] = at
+		}
+	}
+	require.Equal(t, 100*time.Millisecond, refused[3])
+	require.InDelta(t, 2, refused[4].Seconds(), 0.1)
+}
+
+// TestNoShareIsNoQueue checks that nobody waits at an instance whose share of
+// the slots is nothing, as after it gave its seats back.
+func TestNoShareIsNoQueue(t *testing.T) {
+	p := newPool(t, 0, 0)
+	d := p.Acquire(epoch, balance.Request{ID: 1, Deadline: epoch.Add(5 * time.Second), Patience: 5 * time.Second})
+	require.Equal(t, balance.Refuse, d.Verdict)
+	p = newPool(t, 1)
+	p.Acquire(epoch, request(1))
+	require.Equal(t, balance.Wait, p.Acquire(epoch, request(2)).Verdict)
+	late := balance.Request{ID: 3, Deadline: epoch.Add(5 * time.Second), Patience: 5 * time.Second}
+	require.Equal(t, balance.Wait, p.Acquire(epoch, late).Verdict)
+	grants := p.SetTargets(epoch, specs(0))
+	require.Len(t, grants, 1, "the one that can't wait for ever is refused at once")
+	require.EqualValues(t, 3, grants[0].ID)
+}
+
 func TestBrokenTargetIsLeftOutAfterThreeInARow(t *testing.T) {
 	p := newPool(t, 1)
 	r := request(1)
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -81,8 +81,18 @@
 	// order of a map.
 	order    []string
 	inFlight int
-	queue    []Request
+	queue    []queued
 	service  time.Duration
+	// lastFree is when a slot last came free, and interval the usual time
+	// between two such moments while requests wait.
+	lastFree time.Time
+	interval time.Duration
+}
+
+// queued is a request that waits.
+type queued struct {
+	Request
+	since time.Time
 }
 
 // NewPool returns a pool without targets.
@@ -163,7 +173,11 @@
 	if len(p.queue) >= p.config.MaxQueue || wait > min(left, req.Patience) {
 		return p.refuse(wait)
 	}
-	p.queue = append(p.queue, req)
+	if len(p.queue) == 0 && p.lastFree.Before(now) {
+		// Time that passed before anyone waited says nothing.
+		p.lastFree = now
+	}
+	p.queue = append(p.queue, queued{Request: req, since: now})
 	return Decision{Verdict: Wait}
 }
 
@@ -189,6 +203,7 @@
 	}
 	t.inFlight--
 	p.inFlight--
+	p.noteFree(now)
 	switch result {
 	case Answered:
 		if latency > 0 {
@@ -211,6 +226,19 @@
 	return p.dispatch(now)
 }
 
+// noteFree takes in that a slot came free.
+func (p *Pool) noteFree(now time.Time) {
+	if len(p.queue) > 0 {
+		gap := now.Sub(p.lastFree)
+		if p.interval == 0 {
+			p.interval = gap
+		} else {
+			p.interval += time.Duration(latencyWeight * float64(gap-p.interval))
+		}
+	}
+	p.lastFree = now
+}
+
 // Cancel takes a request out of the queue. It reports whether it was there.
 func (p *Pool) Cancel(id uint64) bool {
 	for i := range p.queue {
@@ -235,23 +263,24 @@
 	}
 }
 
-// dispatch serves the queue in order. A request that, by its place in the
-// queue, can't make its deadline any more is refused now and not when it has
-// passed.
+// dispatch serves the queue in order. A request that has waited for its
+// patience, or that by its place in the queue can't make its deadline any more,
+// is refused now and not when the deadline has passed.
 func (p *Pool) dispatch(now time.Time) []Grant {
 	var out []Grant
 	kept := p.queue[:0]
-	for _, req := range p.queue {
-		if spec, ok := p.pick(now, req); ok {
-			out = append(out, Grant{ID: req.ID, Decision: Decision{Verdict: Run, Target: spec}})
+	for _, q := range p.queue {
+		if spec, ok := p.pick(now, q.Request); ok {
+			out = append(out, Grant{ID: q.ID, Decision: Decision{Verdict: Run, Target: spec}})
 			continue
 		}
 		wait := p.waitAt(now, len(kept))
-		if now.Add(wait + p.serviceTime()).After(req.Deadline) {
-			out = append(out, Grant{ID: req.ID, Decision: p.refuse(wait)})
+		late := now.Add(wait + p.serviceTime()).After(q.Deadline)
+		if late || now.Sub(q.since) >= q.Patience {
+			out = append(out, Grant{ID: q.ID, Decision: p.refuse(wait)})
 			continue
 		}
-		kept = append(kept, req)
+		kept = append(kept, q)
 	}
 	p.queue = kept
 	return out
@@ -328,13 +357,23 @@
 }
 
 // waitAt returns the time until a request with a number of others before it
-// gets a slot, by the rate at which slots come free.
+// gets a slot. It goes by the rate at which slots were seen to come free; if
+// none has for longer than usual, as when uploads hold all of them, the next is
+// expected to take as long again.
 func (p *Pool) waitAt(now time.Time, before int) time.Duration {
 	limit := p.Load(now).Limit
 	if limit == 0 {
 		return p.untilRetry(now)
 	}
-	return time.Duration(before+1) * p.serviceTime() / time.Duration(limit)
+	interval := p.interval
+	if interval == 0 {
+		interval = p.serviceTime() / time.Duration(limit)
+	}
+	next := interval
+	if len(p.queue) > 0 {
+		next = max(next, now.Sub(p.lastFree))
+	}
+	return next + time.Duration(before)*interval
 }
 
 // untilRetry returns the time until the first target that was set aside is
@@ -342,7 +381,7 @@
 func (p *Pool) untilRetry(now time.Time) time.Duration {
 	wait := maxRetryAfter
 	for _, t := range p.targets {
-		if !t.leaving {
+		if !t.leaving && t.spec.Slots > 0 {
 			wait = min(wait, max(t.retryAt.Sub(now), 0)+p.serviceTime())
 		}
 	}
--- a/cmd/rainford/main.go
+++ b/cmd/rainford/main.go
@@ -9,6 +9,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 
 	"github.com/peterbourgon/ff/v3"
@@ -57,9 +58,17 @@
 	if err == nil {
 		err = root.Run(ctx)
 	}
+	if errors.Is(err, flag.ErrHelp) && slices.ContainsFunc(args, asksHelp) {
+		return exitOK
+	}
 	return a.exit(err)
 }
 
+// asksHelp tells whether an argument asks for help, which is no mistake.
+func asksHelp(arg string) bool {
+	return arg == "-h" || arg == "-help" || arg == "--help"
+}
+
 // exit prints an error and returns the exit code for it.
 func (a *app) exit(err error) int {
 	var usage errUsage
@@ -75,7 +84,7 @@
 		return exitUsage
 	case errors.As(err, &findings):
 		fmt.Fprintln(a.stderr, err)
-		fmt.Fprintf(a.stderr, "%d findings; nothing was changed\n", len(findings))
+		fmt.Fprintf(a.stderr, "findings: %d; nothing was changed\n", len(findings))
 		return exitUsage
 	case errors.Is(err, config.ErrNoChange):
 		fmt.Fprintln(a.stderr, "nothing to change")
--- a/cmd/rainfordload/main.go
+++ b/cmd/rainfordload/main.go
@@ -46,6 +46,9 @@
 	slow      float64
 	seed      uint64
 	json      bool
+	// idle lists sizes as REGIONSxINSTANCES of a hall; with it nothing else
+	// is run.
+	idle []experiment.IdleSize
 }
 
 func run(ctx context.Context, args []string, stdout, stderr io.Writer) int {
@@ -57,6 +60,9 @@
 		fmt.Fprintln(stderr, err)
 		return exitUsage
 	}
+	if len(s.idle) > 0 {
+		return runIdle(ctx, s, stdout, stderr)
+	}
 	var results []*experiment.Result
 	for _, o := range s.matrix() {
 		result, err := experiment.Run(ctx, o)
@@ -75,6 +81,26 @@
 	return exitOK
 }
 
+// runIdle measures what control costs at the sizes asked for.
+func runIdle(ctx context.Context, s *settings, stdout, stderr io.Writer) int {
+	tw := tabwriter.NewWriter(stdout, 2, 8, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(tw, "halls\tinstances\tcore % each\theap kB each\tsent B/s each\treceived B/s each\treads/s\twrites/s\tin force s\t")
+	for _, size := range s.idle {
+		r, err := experiment.Idle(ctx, size, s.duration)
+		if err != nil {
+			fmt.Fprintln(stderr, err)
+			return exitFailure
+		}
+		fmt.Fprintf(tw, "%d\t%d\t%.2f\t%.0f\t%.0f\t%.0f\t%.1f\t%.2f\t%.3f\t\n", r.Halls, r.Instances, r.CorePercent, r.HeapKB,
+			r.SentBytes, r.ReceivedBytes, r.Reads, r.Writes, r.InForceSeconds)
+		fmt.Fprintln(stderr, "done:", r.Halls, "halls,", r.Instances, "instances")
+	}
+	if err := tw.Flush(); err != nil {
+		return exitFailure
+	}
+	return exitOK
+}
+
 // matrix returns every combination of the settings.
 func (s *settings) matrix() []experiment.Options {
 	var out []experiment.Options
@@ -112,6 +138,7 @@
 	fs.DurationVar(&s.duration, "duration", 12*time.Second, "length of each run")
 	fs.Float64Var(&s.slow, "slow", 10, "factor of the service times")
 	fs.Uint64Var(&s.seed, "seed", 1, "seed of the arrivals")
+	idle := fs.String("idle", "", "measure control without load at sizes REGIONSxINSTANCES-OF-A-HALL, such as 3x2,3x4")
 	fs.BoolVar(&s.json, "json", false, "print JSON")
 	err := ff.Parse(fs, args, ff.WithEnvVarPrefix("RAINFORDLOAD"))
 	if err != nil {
@@ -141,6 +168,14 @@
 		s.loans = append(s.loans, d)
 		errs = append(errs, err)
 	})
+	if *idle != "" {
+		each(*idle, func(v string) {
+			var size experiment.IdleSize
+			_, err := fmt.Sscanf(v, "%dx%d", &size.Regions, &size.PerHall)
+			s.idle = append(s.idle, size)
+			errs = append(errs, err)
+		})
+	}
 	return s, errors.Join(errs...)
 }
 
--- a/internal/demo/invariant_test.go
+++ b/internal/demo/invariant_test.go
@@ -254,6 +254,9 @@
 	t.Logf("%d requests, %d ok, %d not run %v", st.Requests, st.OK, st.NotRun, st.Reasons)
 }
 
+// uploadTime is longer than an instance lingers, so that a stop meets uploads.
+const uploadTime = 8 * time.Second
+
 // TestRollingRestart replaces every instance under load, with uploads of
 // several seconds in flight and callers on stale look-ups.
 func TestRollingRestart(t *testing.T) {
@@ -277,12 +280,14 @@
 	var uploads sync.WaitGroup
 	var mu sync.Mutex
 	sent := 0
-	for _, client := range clients {
+	for i := range 2 * len(clients) {
 		uploads.Add(1)
 		go func() {
 			defer uploads.Done()
+			// Staggered, so that some are always far from their end.
+			time.Sleep(time.Duration(i) * 500 * time.Millisecond)
 			for ctx.Err() == nil {
-				err := slowUpload(client, reads, backend.Blob(200_000), 4*time.Second)
+				err := slowUpload(clients[i%len(clients)], reads, backend.Blob(200_000), uploadTime)
 				mu.Lock()
 				sent++
 				mu.Unlock()
@@ -303,7 +308,7 @@
 		require.Zero(t, st.Broken+st.Unknown+st.Truncated, "requests cut")
 	}
 	require.Zero(t, c.Runs.Twice())
-	t.Logf("%d uploads of 4 s, none cut", sent)
+	t.Logf("%d uploads of %s, none cut", sent, uploadTime)
 }
 
 // replaceAll replaces the instances one after the other, three at a time.
