Loans keep by demand, not by a fixed part

Change: what a lender keeps follows its own use (1.5 times, fading by a fifth a tick). A planned stop no longer waits for its loans to end.

--- a/node/stop.go
+++ b/node/stop.go
@@ -99,14 +99,14 @@
 	return cut
 }
 
-// giveBack returns the seats and tells the peers, which write it down.
+// giveBack returns the seats and tells the peers, which write it down. It does
+// not wait for loans: the seats that they hold back pass on when the lease ends.
 func (n *Node) giveBack(ctx context.Context) {
 	n.mu.Lock()
 	n.agent.Leave()
-	wait := max(n.config.Timing.Window, time.Until(n.ledger.LoansEnd()))
 	n.mu.Unlock()
 	n.announce()
-	n.sleep(ctx, wait+n.config.Heartbeat)
+	n.sleep(ctx, n.config.Timing.Window+n.config.Heartbeat)
 	for range lastBeats {
 		n.announce()
 		n.sleep(ctx, n.config.Heartbeat/2)
--- a/share/ledger.go
+++ b/share/ledger.go
@@ -38,6 +38,7 @@
 	limit    int
 	hallPart int
 	wants    int
+	demand   demand
 }
 
 // meterWindow is over the window of the caps by the largest error of a clock's
@@ -201,7 +202,9 @@
 func (l *Ledger) Observe(now time.Time, warm func(service, region string) bool) {
 	l.fence(now)
 	for key, a := range l.rows {
-		a.ramp.Observe(now, a.meter.Used(now), a.meter.Total(now), warm(key.Service, key.To))
+		used := a.meter.Used(now)
+		a.demand.observe(used)
+		a.ramp.Observe(now, used, a.meter.Total(now), warm(key.Service, key.To))
 	}
 }
 
@@ -258,7 +261,7 @@
 	if a == nil || l.NoLoans || l.closed {
 		return Loan{}, false
 	}
-	loan, ok := l.Terms.Lend(now, &a.meter, ask, l.leaseEnd)
+	loan, ok := l.Terms.Lend(now, &a.meter, ask, a.demand.keep(), l.leaseEnd)
 	loan.Version = l.plan.Version
 	return loan, ok
 }
--- a/share/loan.go
+++ b/share/loan.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"math"
 	"time"
 
 	"github.com/rainford/rainford/table"
@@ -30,15 +31,12 @@
 	Length time.Duration
 	// AskEvery is the shortest time between two asks for one row.
 	AskEvery time.Duration
-	// KeepPercent of the units stay with the lender.
-	KeepPercent int
 }
 
 // DefaultLoanTerms were chosen by the measurement in docs/MEASUREMENTS.md.
 var DefaultLoanTerms = LoanTerms{
-	Length:      5 * time.Second,
-	AskEvery:    500 * time.Millisecond,
-	KeepPercent: 25,
+	Length:   5 * time.Second,
+	AskEvery: 500 * time.Millisecond,
 }
 
 // Borrower keeps the asks of one row that are under way.
@@ -85,16 +83,11 @@
 	return loan.Units
 }
 
-// Lend answers an ask from the idle units of m. LeaseEnd is the end of the
-// lender's own lease: no loan outlives it.
-func (t LoanTerms) Lend(now time.Time, m *Meter, ask Ask, leaseEnd time.Time) (Loan, bool) {
+// Lend answers an ask from the idle units of m. Keep is the number of units that
+// stay with the lender, and leaseEnd the end of the lender's own lease: no loan
+// outlives it.
+func (t LoanTerms) Lend(now time.Time, m *Meter, ask Ask, keep int, leaseEnd time.Time) (Loan, bool) {
 	length := min(t.Length, leaseEnd.Sub(now))
-	keep := (m.Units()*t.KeepPercent + 99) / 100
-	if m.Units() == 1 {
-		// A single unit may be lent whole; else a cap of a few units
-		// would serve one instance only.
-		keep = 0
-	}
 	spare := min(m.Idle(now)-keep, ask.Units)
 	if length < 2*m.window() {
 		return Loan{}, false
@@ -105,3 +98,26 @@
 	}
 	return Loan{Row: ask.Row, Units: n, For: length, Nonce: ask.Nonce}, true
 }
+
+// demand follows the use of a row by the instance itself: it rises at once and
+// falls slowly.
+type demand float64
+
+const (
+	demandFade = 0.8
+	// keepFactor times the demand stays with a lender.
+	keepFactor = 1.5
+)
+
+func (d *demand) observe(used int) {
+	*d = max(demand(used), demandFade**d)
+}
+
+// keep returns the number of units that the demand needs. A holder without
+// demand keeps none: else a cap of a few units would serve one instance only.
+func (d demand) keep() int {
+	if d < 0.5 {
+		return 0
+	}
+	return int(math.Ceil(keepFactor * float64(d)))
+}
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -140,7 +140,7 @@
 	if p.book.Ask(theirs, nonce) {
 		ask := share.Ask{Units: 3, Nonce: nonce}
 		p.send(func() {
-			loan, ok := share.DefaultLoanTerms.Lend(p.now, &p.lender, ask, p.now.Add(time.Hour))
+			loan, ok := share.DefaultLoanTerms.Lend(p.now, &p.lender, ask, 2, p.now.Add(time.Hour))
 			if ok {
 				p.send(func() { p.book.Receive(p.now.Add(borrowerAhead), &p.borrower, loan) })
 			}
