--- /dev/null
+++ b/entry/entry_test.go
@@ -0,0 +1,202 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rainford/rainford/balance"
+	"github.com/rainford/rainford/protocol"
+	"github.com/rainford/rainford/retry"
+	"github.com/rainford/rainford/table"
+)
+
+func exchange(t *testing.T, service table.Service, method string, data []byte) *Exchange {
+	t.Helper()
+	r := httptest.NewRequest(method, "/v1/call/s/x", bytes.NewReader(data))
+	if len(data) == 0 {
+		r.Body = http.NoBody
+		r.ContentLength = 0
+	}
+	r.Header.Set(protocol.HeaderKey, "20260301T120000Z-1")
+	return &Exchange{w: httptest.NewRecorder(), r: r, Service: service, Deadline: time.Now().Add(10 * time.Second), body: newBody(r)}
+}
+
+// staleServer answers the first request of each connection and ends the
+// connection when a second one has come, after counting it as run.
+func staleServer(t *testing.T) (addr string, runs *atomic.Int64) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	runs = &atomic.Int64{}
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go serveStale(conn, runs)
+		}
+	}()
+	return ln.Addr().String(), runs
+}
+
+func serveStale(conn net.Conn, runs *atomic.Int64) {
+	defer func() { _ = conn.Close() }()
+	in := bufio.NewReader(conn)
+	for first := true; ; first = false {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		runs.Add(1)
+		if !first {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	}
+}
+
+// TestTransportNeverRepeats sends once-only requests to a server that runs the
+// second request of a connection and ends it without an answer: net/http would
+// repeat such a request by itself.
+func TestTransportNeverRepeats(t *testing.T) {
+	addr, runs := staleServer(t)
+	tr := NewTransports()
+	defer tr.Close()
+	sent := int64(0)
+	for _, method := range []string{http.MethodPost, http.MethodGet, http.MethodPut} {
+		for range 3 {
+			ex := exchange(t, table.Service{Name: "s", Once: true}, method, nil)
+			a := tr.send(ex, addr, "/x", func(http.Header) {}, time.Second)
+			sent++
+			require.NoError(t, a.err)
+			require.Equal(t, retry.Ran, retry.Judge(a.evidence))
+			_, _ = io.Copy(io.Discard, a.resp.Body)
+			a.close()
+			require.Equal(t, sent, runs.Load(), "a request was repeated")
+		}
+	}
+}
+
+// TestOutcomeOfAttempts checks the evidence that each failure leaves.
+func TestOutcomeOfAttempts(t *testing.T) {
+	answer := func(head func(http.ResponseWriter)) *httptest.Server {
+		return httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_, _ = io.Copy(io.Discard, r.Body)
+			head(w)
+		}))
+	}
+	closed := answer(func(http.ResponseWriter) {})
+	closed.Close()
+	cases := []struct {
+		name   string
+		server *httptest.Server
+		want   retry.Outcome
+	}{
+		{"nobody listens", closed, retry.NotRun},
+		{"refused", answer(func(w http.ResponseWriter) {
+			w.Header().Set(protocol.HeaderNotRun, protocol.HeaderSet)
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}), retry.NotRun},
+		{"503 without the header", answer(func(w http.ResponseWriter) { w.WriteHeader(http.StatusServiceUnavailable) }), retry.Ran},
+		{"reset after the last byte", answer(func(http.ResponseWriter) { panic(http.ErrAbortHandler) }), retry.Unknown},
+	}
+	tr := NewTransports()
+	defer tr.Close()
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			defer c.server.Close()
+			ex := exchange(t, table.Service{Name: "s", Once: true}, http.MethodPost, []byte("rent"))
+			a := tr.send(ex, c.server.Listener.Addr().String(), "/x", func(http.Header) {}, 5*time.Second)
+			defer a.close()
+			require.Equal(t, c.want, retry.Judge(a.evidence))
+		})
+	}
+}
+
+func TestBodyReplay(t *testing.T) {
+	read := func(b *body, n int) (string, error) {
+		r, err := b.open(func() {})
+		if err != nil {
+			return "", err
+		}
+		out, err := io.ReadAll(io.LimitReader(r, int64(n)))
+		return string(out), err
+	}
+	small := newBody(httptest.NewRequest(http.MethodPost, "/", strings.NewReader("hello world")))
+	first, err := read(small, 5)
+	require.NoError(t, err)
+	require.Equal(t, "hello", first)
+	whole, err := read(small, 1000)
+	require.NoError(t, err)
+	require.Equal(t, "hello world", whole, "from the start again")
+	require.False(t, small.unread())
+
+	data := strings.Repeat("x", replayBytes+1)
+	large := newBody(httptest.NewRequest(http.MethodPost, "/", strings.NewReader(data)))
+	_, err = read(large, replayBytes/2)
+	require.NoError(t, err)
+	require.True(t, large.replayable())
+	whole, err = read(large, len(data))
+	require.NoError(t, err)
+	require.Equal(t, data, whole)
+	require.False(t, large.replayable())
+	_, err = read(large, 1)
+	require.ErrorIs(t, err, errSpent)
+}
+
+// TestOldReaderGetsNothing checks that a reader left over from an attempt that
+// was given up takes nothing from the next one.
+func TestOldReaderGetsNothing(t *testing.T) {
+	b := newBody(httptest.NewRequest(http.MethodPost, "/", strings.NewReader("hello")))
+	old, err := b.open(func() {})
+	require.NoError(t, err)
+	_, err = b.open(func() {})
+	require.NoError(t, err)
+	_, err = old.Read(make([]byte, 5))
+	require.ErrorIs(t, err, errSpent)
+}
+
+func TestCopyHeaderDropsConnectionHeaders(t *testing.T) {
+	src := http.Header{"Connection": {"X-One, close"}, "X-One": {"1"}, "X-Two": {"2"}, "Te": {"trailers"}, "Upgrade": {"h2c"}}
+	dst := http.Header{}
+	copyHeader(dst, src)
+	require.Equal(t, http.Header{"X-Two": {"2"}}, dst)
+}
+
+// TestHallHandsEachGrantOnce has many requests wait and go away at random.
+func TestHallHandsEachGrantOnce(t *testing.T) {
+	h := NewHall(balance.Config{Rand: rand.New(rand.NewPCG(1, 1)), NoSlowStart: true})
+	h.SetTargets(time.Now(), map[string][]balance.Spec{"s": {{ID: "a", Addr: "a", Slots: 3}}}, nil)
+	done := make(chan bool)
+	for i := range 60 {
+		go func() {
+			r := httptest.NewRequest(http.MethodGet, "/", nil)
+			ctx := r.Context()
+			slot, _ := h.Acquire(ctx, "s", balance.Request{Deadline: time.Now().Add(time.Minute), Patience: time.Minute})
+			if slot != nil {
+				time.Sleep(time.Duration(i%5) * time.Millisecond)
+				slot.Release(balance.Answered, time.Millisecond)
+			}
+			done <- slot != nil
+		}()
+	}
+	for range 60 {
+		<-done
+	}
+	require.Zero(t, h.InFlight())
+	require.Empty(t, h.waiters)
+}
--- a/lookup/lookup_test.go
+++ b/lookup/lookup_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/netip"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -122,6 +123,34 @@
 	}
 }
 
+// BenchmarkBlocks reports the memory of the table and of its objects, and the
+// time to take in a change of one of the 256 shards.
+func BenchmarkBlocks(b *testing.B) {
+	for _, n := range []int{1000, 20_000, 220_000} {
+		b.Run(fmt.Sprintf("blocks%d", n), func(b *testing.B) {
+			all := manyBlocks(n)
+			shard := all[:max(n/lookup.BlockShards, 1)]
+			raw, err := json.Marshal(lookup.BlockShard{Blocks: shard})
+			require.NoError(b, err)
+			before := heap()
+			blocks := lookup.NewBlocks(all)
+			b.ReportMetric((heap()-before)/float64(n), "heap-B/block")
+			b.ReportMetric(float64(len(raw))/float64(len(shard)), "json-B/block")
+			for b.Loop() {
+				blocks = blocks.Replace(shard, shard)
+			}
+			runtime.KeepAlive(blocks)
+		})
+	}
+}
+
+func heap() float64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
 func BenchmarkNewDirectory(b *testing.B) {
 	for _, n := range []int{12, 100, 730} {
 		b.Run(fmt.Sprintf("instances%d", n), func(b *testing.B) {
--- /dev/null
+++ b/member/spread_test.go
@@ -0,0 +1,104 @@
+package member_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/rainford/rainford/member"
+)
+
+// spread models how a change comes in force: by the platform's watches, whose
+// answers the platform's limit spreads over time, and by heartbeats with pulls
+// behind them. Recipients are the views' own.
+type spread struct {
+	rnd   *rand.Rand
+	list  []member.Instance
+	views []*member.View
+	at    []time.Duration
+}
+
+const (
+	spreadBeat  = 500 * time.Millisecond
+	readsPerSec = 2000
+	never       = time.Hour
+)
+
+func newSpread(n, halls int) *spread {
+	s := &spread{rnd: rand.New(rand.NewPCG(1, uint64(n)))}
+	for i := range n {
+		hall := fmt.Sprintf("h%02d", i%halls)
+		s.list = append(s.list, in(fmt.Sprintf("%s-%03d", hall, i), hall))
+	}
+	for i := range n {
+		v := member.NewView(s.list[i], settings)
+		v.SetList(epoch, s.list)
+		s.views = append(s.views, v)
+	}
+	return s
+}
+
+// run returns when the last instance has the change. Told says which have it
+// from the platform.
+func (s *spread) run(told func(i int) bool) time.Duration {
+	index := make(map[string]int)
+	s.at = make([]time.Duration, len(s.list))
+	answer := time.Duration(0)
+	for i, inst := range s.list {
+		index[inst.ID] = i
+		s.at[i] = never
+		if told(i) {
+			// A watch's answer and the next watch are two calls.
+			answer += 2 * time.Second / readsPerSec
+			s.at[i] = answer
+		}
+	}
+	phase := make([]time.Duration, len(s.list))
+	for i := range phase {
+		phase[i] = time.Duration(s.rnd.Int64N(int64(spreadBeat)))
+	}
+	for round := range uint64(60) {
+		for i, v := range s.views {
+			sent := phase[i] + time.Duration(round)*spreadBeat
+			if s.at[i] > sent {
+				continue
+			}
+			for _, to := range v.Recipients(epoch, round) {
+				// The heartbeat, the pull and the object: 1.5 round trips.
+				delay := 3 * time.Millisecond
+				if to.Hall != s.list[i].Hall {
+					delay = 3 * 55 * time.Millisecond
+				}
+				j := index[to.ID]
+				s.at[j] = min(s.at[j], sent+delay)
+			}
+		}
+	}
+	worst := time.Duration(0)
+	for _, t := range s.at {
+		worst = max(worst, t)
+	}
+	return worst
+}
+
+// BenchmarkSpread reports the seconds until a change is in force everywhere.
+func BenchmarkSpread(b *testing.B) {
+	for _, size := range []struct{ n, halls int }{{12, 6}, {100, 19}, {730, 19}} {
+		s := newSpread(size.n, size.halls)
+		for name, told := range map[string]func(int) bool{
+			"all-watch":       func(int) bool { return true },
+			"one-told":        func(i int) bool { return i == 0 },
+			"hall-cut":        func(i int) bool { return i%size.halls != 1 },
+			"only-three-told": func(i int) bool { return i < 3 },
+		} {
+			b.Run(fmt.Sprintf("%s/instances%d", name, size.n), func(b *testing.B) {
+				worst := time.Duration(0)
+				for b.Loop() {
+					worst = s.run(told)
+				}
+				b.ReportMetric(worst.Seconds(), "s-in-force")
+			})
+		}
+	}
+}
