Smaller files, one way to wait, tests of the caller library

Change: internal/pause; claims, pool, client and the caps' model split by what they hold; leaving instances are no claim writers; tests and an example of package caller. No other behaviour changes.

--- /dev/null
+++ b/caller/attempt.go
@@ -0,0 +1,120 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/rainford/rainford/lookup"
+	"github.com/rainford/rainford/protocol"
+	"github.com/rainford/rainford/retry"
+)
+
+func (c *Client) try(ctx context.Context, r Request, entry lookup.Entry, attempt int) (*http.Response, error) {
+	var connected atomic.Bool
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	req, err := build(traced, r, entry.Addr, attempt)
+	if err != nil {
+		return nil, err
+	}
+	transport := c.kept
+	if r.Key != "" {
+		// As between instances: no connection that may have gone stale.
+		transport = c.fresh
+	}
+	resp, err := transport.RoundTrip(req)
+	if err == nil {
+		return judge(resp)
+	}
+	if !connected.Load() {
+		c.markDown(r.Service, entry.ID)
+		return nil, &NotRunError{Reason: protocol.ReasonUnreachable, Detail: err.Error(), RetryAfter: time.Second}
+	}
+	if ctx.Err() != nil {
+		return nil, &UnknownError{Reason: protocol.ReasonDeadline, Detail: err.Error(), RetryAfter: time.Second, Err: err}
+	}
+	c.markDown(r.Service, entry.ID)
+	return nil, &UnknownError{Reason: protocol.ReasonLost, Detail: err.Error(), RetryAfter: time.Second, Err: err}
+}
+
+func (c *Client) markDown(service, id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if l := c.lists[service]; l != nil {
+		l.down[id] = time.Now().Add(avoidFor)
+	}
+}
+
+func build(ctx context.Context, r Request, addr string, attempt int) (*http.Request, error) {
+	var src io.Reader
+	if r.Body != nil {
+		body, err := r.Body()
+		if err != nil {
+			return nil, fmt.Errorf("caller: body: %w", err)
+		}
+		src = body
+	}
+	method := r.Method
+	if method == "" {
+		method = http.MethodGet
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+protocol.CallPath+r.Service+r.Path, src)
+	if err != nil {
+		return nil, fmt.Errorf("caller: %w", err)
+	}
+	if r.Body != nil {
+		req.ContentLength = r.Length
+	}
+	for name, values := range r.Header {
+		req.Header[name] = append([]string(nil), values...)
+	}
+	if r.Key != "" {
+		req.Header.Set(protocol.HeaderKey, r.Key)
+	}
+	req.Header.Set(protocol.HeaderAttempt, strconv.Itoa(attempt))
+	if r.EarlierUnknown {
+		req.Header.Set(protocol.HeaderEarlier, retry.Unknown.String())
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		protocol.SetDeadline(req.Header, time.Until(deadline))
+	}
+	if r.Length < 0 || r.Length > expectBytes {
+		req.Header.Set("Expect", "100-continue")
+	}
+	return req, nil
+}
+
+// expectBytes is the length from which a body waits for the instance to take
+// the request.
+const expectBytes = 64 << 10
+
+// judge turns an answer that the system gave by itself into an error.
+func judge(resp *http.Response) (*http.Response, error) {
+	outcome := retry.Parse(resp.Header.Get(protocol.HeaderOutcome))
+	if outcome == retry.Ran && resp.Header.Get(protocol.HeaderTarget) != "" {
+		return resp, nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var refusal protocol.Refusal
+	err := json.NewDecoder(io.LimitReader(resp.Body, maxRefusal)).Decode(&refusal)
+	if err != nil {
+		refusal = protocol.Refusal{Outcome: outcome.String(), Reason: protocol.ReasonLost, Detail: fmt.Sprintf("status %d", resp.StatusCode)}
+	}
+	wait := protocol.RetryAfter(resp.Header)
+	switch {
+	case outcome == retry.NotRun:
+		return nil, &NotRunError{Reason: refusal.Reason, Detail: refusal.Detail, RetryAfter: wait}
+	case refusal.Reason == protocol.ReasonDone:
+		return nil, &DoneError{Status: refusal.EarlierStatus}
+	default:
+		return nil, &UnknownError{Reason: refusal.Reason, Detail: refusal.Detail, RetryAfter: wait}
+	}
+}
--- /dev/null
+++ b/caller/caller_test.go
@@ -0,0 +1,215 @@
+package caller_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rainford/rainford/caller"
+	"github.com/rainford/rainford/lookup"
+	"github.com/rainford/rainford/protocol"
+)
+
+// entry is a fake instance.
+type entry struct {
+	*httptest.Server
+	lookups atomic.Int64
+	calls   atomic.Int64
+	// answer is what a look-up gets, and serve what a call does.
+	answer func() lookup.Answer
+	serve  func(w http.ResponseWriter, r *http.Request)
+}
+
+func newEntry(t testing.TB) *entry {
+	e := &entry{}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+protocol.LookupPath, func(w http.ResponseWriter, _ *http.Request) {
+		e.lookups.Add(1)
+		_ = json.NewEncoder(w).Encode(e.answer())
+	})
+	mux.HandleFunc(protocol.CallPath, func(w http.ResponseWriter, r *http.Request) {
+		e.calls.Add(1)
+		_, _ = io.Copy(io.Discard, r.Body)
+		e.serve(w, r)
+	})
+	e.Server = httptest.NewServer(mux)
+	t.Cleanup(e.Close)
+	return e
+}
+
+func (e *entry) addr() string { return e.Listener.Addr().String() }
+
+func answerOf(ttl time.Duration, entries ...*entry) func() lookup.Answer {
+	return func() lookup.Answer {
+		a := lookup.Answer{TTLMillis: ttl.Milliseconds()}
+		for i, e := range entries {
+			a.Instances = append(a.Instances, lookup.Entry{ID: fmt.Sprint(i), Addr: e.addr()})
+		}
+		return a
+	}
+}
+
+func ran(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set(protocol.HeaderOutcome, "ran")
+	w.Header().Set(protocol.HeaderTarget, "t1")
+	_, _ = io.WriteString(w, "ok")
+}
+
+func refusal(outcome string, reason protocol.Reason, wait time.Duration) func(http.ResponseWriter, *http.Request) {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(protocol.HeaderOutcome, outcome)
+		protocol.SetRetryAfter(w.Header(), wait)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_ = json.NewEncoder(w).Encode(protocol.Refusal{Outcome: outcome, Reason: reason, EarlierStatus: 201})
+	}
+}
+
+func newClient(t testing.TB, entries ...*entry) *caller.Client {
+	var bootstrap []string
+	for _, e := range entries {
+		bootstrap = append(bootstrap, e.addr())
+	}
+	c, err := caller.New(caller.Config{Bootstrap: bootstrap, Timeout: 10 * time.Second})
+	require.NoError(t, err)
+	t.Cleanup(c.Close)
+	return c
+}
+
+func do(c *caller.Client, key string) (string, error) {
+	resp, err := c.Do(context.Background(), caller.Request{Service: "s", Method: http.MethodPost, Path: "/x", Key: key})
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return string(body), err
+}
+
+func TestLookupIsCached(t *testing.T) {
+	e := newEntry(t)
+	e.answer, e.serve = answerOf(time.Hour, e), ran
+	c := newClient(t, e)
+	for range 5 {
+		body, err := do(c, "")
+		require.NoError(t, err)
+		require.Equal(t, "ok", body)
+	}
+	require.EqualValues(t, 1, e.lookups.Load())
+	require.EqualValues(t, 5, e.calls.Load())
+}
+
+func TestFailsOverToTheNext(t *testing.T) {
+	gone, e := newEntry(t), newEntry(t)
+	e.answer, e.serve = answerOf(time.Hour, gone, e), ran
+	gone.Close()
+	c := newClient(t, e)
+	for range 3 {
+		_, err := do(c, caller.NewKey())
+		require.NoError(t, err, "a request that was never sent may go elsewhere, once-only or not")
+	}
+}
+
+func TestUsesOldAnswerWhileNobodyAnswersLookups(t *testing.T) {
+	e := newEntry(t)
+	e.answer, e.serve = answerOf(time.Minute, e), ran
+	c := newClient(t, e)
+	_, err := do(c, "")
+	require.NoError(t, err)
+	old := newEntry(t)
+	old.Close()
+	lost, err := caller.New(caller.Config{Bootstrap: []string{old.addr()}})
+	require.NoError(t, err)
+	_, err = do(lost, "")
+	var notRun *caller.NotRunError
+	require.ErrorAs(t, err, &notRun)
+	require.Equal(t, protocol.ReasonUnreachable, notRun.Reason)
+	require.Positive(t, notRun.RetryAfter)
+}
+
+func TestOutcomes(t *testing.T) {
+	cases := []struct {
+		name  string
+		serve func(http.ResponseWriter, *http.Request)
+		key   bool
+		calls int64
+		check func(t *testing.T, err error)
+	}{
+		{"not run is final when the system says when to come back", refusal("not-run", protocol.ReasonCap, 1500*time.Millisecond), false, 1, func(t *testing.T, err error) {
+			var e *caller.NotRunError
+			require.ErrorAs(t, err, &e)
+			require.Equal(t, 1500*time.Millisecond, e.RetryAfter)
+		}},
+		{"a once-only request whose answer is lost is not sent again", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, true, 1, func(t *testing.T, err error) {
+			var e *caller.UnknownError
+			require.ErrorAs(t, err, &e)
+		}},
+		{"another one is", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, false, 2, func(t *testing.T, err error) {
+			var e *caller.UnknownError
+			require.ErrorAs(t, err, &e)
+		}},
+		{"done before", refusal("ran", protocol.ReasonDone, 0), true, 1, func(t *testing.T, err error) {
+			var e *caller.DoneError
+			require.ErrorAs(t, err, &e)
+			require.Equal(t, 201, e.Status)
+		}},
+		{"unknown", refusal("unknown", protocol.ReasonInProgress, time.Second), true, 1, func(t *testing.T, err error) {
+			var e *caller.UnknownError
+			require.ErrorAs(t, err, &e)
+			require.Equal(t, time.Second, e.RetryAfter)
+		}},
+		{"an answer that says nothing is unknown", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadGateway) }, true, 1, func(t *testing.T, err error) {
+			var e *caller.UnknownError
+			require.ErrorAs(t, err, &e)
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			a, b := newEntry(t), newEntry(t)
+			a.answer, a.serve, b.serve = answerOf(time.Hour, a, b), c.serve, c.serve
+			key := ""
+			if c.key {
+				key = caller.NewKey()
+			}
+			_, err := do(newClient(t, a), key)
+			c.check(t, err)
+			require.Equal(t, c.calls, a.calls.Load()+b.calls.Load())
+		})
+	}
+}
+
+func TestBrokenAnswerIsAnError(t *testing.T) {
+	e := newEntry(t)
+	e.answer = answerOf(time.Hour, e)
+	e.serve = func(w http.ResponseWriter, r *http.Request) {
+		ran(w, r)
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	_, err := do(newClient(t, e), "")
+	require.Error(t, err)
+}
+
+func ExampleClient_Do() {
+	c, err := caller.New(caller.Config{Bootstrap: []string{"127.0.0.1:1"}, Timeout: time.Second})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	req := caller.Request{Service: "ledger", Method: http.MethodPost, Path: "/receipts", Key: caller.NewKey()}
+	req.BytesBody([]byte("rent"))
+	_, err = c.Do(context.Background(), req)
+	var notRun *caller.NotRunError
+	if errors.As(err, &notRun) {
+		fmt.Println("not run, come back after", notRun.RetryAfter)
+	}
+	// Output: not run, come back after 1s
+}
--- /dev/null
+++ b/caller/list.go
@@ -0,0 +1,121 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/rainford/rainford/lookup"
+	"github.com/rainford/rainford/protocol"
+)
+
+// choose returns the next instance to try.
+func (c *Client) choose(ctx context.Context, service string, tried map[string]bool) (lookup.Entry, error) {
+	l, err := c.list(ctx, service)
+	if err != nil {
+		return lookup.Entry{}, err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	var late *lookup.Entry
+	for i, e := range l.answer.Instances {
+		if tried[e.ID] {
+			continue
+		}
+		if now.Before(l.down[e.ID]) {
+			if late == nil {
+				late = &l.answer.Instances[i]
+			}
+			continue
+		}
+		return e, nil
+	}
+	if late != nil {
+		return *late, nil
+	}
+	return lookup.Entry{}, &NotRunError{Reason: protocol.ReasonUnreachable, Detail: "no instance answers", RetryAfter: time.Second}
+}
+
+// list returns the cached answer, or asks for a new one.
+func (c *Client) list(ctx context.Context, service string) (*list, error) {
+	c.mu.Lock()
+	l := c.lists[service]
+	addrs := c.lookupAddrs(l)
+	c.mu.Unlock()
+	if l != nil && time.Since(l.at) < time.Duration(l.answer.TTLMillis)*time.Millisecond {
+		return l, nil
+	}
+	var last error
+	for _, addr := range addrs {
+		answer, err := c.lookup(ctx, addr, service)
+		if err == nil {
+			return c.keep(service, l, answer), nil
+		}
+		last = err
+	}
+	if l != nil && time.Since(l.at) < staleFactor*time.Duration(l.answer.TTLMillis)*time.Millisecond {
+		return l, nil
+	}
+	return nil, &NotRunError{Reason: protocol.ReasonUnreachable, Detail: fmt.Sprintf("no instance answers a look-up: %v", last), RetryAfter: time.Second}
+}
+
+// lookupAddrs returns the instances of the last answer, then the bootstrap
+// addresses.
+func (c *Client) lookupAddrs(l *list) []string {
+	var out []string
+	if l != nil {
+		for _, e := range l.answer.Instances {
+			out = append(out, e.Addr)
+		}
+	}
+	return append(out, c.config.Bootstrap...)
+}
+
+func (c *Client) keep(service string, old *list, answer lookup.Answer) *list {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := &list{answer: answer, at: time.Now(), down: make(map[string]time.Time)}
+	if old != nil {
+		l.down = old.down
+	}
+	c.lists[service] = l
+	return l
+}
+
+func (c *Client) lookup(ctx context.Context, addr, service string) (lookup.Answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, lookupTimeout)
+	defer cancel()
+	var answer lookup.Answer
+	query := url.Values{"service": {service}}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+protocol.LookupPath+"?"+query.Encode(), nil)
+	if err != nil {
+		return answer, err
+	}
+	resp, err := c.kept.RoundTrip(req)
+	if err != nil {
+		return answer, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return answer, fmt.Errorf("caller: look-up at %s: status %d", addr, resp.StatusCode)
+	}
+	err = json.NewDecoder(io.LimitReader(resp.Body, maxRefusal)).Decode(&answer)
+	if err == nil && len(answer.Instances) == 0 {
+		err = fmt.Errorf("caller: look-up at %s: no instance", addr)
+	}
+	return answer, err
+}
+
+// Lookup returns the instances that the client would use, in order.
+func (c *Client) Lookup(ctx context.Context, service string) (lookup.Answer, error) {
+	l, err := c.list(ctx, service)
+	if err != nil {
+		return lookup.Answer{}, err
+	}
+	return l.answer, nil
+}
--- a/config/editor.go
+++ b/config/editor.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/rainford/rainford/internal/pause"
 	"github.com/rainford/rainford/platform"
 	"github.com/rainford/rainford/table"
 )
@@ -196,12 +197,6 @@
 	if d == 0 {
 		d = defaultPause
 	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	pause.For(ctx, d)
+	return ctx.Err()
 }
--- a/internal/demo/fault_test.go
+++ b/internal/demo/fault_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/rainford/rainford/caller"
 	"github.com/rainford/rainford/internal/load"
+	"github.com/rainford/rainford/internal/pause"
 	"github.com/rainford/rainford/internal/standin/backend"
 	"github.com/rainford/rainford/internal/standin/platformstore"
 	"github.com/rainford/rainford/node"
@@ -67,7 +68,7 @@
 
 func (f *troubles) run(ctx context.Context, t *testing.T) {
 	for {
-		if !wait(ctx, time.Duration(200+f.rnd.IntN(400))*time.Millisecond) {
+		if !pause.For(ctx, time.Duration(200+f.rnd.IntN(400))*time.Millisecond) {
 			break
 		}
 		f.platform()
--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -10,6 +10,7 @@
 	"github.com/rainford/rainford/caller"
 	"github.com/rainford/rainford/config"
 	"github.com/rainford/rainford/internal/load"
+	"github.com/rainford/rainford/internal/pause"
 	"github.com/rainford/rainford/internal/standin/platformstore"
 	"github.com/rainford/rainford/table"
 )
@@ -124,14 +125,14 @@
 	service := d.cluster.Estate.Services[0].Name
 	key := table.RowKey{Service: service, From: regions[0], To: regions[1]}
 	quarter := d.options.Duration / 4
-	if !wait(ctx, quarter) {
+	if !pause.For(ctx, quarter) {
 		return ctx.Err()
 	}
 	err := d.change(ctx, "raise the weight of "+key.String()+" to 40", func(t *table.Table) { setRow(t, key, func(r *table.Row) { r.Weight = 40 }) })
 	if err != nil {
 		return err
 	}
-	if !wait(ctx, quarter) {
+	if !pause.For(ctx, quarter) {
 		return ctx.Err()
 	}
 	err = d.change(ctx, "lower the cap of "+key.String()+" to 20", func(t *table.Table) { setRow(t, key, func(r *table.Row) { r.Cap = 20 }) })
@@ -139,7 +140,7 @@
 		return err
 	}
 	d.caps[key] = capSpan{before: remoteCap, lowered: time.Now().Add(table.Window)}
-	if !wait(ctx, quarter) {
+	if !pause.For(ctx, quarter) {
 		return ctx.Err()
 	}
 	return d.drain(ctx, regions[2])
@@ -153,17 +154,6 @@
 	}
 }
 
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // change makes one change and measures the time until it is in force at every
 // instance.
 func (d *demo) change(ctx context.Context, what string, edit func(*table.Table)) error {
@@ -197,7 +187,7 @@
 	if err != nil {
 		return err
 	}
-	wait(ctx, d.options.Duration/4)
+	pause.For(ctx, d.options.Duration/4)
 	for _, t := range d.cluster.Targets(region) {
 		if last := t.Server.LastNew().Sub(began).Seconds(); last > d.report.Drain.SecondsToLastNew {
 			d.report.Drain.SecondsToLastNew = last
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -11,6 +11,7 @@
 	"github.com/rainford/rainford/caller"
 	"github.com/rainford/rainford/internal/demo"
 	"github.com/rainford/rainford/internal/load"
+	"github.com/rainford/rainford/internal/pause"
 	"github.com/rainford/rainford/internal/standin/backend"
 	"github.com/rainford/rainford/internal/standin/platformstore"
 	"github.com/rainford/rainford/node"
@@ -166,13 +167,13 @@
 	}
 	go r.sample(loadCtx)
 	third := r.options.Duration / 3
-	sleep(loadCtx, third)
+	pause.For(loadCtx, third)
 	event := time.Now()
 	restore, err := r.event(ctx)
 	if err != nil {
 		return nil, err
 	}
-	sleep(loadCtx, third)
+	pause.For(loadCtx, third)
 	r.measureDrain(event)
 	restore()
 	<-loadCtx.Done()
@@ -184,13 +185,6 @@
 	return &r.result, nil
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 // capRow is the row that CapBound leans on.
 func (r *run) capRow() table.RowKey {
 	regions := r.cluster.Estate.Regions
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -17,6 +17,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/rainford/rainford/caller"
+	"github.com/rainford/rainford/internal/pause"
 	"github.com/rainford/rainford/internal/standin/backend"
 	"github.com/rainford/rainford/protocol"
 )
@@ -143,7 +144,7 @@
 	next := time.Now()
 	for {
 		next = next.Add(time.Duration(rnd.ExpFloat64() / s.Rate * float64(time.Second)))
-		if !sleepUntil(ctx, next) {
+		if !pause.Until(ctx, next) {
 			return
 		}
 		select {
@@ -166,21 +167,6 @@
 // Wait waits for the requests under way.
 func (g *Generator) Wait() { g.wg.Wait() }
 
-func sleepUntil(ctx context.Context, t time.Time) bool {
-	d := time.Until(t)
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // errWrong means that an answer was whole by its framing and yet not right.
 var errWrong = errors.New("load: wrong answer")
 
--- /dev/null
+++ b/node/claimwrite.go
@@ -0,0 +1,175 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/rainford/rainford/claim"
+	"github.com/rainford/rainford/internal/pause"
+	"github.com/rainford/rainford/platform"
+)
+
+// run writes batches until ctx ends.
+func (c *claimWriter) run(ctx context.Context) {
+	ticker := time.NewTicker(settleEvery)
+	defer ticker.Stop()
+	defer c.wg.Wait()
+	for {
+		all := false
+		select {
+		case <-c.wake:
+		case <-ticker.C:
+			all = true
+		case <-ctx.Done():
+			return
+		}
+		for number := range claim.Shards {
+			c.startWrites(ctx, number, all)
+		}
+	}
+}
+
+// startWrites starts the writes that are due, as the pace permits.
+func (c *claimWriter) startWrites(ctx context.Context, number int, all bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for c.queue.Waiting(number, all) {
+		ok, wait := c.paces[number].Allow(time.Now())
+		if !ok {
+			time.AfterFunc(wait, c.signal)
+			return
+		}
+		shard, ops := c.queue.Next(number, all)
+		c.wg.Add(1)
+		go func() {
+			defer c.wg.Done()
+			c.write(ctx, shard, ops)
+			c.signal()
+		}()
+	}
+}
+
+// write applies ops to a shard and does not end before each is known to be in
+// force, or the process ends.
+func (c *claimWriter) write(ctx context.Context, id claim.ShardID, ops []claim.Op) {
+	c.mu.Lock()
+	state := c.shards[id]
+	c.mu.Unlock()
+	uncertain := false
+	for {
+		next, replies := applyAll(state.shard, ops)
+		obj, err := c.platform.Put(ctx, id.ObjectKey(), state.version, next)
+		var conflict *platform.ConflictError
+		switch {
+		case err == nil:
+			c.settle(id, shardState{shard: next, version: obj.Version, used: time.Now()}, ops, replies)
+			return
+		case errors.As(err, &conflict):
+			// A write on an older version can't take effect any more.
+			uncertain = false
+			state = decodeShard(conflict.Current)
+			c.awaitPace(ctx, id.Number)
+		case ctx.Err() != nil:
+			return
+		default:
+			c.log.Debug("claims", "shard", id.ObjectKey(), "error", err.Error())
+			uncertain = uncertain || errors.Is(err, platform.ErrUncertain)
+			if !uncertain {
+				ops = c.refuse(ops)
+			}
+			if len(ops) == 0 {
+				c.written(id)
+				return
+			}
+			pause.For(ctx, retryPause)
+		}
+	}
+}
+
+// awaitPace waits until another write of the shard is permitted.
+func (c *claimWriter) awaitPace(ctx context.Context, number int) {
+	for ctx.Err() == nil {
+		c.mu.Lock()
+		ok, wait := c.paces[number].Allow(time.Now())
+		c.mu.Unlock()
+		if ok {
+			return
+		}
+		pause.For(ctx, wait)
+	}
+}
+
+// refuse answers the claims of a batch that the platform did not take, so that
+// nobody waits for them, and returns the ends of claims, which are tried again.
+func (c *claimWriter) refuse(ops []claim.Op) []claim.Op {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var rest []claim.Op
+	for _, op := range ops {
+		if op.Verb == claim.Take {
+			c.answer(waitName(op), claim.Reply{Answer: claim.Unwritten})
+		} else {
+			rest = append(rest, op)
+		}
+	}
+	return rest
+}
+
+func (c *claimWriter) written(id claim.ShardID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.queue.Written(id)
+}
+
+// applyAll returns the shard after ops, and their replies, and leaves the
+// shard given unchanged.
+func applyAll(shard claim.Shard, ops []claim.Op) (claim.Shard, []claim.Reply) {
+	next := claim.Shard{Entries: make(map[string]claim.Entry, len(shard.Entries)+len(ops))}
+	for k, v := range shard.Entries {
+		next.Entries[k] = v
+	}
+	replies := make([]claim.Reply, len(ops))
+	for i, op := range ops {
+		replies[i] = next.Apply(op)
+	}
+	return next, replies
+}
+
+func decodeShard(obj platform.Object) shardState {
+	state := shardState{version: obj.Version}
+	if len(obj.Value) > 0 {
+		_ = json.Unmarshal(obj.Value, &state.shard)
+	}
+	return state
+}
+
+// settle hands out the replies of a batch that is in force.
+func (c *claimWriter) settle(id claim.ShardID, state shardState, ops []claim.Op, replies []claim.Reply) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.shards[id] = state
+	for other, s := range c.shards {
+		if time.Since(s.used) > forgetShardAfter {
+			delete(c.shards, other)
+		}
+	}
+	for i, op := range ops {
+		c.answer(waitName(op), replies[i])
+	}
+	c.queue.Written(id)
+}
+
+// flush waits until every end of a claim is written, or ctx ends.
+func (c *claimWriter) flush(ctx context.Context) {
+	for ctx.Err() == nil {
+		c.mu.Lock()
+		idle := c.queue.Idle() && len(c.waiting) == 0
+		c.mu.Unlock()
+		if idle {
+			return
+		}
+		pause.For(ctx, retryPause)
+	}
+}
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -36,7 +36,9 @@
 		if s.State != member.Live && !leaving {
 			continue
 		}
-		alive[s.ID] = s.PeerAddr
+		if !leaving {
+			alive[s.ID] = s.PeerAddr
+		}
 		if plan == nil || !s.Ready || plan.HallDrained(s.Hall) {
 			continue
 		}
--- a/node/stop.go
+++ b/node/stop.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/rainford/rainford/internal/pause"
 )
 
 const (
@@ -42,12 +44,12 @@
 	defer cancel()
 	go n.register(ctx)
 	linger := max(n.config.LookupTTL, minLinger)
-	n.sleep(ctx, linger-hopRest)
+	pause.For(ctx, linger-hopRest)
 	n.mu.Lock()
 	n.closing = true
 	n.mu.Unlock()
 	n.announce()
-	n.sleep(ctx, hopRest)
+	pause.For(ctx, hopRest)
 	cut := n.closeServers(ctx)
 	flush, stopFlush := context.WithTimeout(ctx, flushMax)
 	n.claims.flush(flush)
@@ -106,10 +108,10 @@
 	n.agent.Leave()
 	n.mu.Unlock()
 	n.announce()
-	n.sleep(ctx, n.config.Timing.Window+n.config.Heartbeat)
+	pause.For(ctx, n.config.Timing.Window+n.config.Heartbeat)
 	for range lastBeats {
 		n.announce()
-		n.sleep(ctx, n.config.Heartbeat/2)
+		pause.For(ctx, n.config.Heartbeat/2)
 	}
 }
 
--- a/node/sync.go
+++ b/node/sync.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rainford/rainford/config"
+	"github.com/rainford/rainford/internal/pause"
 	"github.com/rainford/rainford/lookup"
 	"github.com/rainford/rainford/member"
 	"github.com/rainford/rainford/platform"
@@ -61,7 +62,7 @@
 func (n *Node) watchLoop(ctx context.Context) {
 	after := int64(0)
 	first := true
-	pause := minWatchWait
+	backoff := minWatchWait
 	for ctx.Err() == nil {
 		wait := watchWait
 		if first {
@@ -70,14 +71,14 @@
 		listing, err := n.platform.Watch(ctx, n.prefixes(), after, wait)
 		if err != nil {
 			n.log.Debug("watch", "error", err.Error())
-			n.sleep(ctx, n.Jitter(pause))
-			pause = min(2*pause, maxWatchWait)
+			pause.For(ctx, n.Jitter(backoff))
+			backoff = min(2*backoff, maxWatchWait)
 			continue
 		}
-		pause = minWatchWait
+		backoff = minWatchWait
 		if listing.Revision < after {
 			// A stale answer; the next one continues from where we are.
-			n.sleep(ctx, pause)
+			pause.For(ctx, backoff)
 			continue
 		}
 		after = listing.Revision
@@ -91,15 +92,6 @@
 	}
 }
 
-func (n *Node) sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // takeIn puts newer objects in force.
 func (n *Node) takeIn(objs []platform.Object) {
 	n.mu.Lock()
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/rainford/rainford/internal/pause"
 )
 
 const (
@@ -242,7 +244,7 @@
 func (l *link) deliver(ctx context.Context, frame []byte) {
 	if l.conn == nil && !l.open(ctx) {
 		l.mesh.dropped.Add(1)
-		pause(ctx, redialPause)
+		pause.For(ctx, redialPause)
 		l.discard()
 		return
 	}
@@ -285,12 +287,3 @@
 	}
 	return true
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- /dev/null
+++ b/share/modelstep_test.go
@@ -0,0 +1,172 @@
+package share_test
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rainford/rainford/seat"
+	"github.com/rainford/rainford/share"
+)
+
+// step lets an instance act. Requests may come before anything else, as they
+// do when a paused process wakes.
+func (w *world) step(n *modelNode) {
+	early := w.chance(0.5)
+	if early {
+		w.arrivals(n)
+	}
+	if !w.now.Before(n.beatAt) {
+		n.beatAt = w.now.Add(modelBeat)
+		w.beat(n)
+	}
+	if !w.now.Before(n.pollAt) {
+		n.pollAt = w.now.Add(w.between(50*time.Millisecond, 300*time.Millisecond))
+		w.poll(n)
+	}
+	if !early {
+		w.arrivals(n)
+	}
+}
+
+func (w *world) arrivals(n *modelNode) {
+	arrivals := 0
+	for w.chance(0.3 * n.busy) {
+		arrivals++
+	}
+	row := w.plans[n.plan].Table.Rows[0]
+	for range arrivals {
+		w.wanted++
+		if n.ledger.Take(n.local(w.now), row) == share.Admitted {
+			w.served++
+			w.uses = append(w.uses, w.now)
+			w.bounds = append(w.bounds, w.highestCap())
+		}
+	}
+}
+
+func (w *world) highestCap() int {
+	highest := 0
+	for _, n := range w.nodes {
+		highest = max(highest, w.plans[n.plan].Table.Rows[0].Cap)
+	}
+	return highest
+}
+
+func (w *world) beat(n *modelNode) {
+	local := n.local(w.now)
+	n.agent.Begin(local)
+	n.agent.Tick(local, n.ledger.LoansEnd())
+	w.seats(n)
+	for _, peer := range w.nodes {
+		if peer == n || peer.hall != n.hall {
+			continue
+		}
+		b := n.agent.Beat(local, peer.id)
+		w.post(n, peer, func(now time.Time) {
+			peer.agent.Hear(peer.local(now), n.id, b)
+			w.seats(peer)
+		})
+	}
+	w.ask(n)
+	if write := n.agent.Propose(local); write != nil {
+		w.write(n, write)
+	}
+}
+
+func (w *world) seats(n *modelNode) {
+	n.ledger.SetSeats(n.agent.Held(n.local(w.now)), n.agent.LeaseEnd())
+}
+
+func (w *world) ask(n *modelNode) {
+	for _, a := range n.ledger.Asks(n.local(w.now), 2) {
+		lender := w.nodes[w.rnd.IntN(len(w.nodes))]
+		if lender == n {
+			continue
+		}
+		w.post(n, lender, func(now time.Time) {
+			loan, ok := lender.ledger.Lend(lender.local(now), a)
+			if !ok {
+				return
+			}
+			w.post(lender, n, func(now time.Time) { n.ledger.Receive(n.local(now), loan) })
+		})
+	}
+}
+
+// write tries a roster write: it may arrive late, and its reply may be lost.
+func (w *world) write(n *modelNode, write *seat.Write) {
+	raw, err := json.Marshal(write.Roster)
+	require.NoError(w.t, err)
+	if w.unreachable(n) {
+		n.agent.WriteFailed(write)
+		return
+	}
+	lost := w.chance(0.1)
+	arrive := w.now.Add(w.between(time.Millisecond, 20*time.Millisecond))
+	if lost && w.chance(0.5) {
+		arrive = w.now.Add(w.between(time.Second, 20*time.Second))
+	}
+	w.mail = append(w.mail, modelMail{at: arrive, do: func(now time.Time) {
+		accepted, version := w.put(n.hall, write.Version, raw)
+		if lost {
+			return
+		}
+		w.mail = append(w.mail, modelMail{at: now.Add(5 * time.Millisecond), to: n, do: func(now time.Time) {
+			if accepted {
+				n.agent.Learn(n.local(now), write.Roster, version)
+			} else {
+				n.agent.WriteFailed(write)
+			}
+			w.seats(n)
+		}})
+	}})
+	if lost {
+		w.mail = append(w.mail, modelMail{at: w.now.Add(3 * time.Second), to: n, do: func(time.Time) {
+			n.agent.WriteUncertain(write)
+		}})
+	}
+}
+
+func (w *world) unreachable(n *modelNode) bool { return w.platformDown || w.now.Before(n.cutPlat) }
+
+func (w *world) put(hall string, version int64, raw []byte) (bool, int64) {
+	obj := w.rosters[hall]
+	if obj == nil {
+		obj = &modelObject{}
+		w.rosters[hall] = obj
+	}
+	if obj.version != version {
+		return false, 0
+	}
+	obj.version++
+	obj.raw = raw
+	return true, obj.version
+}
+
+// poll reads the roster and the table, which may be an old one.
+func (w *world) poll(n *modelNode) {
+	if w.unreachable(n) {
+		return
+	}
+	if n.plan < w.accepted && w.chance(0.3) {
+		n.plan = w.accepted
+		n.ledger.SetPlan(w.plans[n.plan])
+	}
+	obj := w.rosters[n.hall]
+	if obj == nil || obj.version == 0 {
+		n.agent.LearnEmpty()
+		return
+	}
+	version := obj.version
+	if version <= n.agent.Version() {
+		return
+	}
+	var roster seat.Roster
+	require.NoError(w.t, json.Unmarshal(obj.raw, &roster))
+	w.mail = append(w.mail, modelMail{at: w.now.Add(w.between(0, 30*time.Millisecond)), to: n, do: func(now time.Time) {
+		n.agent.Learn(n.local(now), &roster, version)
+		w.seats(n)
+	}})
+}
