A ramping row borrows too; a hall that is cut off goes on serving

Cause: TestTinyCap, red: with a cap of one unit and a ramp, the instance without the unit never asked for it, since asks were held back while the ramp was below its full level. A row without units has nothing to ramp.

Change: asks follow the requests that found no unit; those held back by the ramp do not count.

TestHallCutOff added (platform away, every other instance frozen).

--- a/internal/e2e/fault_test.go
+++ b/internal/e2e/fault_test.go
@@ -167,3 +167,37 @@
 	}
 	require.Positive(t, st.OK)
 }
+
+// TestHallCutOff takes the platform away and freezes every instance but those
+// of one hall, and checks that its callers are still served by its targets, and
+// that all is well afterwards.
+func TestHallCutOff(t *testing.T) {
+	s := newSystem(t, 1, 50)
+	client := s.caller(0)
+	checkUpload(t, client, 1000)
+	s.faults(platformstore.Faults{Down: true})
+	for name, p := range s.instances {
+		if name != "north-1-1" {
+			require.NoError(t, p.Process.Signal(syscall.SIGSTOP))
+		}
+	}
+	served := 0
+	for range 40 {
+		time.Sleep(100 * time.Millisecond)
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		resp, err := client.Do(ctx, upload(reads, "", []byte("x")))
+		cancel()
+		if err == nil {
+			served++
+			_ = resp.Body.Close()
+		}
+	}
+	t.Logf("cut off: %d of 40 requests served", served)
+	require.Greater(t, served, 20)
+	for _, p := range s.instances {
+		require.NoError(t, p.Process.Signal(syscall.SIGCONT))
+	}
+	s.faults(platformstore.Faults{})
+	s.awaitReady()
+	checkOnce(t, s, client)
+}
--- a/share/ledger.go
+++ b/share/ledger.go
@@ -217,10 +217,7 @@
 	var out []Ask
 	for _, key := range l.sortedRows() {
 		a := l.rows[key]
-		if a.wants == 0 || a.ramp.Level() < fullLevel {
-			// While the ramp holds the row back more units would not
-			// be used.
-			a.wants = 0
+		if a.wants == 0 {
 			continue
 		}
 		out = append(out, l.asksOf(now, key, a, count)...)
--- a/share/share_test.go
+++ b/share/share_test.go
@@ -190,6 +190,42 @@
 	require.False(t, lent)
 }
 
+// TestTinyCap has a cap of one unit, which belongs to one of two instances,
+// and all demand at the other.
+func TestTinyCap(t *testing.T) {
+	plan := table.Compile(&table.Table{
+		Regions: []table.Region{{Name: "r", Halls: []string{"h"}}, {Name: "q", Halls: []string{"z"}}},
+		Rows:    []table.Row{{Service: "s", From: "r", To: "q", Weight: 1, Cap: 1, Shift: 10, Ramp: time.Second}},
+	}, 1)
+	row := plan.Table.Rows[0]
+	var holders []*share.Ledger
+	now := time.Unix(0, 0)
+	for i := range 2 {
+		l := share.NewLedger("h", "r", 2, uint64(100*i))
+		l.SetPlan(plan)
+		l.SetSeats([]int{i}, now.Add(time.Hour))
+		holders = append(holders, l)
+	}
+	rich, poor := holders[0], holders[1]
+	if rich.States(now)[0].Units == 0 {
+		rich, poor = poor, rich
+	}
+	used := 0
+	for range 2000 {
+		now = now.Add(10 * time.Millisecond)
+		if poor.Take(now, row) == share.Admitted {
+			used++
+		}
+		for _, ask := range poor.Asks(now, 1) {
+			if loan, ok := rich.Lend(now, ask); ok {
+				poor.Receive(now, loan)
+			}
+		}
+	}
+	t.Logf("%d of 20 possible uses", used)
+	require.Greater(t, used, 10)
+}
+
 func TestRampRisesInSteps(t *testing.T) {
 	const total = 100
 	r := &share.Ramp{Shift: 25, Period: time.Second}
