Look-up answers are prepared when they change, not at every heartbeat

Cause: every heartbeat had the answers of all halls encoded anew; at 730 instances a node hears about 55 a second.

Change: the answers are prepared when who is listed, the table or the blocks have changed; look-ups of peers' addresses no longer sort the view.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rainford/rainford/claim"
@@ -116,8 +117,10 @@
 	answerPart    = 20
 	maxAnswerTime = 100 * time.Millisecond
 	maxTries      = 4
-	maxHops       = 2
-	fullStatus    = http.StatusServiceUnavailable
+	// maxOpen bounds the requests under way at an instance.
+	maxOpen    = 8192
+	maxHops    = 2
+	fullStatus = http.StatusServiceUnavailable
 )
 
 // Entry serves requests of callers and of other instances.
@@ -127,6 +130,9 @@
 	callers    Stage
 	hops       Stage
 
+	// open counts the requests under way.
+	open atomic.Int64
+
 	mu     sync.Mutex
 	budget retry.Budget
 }
@@ -152,7 +158,11 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		ex := &Exchange{w: w, r: r, Hop: hop, Start: time.Now(), body: newBody(r)}
 		w.Header().Set(protocol.HeaderInstance, e.config.Instance)
-		res := stage(ex)
+		defer e.open.Add(-1)
+		res := notRun(fullStatus, protocol.ReasonCapacity, "too many requests at this instance", e.jitter(time.Second))
+		if e.open.Add(1) <= maxOpen {
+			res = stage(ex)
+		}
 		switch {
 		case res.Broken:
 			// The caller must not take a part for the whole.
--- a/member/view.go
+++ b/member/view.go
@@ -101,12 +101,25 @@
 	}
 }
 
+// Get returns what is known of an instance.
+func (v *View) Get(now time.Time, id string) (Status, bool) {
+	r := v.known[id]
+	if r == nil {
+		return Status{}, false
+	}
+	s := r.status
+	s.State = v.state(now, r)
+	s.SilentSince = r.reportedAt
+	return s, true
+}
+
 // All returns every instance known, with its state, in the order of IDs.
 func (v *View) All(now time.Time) []Status {
 	out := make([]Status, 0, len(v.known))
 	for _, r := range v.known {
 		s := r.status
 		s.State = v.state(now, r)
+		s.SilentSince = r.reportedAt
 		out = append(out, s)
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].ID < out[j].ID })
--- a/node/beat.go
+++ b/node/beat.go
@@ -196,12 +196,8 @@
 }
 
 func (n *Node) addrOf(id string) string {
-	for _, s := range n.view.All(time.Now()) {
-		if s.ID == id {
-			return s.PeerAddr
-		}
-	}
-	return ""
+	s, _ := n.view.Get(time.Now(), id)
+	return s.PeerAddr
 }
 
 func (n *Node) lend(from string, msg *peer.Ask) {
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rainford/rainford/entry"
@@ -59,11 +60,40 @@
 	n.setDirectory(all, plan)
 }
 
+// listing is what the answers to look-ups are made of.
+type listing struct {
+	plan    *table.Plan
+	blocks  *lookup.Blocks
+	entries []listed
+}
+
+// listed is one instance of a listing.
+type listed struct {
+	id    string
+	state member.State
+	ready bool
+}
+
+// same tells whether two listings give the same answers.
+func (l *listing) same(other *listing) bool {
+	return other != nil && l.plan == other.plan && l.blocks == other.blocks && slices.Equal(l.entries, other.entries)
+}
+
+// setDirectory prepares the answers to look-ups anew if they have changed:
+// heartbeats come often, changes of who is listed do not.
 func (n *Node) setDirectory(all []member.Status, plan *table.Plan) {
 	own := member.Status{Instance: n.self, State: member.Live, Ready: n.ready()}
 	if n.leaving {
 		own.State = member.Leaving
 	}
+	all = append(all, own)
+	now := &listing{plan: plan, blocks: n.blocks, entries: make([]listed, len(all))}
+	for i, s := range all {
+		now.entries[i] = listed{s.ID, s.State, s.Ready}
+	}
+	if now.same(n.listing) {
+		return
+	}
 	halls := map[string]string{n.self.Hall: n.self.Region}
 	if plan != nil {
 		for _, r := range plan.Table.Regions {
@@ -72,11 +102,12 @@
 			}
 		}
 	}
-	dir, err := lookup.NewDirectory(n.blocks, append(all, own), halls, n.self.Hall, n.config.LookupTTL)
+	dir, err := lookup.NewDirectory(n.blocks, all, halls, n.self.Hall, n.config.LookupTTL)
 	if err != nil {
 		n.log.Error("directory", "error", err.Error())
 		return
 	}
+	n.listing = now
 	n.directory.Store(dir)
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -55,6 +55,7 @@
 	sent      map[offer]int
 	drainedAt map[string]time.Time
 	blocks    *lookup.Blocks
+	listing   *listing
 	leaving   bool
 	// closing is set when a stopping instance wants no more from others.
 	closing  bool
--- a/node/register.go
+++ b/node/register.go
@@ -82,7 +82,7 @@
 	var dead []platform.Object
 	n.mu.Lock()
 	for _, s := range n.view.All(now) {
-		silent := !s.HeardAt.IsZero() && now.Sub(s.HeardAt) > removeAfter
+		silent := now.Sub(s.SilentSince) > removeAfter
 		obj, listed := n.objects.byKey[InstancePrefix+s.ID]
 		if s.Hall == n.self.Hall && silent && listed && !obj.Deleted {
 			dead = append(dead, obj)
