Requests wait at home whenever home is busy; a slow claim writer is not rushed

Cause, from rainfordload runs at load 1.0 and 1.5: (1) refusals named the cap of rows to other regions while the home hall was merely busy: the wait at home was tried only if home's refusal had the nearest time to come back. (2) In one run 575 of 2904 operations were refused for claims after 1.5 s: a writer that was slow for a moment was followed by every other instance writing in its place, against the platform's limit.

Change: the wait at home does not depend on what other rows said; instances that write in the writer's place share one budget.

--- a/cmd/rainfordload/main.go
+++ b/cmd/rainfordload/main.go
@@ -11,6 +11,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"sort"
 	"strconv"
 	"strings"
 	"syscall"
@@ -21,6 +22,7 @@
 
 	"github.com/rainford/rainford/internal/demo"
 	"github.com/rainford/rainford/internal/experiment"
+	"github.com/rainford/rainford/protocol"
 )
 
 // Exit codes.
@@ -194,20 +196,33 @@
 	return fmt.Errorf("no %v: want one of %v", v, all)
 }
 
+// reasons prints counts as "a:1 b:2", or "-" for none.
+func reasons(counts map[protocol.Reason]int64) string {
+	if len(counts) == 0 {
+		return "-"
+	}
+	var parts []string
+	for reason, n := range counts {
+		parts = append(parts, fmt.Sprintf("%s:%d", reason, n))
+	}
+	sort.Strings(parts)
+	return strings.Join(parts, " ")
+}
+
 func output(w io.Writer, asJSON bool, results []*experiment.Result) error {
 	if asJSON {
 		return json.NewEncoder(w).Encode(results)
 	}
 	tw := tabwriter.NewWriter(w, 2, 8, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(tw, "run\tservice\trequests\tok\tnot run\tunknown\tused\tp50 ms\tp99 ms\tp99.9 ms\trefusal p99 ms\tdrain s\trecover s\tcap use\tover slots\ttwice\t")
+	fmt.Fprintln(tw, "run\tservice\trequests\tok\tnot run\tunknown\tused\tp50 ms\tp99 ms\tp99.9 ms\trefusal p99 ms\tdrain s\trecover s\tcap use\tover slots\ttwice\treasons\t")
 	for _, r := range results {
 		for _, s := range r.Services {
 			if s.Requests == 0 {
 				continue
 			}
-			fmt.Fprintf(tw, "%s\t%s\t%d\t%d\t%d\t%d\t%.2f\t%.1f\t%.1f\t%.1f\t%.1f\t%.2f\t%.2f\t%.2f\t%d\t%d\t\n",
+			fmt.Fprintf(tw, "%s\t%s\t%d\t%d\t%d\t%d\t%.2f\t%.1f\t%.1f\t%.1f\t%.1f\t%.2f\t%.2f\t%.2f\t%d\t%d\t%s\t\n",
 				r.Options, s.Service, s.Requests, s.OK, s.NotRun, s.Unknown, s.Used, s.P50Ms, s.P99Ms, s.P999Ms, s.RefusalP99Ms,
-				r.DrainSeconds, r.RecoverSeconds, r.CapUse, r.OverSlots, r.RunTwice)
+				r.DrainSeconds, r.RecoverSeconds, r.CapUse, r.OverSlots, r.RunTwice, reasons(s.Reasons))
 		}
 	}
 	return tw.Flush()
--- a/config/document.go
+++ b/config/document.go
@@ -76,8 +76,9 @@
 	return Change{}, false
 }
 
-// recentBytes bounds the changes kept in the document, as encoded.
-const recentBytes = 200 << 10
+// recentBytes bounds the changes kept in the document, as encoded. Every
+// instance gets them with every change, see docs/CAPACITY.md.
+const recentBytes = 32 << 10
 
 // trim returns how many of the oldest changes have to leave the document.
 func trim(changes []Change) (int, error) {
--- a/entry/region.go
+++ b/entry/region.go
@@ -14,41 +14,42 @@
 )
 
 // region is the last stage for requests of callers: it tries the rows of the
-// table in the order drawn, and gives up with the nearest time to come back.
+// table in the order drawn. When none takes the request at once it may wait for
+// a slot at home; else it is given up with the nearest time to come back.
 func (e *Entry) region(ex *Exchange) Result {
 	rows := e.config.Draw.Order(e.config.Fleet.Candidates(ex.Service.Name))
-	last := notRun(fullStatus, protocol.ReasonUnreachable, "no region takes the service now", e.jitter(time.Second))
 	best := Result{}
 	for _, row := range rows {
-		res, again := e.row(ex, row, localPatience)
+		res, again := e.row(ex, row)
 		if !again {
 			return res
 		}
 		best = soonest(best, res)
 	}
 	for _, row := range rows {
-		// Nobody takes the request at once, so it may wait at home.
-		if row.To == e.config.Region && e.config.Fleet.HallOpen() && best.Reason == protocol.ReasonCapacity {
-			res, again := e.local(ex, row, time.Until(ex.Deadline))
-			if !again {
-				return res
-			}
-			best = soonest(best, res)
+		if row.To != e.config.Region || !e.config.Fleet.HallOpen() {
+			continue
 		}
+		ex.rowTo = row.To
+		res, again := e.local(ex, row, time.Until(ex.Deadline))
+		if !again {
+			return res
+		}
+		best = soonest(best, res)
 	}
 	if best.Status == 0 {
-		return last
+		return notRun(fullStatus, protocol.ReasonUnreachable, "no region takes the service now", e.jitter(time.Second))
 	}
 	return best
 }
 
 // row tries to have the request served on one row. Again is true when it
 // certainly did not run and another row may be tried.
-func (e *Entry) row(ex *Exchange, row table.Row, patience time.Duration) (res Result, again bool) {
+func (e *Entry) row(ex *Exchange, row table.Row) (res Result, again bool) {
 	ex.rowTo = row.To
 	best := Result{}
 	if row.To == e.config.Region && e.config.Fleet.HallOpen() {
-		res, again = e.local(ex, row, patience)
+		res, again = e.local(ex, row, localPatience)
 		if !again {
 			return res, false
 		}
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -15,6 +15,7 @@
 	"github.com/rainford/rainford/internal/standin/backend"
 	"github.com/rainford/rainford/internal/standin/platformstore"
 	"github.com/rainford/rainford/node"
+	"github.com/rainford/rainford/protocol"
 	"github.com/rainford/rainford/table"
 )
 
@@ -102,6 +103,8 @@
 	P999Ms   float64 `json:"p999_ms"`
 	// Used is the part of the capacity that gave good answers.
 	Used float64 `json:"used"`
+	// Reasons counts what was not answered, by reason.
+	Reasons map[protocol.Reason]int64 `json:"reasons"`
 	// RefusalP99Ms is how long the slowest refusals took.
 	RefusalP99Ms float64 `json:"refusal_p99_ms"`
 }
@@ -366,6 +369,7 @@
 			P99Ms:        float64(st.Latency.ValueAtQuantile(99)) / micros,
 			P999Ms:       float64(st.Latency.ValueAtQuantile(99.9)) / micros,
 			RefusalP99Ms: float64(st.Refusal.ValueAtQuantile(99)) / micros,
+			Reasons:      st.Reasons,
 			Used:         float64(st.OK) / (capacity(s) * o.Duration.Seconds()),
 		})
 	}
--- a/node/beat.go
+++ b/node/beat.go
@@ -65,6 +65,10 @@
 	for _, in := range recipients {
 		msg := *hb
 		msg.Seat = n.agent.Beat(now, in.ID)
+		if in.Hall == n.self.Hall {
+			// They hear each other themselves.
+			msg.Heard = nil
+		}
 		out = append(out, letter{in.PeerAddr, &peer.Heartbeat{Heartbeat: msg}})
 	}
 	if len(recipients) == 0 {
--- a/node/claims.go
+++ b/node/claims.go
@@ -23,6 +23,7 @@
 	self     string
 	platform *platform.Client
 	mesh     *peer.Mesh
+	budget   float64
 	log      *slog.Logger
 
 	mu      sync.Mutex
@@ -71,6 +72,7 @@
 		self:     self,
 		platform: client,
 		mesh:     mesh,
+		budget:   budget,
 		log:      log,
 		waiting:  make(map[string]*claimWait),
 		shards:   make(map[claim.ShardID]shardState),
@@ -94,6 +96,12 @@
 	for i := range c.writers {
 		id := claim.Writer(i, ids)
 		c.writers[i] = claimRoute{id: id, addr: addrs[id]}
+		c.paces[i].Rate = c.budget / claim.Shards
+		if id != c.self {
+			// All that write in the writer's place share one budget, so
+			// that a slow writer is not followed by a rush of all others.
+			c.paces[i].Rate /= float64(len(ids))
+		}
 	}
 }
 
