A wait at home of one second at most; busy is not unreachable

The caller library tries another instance after "unreachable", which multiplies load just then.

Change: a request waits for a slot at home for one second at most; a region whose instances have all declined of late is "capacity".

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -32,8 +32,9 @@
 	// HallOpen tells whether the own hall takes new work.
 	HallOpen() bool
 	// Hops returns the instances through which a region's targets can be
-	// reached, other than this one and those in avoid.
-	Hops(region, service string, avoid map[string]bool) []Hop
+	// reached, other than this one and those in avoid. Busy tells that some
+	// were left out because they have declined of late.
+	Hops(region, service string, avoid map[string]bool) (hops []Hop, busy bool)
 	// Sent records that a request was sent to an instance. Answered records
 	// that it ran, and Declined that it did not and when to ask again.
 	Sent(instance, service string)
@@ -110,6 +111,9 @@
 	// localPatience is the wait in the own hall that is shorter than going
 	// elsewhere.
 	localPatience = 30 * time.Millisecond
+	// homeWait bounds the wait for a slot at home. A longer queue serves no
+	// more requests, each of them later.
+	homeWait = time.Second
 	// hopPatience is the wait in another hall, which saves the way back.
 	hopPatience = 100 * time.Millisecond
 	// answerPart and maxAnswerTime are the part of a deadline that is kept
--- a/entry/region.go
+++ b/entry/region.go
@@ -31,7 +31,7 @@
 			continue
 		}
 		ex.rowTo = row.To
-		res, again := e.local(ex, row, time.Until(ex.Deadline))
+		res, again := e.local(ex, row, homeWait)
 		if !again {
 			return res
 		}
@@ -98,12 +98,15 @@
 	tried := make(map[string]bool)
 	admitted := false
 	for range maxHops {
-		hops := e.config.Fleet.Hops(row.To, ex.Service.Name, tried)
+		hops, busy := e.config.Fleet.Hops(row.To, ex.Service.Name, tried)
 		peers := make([]route.Peer, len(hops))
 		for i := range hops {
 			peers[i] = hops[i].Peer
 		}
 		i := e.config.Draw.Pick(peers)
+		if i < 0 && busy {
+			return notRun(fullStatus, protocol.ReasonCapacity, "every instance in "+row.To+" is busy", e.jitter(200*time.Millisecond)), true
+		}
 		if i < 0 {
 			break
 		}
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -163,21 +163,25 @@
 }
 
 // Hops implements entry.Fleet.
-func (n *Node) Hops(region, service string, avoid map[string]bool) []entry.Hop {
-	hops := n.fleet.Load().hops[destination{service, region}]
+func (n *Node) Hops(region, service string, avoid map[string]bool) (hops []entry.Hop, busy bool) {
+	all := n.fleet.Load().hops[destination{service, region}]
 	now := time.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	out := make([]entry.Hop, 0, len(hops))
-	for _, h := range hops {
+	hops = make([]entry.Hop, 0, len(all))
+	for _, h := range all {
 		o := offer{h.ID, service}
-		if avoid[h.ID] || now.Before(n.declined[o]) {
+		if avoid[h.ID] {
+			continue
+		}
+		if now.Before(n.declined[o]) {
+			busy = true
 			continue
 		}
 		h.Pending = n.sent[o]
-		out = append(out, h)
+		hops = append(hops, h)
 	}
-	return out
+	return hops, busy
 }
 
 // Sent implements entry.Fleet.
