A dead claim writer is noticed by its refused connections; claims refused at once

Region lost: 250 of 2597 operations refused for claims, the slowest 1.5 s after they came: the region's instances wrote some shards, and their silence was noticed after 2 s only. Platform down: refusals took 1.5 s (p99 1511 ms), since the writer's "unwritten" was followed by a wait for this instance's own turn to write.

Change: a connection that can't be had makes a peer suspected at once, until it is heard again. When the platform answers neither the writer nor this instance, a claim is refused at once.

Also: the cold scenario replaces targets by new ones; before, it cooled targets whose limits were full already, so that slow start could not matter.

--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -219,6 +219,21 @@
 	return err
 }
 
+// RenewTargets replaces a region's targets, in the platform's list, by new ones
+// at the same addresses.
+func (c *Cluster) RenewTargets(ctx context.Context, region string) error {
+	for _, t := range c.Targets(region) {
+		t.ID += "-new"
+	}
+	for _, hall := range Halls(region) {
+		err := c.PublishTargets(ctx, hall)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Targets returns the targets of a region, or of all for "".
 func (c *Cluster) Targets(region string) []*Target {
 	var out []*Target
--- a/internal/experiment/experiment.go
+++ b/internal/experiment/experiment.go
@@ -279,6 +279,7 @@
 			t.Server.Set(func(s *backend.Settings) { s.ColdRuns, s.ColdFactor = 40, 8 })
 			t.Server.Cool()
 		}
+		err = r.cluster.RenewTargets(ctx, region)
 	case PlatformDown:
 		r.cluster.SetFaults(platformstore.Faults{Down: true})
 		restore = func() { r.cluster.SetFaults(platformstore.Faults{}) }
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -60,6 +60,20 @@
 	require.Empty(t, v.All(epoch))
 }
 
+// TestUnreachable checks that a failed connection makes an instance suspected
+// at once, and that hearing it ends that.
+func TestUnreachable(t *testing.T) {
+	v := member.NewView(in("me", "h"), settings)
+	a := in("a", "h")
+	a.PeerAddr = "127.0.0.1:9"
+	v.Hear(epoch, member.Heartbeat{From: a})
+	v.Unreachable("127.0.0.1:9")
+	require.Equal(t, member.Suspect, states(v, epoch)["a"])
+	require.Empty(t, v.HeardInHall(epoch))
+	v.Hear(epoch, member.Heartbeat{From: a})
+	require.Equal(t, member.Live, states(v, epoch)["a"])
+}
+
 // TestRecipientsReachEveryone checks that the whole own hall is told every
 // round, and each instance of the other halls within as many rounds as its
 // hall has instances.
--- a/member/view.go
+++ b/member/view.go
@@ -31,6 +31,9 @@
 type record struct {
 	status Status
 	listed bool
+	// unreachable is set when a connection to the instance has failed since
+	// it was last heard.
+	unreachable bool
 	// reportedAt is when the instance or one of its hall was last heard to
 	// be alive.
 	reportedAt time.Time
@@ -76,6 +79,7 @@
 	r.status.Config = max(r.status.Config, hb.Config)
 	r.status.Loads = hb.Loads
 	r.reportedAt = now
+	r.unreachable = false
 	for _, id := range hb.Heard {
 		if other := v.known[id]; other != nil {
 			other.reportedAt = now
@@ -83,6 +87,16 @@
 	}
 }
 
+// Unreachable takes in that no connection to a peer address could be had. The
+// instance there is suspected until it is heard again.
+func (v *View) Unreachable(addr string) {
+	for _, r := range v.known {
+		if r.status.PeerAddr == addr {
+			r.unreachable = true
+		}
+	}
+}
+
 func (v *View) record(in Instance) *record {
 	r := v.known[in.ID]
 	if r == nil {
@@ -130,6 +144,8 @@
 	switch {
 	case r.status.Leaving:
 		return Leaving
+	case r.unreachable:
+		return Suspect
 	case !r.reportedAt.IsZero() && now.Sub(r.reportedAt) <= v.settings.SuspectAfter:
 		return Live
 	default:
@@ -143,7 +159,7 @@
 	var out []string
 	for id, r := range v.known {
 		fresh := !r.status.HeardAt.IsZero() && now.Sub(r.status.HeardAt) <= v.settings.SuspectAfter
-		if r.status.Hall == v.self.Hall && fresh {
+		if r.status.Hall == v.self.Hall && fresh && !r.unreachable {
 			out = append(out, id)
 		}
 	}
--- a/node/beat.go
+++ b/node/beat.go
@@ -144,6 +144,14 @@
 	}
 }
 
+// Unreachable implements peer.Receiver.
+func (n *Node) Unreachable(addr string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.view.Unreachable(addr)
+	n.fleetOld = true
+}
+
 func (n *Node) hear(hb member.Heartbeat) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/node/claims.go
+++ b/node/claims.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rainford/rainford/claim"
@@ -26,6 +27,9 @@
 	budget   float64
 	log      *slog.Logger
 
+	// platformUp is false while the platform does not answer this instance.
+	platformUp atomic.Bool
+
 	mu      sync.Mutex
 	queue   claim.Queue
 	paces   [claim.Shards]claim.Pace
@@ -78,6 +82,7 @@
 		shards:   make(map[claim.ShardID]shardState),
 		wake:     make(chan struct{}, 1),
 	}
+	c.platformUp.Store(true)
 	for i := range c.paces {
 		c.paces[i] = claim.Pace{Rate: budget / claim.Shards, Burst: claimBurst}
 	}
@@ -134,6 +139,10 @@
 		if ok && reply.Answer != claim.Unwritten {
 			return reply, nil
 		}
+		if ok && !c.platformUp.Load() {
+			// The platform answers neither the writer nor this instance.
+			return c.giveUp(a, shard, op, replies)
+		}
 		// The writer is silent or cut off from the platform; this instance
 		// may not be.
 		c.log.Debug("claim writer of no use", "writer", writer.id)
--- a/node/sync.go
+++ b/node/sync.go
@@ -69,6 +69,7 @@
 			wait = 0
 		}
 		listing, err := n.platform.Watch(ctx, n.prefixes(), after, wait)
+		n.claims.platformUp.Store(err == nil)
 		if err != nil {
 			n.log.Debug("watch", "error", err.Error())
 			pause.For(ctx, n.Jitter(backoff))
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -28,6 +28,8 @@
 // Receiver takes the messages that arrive. It is called from many goroutines.
 type Receiver interface {
 	Receive(from string, m Message)
+	// Unreachable says that no connection to a peer could be had.
+	Unreachable(addr string)
 }
 
 // Mesh sends messages to peers and receives theirs.
@@ -244,6 +246,9 @@
 func (l *link) deliver(ctx context.Context, frame []byte) {
 	if l.conn == nil && !l.open(ctx) {
 		l.mesh.dropped.Add(1)
+		if ctx.Err() == nil {
+			l.mesh.receiver.Unreachable(l.addr)
+		}
 		pause.For(ctx, redialPause)
 		l.discard()
 		return
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -59,8 +59,9 @@
 }
 
 type recorder struct {
-	mu  sync.Mutex
-	got []Message
+	mu   sync.Mutex
+	got  []Message
+	lost []string
 }
 
 func (r *recorder) Receive(_ string, m Message) {
@@ -69,6 +70,18 @@
 	r.got = append(r.got, m)
 }
 
+func (r *recorder) Unreachable(addr string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lost = append(r.lost, addr)
+}
+
+func (r *recorder) losses() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.lost)
+}
+
 func (r *recorder) count() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -138,6 +151,13 @@
 	return ok && e.Timeout()
 }
 
+func TestUnreachablePeerIsReported(t *testing.T) {
+	r := &recorder{}
+	m, _ := startMesh(t, "a", "s", r)
+	m.Send("127.0.0.1:1", &Pull{Key: "k"})
+	require.Eventually(t, func() bool { return r.losses() > 0 }, 10*time.Second, 5*time.Millisecond)
+}
+
 // TestSendNeverBlocks checks that a peer that does not read loses frames and
 // holds nobody up.
 func TestSendNeverBlocks(t *testing.T) {
