Heartbeats to other halls reach everyone; a drained region serves on while others ramp

Suspected instances got heartbeats in every fourth round only, and the turn went by the round's number, so that in a hall of eight only the first and the fifth were ever tried.

Change: the turn goes over all instances of a hall, suspected or not, and starts at a different place for each sender. TestRecipientsReachEveryone now asks after a minute of silence: seen red (6 recipients of 10).

--- a/member/member_test.go
+++ b/member/member_test.go
@@ -86,9 +86,12 @@
 		}
 	}
 	v.SetList(epoch, list)
+	// Nobody was heard for long: the round must not depend on it, else those
+	// who are not told never tell either.
+	late := epoch.Add(time.Minute)
 	told := make(map[string]int)
 	for round := range uint64(6) {
-		recipients := v.Recipients(epoch, round)
+		recipients := v.Recipients(late, round)
 		require.Len(t, recipients, 6+4)
 		for _, r := range recipients {
 			told[r.ID]++
--- a/member/view.go
+++ b/member/view.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"hash/fnv"
 	"sort"
 	"time"
 )
@@ -168,33 +169,32 @@
 }
 
 // Recipients returns the instances that get the heartbeat of a round: all of
-// the own hall, and one of each other hall in turn.
+// the own hall, and one of each other hall in turn, suspected or not. Instances
+// of one hall start their turns at different places.
 func (v *View) Recipients(now time.Time, round uint64) []Instance {
 	var out []Instance
 	halls := make(map[string][]Instance)
+	var names []string
 	for _, s := range v.All(now) {
 		if s.Hall == v.self.Hall {
 			out = append(out, s.Instance)
 			continue
 		}
-		if s.State == Live || v.probe(round) {
-			halls[s.Hall] = append(halls[s.Hall], s.Instance)
+		if halls[s.Hall] == nil {
+			names = append(names, s.Hall)
 		}
+		halls[s.Hall] = append(halls[s.Hall], s.Instance)
 	}
-	names := make([]string, 0, len(halls))
-	for name := range halls {
-		names = append(names, name)
-	}
-	sort.Strings(names)
+	start := uint64(hashOf(v.self.ID))
 	for _, name := range names {
 		list := halls[name]
-		out = append(out, list[int(round%uint64(len(list)))])
+		out = append(out, list[(round+start)%uint64(len(list))])
 	}
 	return out
 }
 
-// probeEvery is the number of rounds between two in which suspected instances
-// of other halls are tried too.
-const probeEvery = 4
-
-func (v *View) probe(round uint64) bool { return round%probeEvery == 0 }
+func hashOf(id string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(id))
+	return h.Sum32()
+}
--- a/node/fleet.go
+++ b/node/fleet.go
@@ -22,6 +22,8 @@
 // when something has changed, and then only read.
 type fleet struct {
 	hops map[destination][]entry.Hop
+	// open tells whether the own hall takes new work.
+	open bool
 }
 
 // rebuild makes the fleet and the directory anew.
@@ -29,7 +31,7 @@
 	n.fleetOld = false
 	all := n.view.All(now)
 	plan := n.plan.Load()
-	f := &fleet{hops: make(map[destination][]entry.Hop)}
+	f := &fleet{hops: make(map[destination][]entry.Hop), open: plan != nil && n.hallOpen(plan, n.self.Hall, now)}
 	alive := map[string]string{n.self.ID: n.self.PeerAddr}
 	for _, s := range all {
 		// One of the own hall that leaves still has slots for a while.
@@ -40,7 +42,7 @@
 		if !leaving {
 			alive[s.ID] = s.PeerAddr
 		}
-		if plan == nil || !s.Ready || plan.HallDrained(s.Hall) {
+		if plan == nil || !s.Ready || !n.hallOpen(plan, s.Hall, now) {
 			continue
 		}
 		for _, l := range s.Loads {
@@ -60,6 +62,16 @@
 	n.setDirectory(all, plan)
 }
 
+// hallOpen tells whether a hall takes new work: it is not drained, and its
+// region is not or has been for less than drainGrace.
+func (n *Node) hallOpen(plan *table.Plan, hall string, now time.Time) bool {
+	region := plan.RegionOf(hall)
+	if plan.HallDrained(hall) {
+		return false
+	}
+	return !plan.RegionDrained(region) || now.Sub(n.drainedAt[region]) < drainGrace
+}
+
 // listing is what the answers to look-ups are made of.
 type listing struct {
 	plan    *table.Plan
@@ -120,10 +132,7 @@
 func (n *Node) Plan() *table.Plan { return n.plan.Load() }
 
 // HallOpen implements entry.Fleet.
-func (n *Node) HallOpen() bool {
-	plan := n.plan.Load()
-	return plan != nil && !plan.HallDrained(n.self.Hall)
-}
+func (n *Node) HallOpen() bool { return n.fleet.Load().open }
 
 // Candidates implements entry.Fleet.
 func (n *Node) Candidates(service string) []route.Candidate {
--- a/node/sync.go
+++ b/node/sync.go
@@ -192,7 +192,7 @@
 	n.ledger.SetPlan(plan)
 	n.plan.Store(plan)
 	n.setTargets()
-	n.fleetOld = true
+	n.rebuild(now)
 	n.log.Info("configuration in force", "version", plan.Version)
 	n.announce()
 }
--- a/seat/seat_test.go
+++ b/seat/seat_test.go
@@ -1,6 +1,7 @@
 package seat_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -252,25 +253,41 @@
 	}
 }
 
+// fullRoster returns a roster of n members with all seats held.
+func fullRoster(n int) *seat.Roster {
+	r := &seat.Roster{Hall: "accra-1", Epoch: int64(n)}
+	for i := range n {
+		r.Members = append(r.Members, seat.Member{ID: fmt.Sprintf("accra-1-%03d-0a1b2c3d", i), Addr: "10.20.30.40:7302", Joined: int64(i + 1), Acked: int64(n), Renewal: 1 << 20})
+	}
+	for i := range seat.Count {
+		r.Seats = append(r.Seats, seat.Seat{Holder: r.Members[i%n].ID, Term: 2})
+	}
+	return r
+}
+
+// BenchmarkPropose measures one write of the keeper and its taking in.
 func BenchmarkPropose(b *testing.B) {
 	for _, n := range []int{2, 12, 38} {
 		b.Run(fmt.Sprintf("members%d", n), func(b *testing.B) {
 			now := time.Unix(0, 0)
-			a := seat.NewAgent("m000", "m000", "hall", timing)
-			a.LearnEmpty()
-			version := int64(0)
-			for i := range n {
-				a.Begin(now)
-				a.Hear(now, fmt.Sprintf("m%03d", i), seat.Beat{Seq: 1})
-			}
+			roster := fullRoster(n)
+			raw, err := json.Marshal(roster)
+			require.NoError(b, err)
+			a := seat.NewAgent(roster.Members[0].ID, "a", "accra-1", timing)
+			a.Learn(now, roster, 1)
+			version := int64(1)
 			b.ReportAllocs()
 			for b.Loop() {
 				now = now.Add(timing.Renew)
 				a.Begin(now)
+				for _, m := range roster.Members[1:] {
+					a.Hear(now, m.ID, seat.Beat{Seq: uint64(version), Epoch: int64(n)})
+				}
 				w := a.Propose(now)
 				version++
 				a.Learn(now, w.Roster, version)
 			}
+			b.ReportMetric(float64(len(raw)), "json-B")
 		})
 	}
 }
--- a/share/ledger.go
+++ b/share/ledger.go
@@ -227,17 +227,18 @@
 }
 
 func (l *Ledger) asksOf(now time.Time, key table.RowKey, a *account, count int) []Ask {
-	var out []Ask
-	each := (a.wants + count - 1) / count
-	for range count {
+	nonces := make([]uint64, count)
+	for i := range nonces {
 		l.nonce++
-		if len(out) == 0 && !a.borrower.Ask(now, l.nonce) {
-			return nil
-		}
-		if len(out) > 0 {
-			a.borrower.record(now, l.nonce)
-		}
-		out = append(out, Ask{Row: key, Units: each, Nonce: l.nonce})
+		nonces[i] = l.nonce
+	}
+	if !a.borrower.Ask(now, nonces...) {
+		return nil
+	}
+	each := (a.wants + count - 1) / count
+	out := make([]Ask, count)
+	for i := range out {
+		out[i] = Ask{Row: key, Units: each, Nonce: nonces[i]}
 	}
 	return out
 }
--- a/share/loan.go
+++ b/share/loan.go
@@ -51,8 +51,9 @@
 	return &Borrower{terms: terms, asked: make(map[uint64]time.Time)}
 }
 
-// Ask returns whether to ask for more units now, and records nonce if so.
-func (b *Borrower) Ask(now time.Time, nonce uint64) bool {
+// Ask tells whether to ask for more units now. If so it records the nonces of
+// the asks that are sent.
+func (b *Borrower) Ask(now time.Time, nonces ...uint64) bool {
 	if !b.last.IsZero() && now.Sub(b.last) < b.terms.AskEvery {
 		return false
 	}
@@ -62,12 +63,12 @@
 		}
 	}
 	b.last = now
-	b.record(now, nonce)
+	for _, n := range nonces {
+		b.asked[n] = now
+	}
 	return true
 }
 
-func (b *Borrower) record(now time.Time, nonce uint64) { b.asked[nonce] = now }
-
 // Receive adds a loan to the meter if it answers an ask of this borrower. Each
 // ask is answered once: a copy of a loan that the network delivers twice is
 // dropped. It returns the units added.
--- a/table/plan.go
+++ b/table/plan.go
@@ -73,10 +73,9 @@
 	return p.drained[Drain{ScopeRegion, region}]
 }
 
-// HallDrained tells whether a hall gets no new work, by itself or because its
-// region is drained.
+// HallDrained tells whether a drain names the hall itself.
 func (p *Plan) HallDrained(hall string) bool {
-	return p.drained[Drain{ScopeHall, hall}] || p.RegionDrained(p.regionOf[hall])
+	return p.drained[Drain{ScopeHall, hall}]
 }
 
 // TargetDrained tells whether a drain names the target.
