Seats that do not exist are dropped

Cause, found by reading: a heartbeat that names seat -1 as given back made the receiver panic, and a roster with more than 64 seats would have. A malformed message may close its connection and nothing else.

Change: such terms are dropped on arrival, a roster is cut to its seats. TestSeatsThatDoNotExist: red before (panic), green after.

--- a/cmd/rainfordload/main.go
+++ b/cmd/rainfordload/main.go
@@ -86,15 +86,15 @@
 // runIdle measures what control costs at the sizes asked for.
 func runIdle(ctx context.Context, s *settings, stdout, stderr io.Writer) int {
 	tw := tabwriter.NewWriter(stdout, 2, 8, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(tw, "halls\tinstances\tcore % each\theap kB each\tsent B/s each\treceived B/s each\treads/s\twrites/s\tin force s\t")
+	fmt.Fprintln(tw, "halls\tinstances\tcore % each\theap kB each\tsent B/s each\treceived B/s each\treads/s\twrites/s\tin force s\treads/s after outage\t")
 	for _, size := range s.idle {
 		r, err := experiment.Idle(ctx, size, s.duration)
 		if err != nil {
 			fmt.Fprintln(stderr, err)
 			return exitFailure
 		}
-		fmt.Fprintf(tw, "%d\t%d\t%.2f\t%.0f\t%.0f\t%.0f\t%.1f\t%.2f\t%.3f\t\n", r.Halls, r.Instances, r.CorePercent, r.HeapKB,
-			r.SentBytes, r.ReceivedBytes, r.Reads, r.Writes, r.InForceSeconds)
+		fmt.Fprintf(tw, "%d\t%d\t%.2f\t%.0f\t%.0f\t%.0f\t%.1f\t%.2f\t%.3f\t%.0f\t\n", r.Halls, r.Instances, r.CorePercent, r.HeapKB,
+			r.SentBytes, r.ReceivedBytes, r.Reads, r.Writes, r.InForceSeconds, r.OutageReads)
 		fmt.Fprintln(stderr, "done:", r.Halls, "halls,", r.Instances, "instances")
 	}
 	if err := tw.Flush(); err != nil {
--- a/internal/experiment/idle.go
+++ b/internal/experiment/idle.go
@@ -29,6 +29,9 @@
 	// Reads and Writes are the platform's calls a second, for all.
 	Reads  float64 `json:"reads"`
 	Writes float64 `json:"writes"`
+	// OutageReads are the most reads in any second after an outage of the
+	// platform has ended.
+	OutageReads float64 `json:"outage_reads"`
 	// InForceSeconds is the longest of some changes, until in force at all.
 	InForceSeconds float64 `json:"in_force_seconds"`
 }
@@ -66,9 +69,31 @@
 	result := &IdleResult{Halls: len(estate.AllHalls()), Instances: int(n), HeapKB: (liveHeap() - before) / n / 1024}
 	measureIdle(cluster, length, result)
 	result.InForceSeconds, err = worstInForce(ctx, cluster)
+	result.OutageReads = readsAfterOutage(cluster)
 	return result, err
 }
 
+const (
+	outage       = 8 * time.Second
+	outageWindow = 8
+)
+
+// readsAfterOutage takes the platform away for a time and returns the most
+// reads in any second after it is back.
+func readsAfterOutage(cluster *demo.Cluster) float64 {
+	cluster.SetFaults(platformstore.Faults{Down: true})
+	time.Sleep(outage)
+	cluster.SetFaults(platformstore.Faults{})
+	most, last := int64(0), counts(cluster).Reads
+	for range outageWindow {
+		time.Sleep(time.Second)
+		now := counts(cluster).Reads
+		most = max(most, now-last)
+		last = now
+	}
+	return float64(most)
+}
+
 func measureIdle(cluster *demo.Cluster, length time.Duration, result *IdleResult) {
 	n := float64(result.Instances)
 	sent, received, calls := 0.0, 0.0, counts(cluster)
--- a/seat/agent.go
+++ b/seat/agent.go
@@ -117,11 +117,22 @@
 	p.retiring = p.retiring || b.Retiring
 	if b.Seq >= p.seq {
 		p.seq = b.Seq
-		p.released = b.Released
+		p.released = existing(b.Released)
 	}
 	a.renew(b.Renewed)
 }
 
+// existing returns the terms of seats that there are: a message may name any.
+func existing(terms []SeatTerm) []SeatTerm {
+	var out []SeatTerm
+	for _, st := range terms {
+		if st.Seat >= 0 && st.Seat < Count {
+			out = append(out, st)
+		}
+	}
+	return out
+}
+
 // Learn takes in the roster at a version, as read or as written. An older one
 // than is known is ignored.
 func (a *Agent) Learn(now time.Time, roster *Roster, version int64) {
--- a/seat/keep.go
+++ b/seat/keep.go
@@ -106,7 +106,7 @@
 	}
 	for id, p := range a.peers {
 		for _, st := range p.released {
-			if s := a.roster.Seats[st.Seat%Count]; s.Holder == id && s.Term == st.Term {
+			if s := a.roster.Seats[st.Seat]; s.Holder == id && s.Term == st.Term {
 				return true
 			}
 		}
@@ -149,9 +149,6 @@
 
 func (a *Agent) free(r *Roster, holder string, released []SeatTerm) {
 	for _, st := range released {
-		if st.Seat < 0 || st.Seat >= len(r.Seats) {
-			continue
-		}
 		if s := r.Seats[st.Seat]; s.Holder == holder && s.Term == st.Term {
 			r.assign(st.Seat, "")
 		}
--- a/seat/roster.go
+++ b/seat/roster.go
@@ -55,11 +55,11 @@
 	return -1
 }
 
-// Clone returns a deep copy. The copy of an empty roster has all its seats.
+// Clone returns a deep copy with Count seats, whatever the roster has.
 func (r *Roster) Clone() *Roster {
 	out := &Roster{Hall: r.Hall, Epoch: r.Epoch}
 	out.Members = append([]Member(nil), r.Members...)
-	out.Seats = append([]Seat(nil), r.Seats...)
+	out.Seats = append([]Seat(nil), r.Seats[:min(len(r.Seats), Count)]...)
 	for len(out.Seats) < Count {
 		out.Seats = append(out.Seats, Seat{})
 	}
--- a/seat/seat_test.go
+++ b/seat/seat_test.go
@@ -243,6 +243,15 @@
 	require.False(t, member)
 }
 
+// TestSeatsThatDoNotExist has a peer give back seats that there are not.
+func TestSeatsThatDoNotExist(t *testing.T) {
+	s := newStage(t, "a", "b")
+	bad := seat.Beat{Seq: 1 << 30, Released: []seat.SeatTerm{{Seat: -1}, {Seat: seat.Count}, {Seat: 1 << 40}}}
+	s.agents["a"].Hear(s.now, "b", bad)
+	s.agents["a"].Hear(s.now, "stranger", bad)
+	require.NotPanics(t, func() { s.run(10 * time.Second) })
+}
+
 func TestReleased(t *testing.T) {
 	s := newStage(t, "a", "b")
 	free := s.roster.Released()
