Outgoing messages are called that

Cause: reading as a newcomer: a message with its address was called a letter, which is no term of the field.

--- a/node/beat.go
+++ b/node/beat.go
@@ -30,8 +30,8 @@
 	}
 }
 
-// letter is a message with its address.
-type letter struct {
+// outgoing is a message with its address.
+type outgoing struct {
 	addr string
 	msg  peer.Message
 }
@@ -46,22 +46,22 @@
 	n.ledger.Observe(now, n.warm)
 	n.view.Forget(now)
 	n.rebuild(now)
-	letters := n.letters(now)
+	messages := n.messages(now)
 	write := n.agent.Propose(now)
 	n.mu.Unlock()
-	for _, l := range letters {
-		n.mesh.Send(l.addr, l.msg)
+	for _, m := range messages {
+		n.mesh.Send(m.addr, m.msg)
 	}
 	if write != nil {
 		n.start(func() { n.writeRoster(ctx, write) })
 	}
 }
 
-// letters makes the heartbeats and the asks of one round.
-func (n *Node) letters(now time.Time) []letter {
+// messages makes the heartbeats and the asks of one round.
+func (n *Node) messages(now time.Time) []outgoing {
 	hb := n.heartbeatOf(now)
 	recipients := n.view.Recipients(now, n.round)
-	out := make([]letter, 0, len(recipients)+len(n.config.Bootstrap))
+	out := make([]outgoing, 0, len(recipients)+len(n.config.Bootstrap))
 	for _, in := range recipients {
 		msg := *hb
 		msg.Seat = n.agent.Beat(now, in.ID)
@@ -69,12 +69,12 @@
 			// They hear each other themselves.
 			msg.Heard = nil
 		}
-		out = append(out, letter{in.PeerAddr, &peer.Heartbeat{Heartbeat: msg}})
+		out = append(out, outgoing{in.PeerAddr, &peer.Heartbeat{Heartbeat: msg}})
 	}
 	if len(recipients) == 0 {
 		for _, addr := range n.config.Bootstrap {
 			if addr != n.self.PeerAddr {
-				out = append(out, letter{addr, &peer.Heartbeat{Heartbeat: *hb}})
+				out = append(out, outgoing{addr, &peer.Heartbeat{Heartbeat: *hb}})
 			}
 		}
 	}
@@ -102,7 +102,7 @@
 
 // asks makes the requests for loans, to instances of the own region drawn at
 // random.
-func (n *Node) asks(now time.Time) []letter {
+func (n *Node) asks(now time.Time) []outgoing {
 	var lenders []string
 	for _, s := range n.view.All(now) {
 		if s.Region == n.self.Region && s.State == member.Live {
@@ -112,12 +112,12 @@
 	if len(lenders) == 0 || n.leaving {
 		return nil
 	}
-	var out []letter
+	var out []outgoing
 	for i, ask := range n.ledger.Asks(now, min(askCount, len(lenders))) {
 		if i%askCount == 0 {
 			n.rand.Shuffle(len(lenders), func(a, b int) { lenders[a], lenders[b] = lenders[b], lenders[a] })
 		}
-		out = append(out, letter{lenders[i%len(lenders)], &peer.Ask{Ask: ask}})
+		out = append(out, outgoing{lenders[i%len(lenders)], &peer.Ask{Ask: ask}})
 	}
 	return out
 }
