--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -59,6 +59,7 @@
 				}
 			case 4:
 				if a := pick(t, attempts); a != nil && a.granted && a.told == "" {
+					require.Greater(t, a.op.Attempt, refused, "ran after a later attempt was said not to have run")
 					a.ran = true
 					a.told = "ran"
 					finish := a.op
