A key stays in its own hall until the wait there is of about one request

Change: the penalty of the second target 0.15 to 0.7 of a usual time; targets count as full at 2.0 and 1.7 of their slots in place of 2.5 and 2.0. TestOwnHallFirst was seen red before. TestUrgentRequestsGoFirst named the 8 requests that 2.5 x 3 slots make; 2.0 x 3 make 6, and the check is as strict.

--- a/upstream/choose.go
+++ b/upstream/choose.go
@@ -11,14 +11,15 @@
 	// missPenalty is what a target without the object costs, in usual times.
 	missPenalty = 0.3
 	// rankPenalty is what each place in the ranking costs, in usual times. It
-	// keeps requests of one key together while targets are alike.
-	rankPenalty = 0.15
+	// keeps requests of one key together, and in the own hall, until the wait
+	// there is of about the length of a request.
+	rankPenalty = 0.7
 	// fullAt is the load, in slots, from which on a target takes no more.
-	fullAt = 2.5
+	fullAt = 2.0
 	// urgentPriority is the lowest rank that may fill targets wholly; others
 	// leave room.
 	urgentPriority   = 1
-	fullAtLessUrgent = 2.0
+	fullAtLessUrgent = 1.7
 )
 
 // candidate is the result of a choice.
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -74,6 +74,24 @@
 	require.Len(t, used, 2)
 }
 
+// TestOwnHallFirst checks that a key leaves the target of its own hall only once
+// the wait there is about as long as a request: bytes between halls are dear, and
+// an object that is asked for in two halls is warm later in both.
+func TestOwnHallFirst(t *testing.T) {
+	p := newPool()
+	specs := spread(1)
+	p.SetTargets(start, specs, nil)
+	slots := specs[0].Slots
+	for range 2*slots - 1 {
+		d := p.Acquire(start, request("k"))
+		require.Equal(t, "a1", d.Target.Hall)
+	}
+	for range slots {
+		p.Acquire(start, request("k"))
+	}
+	require.Equal(t, "a2", p.Acquire(start, request("k")).Target.Hall)
+}
+
 // TestUnusableTargetsGetNothing draws targets that are leaving, evacuated, cold
 // or replaced and checks each grant.
 func TestUnusableTargetsGetNothing(t *testing.T) {
@@ -263,7 +281,7 @@
 	for d := p.Acquire(start, request("k")); d.Verdict == upstream.Send; d = p.Acquire(start, request("k")) {
 		full++
 	}
-	require.Equal(t, 8, full)
+	require.Equal(t, 6, full)
 	for id, priority := range map[uint64]int{1: 1, 2: 0, 3: 1} {
 		r := request("k")
 		r.ID, r.Priority = id, priority
