--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -13,8 +13,9 @@
 	// lingerShare is the part of the grace for which a stopping instance goes
 	// on taking requests of clients that have not heard of its stop.
 	lingerShare = 0.4
-	// endMargin is kept of the grace for ending the process.
-	endMargin = 150 * time.Millisecond
+	// endShare is the part of the grace that is kept for ending the process:
+	// its log is written out, on a machine that may be slow.
+	endShare = 0.07
 	// callTimeout bounds the small calls of look-ups, readiness and operators.
 	callTimeout = 2 * time.Second
 )
@@ -58,7 +59,7 @@
 	linger := time.Duration(lingerShare * float64(g.config.Grace))
 	time.Sleep(linger)
 	g.refusing.Store(true)
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(g.config.Grace-endMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(time.Duration((1-endShare)*float64(g.config.Grace))))
 	defer cancel()
 	err := g.front.Shutdown(ctx)
 	g.log.Info(logStop, "took_ms", time.Since(began).Milliseconds(), "in_flight", g.inFlight.Load(), "cut", err != nil)
