Removals of targets that follow an outage of the store are held back for two seconds

Cause: entries of targets lapse while the store is away; a list or a watch read at once after it holds the removals and not yet the returns. Ruled out: longer pauses before the store is read again (the first news is late then). Change: feed.Lapse. An instance whose calls failed, and that had not heard the store for 3 s, holds removals of targets back for 2 s from the store's return; deltas tell others for how long. A target that states that it leaves is removed at once. TestLapsedTargets was seen red (503 in place of 200).

--- /dev/null
+++ b/feed/lapse.go
@@ -0,0 +1,81 @@
+package feed
+
+import (
+	"sort"
+	"time"
+)
+
+const (
+	// lapseOutage is the length of an outage of the store from which on objects
+	// that are kept alive by writes may have lapsed meanwhile.
+	lapseOutage = 3 * time.Second
+	// lapseGrace is how long after the outage their owners may take to write
+	// them again.
+	lapseGrace = 2 * time.Second
+)
+
+// Lapse holds back removals that follow an outage of the store. Objects that their
+// owners keep alive by writing them lapse while the store is away, and are back soon
+// after it: a removal that an instance learns of in that time counts only if the
+// object is still missing when it is over. Lapse is not safe for concurrent use; the
+// zero value is ready.
+type Lapse struct {
+	heardAt time.Time
+	lost    bool
+	until   time.Time
+	held    map[string]bool
+}
+
+// Lost takes in that a call to the store failed.
+func (l *Lapse) Lost() { l.lost = true }
+
+// Heard takes in that the store answered.
+func (l *Lapse) Heard(now time.Time) {
+	if l.lost && !l.heardAt.IsZero() && now.Sub(l.heardAt) >= lapseOutage {
+		l.until = now.Add(lapseGrace)
+	}
+	l.lost = false
+	l.heardAt = now
+}
+
+// Learned takes in that another instance, from which removals come, holds them back
+// for a while.
+func (l *Lapse) Learned(now time.Time, remaining time.Duration) {
+	remaining = min(remaining, lapseGrace)
+	if until := now.Add(remaining); remaining > 0 && until.After(l.until) {
+		l.until = until
+	}
+}
+
+// Remaining is how long removals are held back from now on.
+func (l *Lapse) Remaining(now time.Time) time.Duration { return max(0, l.until.Sub(now)) }
+
+// Hold tells whether the removal of an object is held back, and notes it.
+func (l *Lapse) Hold(now time.Time, name string) bool {
+	if l.Remaining(now) == 0 {
+		return false
+	}
+	if l.held == nil {
+		l.held = make(map[string]bool)
+	}
+	l.held[name] = true
+	return true
+}
+
+// Back takes in that an object is there.
+func (l *Lapse) Back(name string) { delete(l.held, name) }
+
+// Expired returns the objects whose removal counts from now on, in the order of
+// names. Each is returned once.
+func (l *Lapse) Expired(now time.Time) []string {
+	if len(l.held) == 0 || l.Remaining(now) > 0 {
+		return nil
+	}
+	names := make([]string, 0, len(l.held))
+	for name := range l.held {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	clear(l.held)
+	return names
+}
--- /dev/null
+++ b/feed/lapse_test.go
@@ -0,0 +1,77 @@
+package feed_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/rainford/rainford/feed"
+)
+
+// TestLapse draws outages, removals and returns and checks that a removal is held
+// back only for two seconds after an outage of three or more, that what is back is
+// never removed, and that each removal that was held back counts once, in the end.
+func TestLapse(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var l feed.Lapse
+		now := time.Unix(1000, 0)
+		heard, until := now, time.Time{}
+		l.Heard(now)
+		missing := map[string]bool{}
+		names := []string{"a", "b", "c"}
+		for range 60 {
+			now = now.Add(time.Duration(rapid.IntRange(1, 800).Draw(t, "ms")) * time.Millisecond)
+			for _, name := range l.Expired(now) {
+				require.True(t, missing[name], name)
+				require.False(t, now.Before(until))
+				delete(missing, name)
+			}
+			name := rapid.SampledFrom(names).Draw(t, "name")
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				l.Heard(now)
+				heard = now
+			case 1:
+				away := time.Duration(rapid.IntRange(0, 8).Draw(t, "away")) * time.Second
+				now = now.Add(away)
+				for _, name := range l.Expired(now) {
+					delete(missing, name)
+				}
+				l.Lost()
+				l.Heard(now)
+				if now.Sub(heard) >= 3*time.Second {
+					until = now.Add(2 * time.Second)
+				}
+				heard = now
+			case 2:
+				held := l.Hold(now, name)
+				require.Equal(t, now.Before(until), held)
+				if held {
+					missing[name] = true
+				}
+			case 3:
+				l.Back(name)
+				delete(missing, name)
+			}
+		}
+		now = now.Add(10 * time.Second)
+		require.Len(t, l.Expired(now), len(missing))
+		require.Empty(t, l.Expired(now))
+	})
+}
+
+// TestLapseLearned checks that an instance without an outage of its own holds back
+// as long as the one that the removals come from.
+func TestLapseLearned(t *testing.T) {
+	var l feed.Lapse
+	now := time.Unix(1000, 0)
+	require.False(t, l.Hold(now, "a"))
+	l.Learned(now, time.Second)
+	require.True(t, l.Hold(now, "a"))
+	require.Empty(t, l.Expired(now.Add(999*time.Millisecond)))
+	require.Equal(t, []string{"a"}, l.Expired(now.Add(time.Second)))
+	l.Learned(now, time.Hour)
+	require.Equal(t, 2*time.Second, l.Remaining(now), "no longer than the bound")
+}
--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -17,6 +17,10 @@
 // sourceStore is the source of a delta that the own watch brought.
 const sourceStore = "store"
 
+// sourceLapse is the source of a removal that was held back after an outage of the
+// store.
+const sourceLapse = "lapse"
+
 // take applies a delta and puts its changes in force. Source is sourceStore or
 // the peer address of the instance that sent it. It reports whether the replica
 // now reflects the delta's end.
@@ -66,7 +70,7 @@
 	if !fromStore && !g.watch.isWatching() {
 		return
 	}
-	message := &peer.Delta{Delta: d}
+	message := &peer.Delta{Delta: d, Lapse: g.lapse.Remaining(now)}
 	for _, m := range g.view.Receivers(now) {
 		near := m.Region == g.config.Region
 		if m.PeerAddr != source && (near || (fromStore && urgent(d.Kind))) {
@@ -141,6 +145,11 @@
 	touched := make(map[string]bool, len(changes))
 	ctx := context.Background()
 	for _, c := range changes {
+		if c.Gone && !g.specs[c.Name].Leaves && g.lapse.Hold(now, c.Name) {
+			g.log.Log(ctx, level, logTargetLapsed, "target", c.Name, "for_ms", g.lapse.Remaining(now).Milliseconds(), "source", source, "revision", revision)
+			continue
+		}
+		g.lapse.Back(c.Name)
 		touched[c.Name] = true
 		if c.Gone {
 			delete(g.specs, c.Name)
@@ -168,6 +177,26 @@
 		}
 	}
 	g.pools.changeTargets(now, changed, gone, g.evacuated)
+	if remaining := g.lapse.Remaining(now); remaining > 0 {
+		time.AfterFunc(remaining, g.expireLapsed)
+	}
+}
+
+// expireLapsed removes the targets whose entries are still missing some time after
+// an outage of the store.
+func (g *Gateway) expireLapsed() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	names := g.lapse.Expired(now)
+	if len(names) == 0 {
+		return
+	}
+	for _, name := range names {
+		delete(g.specs, name)
+		g.log.Info(logTargetGone, "target", name, "source", sourceLapse)
+	}
+	g.pools.changeTargets(now, nil, names, g.evacuated)
 }
 
 // applyTable puts the operators' table in force: their rows in place of the shares
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -47,7 +47,9 @@
 	specs     map[string]catalog.Target
 	askedAt   map[feed.Kind]time.Time
 	lag       map[feed.Kind]lag
-	reported  reporter
+	// lapse holds back removals of targets after an outage of the store.
+	lapse    feed.Lapse
+	reported reporter
 
 	watch    watchState
 	leaving  atomic.Bool
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -108,6 +108,37 @@
 	fresh.awaitStatus("/x/", 200)
 }
 
+// TestLapsedTargets checks that targets whose entries lapsed during an outage of the
+// store go on being used for the time in which they may be back, and that one that
+// is still missing then is not.
+func TestLapsedTargets(t *testing.T) {
+	s := newSite(t)
+	s.configure(1, safeRoute, route{prefix: "/other/", service: "t", kind: "idempotent"})
+	back, lost := s.server("i-1", "s", "a1"), s.server("i-2", "t", "a1")
+	in := s.instance("n1", "a1")
+	second := s.instance("n2", "a1", func(c *gateway.Config) { c.Seeds = []string{in.config.PeerListen} })
+	third := s.instance("n3", "a1", func(c *gateway.Config) { c.Seeds = []string{in.config.PeerListen} })
+	all := []*instance{in, second, third}
+	for _, in := range all {
+		in.awaitStatus("/x/", 200)
+		in.awaitStatus("/other/", 200)
+	}
+	s.store.SetFaults(objects.Faults{Down: true})
+	time.Sleep(3500 * time.Millisecond)
+	s.store.Remove("servers", back.ID)
+	s.store.Remove("servers", lost.ID)
+	s.store.SetFaults(objects.Faults{})
+	time.AfterFunc(time.Second, func() { s.record(back, "ready") })
+	for _, in := range all {
+		status := 200
+		require.Eventually(t, func() bool {
+			status = in.send("GET", "/x/", "").status
+			return status != 200 || in.send("GET", "/other/", "").status == 503
+		}, wait, poll)
+		require.Equal(t, 200, status, "a target that is back in time was given up")
+	}
+}
+
 // TestHistoryGone checks that changes made while the history was dropped arrive.
 func TestHistoryGone(t *testing.T) {
 	s := newSite(t)
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -106,6 +106,7 @@
 	case *peer.Gossip:
 		g.hear(m)
 	case *peer.Delta:
+		g.learnLapse(m)
 		if !g.take(m.Delta, from) {
 			g.ask(time.Now(), from, m.Kind)
 		}
@@ -114,6 +115,16 @@
 	}
 }
 
+// learnLapse has removals held back as long as the sender of the delta does.
+func (g *Gateway) learnLapse(m *peer.Delta) {
+	if m.Kind != KindTargets || m.Lapse <= 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lapse.Learned(time.Now(), m.Lapse)
+}
+
 // Unreachable implements peer.Receiver.
 func (g *Gateway) Unreachable(addr string) {
 	g.mu.Lock()
@@ -199,5 +210,5 @@
 	if replica == nil || replica.At() <= m.Revision {
 		return
 	}
-	g.mesh.Send(m.ReplyTo, &peer.Delta{Delta: replica.Since(m.Revision)})
+	g.mesh.Send(m.ReplyTo, &peer.Delta{Delta: replica.Since(m.Revision), Lapse: g.lapse.Remaining(time.Now())})
 }
--- a/gateway/logs.go
+++ b/gateway/logs.go
@@ -23,6 +23,7 @@
 	logTargets       = "targets"
 	logTargetRefused = "target refused"
 	logTargetGone    = "target gone"
+	logTargetLapsed  = "target lapsed"
 	logTargetBelief  = "target belief"
 	logEvacuation    = "evacuation"
 	logTable         = "table in force"
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -225,6 +225,7 @@
 	}
 	delta, err := g.store.Watch(watchCtx, kind, g.watch.cursor(kind, at), wait)
 	g.watch.end(kind)
+	g.noteStore(err)
 	if errors.Is(err, ErrHistoryGone) {
 		g.log.Warn(logHistoryGone, "kind", kind, "revision", at)
 		return g.list(ctx, kind)
@@ -248,6 +249,7 @@
 
 func (g *Gateway) list(ctx context.Context, kind feed.Kind) error {
 	delta, err := g.store.List(ctx, kind)
+	g.noteStore(err)
 	if err != nil {
 		return err
 	}
@@ -255,6 +257,19 @@
 	return nil
 }
 
+// noteStore takes in how a call to the store ended, before what it brought is put in
+// force.
+func (g *Gateway) noteStore(err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	switch {
+	case err == nil || errors.Is(err, ErrHistoryGone):
+		g.lapse.Heard(time.Now())
+	case !errors.Is(err, context.Canceled):
+		g.lapse.Lost()
+	}
+}
+
 func (g *Gateway) heardStore() {
 	g.heardNews(time.Now())
 	if g.watch.setDeaf(false) {
--- a/peer/message.go
+++ b/peer/message.go
@@ -96,6 +96,9 @@
 // Delta passes changes of a kind on.
 type Delta struct {
 	feed.Delta
+	// Lapse is how long the sender holds removals back after an outage of the
+	// store.
+	Lapse time.Duration `msgpack:"l,omitempty"`
 }
 
 // Since asks for the changes of a kind after a revision.
