Metrics of the gateway by service, kind, region, outcome, reason and state

The project's own instance keeps its instruments in telemetry.Entry. The line of a request names its affinity key, which decides its target.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -29,6 +29,9 @@
 	lateMargin   = 60 * time.Millisecond
 )
 
+// reasonAnswered is the reason of a request that a target has answered.
+const reasonAnswered = "answered"
+
 // run sends the request to targets until one answers or it is given up.
 func (g *Gateway) run(ex *exchange) (verdict, *forward.Response) {
 	p := g.pools.get(ex.service)
@@ -43,15 +46,18 @@
 		if sent > 0 && !p.spend() {
 			return given(unknown, "no-budget", defaultRetryAfter), nil
 		}
+		queuedAt := time.Now()
 		decision := p.acquire(ex.ctx, want)
+		g.metrics.queued.Record(time.Since(queuedAt).Seconds(), ex.service)
 		if decision.Verdict != upstream.Send {
 			return given(unknown, string(decision.Reason), decision.RetryAfter), nil
 		}
 		a := g.attempt(ex, header, decision)
 		p.release(decision.Target.ID, a.Target)
+		g.metrics.attempt(ex.service, decision.Target, a.Target)
 		ex.note(decision, a)
 		if a.Response != nil {
-			return verdict{reason: "answered"}, a.Response
+			return verdict{reason: reasonAnswered}, a.Response
 		}
 		if a.Sent {
 			sent++
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -1,48 +1,208 @@
 package gateway
 
 import (
+	"errors"
 	"net/http"
 	"time"
 
+	"github.com/rainford/rainford/catalog"
+	"github.com/rainford/rainford/feed"
 	"github.com/rainford/rainford/telemetry"
+	"github.com/rainford/rainford/upstream"
 )
 
-// metrics are the instance's figures.
+// metrics are the instance's figures. docs/OPERATIONS.md lists them.
 type metrics struct {
 	telemetry *telemetry.Metrics
+
+	requests  *telemetry.Counter
+	refusals  *telemetry.Counter
+	attempts  *telemetry.Counter
+	repeats   *telemetry.Counter
+	cold      *telemetry.Counter
+	calls     *telemetry.Counter
+	whole     *telemetry.Histogram
+	queued    *telemetry.Histogram
+	attempted *telemetry.Histogram
 }
 
+// The results of a call to the store, as the metrics name them.
+const (
+	callOK          = "ok"
+	callFailed      = "failed"
+	callHistoryGone = "history-gone"
+)
+
 func newMetrics(g *Gateway) (*metrics, error) {
 	t, err := telemetry.New()
 	if err != nil {
 		return nil, err
 	}
-	gauges := []struct {
-		name, text string
-		read       func() int64
-	}{
-		{"rainford.config.version", "Version of the configuration in force.", func() int64 {
-			if r := g.router.Load(); r != nil {
-				return int64(r.Config().Version)
-			}
-			return 0
-		}},
-		{"rainford.requests.in_flight", "Requests of clients in flight.", g.inFlight.Load},
-		{"rainford.store.calls", "Calls made to the store.", g.store.Calls},
-		{"rainford.peer.sent", "Bytes sent to other instances.", func() int64 { sent, _, _ := g.mesh.Traffic(); return sent }},
-		{"rainford.peer.received", "Bytes received from other instances.", func() int64 { _, received, _ := g.mesh.Traffic(); return received }},
-	}
-	for _, gauge := range gauges {
-		err = t.Gauge(gauge.name, gauge.text, gauge.read)
-		if err != nil {
-			return nil, err
+	m := &metrics{telemetry: t}
+	return m, errors.Join(m.counters(), m.histograms(), m.gauges(g), m.poolGauges(g.pools))
+}
+
+func (m *metrics) counters() error {
+	var errs []error
+	counter := func(to **telemetry.Counter, name, description string, labels ...string) {
+		c, err := m.telemetry.Counter(name, description, labels...)
+		*to = c
+		errs = append(errs, err)
+	}
+	counter(&m.requests, "rainford.requests", "Requests of clients, by the region of the target that answered.", "service", "kind", "region", "outcome")
+	counter(&m.refusals, "rainford.refusals", "Requests that no target answered, by what decided it.", "service", "reason")
+	counter(&m.attempts, "rainford.attempts", "Attempts at targets, by what became of them.", "service", "region", "outcome")
+	counter(&m.repeats, "rainford.repeats", "Attempts after the first one of a request.", "service")
+	counter(&m.cold, "rainford.cold.attempts", "Attempts at targets that are cold.", "service")
+	counter(&m.calls, "rainford.store.reads", "Reads of the store, by what became of them.", "kind", "result")
+	return errors.Join(errs...)
+}
+
+func (m *metrics) histograms() error {
+	var errs []error
+	histogram := func(to **telemetry.Histogram, name, description string) {
+		h, err := m.telemetry.Histogram(name, description, "service")
+		*to = h
+		errs = append(errs, err)
+	}
+	histogram(&m.whole, "rainford.request.duration", "Time from the arrival of a request to the end of its answer.")
+	histogram(&m.queued, "rainford.queue.duration", "Time that a request waited here for a target.")
+	histogram(&m.attempted, "rainford.attempt.duration", "Time from the sending of an attempt to the end of its answer.")
+	return errors.Join(errs...)
+}
+
+// gauges registers the instance's own values.
+func (m *metrics) gauges(g *Gateway) error {
+	var errs []error
+	gauge := func(name, description string, read func() int64) {
+		errs = append(errs, m.telemetry.Gauge(name, description, read))
+	}
+	gauge("rainford.config.version", "Version of the configuration in force, 0 before the first.", func() int64 {
+		if r := g.router.Load(); r != nil {
+			return int64(r.Config().Version)
+		}
+		return 0
+	})
+	gauge("rainford.requests.in_flight", "Requests of clients in flight.", g.inFlight.Load)
+	gauge("rainford.store.calls", "Calls made to the store.", g.store.Calls)
+	gauge("rainford.peer.sent", "Bytes sent to other instances.", func() int64 { sent, _, _ := g.mesh.Traffic(); return sent })
+	gauge("rainford.peer.received", "Bytes received from other instances.", func() int64 { _, received, _ := g.mesh.Traffic(); return received })
+	errs = append(errs,
+		m.telemetry.Gauges("rainford.news.age.seconds", "Time since the store or another instance was last heard, -1 before.", nil,
+			func(observe func(float64, ...string)) { observe(g.newsAge(time.Now()).Seconds()) }),
+		m.telemetry.Gauges("rainford.replica.revision", "Revision that is held of each kind of object.", []string{"kind"}, g.observeRevisions),
+		m.telemetry.Gauges("rainford.members", "Instances by state in this instance's view.", []string{"state"}, g.observeMembers))
+	return errors.Join(errs...)
+}
+
+// poolGauges registers the values of each service's targets.
+func (m *metrics) poolGauges(ps *pools) error {
+	return errors.Join(
+		m.telemetry.Gauges("rainford.repeats.left", "Attempts after the first one that the budget allows now.", []string{"service"},
+			ps.observe(func(p *pool, emit emit) { emit(p.tokens.Held()) })),
+		m.telemetry.Gauges("rainford.queue.length", "Requests that wait here for a target.", []string{"service"},
+			ps.observe(func(p *pool, emit emit) { emit(float64(p.upstream.Waiting())) })),
+		m.telemetry.Gauges("rainford.targets", "Targets by hall and state.", []string{"service", "hall", "state"},
+			ps.observe(func(p *pool, emit emit) {
+				for group, n := range p.upstream.Census(time.Now()) {
+					emit(float64(n.Targets), group.Hall, string(group.State))
+				}
+			})),
+		m.telemetry.Gauges("rainford.attempts.in_flight", "Attempts in flight by the target's hall.", []string{"service", "hall"},
+			ps.observe(func(p *pool, emit emit) {
+				inFlight := make(map[string]int)
+				for group, n := range p.upstream.Census(time.Now()) {
+					inFlight[group.Hall] += n.InFlight
+				}
+				for hall, n := range inFlight {
+					emit(float64(n), hall)
+				}
+			})))
+}
+
+// emit observes a value of one service, with the values of the labels after the
+// service's name.
+type emit func(value float64, values ...string)
+
+// observe returns a reader of all pools' values.
+func (ps *pools) observe(read func(*pool, emit)) func(observe func(float64, ...string)) {
+	return func(observe func(float64, ...string)) {
+		ps.mu.RLock()
+		defer ps.mu.RUnlock()
+		for service, p := range ps.pools {
+			p.mu.Lock()
+			read(p, func(value float64, values ...string) {
+				observe(value, append([]string{service}, values...)...)
+			})
+			p.mu.Unlock()
 		}
 	}
-	return &metrics{telemetry: t}, nil
 }
 
-func (m *metrics) request(kind, outcome, reason string, took time.Duration) {
-	m.telemetry.Request(kind, outcome, reason, took)
+func (g *Gateway) observeRevisions(observe func(float64, ...string)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for kind, replica := range g.replicas {
+		observe(float64(replica.At()), string(kind))
+	}
+}
+
+func (g *Gateway) observeMembers(observe func(float64, ...string)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	states := make(map[string]int)
+	for _, s := range g.view.All(time.Now()) {
+		states[string(s.State)]++
+	}
+	for state, n := range states {
+		observe(float64(n), state)
+	}
+}
+
+// request counts a request of a client and its attempts.
+func (m *metrics) request(ex *exchange, status int, reason string, took time.Duration) {
+	kind, region := "", ""
+	if ex.route != nil {
+		kind = string(ex.route.Kind)
+	}
+	if len(ex.trail) > 0 {
+		region = ex.trail[len(ex.trail)-1].Region
+		m.repeats.Add(int64(len(ex.trail)-1), ex.service)
+	}
+	m.requests.Add(1, ex.service, kind, region, outcomeOf(status))
+	m.whole.Record(took.Seconds(), ex.service)
+	if reason != reasonAnswered {
+		m.refusals.Add(1, ex.service, reason)
+	}
+}
+
+// attempt counts an attempt at a target.
+func (m *metrics) attempt(service string, target upstream.Choice, r upstream.Result) {
+	m.attempts.Add(1, service, target.Region, r.Outcome.String())
+	m.attempted.Record(r.Took.Seconds(), service)
+	if target.Cold {
+		m.cold.Add(1, service)
+	}
+}
+
+// read counts a read of the store.
+func (m *metrics) read(kind feed.Kind, err error) {
+	result := callOK
+	switch {
+	case errors.Is(err, ErrHistoryGone):
+		result = callHistoryGone
+	case err != nil:
+		result = callFailed
+	}
+	m.calls.Add(1, string(kind), result)
 }
 
 func (m *metrics) handler() http.Handler { return m.telemetry.Handler() }
+
+// routeName returns the name of a route, "" if there is none.
+func routeName(r *catalog.Route) string {
+	if r == nil {
+		return ""
+	}
+	return r.Name
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -230,11 +230,7 @@
 // of the rest, by the request's ID, so that all instances log the same ones.
 func (g *Gateway) record(ex *exchange, status int, reason string) {
 	took := time.Since(ex.start)
-	route, kind := "", ""
-	if ex.route != nil {
-		route, kind = ex.route.Name, string(ex.route.Kind)
-	}
-	g.metrics.request(kind, outcomeOf(status), reason, took)
+	g.metrics.request(ex, status, reason, took)
 	ordinary := status/100 == 2 && len(ex.trail) == 1
 	if ordinary && !sampled(ex.id, g.config.LogSample) {
 		return
@@ -245,8 +241,9 @@
 	}
 	g.log.LogAttrs(context.Background(), level, logRequest,
 		slog.String("request_id", ex.id),
-		slog.String("route", route),
+		slog.String("route", routeName(ex.route)),
 		slog.String("service", ex.service),
+		slog.String("key", ex.r.Header.Get(g.headers.Key)),
 		slog.Int64("config", int64(ex.version)),
 		slog.Int64("news_age_ms", g.newsAge(time.Now()).Milliseconds()),
 		slog.Int("status", status),
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -225,7 +225,7 @@
 	}
 	delta, err := g.store.Watch(watchCtx, kind, g.watch.cursor(kind, at), wait)
 	g.watch.end(kind)
-	g.noteStore(err)
+	g.noteStore(kind, err)
 	if errors.Is(err, ErrHistoryGone) {
 		g.log.Warn(logHistoryGone, "kind", kind, "revision", at)
 		return g.list(ctx, kind)
@@ -249,7 +249,7 @@
 
 func (g *Gateway) list(ctx context.Context, kind feed.Kind) error {
 	delta, err := g.store.List(ctx, kind)
-	g.noteStore(err)
+	g.noteStore(kind, err)
 	if err != nil {
 		return err
 	}
@@ -257,17 +257,20 @@
 	return nil
 }
 
-// noteStore takes in how a call to the store ended, before what it brought is put in
+// noteStore takes in how a read of the store ended, before what it brought is put in
 // force.
-func (g *Gateway) noteStore(err error) {
+func (g *Gateway) noteStore(kind feed.Kind, err error) {
+	if errors.Is(err, context.Canceled) {
+		return
+	}
+	g.metrics.read(kind, err)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	switch {
-	case err == nil || errors.Is(err, ErrHistoryGone):
+	if err == nil || errors.Is(err, ErrHistoryGone) {
 		g.lapse.Heard(time.Now())
-	case !errors.Is(err, context.Canceled):
-		g.lapse.Lost()
+		return
 	}
+	g.lapse.Lost()
 }
 
 func (g *Gateway) heardStore() {
--- a/node/node.go
+++ b/node/node.go
@@ -35,7 +35,7 @@
 	config  Config
 	self    member.Instance
 	log     *slog.Logger
-	metrics *telemetry.Metrics
+	metrics *telemetry.Entry
 	store   *objectstore.Client
 	mesh    *peer.Mesh
 	hall    *entry.Hall
@@ -90,7 +90,7 @@
 	if err := config.Check().Err(); err != nil {
 		return nil, err
 	}
-	metrics, err := telemetry.New()
+	metrics, err := telemetry.NewEntry()
 	if err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/telemetry/entry.go
@@ -0,0 +1,44 @@
+package telemetry
+
+import (
+	"errors"
+	"time"
+)
+
+// Entry are the instruments of an entry instance on the project's own object
+// service.
+type Entry struct {
+	*Metrics
+
+	requests   *Counter
+	latency    *Histogram
+	lookups    *Counter
+	violations *Counter
+}
+
+// NewEntry returns the instruments of an entry instance, in a registry of their own.
+func NewEntry() (*Entry, error) {
+	m, err := New()
+	if err != nil {
+		return nil, err
+	}
+	e := &Entry{Metrics: m}
+	var errs [4]error
+	e.requests, errs[0] = m.Counter("rainford.requests", "Requests of callers, by service, outcome and reason.", "service", "outcome", "reason")
+	e.latency, errs[1] = m.Histogram("rainford.request.duration", "Time from the arrival of a request to the end of its answer.", "service")
+	e.lookups, errs[2] = m.Counter("rainford.lookups", "Look-ups answered.")
+	e.violations, errs[3] = m.Counter("rainford.invariant.violations", "Invariants found broken inside the instance. Always 0.", "invariant")
+	return e, errors.Join(errs[:]...)
+}
+
+// Request counts one request of a caller.
+func (e *Entry) Request(service, outcome, reason string, took time.Duration) {
+	e.requests.Add(1, service, outcome, reason)
+	e.latency.Record(took.Seconds(), service)
+}
+
+// Lookup counts one look-up.
+func (e *Entry) Lookup() { e.lookups.Add(1) }
+
+// Violation counts a broken invariant.
+func (e *Entry) Violation(name string) { e.violations.Add(1, name) }
