Gossip of 9 bytes a member, and none to members that are not followed

A beat took 17 bytes (four fixed-size integers of msgpack), and a round in a large fleet went to four members, one of them a far one that nobody follows and that therefore always seemed silent. Ruled out: fewer beats in each message, the latest first (17 % of the views wrong) or in turns (12 %); no beats of the receiver's region between regions (saves 1 %). Change: one number orders a member's heartbeats over all its processes, beats are one string of bytes, other integers are as short as they can be, and silent members of other regions are tried only if their region has nobody alive. A process whose predecessor had a clock that was ahead is told so by whoever holds the higher number (TestClockAhead; before, only beats heard in the last 2.5 s were passed on, so it stayed suspected). TestGossipAtSizes now counts whole frames and asks for 5500 bytes/s in place of 10000 of beats alone.

--- a/fleet/member.go
+++ b/fleet/member.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"encoding/binary"
+	"errors"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -25,41 +27,66 @@
 // IDOf returns the ID of a name.
 func IDOf(name string) ID { return ID(mix.Hash(name) >> 32) }
 
-// Process orders the processes of a member: a later one has a higher number.
-type Process uint32
+// Number orders the heartbeats of a member over all its processes.
+type Number uint32
 
-// processUnit is the time between two numbers of processes that start one after
-// the other. The numbers last for 13 years from processEpoch.
-const processUnit = 100 * time.Millisecond
+// numberUnit is the time between two numbers. A process begins with the number of
+// its start and counts one for each heartbeat, of which there are fewer, so that a
+// later process begins above the last heartbeat of an earlier one. The numbers last
+// for 13 years from numberEpoch.
+const numberUnit = 100 * time.Millisecond
 
-var processEpoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+var numberEpoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
-// ProcessAt returns the number of a process that starts at a time.
-func ProcessAt(start time.Time) Process { return Process(start.Sub(processEpoch) / processUnit) }
+// NumberAt returns the first number of a process that starts at a time.
+func NumberAt(start time.Time) Number { return Number(start.Sub(numberEpoch) / numberUnit) }
 
-// Beat is the latest that is known of one process of a member. It is passed on
-// often, so it is small.
+// Beat is the latest heartbeat that is known of a member. It is passed on often, so it
+// is small.
 type Beat struct {
-	Member  ID
-	Process Process
-	// Count is the number of heartbeats of the process.
-	Count uint32
-	Flags Flags
+	Member ID
+	Number Number
+	Flags  Flags
 }
 
-// EncodeMsgpack implements msgpack.CustomEncoder: the values alone, one after the
-// other.
-func (b Beat) EncodeMsgpack(enc *msgpack.Encoder) error {
-	return enc.EncodeMulti(uint32(b.Member), uint32(b.Process), b.Count, uint8(b.Flags))
+// Beats are heartbeats as a message carries them.
+type Beats []Beat
+
+// beatBytes is the length of a beat in a message: member, number, flags.
+const beatBytes = 4 + 4 + 1
+
+// ErrBeats is returned for beats that are cut short.
+var ErrBeats = errors.New("fleet: beats cut short")
+
+// EncodeMsgpack implements msgpack.CustomEncoder: one string of bytes.
+func (b Beats) EncodeMsgpack(enc *msgpack.Encoder) error {
+	raw := make([]byte, 0, len(b)*beatBytes)
+	for _, beat := range b {
+		raw = binary.BigEndian.AppendUint32(raw, uint32(beat.Member))
+		raw = binary.BigEndian.AppendUint32(raw, uint32(beat.Number))
+		raw = append(raw, uint8(beat.Flags))
+	}
+	return enc.EncodeBytes(raw)
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
-func (b *Beat) DecodeMsgpack(dec *msgpack.Decoder) error {
-	var member, process uint32
-	var flags uint8
-	err := dec.DecodeMulti(&member, &process, &b.Count, &flags)
-	b.Member, b.Process, b.Flags = ID(member), Process(process), Flags(flags)
-	return err
+func (b *Beats) DecodeMsgpack(dec *msgpack.Decoder) error {
+	raw, err := dec.DecodeBytes()
+	if err != nil {
+		return err
+	}
+	if len(raw)%beatBytes != 0 {
+		return ErrBeats
+	}
+	*b = make(Beats, 0, len(raw)/beatBytes)
+	for ; len(raw) > 0; raw = raw[beatBytes:] {
+		*b = append(*b, Beat{
+			Member: ID(binary.BigEndian.Uint32(raw)),
+			Number: Number(binary.BigEndian.Uint32(raw[4:])),
+			Flags:  Flags(raw[8]),
+		})
+	}
+	return nil
 }
 
 // Flags are what a process says of itself.
@@ -77,14 +104,6 @@
 	Watching
 )
 
-// newer tells whether b is later than a.
-func (b Beat) newer(a Beat) bool {
-	if b.Process != a.Process {
-		return b.Process > a.Process
-	}
-	return b.Count > a.Count
-}
-
 // State is the state of a member in a view.
 type State string
 
--- a/fleet/model_test.go
+++ b/fleet/model_test.go
@@ -11,7 +11,9 @@
 	"github.com/stretchr/testify/require"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/rainford/rainford/feed"
 	"github.com/rainford/rainford/fleet"
+	"github.com/rainford/rainford/peer"
 )
 
 // model is a fleet whose messages are lost now and then and arrive within the
@@ -31,6 +33,9 @@
 
 const round = 500 * time.Millisecond
 
+// revisions are those that a message of gossip carries.
+var revisions = map[feed.Kind]int64{"configuration": 70_000, "targets": 70_000, "evacuations": 70_000, "table": 70_000, "instances": 70_000}
+
 func newModel(n, regions int, seed uint64) *model {
 	m := &model{views: map[string]*fleet.View{}, members: map[string]fleet.Member{}, dead: map[string]bool{},
 		now: time.Unix(0, 0), rnd: rand.New(rand.NewPCG(seed, 1))}
@@ -76,7 +81,7 @@
 		v.Beat()
 		for _, partner := range v.Partners(m.now, m.rnd) {
 			beats := v.Beats(m.now, partner.Region)
-			raw, err := msgpack.Marshal(beats)
+			raw, err := peer.Encode(&peer.Gossip{From: v.Self(), Beats: beats, Revisions: revisions})
 			if err != nil {
 				panic(err)
 			}
@@ -88,18 +93,47 @@
 	}
 }
 
-// TestBeatsOnTheWire checks that beats arrive as they were, in few bytes.
+// TestBeatsOnTheWire checks that beats arrive as they were, in few bytes, and that
+// ones that are cut short are refused.
 func TestBeatsOnTheWire(t *testing.T) {
-	beats := []fleet.Beat{
-		{Member: fleet.IDOf("edge-1"), Process: fleet.ProcessAt(time.Date(2026, 12, 2, 0, 0, 0, 0, time.UTC)), Count: 70_000, Flags: fleet.Ready | fleet.Watching},
-		{Member: fleet.IDOf("edge-2"), Count: 1},
+	beats := fleet.Beats{
+		{Member: fleet.IDOf("edge-1"), Number: fleet.NumberAt(time.Date(2026, 12, 2, 0, 0, 0, 0, time.UTC)) + 70_000, Flags: fleet.Ready | fleet.Watching},
+		{Member: fleet.IDOf("edge-2"), Number: 1},
 	}
 	raw, err := msgpack.Marshal(beats)
 	require.NoError(t, err)
-	require.LessOrEqual(t, len(raw), 1+2*17)
-	var got []fleet.Beat
+	require.LessOrEqual(t, len(raw), 2+2*9)
+	var got fleet.Beats
 	require.NoError(t, msgpack.Unmarshal(raw, &got))
 	require.Equal(t, beats, got)
+	cut, err := msgpack.Marshal([]byte("12345"))
+	require.NoError(t, err)
+	require.ErrorIs(t, msgpack.Unmarshal(cut, &got), fleet.ErrBeats)
+}
+
+// TestClockAhead checks that a member whose process ended with a clock that was an
+// hour ahead is alive again to others once its new process, whose clock is right, has
+// been told.
+func TestClockAhead(t *testing.T) {
+	now := time.Date(2026, 12, 2, 12, 0, 0, 0, time.UTC)
+	self, other := fleet.Member{Name: "a", Region: "r", PeerAddr: "a:1"}, fleet.Member{Name: "b", Region: "r", PeerAddr: "b:1"}
+	view := fleet.NewView(other, fleet.NumberAt(now), fleet.DefaultSettings)
+	view.Add(self)
+	ahead := fleet.NewView(self, fleet.NumberAt(now.Add(time.Hour)), fleet.DefaultSettings)
+	ahead.Beat()
+	view.Hear(now, ahead.Beats(now, "r"))
+	now = now.Add(time.Minute)
+	fresh := fleet.NewView(self, fleet.NumberAt(now), fleet.DefaultSettings)
+	state := func() fleet.State { return view.All(now)[0].State }
+	view.Hear(now, fresh.Beats(now, "r"))
+	require.Equal(t, fleet.Suspect, state())
+	outlived, behind := view.Outlived(fresh.Beats(now, "r"))
+	require.True(t, behind)
+	fresh.Hear(now, fleet.Beats{outlived})
+	view.Hear(now, fresh.Beats(now, "r"))
+	require.Equal(t, fleet.Alive, state())
+	_, behind = view.Outlived(fresh.Beats(now, "r"))
+	require.False(t, behind)
 }
 
 // TestGossipAtSizes runs fleets of the sizes of today and to come. It checks that
@@ -135,7 +169,7 @@
 			watchers := m.watchers()
 			t.Logf("%d instances: %.0f bytes/s sent by each, %.5f of the views wrong, a death known after %v, watchers %v",
 				size.members, perSecond, float64(wrong)/float64(seen), time.Duration(took)*round, watchers)
-			require.LessOrEqual(t, perSecond, 10_000.0, "see docs/CAPACITY.md")
+			require.LessOrEqual(t, perSecond, 5_500.0, "both ways no more than the bound; see docs/CAPACITY.md")
 			require.LessOrEqual(t, float64(wrong)/float64(seen), 0.002)
 			require.LessOrEqual(t, time.Duration(took)*round, 6*time.Second)
 			require.Len(t, watchers, size.regions)
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -41,12 +41,13 @@
 	refusedAt time.Time
 }
 
-// NewView returns the view of a member's process that knows only itself.
-func NewView(self Member, process Process, settings Settings) *View {
+// NewView returns the view of a member's process that knows only itself. Number is that
+// of its first heartbeat.
+func NewView(self Member, number Number, settings Settings) *View {
 	return &View{
 		settings: settings,
 		self:     self,
-		beat:     Beat{Member: IDOf(self.Name), Process: process},
+		beat:     Beat{Member: IDOf(self.Name), Number: number},
 		members:  make(map[string]*record),
 		byID:     make(map[ID]*record),
 	}
@@ -92,15 +93,15 @@
 }
 
 // Beat counts one heartbeat of the own process.
-func (v *View) Beat() { v.beat.Count++ }
+func (v *View) Beat() { v.beat.Number++ }
 
 // fullView is the number of members up to which beats of all are passed on. In a
 // larger fleet an instance follows its own region and the others' watchers.
 const fullView = 32
 
 // Beats returns the beats to pass on to a member of a region, the own one first.
-func (v *View) Beats(now time.Time, region string) []Beat {
-	out := make([]Beat, 0, len(v.order)+1)
+func (v *View) Beats(now time.Time, region string) Beats {
+	out := make(Beats, 0, len(v.order)+1)
 	out = append(out, v.beat)
 	for _, name := range v.order {
 		r := v.members[name]
@@ -111,20 +112,24 @@
 	return out
 }
 
-// concerns tells whether members of a region are told of a member.
+// concerns tells whether members of a region are told of a member: of all in a small
+// fleet, else by their own region of its members and by others of the watchers alone.
 func (v *View) concerns(r *record, region string) bool {
-	return len(v.members) < fullView || r.member.Region == region || r.beat.Flags&Watching != 0
+	if len(v.members) < fullView || r.beat.Flags&Watching != 0 {
+		return true
+	}
+	return region == v.self.Region && r.member.Region == region
 }
 
 // Hear takes in beats.
-func (v *View) Hear(now time.Time, beats []Beat) {
+func (v *View) Hear(now time.Time, beats Beats) {
 	for _, b := range beats {
 		if b.Member == v.beat.Member {
 			v.outlive(b)
 			continue
 		}
 		r := v.byID[b.Member]
-		if r == nil || !b.newer(r.beat) {
+		if r == nil || b.Number <= r.beat.Number {
 			continue
 		}
 		r.beat = b
@@ -132,12 +137,26 @@
 	}
 }
 
-// outlive raises the own process number above that of an earlier process, which
-// may have had a clock that was ahead.
+// outlive raises the own number above that of an earlier process, which may have had
+// a clock that was ahead.
 func (v *View) outlive(b Beat) {
-	if b.newer(v.beat) {
-		v.beat.Process = b.Process + 1
+	if b.Number > v.beat.Number {
+		v.beat.Number = b.Number + 1
+	}
+}
+
+// Outlived returns a heartbeat of the sender's member that is newer than all that the
+// sender itself knows: an earlier process had a clock that was ahead. The sender has
+// to be told, or its own heartbeats would count for nothing.
+func (v *View) Outlived(beats Beats) (Beat, bool) {
+	if len(beats) == 0 {
+		return Beat{}, false
+	}
+	r := v.byID[beats[0].Member]
+	if r == nil || r.beat.Number <= beats[0].Number {
+		return Beat{}, false
 	}
+	return r.beat, true
 }
 
 // Refused takes in that a peer address refused a connection, which shows that
@@ -188,19 +207,29 @@
 func (v *View) Len() int { return len(v.order) + 1 }
 
 // Partners draws the members that a round of gossip goes to: some of the own
-// region and some of others. Members that are not alive are tried once in a
-// while, so that a healed cut is noticed.
+// region and some of others. Members that are not alive are tried once in a while,
+// so that a healed cut is noticed; of another region only if none there is alive,
+// since those of a large fleet are not followed one by one.
 func (v *View) Partners(now time.Time, rnd *rand.Rand) []Member {
-	var near, far, silent []Member
+	var near, far, silent, silentFar []Member
+	heard := make(map[string]bool)
 	for _, s := range v.All(now) {
 		switch {
 		case s.Name == v.self.Name:
-		case s.State != Alive:
-			silent = append(silent, s.Member)
-		case s.Region == v.self.Region:
+		case s.State == Alive && s.Region == v.self.Region:
 			near = append(near, s.Member)
-		default:
+		case s.State == Alive:
 			far = append(far, s.Member)
+			heard[s.Region] = true
+		case s.Region == v.self.Region || len(v.members) < fullView:
+			silent = append(silent, s.Member)
+		default:
+			silentFar = append(silentFar, s.Member)
+		}
+	}
+	for _, m := range silentFar {
+		if !heard[m.Region] {
+			silent = append(silent, m)
 		}
 	}
 	out := draw(near, v.settings.Near, rnd)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -102,7 +102,7 @@
 		FrontAddr: orElse(config.AdvertiseFront, g.listeners.front.Addr().String()),
 		PeerAddr:  orElse(config.AdvertisePeer, g.listeners.peer.Addr().String()),
 	}
-	g.view = fleet.NewView(self, fleet.ProcessAt(time.Now()), fleet.DefaultSettings)
+	g.view = fleet.NewView(self, fleet.NumberAt(time.Now()), fleet.DefaultSettings)
 	g.mesh = peer.NewMesh(self.PeerAddr, "", g, g.log)
 	g.pools = newPools(config)
 	g.watch = newWatchState()
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -156,9 +156,13 @@
 			ahead = true
 		}
 	}
-	if ahead && !m.Reply {
+	outlived, behindItself := g.view.Outlived(m.Beats)
+	if (ahead || behindItself) && !m.Reply {
 		reply := g.message(now, m.From.Region)
 		reply.Reply = true
+		if behindItself {
+			reply.Beats = append(reply.Beats, outlived)
+		}
 		g.mesh.Send(m.From.PeerAddr, reply)
 	}
 	g.mu.Unlock()
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -24,10 +25,14 @@
 
 // Encode returns the frame of a message.
 func Encode(m Message) ([]byte, error) {
-	body, err := msgpack.Marshal(m)
+	var buf bytes.Buffer
+	enc := msgpack.NewEncoder(&buf)
+	enc.UseCompactInts(true)
+	err := enc.Encode(m)
 	if err != nil {
 		return nil, fmt.Errorf("peer: encode: %w", err)
 	}
+	body := buf.Bytes()
 	if len(body)+1 > maxFrameBytes {
 		return nil, fmt.Errorf("%w: %d bytes", ErrFrame, len(body))
 	}
--- a/peer/message.go
+++ b/peer/message.go
@@ -87,7 +87,7 @@
 // replicas reflect.
 type Gossip struct {
 	From      fleet.Member        `msgpack:"f"`
-	Beats     []fleet.Beat        `msgpack:"b"`
+	Beats     fleet.Beats         `msgpack:"b"`
 	Revisions map[feed.Kind]int64 `msgpack:"r"`
 	// Reply marks an answer to gossip, which is not answered again.
 	Reply bool `msgpack:"a,omitempty"`
