rainford demo -gateway: an estate of gateways with stand-ins of the store and of targets

Change: internal/demo/gateway*.go starts four gateways, sixteen targets and the stand-in of the store in one process, sends requests of three kinds, and makes four changes on the way. Exit 0 only if each answer was whole and its own, nothing that must run once ran twice or after a refusal, nothing was cut by the stop, and nothing reached an emptied hall or a leaving target from a second after the change on.

--- a/cmd/rainford/status.go
+++ b/cmd/rainford/status.go
@@ -331,7 +331,8 @@
 	rate := fs.Float64("rate", 600, "requests a second")
 	targets := fs.Int("targets", 0, "most targets of each service; 0 runs all")
 	seed := fs.Uint64("seed", 1, "seed of the arrivals")
-	return a.command("demo", "rainford demo [-estate NAME] [-duration D] [-json]", "run a whole estate in one process on loopback and report", fs, func(ctx context.Context, args []string) error {
+	gateways := fs.Bool("gateway", false, "run gateways on a store of objects; -estate, -targets and -seed do not count")
+	return a.command("demo", "rainford demo [-gateway] [-estate NAME] [-duration D] [-json]", "run a whole estate in one process on loopback and report", fs, func(ctx context.Context, args []string) error {
 		if len(args) > 0 {
 			return usagef("demo takes no arguments")
 		}
@@ -342,6 +343,13 @@
 		if *duration < time.Second || *rate <= 0 {
 			return usagef("demo: -duration must be 1s at least and -rate above 0")
 		}
+		if *gateways {
+			report, err := demo.RunGateways(ctx, demo.GatewayOptions{Duration: *duration, Rate: min(*rate, maxGatewayRate), Progress: a.stderr})
+			if err != nil {
+				return err
+			}
+			return a.printReport(c, report, len(report.Broken))
+		}
 		for i := range size.Services {
 			if *targets > 0 {
 				size.Services[i].Targets = min(size.Services[i].Targets, *targets)
@@ -351,11 +359,20 @@
 		if err != nil {
 			return err
 		}
-		return a.printReport(c, report)
+		return a.printReport(c, report, len(report.Broken))
 	})
 }
 
-func (a *app) printReport(c *common, report *demo.Report) error {
+// maxGatewayRate is the most requests a second that the few targets of the gateways'
+// demo carry.
+const maxGatewayRate = 300
+
+// printer is a report that can be printed as a table.
+type printer interface {
+	Print(w io.Writer) error
+}
+
+func (a *app) printReport(c *common, report printer, broken int) error {
 	var err error
 	if c.json {
 		err = a.printJSON(report)
@@ -365,8 +382,8 @@
 	if err != nil {
 		return err
 	}
-	if len(report.Broken) > 0 {
-		return errBroken{len(report.Broken)}
+	if broken > 0 {
+		return errBroken{broken}
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/demo/gateway.go
@@ -0,0 +1,255 @@
+package demo
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rainford/rainford/gateway"
+	"github.com/rainford/rainford/internal/loopback"
+	"github.com/rainford/rainford/internal/pause"
+	"github.com/rainford/rainford/internal/standin/objects"
+	"github.com/rainford/rainford/internal/standin/origin"
+	"github.com/rainford/rainford/platform"
+)
+
+// GatewayOptions are the choices of a run of gateways.
+type GatewayOptions struct {
+	// Duration is how long requests are sent, and Rate how many a second.
+	Duration time.Duration
+	Rate     float64
+	// Progress gets a line for each step, io.Discard for none.
+	Progress io.Writer
+}
+
+// The estate of the gateways: two regions of two halls, each hall with an instance and
+// a few targets of each service.
+var gatewayHalls = map[string]string{"accra-a": "accra", "accra-b": "accra", "kumasi-a": "kumasi", "kumasi-b": "kumasi"}
+
+const (
+	gatewayHost    = "demo.example"
+	targetsPerHall = 2
+	targetSlots    = 6
+	targetWork     = 15 * time.Millisecond
+	// settled is how long a change may take to be in force, by the promise that a
+	// leaving target gets no new work after a few seconds.
+	settled = time.Second
+)
+
+// gatewayEstate is a running estate of gateways.
+type gatewayEstate struct {
+	options   GatewayOptions
+	store     *objects.Store
+	storeHTTP *http.Server
+	storeAddr string
+	seen      *observer
+
+	instances []*gatewayInstance
+	targets   []*origin.Server
+}
+
+// gatewayInstance is one running gateway.
+type gatewayInstance struct {
+	config gateway.Config
+	stop   context.CancelFunc
+	done   chan struct{}
+}
+
+// RunGateways starts an estate of gateways with stand-ins of the store and of targets
+// in this process, sends requests while a configuration changes, a hall is emptied, a
+// target leaves and an instance stops, and reports what held.
+func RunGateways(ctx context.Context, options GatewayOptions) (*GatewayReport, error) {
+	e := &gatewayEstate{options: options, store: objects.New(), seen: newObserver()}
+	defer e.close()
+	err := e.start(ctx)
+	if err != nil {
+		return nil, fmt.Errorf("demo: %w", err)
+	}
+	report := &GatewayReport{}
+	load := newGatewayLoad(e, options)
+	load.start(ctx)
+	err = e.steps(ctx, report)
+	load.stop()
+	if err != nil {
+		return nil, fmt.Errorf("demo: %w", err)
+	}
+	load.report(report)
+	e.seen.report(report)
+	return report, nil
+}
+
+func (e *gatewayEstate) start(ctx context.Context) error {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	e.storeAddr = ln.Addr().String()
+	e.storeHTTP = &http.Server{Handler: e.store}
+	go func() { _ = e.storeHTTP.Serve(ln) }()
+	e.configure(1)
+	for hall := range gatewayHalls {
+		for _, service := range []string{"listings", "ledger"} {
+			for n := range targetsPerHall {
+				err = e.startTarget(fmt.Sprint(service, "-", hall, "-", n), service, hall)
+				if err != nil {
+					return err
+				}
+			}
+		}
+	}
+	for hall, region := range gatewayHalls {
+		err = e.startInstance(hall, region)
+		if err != nil {
+			return err
+		}
+	}
+	return e.await(ctx, "/read/1/")
+}
+
+// configure writes a configuration. Version n has a route /read/n/ that earlier ones
+// lack.
+func (e *gatewayEstate) configure(version int) {
+	route := func(prefix, service, kind string) objects.Route {
+		return objects.Route{Host: gatewayHost, PathPrefix: prefix, RouteType: kind, Timeout: "2s", TargetLatency: "200ms",
+			Priority: 1, Service: service, MaxAttempts: 2, StickySessions: true}
+	}
+	routes := map[string]objects.Route{
+		"pay":    route("/pay/", "ledger", "non_idempotent"),
+		"upload": route("/upload/", "ledger", "upload"),
+	}
+	for v := 1; v <= version; v++ {
+		prefix := fmt.Sprintf("/read/%d/", v)
+		routes[prefix] = route(prefix, "listings", "idempotent")
+	}
+	service := objects.Service{Warmup: "1s", WarmupPerS: 40}
+	e.store.Configure(objects.Configuration{Version: objects.VersionText(version), Routes: routes,
+		Services: map[string]objects.Service{"listings": service, "ledger": service}})
+}
+
+func (e *gatewayEstate) startTarget(id, service, hall string) error {
+	t, err := origin.Start(id, service, hall, targetSlots)
+	if err != nil {
+		return err
+	}
+	t.SetWork(targetWork)
+	t.SetObserver(e.seen.arrived)
+	e.targets = append(e.targets, t)
+	e.record(t, objects.Ready)
+	return nil
+}
+
+func (e *gatewayEstate) record(t *origin.Server, state string) {
+	e.store.Record(t.ID, objects.Server{Service: t.Service, Address: t.Addr(), Zone: t.Zone, Slots: t.Slots, State: state,
+		WarmupRemaining: "0ms", Sequence: 1})
+}
+
+func (e *gatewayEstate) startInstance(hall, region string) error {
+	c := gateway.Defaults()
+	c.Name, c.Hall, c.Region, c.RegionOf = "edge-"+hall, hall, region, gatewayHalls
+	c.Grace = 2 * time.Second
+	for _, addr := range []*string{&c.Listen, &c.LookupListen, &c.ReadyListen, &c.PeerListen, &c.AdminListen} {
+		free, err := loopback.FreeAddr()
+		if err != nil {
+			return err
+		}
+		*addr = free
+	}
+	for _, other := range e.instances {
+		c.Seeds = append(c.Seeds, other.config.PeerListen)
+	}
+	g, err := gateway.New(c, platform.NewStore(e.storeAddr), platform.Codec{}, platform.Headers())
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	in := &gatewayInstance{config: c, stop: stop, done: make(chan struct{})}
+	go func() {
+		defer close(in.done)
+		_ = g.Run(ctx)
+	}()
+	e.instances = append(e.instances, in)
+	return nil
+}
+
+// errNotInForce says that a change was not in force in time.
+var errNotInForce = errors.New("a change was not in force in time")
+
+// await waits until every instance serves a path.
+func (e *gatewayEstate) await(ctx context.Context, path string) error {
+	const longest = 10 * time.Second
+	end := time.Now().Add(longest)
+	for _, in := range e.instances {
+		for {
+			a := sendTo(ctx, in.config.Listen, "await", http.MethodGet, path, nil)
+			if a.status == http.StatusOK {
+				break
+			}
+			if ctx.Err() != nil || time.Now().After(end) {
+				return fmt.Errorf("%s at %s: %w", path, in.config.Name, errNotInForce)
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+// steps makes the changes of the run, each after a part of its length.
+func (e *gatewayEstate) steps(ctx context.Context, report *GatewayReport) error {
+	const parts = 6
+	part := e.options.Duration / parts
+	say := func(format string, args ...any) { fmt.Fprintf(e.options.Progress, format+"\n", args...) }
+	pause.For(ctx, part)
+	began := time.Now()
+	e.configure(2)
+	err := e.await(ctx, "/read/2/")
+	if err != nil {
+		return err
+	}
+	report.InForce = time.Since(began)
+	say("configuration 2 in force at all instances after %v", report.InForce.Round(time.Millisecond))
+	pause.For(ctx, part)
+	e.store.Evacuate("kumasi-a")
+	say("kumasi-a is to be emptied")
+	e.seen.forbid(func(t *origin.Server) bool { return t.Zone == "kumasi-a" }, time.Now().Add(settled))
+	pause.For(ctx, part)
+	e.seen.allow()
+	e.store.Return("kumasi-a")
+	say("kumasi-a is back")
+	pause.For(ctx, part)
+	leaving := e.targets[0]
+	e.record(leaving, objects.Draining)
+	say("%s leaves", leaving.ID)
+	e.seen.forbid(func(t *origin.Server) bool { return t == leaving }, time.Now().Add(settled))
+	pause.For(ctx, part)
+	began = time.Now()
+	e.instances[0].stop()
+	<-e.instances[0].done
+	report.Stop = time.Since(began)
+	say("%s stopped after %v", e.instances[0].config.Name, report.Stop.Round(time.Millisecond))
+	pause.For(ctx, part)
+	return ctx.Err()
+}
+
+func (e *gatewayEstate) close() {
+	var group sync.WaitGroup
+	for _, in := range e.instances {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			in.stop()
+			<-in.done
+		}()
+	}
+	group.Wait()
+	for _, t := range e.targets {
+		t.Close()
+	}
+	if e.storeHTTP != nil {
+		_ = e.storeHTTP.Close()
+	}
+}
--- /dev/null
+++ b/internal/demo/gateway_test.go
@@ -0,0 +1,20 @@
+package demo
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestRunGateways runs the gateways' demo and checks that every invariant held and
+// that most requests were served.
+func TestRunGateways(t *testing.T) {
+	report, err := RunGateways(context.Background(), GatewayOptions{Duration: 9 * time.Second, Rate: 100, Progress: io.Discard})
+	require.NoError(t, err)
+	require.Empty(t, report.Broken)
+	require.Greater(t, report.Served, report.Requests/2)
+	require.Len(t, report.ByHall, len(gatewayHalls))
+}
--- /dev/null
+++ b/internal/demo/gatewayreport.go
@@ -0,0 +1,108 @@
+package demo
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"text/tabwriter"
+	"time"
+)
+
+// GatewayReport is the result of a run of gateways.
+type GatewayReport struct {
+	// Requests were sent; of these some were served, refused without having run,
+	// or ended otherwise. Unreached ones found no instance at their address.
+	Requests  int `json:"requests"`
+	Served    int `json:"served"`
+	Refused   int `json:"refused"`
+	Failed    int `json:"failed"`
+	Unreached int `json:"unreached"`
+	// P50 and P99 are of served requests.
+	P50 time.Duration `json:"p50_ns"`
+	P99 time.Duration `json:"p99_ns"`
+	// InForce is the time until the new configuration was in force at every
+	// instance, and Stop the length of the planned stop.
+	InForce time.Duration `json:"in_force_ns"`
+	Stop    time.Duration `json:"stop_ns"`
+	// ByHall counts the arrivals at the targets of each hall.
+	ByHall map[string]int `json:"by_hall"`
+	// Broken lists the invariants that did not hold.
+	Broken []string `json:"broken"`
+
+	answers []answered
+}
+
+// report takes in what clients got.
+func (l *gatewayLoad) report(r *GatewayReport) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r.Broken = []string{}
+	r.answers = l.answers
+	var times []time.Duration
+	for _, a := range l.answers {
+		r.Requests++
+		switch {
+		case a.status == http.StatusOK && a.whole:
+			r.Served++
+			times = append(times, a.took)
+		case a.status == http.StatusOK:
+			r.Broken = append(r.Broken, a.id+" got an answer that is not its own or not whole")
+		case a.status == http.StatusServiceUnavailable:
+			r.Refused++
+		case a.status == 0:
+			r.Unreached++
+		default:
+			r.Failed++
+		}
+	}
+	sort.Slice(times, func(i, j int) bool { return times[i] < times[j] })
+	if len(times) > 0 {
+		r.P50, r.P99 = times[len(times)/2], times[len(times)*99/100]
+	}
+}
+
+// report takes in what reached the targets and judges the answers by it.
+func (o *observer) report(r *GatewayReport) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	r.ByHall = o.byHall
+	for _, a := range r.answers {
+		runs := o.runs[a.id]
+		switch {
+		case a.once && runs > 1:
+			r.Broken = append(r.Broken, fmt.Sprintf("%s ran %d times", a.id, runs))
+		case a.once && runs > 0 && a.status == http.StatusServiceUnavailable:
+			r.Broken = append(r.Broken, a.id+" was refused and had run")
+		case runs > 0 && a.status == 0:
+			r.Broken = append(r.Broken, a.id+" was cut")
+		}
+	}
+	if o.late > 0 {
+		r.Broken = append(r.Broken, fmt.Sprintf("%d requests reached targets that were to get nothing", o.late))
+	}
+	if r.Served == 0 {
+		r.Broken = append(r.Broken, "nothing was served")
+	}
+}
+
+// Print writes the report as a table.
+func (r *GatewayReport) Print(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "requests\tserved\trefused\tfailed\tunreached\tp50\tp99\tin force\tstop")
+	fmt.Fprintf(t, "%d\t%d\t%d\t%d\t%d\t%v\t%v\t%v\t%v\n", r.Requests, r.Served, r.Refused, r.Failed, r.Unreached,
+		r.P50.Round(time.Millisecond), r.P99.Round(time.Millisecond), r.InForce.Round(time.Millisecond), r.Stop.Round(time.Millisecond))
+	fmt.Fprintln(t, "\nhall\tarrivals")
+	halls := make([]string, 0, len(r.ByHall))
+	for hall := range r.ByHall {
+		halls = append(halls, hall)
+	}
+	sort.Strings(halls)
+	for _, hall := range halls {
+		fmt.Fprintf(t, "%s\t%d\n", hall, r.ByHall[hall])
+	}
+	for _, broken := range r.Broken {
+		fmt.Fprintln(t, "broken:", broken)
+	}
+	return t.Flush()
+}
