A watcher finds out each second whether the store still answers

Ruled out: the removals held back after an outage (no line of it in the logs); shorter watches, each of which costs a whole call. Change: while it watches, an instance makes the cheapest call there is once a second; if it fails the store counts as lost. Pending watches are given up as soon as it does, and the watch that finds out whether it is back waits 0.1 s in place of 1 s. TestSilentStore was seen red.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -144,6 +144,7 @@
 	for _, kind := range kinds {
 		g.start(func() { g.watchLoop(work, kind) })
 	}
+	g.start(func() { g.probeLoop(work) })
 	g.start(func() { g.register(work) })
 	g.start(func() { g.gossipLoop(work) })
 	g.start(func() { g.upkeepLoop(work) })
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -108,6 +108,27 @@
 	fresh.awaitStatus("/x/", 200)
 }
 
+// TestSilentStore checks that watches whose answers were lost in a short outage of the
+// store do not keep an instance from what changes after it. A watch waits for longer
+// than the bound here.
+func TestSilentStore(t *testing.T) {
+	const bound = 7 * time.Second
+	s := newSite(t)
+	s.configure(1, safeRoute)
+	s.server("i-1", "s", "a1")
+	in := s.instance("n1", "a1")
+	in.awaitStatus("/x/", 200)
+	s.store.SetFaults(objects.Faults{Silent: true})
+	second := route{prefix: "/second/", service: "s", kind: "idempotent"}
+	s.configure(2, safeRoute, second)
+	// The pending watch brings this; the next one gets no answer.
+	in.awaitStatus("/second/", 200)
+	time.Sleep(1500 * time.Millisecond)
+	s.store.SetFaults(objects.Faults{})
+	s.configure(3, safeRoute, second, route{prefix: "/third/", service: "s", kind: "idempotent"})
+	require.Eventually(t, func() bool { return in.send("GET", "/third/", "").status == 200 }, bound, poll)
+}
+
 // TestLapsedTargets checks that targets whose entries lapsed during an outage of the
 // store go on being used for the time in which they may be back, and that one that
 // is still missing then is not.
--- a/gateway/ports.go
+++ b/gateway/ports.go
@@ -34,6 +34,8 @@
 	List(ctx context.Context, kind feed.Kind) (feed.Delta, error)
 	// Watch returns the changes after a revision, or waits for one.
 	Watch(ctx context.Context, kind feed.Kind, after int64, wait time.Duration) (feed.Delta, error)
+	// Probe tells whether the store answers. It is the cheapest call that there is.
+	Probe(ctx context.Context) error
 	// Create makes an object unless it is there.
 	Create(ctx context.Context, kind feed.Kind, name string, spec any) error
 	// Calls returns the number of calls made.
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -29,6 +29,12 @@
 	peersPoll      = 30 * time.Millisecond
 	// gatherTime is the time between two watches of kinds that change often.
 	gatherTime = 200 * time.Millisecond
+	// deafWait is how long a watch waits that is to find out whether the store is
+	// back.
+	deafWait = 100 * time.Millisecond
+	// probeEvery is the time between two calls that find out whether the store
+	// still answers while watches are pending.
+	probeEvery = time.Second
 	// firstPause and maxPause bound the time between calls that fail.
 	firstPause = 300 * time.Millisecond
 	maxPause   = 2 * time.Second
@@ -92,12 +98,19 @@
 	return w.watching && !w.deaf
 }
 
-// setDeaf reports whether the state has changed.
+// setDeaf reports whether the state has changed. When the store is lost all pending
+// watches are given up: one whose answer was lost hears nothing more, even when the
+// store is back.
 func (w *watchState) setDeaf(deaf bool) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	changed := w.deaf != deaf
 	w.deaf = deaf
+	if changed && deaf {
+		for _, cancel := range w.cancels {
+			cancel()
+		}
+	}
 	return changed
 }
 
@@ -186,6 +199,22 @@
 	}
 }
 
+// probeLoop finds out whether the store still answers while this instance is a watcher:
+// a pending watch does not tell.
+func (g *Gateway) probeLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause.For(ctx, probeEvery)
+		if !g.watch.isWatching() || g.revision(KindConfig) == 0 {
+			continue
+		}
+		err := g.store.Probe(ctx)
+		if err != nil && ctx.Err() == nil {
+			g.noteStore(KindEvacuations, err)
+			g.lostStore(KindEvacuations, err)
+		}
+	}
+}
+
 // awaitPeers gives the instances of the settings a moment to bring the kind, which
 // spares the store a list for each instance that starts. After the first start of
 // the system the wait is short, and there is none for urgent kinds: all may have been
@@ -221,7 +250,7 @@
 	g.watch.begin(kind, cancel)
 	wait := watchWait
 	if g.watch.isDeaf() {
-		wait = time.Second
+		wait = deafWait
 	}
 	delta, err := g.store.Watch(watchCtx, kind, g.watch.cursor(kind, at), wait)
 	g.watch.end(kind)
