After the first start targets are read without a wait for seeds too

Change: no wait for targets; the instances' own entries and the table, which no request needs, keep it.

--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -217,8 +217,8 @@
 
 // awaitPeers gives the instances of the settings a moment to bring the kind, which
 // spares the store a list for each instance that starts. After the first start of
-// the system the wait is short, and there is none for urgent kinds: all may have been
-// killed at once.
+// the system the wait is short, and there is none for what requests need, the urgent
+// kinds and the targets: all may have been killed at once.
 func (g *Gateway) awaitPeers(ctx context.Context, kind feed.Kind) {
 	wait := g.peersTime(kind)
 	end := time.Now().Add(wait)
@@ -232,7 +232,7 @@
 		return 0
 	case g.config.FirstStart:
 		return firstPeersTime
-	case urgent(kind):
+	case urgent(kind) || kind == KindTargets:
 		return 0
 	default:
 		return peersTime
