Choice of a target in two steps: the ranking, and the cheapest of it

For the newcomer: chooseIn had grown to forty lines with five ways out; rank and cheapest have one job each.

--- a/cmd/rainford/status.go
+++ b/cmd/rainford/status.go
@@ -16,7 +16,6 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/rainford/rainford/config"
-	"github.com/rainford/rainford/internal/demo"
 	"github.com/rainford/rainford/lookup"
 	"github.com/rainford/rainford/member"
 	"github.com/rainford/rainford/node"
@@ -315,75 +314,3 @@
 		return nil
 	})
 }
-
-// errBroken says that the demo broke an invariant, which it has printed.
-type errBroken struct{ count int }
-
-// Error implements error.
-func (e errBroken) Error() string { return fmt.Sprintf("%d invariants were broken", e.count) }
-
-func (a *app) demoCommand() *ffcli.Command {
-	fs := newFlags("rainford demo")
-	c := &common{}
-	c.registerJSON(fs)
-	estate := fs.String("estate", "estatedesk", "whose sizes to run: estatedesk or pampa")
-	duration := fs.Duration("duration", 10*time.Second, "how long to send requests")
-	rate := fs.Float64("rate", 600, "requests a second")
-	targets := fs.Int("targets", 0, "most targets of each service; 0 runs all")
-	seed := fs.Uint64("seed", 1, "seed of the arrivals")
-	gateways := fs.Bool("gateway", false, "run gateways on a store of objects; -estate, -targets and -seed do not count")
-	return a.command("demo", "rainford demo [-gateway] [-estate NAME] [-duration D] [-json]", "run a whole estate in one process on loopback and report", fs, func(ctx context.Context, args []string) error {
-		if len(args) > 0 {
-			return usagef("demo takes no arguments")
-		}
-		size, err := demo.ByName(*estate)
-		if err != nil {
-			return usagef("%v", err)
-		}
-		if *duration < time.Second || *rate <= 0 {
-			return usagef("demo: -duration must be 1s at least and -rate above 0")
-		}
-		if *gateways {
-			report, err := demo.RunGateways(ctx, demo.GatewayOptions{Duration: *duration, Rate: min(*rate, maxGatewayRate), Progress: a.stderr})
-			if err != nil {
-				return err
-			}
-			return a.printReport(c, report, len(report.Broken))
-		}
-		for i := range size.Services {
-			if *targets > 0 {
-				size.Services[i].Targets = min(size.Services[i].Targets, *targets)
-			}
-		}
-		report, err := demo.Run(ctx, demo.RunOptions{Estate: size, Duration: *duration, Rate: *rate, Seed: *seed, Progress: a.stderr})
-		if err != nil {
-			return err
-		}
-		return a.printReport(c, report, len(report.Broken))
-	})
-}
-
-// maxGatewayRate is the most requests a second that the few targets of the gateways'
-// demo carry.
-const maxGatewayRate = 300
-
-// printer is a report that can be printed as a table.
-type printer interface {
-	Print(w io.Writer) error
-}
-
-func (a *app) printReport(c *common, report printer, broken int) error {
-	var err error
-	if c.json {
-		err = a.printJSON(report)
-	} else {
-		err = report.Print(a.stdout)
-	}
-	if err != nil {
-		return err
-	}
-	if broken > 0 {
-		return errBroken{broken}
-	}
-	return nil
-}
--- a/upstream/census.go
+++ b/upstream/census.go
@@ -7,18 +7,18 @@
 
 // The states.
 const (
-	// Usable targets get requests.
-	Usable State = "usable"
-	// Cold targets get a few requests.
-	Cold State = "cold"
-	// Suspect targets get nothing for a while, or single requests.
-	Suspect State = "suspect"
-	// Leaving targets state that they leave, or are gone from the list.
-	Leaving State = "leaving"
-	// Evacuated targets are in a hall that is to get nothing.
-	Evacuated State = "evacuated"
-	// ReplacedState targets' addresses belong to others now.
-	ReplacedState State = "replaced"
+	// StateUsable targets get requests.
+	StateUsable State = "usable"
+	// StateCold targets get a few requests.
+	StateCold State = "cold"
+	// StateSuspect targets get nothing for a while, or single requests.
+	StateSuspect State = "suspect"
+	// StateLeaving targets state that they leave, or are gone from the list.
+	StateLeaving State = "leaving"
+	// StateEvacuated targets are in a hall that is to get nothing.
+	StateEvacuated State = "evacuated"
+	// StateReplaced targets' addresses belong to others now.
+	StateReplaced State = "replaced"
 )
 
 // Group is a hall's targets in one state.
@@ -50,16 +50,16 @@
 func (t *target) state(now time.Time) State {
 	switch {
 	case t.replaced:
-		return ReplacedState
+		return StateReplaced
 	case t.spec.Leaves || t.unlisted:
-		return Leaving
+		return StateLeaving
 	case t.evacuated:
-		return Evacuated
+		return StateEvacuated
 	case t.suspicion > 0 || now.Before(t.pausedUntil):
-		return Suspect
+		return StateSuspect
 	case t.cold(now):
-		return Cold
+		return StateCold
 	default:
-		return Usable
+		return StateUsable
 	}
 }
--- a/upstream/choose.go
+++ b/upstream/choose.go
@@ -62,52 +62,59 @@
 // second one, which knows the object. Only if neither can be used is the ranking made
 // anew over those that can.
 func (p *Pool) chooseIn(now time.Time, r *Request, region string) candidate {
-	c := p.chooseAmong(now, r, region, (*target).serves)
-	if c.reason == ReasonNoTarget {
-		return p.chooseAmong(now, r, region, func(t *target) bool { return t.usable(now) })
+	c := p.cheapest(now, r, region, p.rank(r, region, (*target).serves))
+	if c.reason != ReasonNoTarget {
+		return c
 	}
-	return c
+	usable := func(t *target) bool { return t.usable(now) }
+	return p.cheapest(now, r, region, p.rank(r, region, usable))
 }
 
-// chooseAmong picks one of the first targets of the ranking over a region's targets
-// that are eligible.
-func (p *Pool) chooseAmong(now time.Time, r *Request, region string, eligible func(*target) bool) candidate {
+// rank returns the first targets of the request's key among the eligible ones of a
+// region, as indexes.
+func (p *Pool) rank(r *Request, region string, eligible func(*target) bool) affinity.Ranking {
 	ranker := affinity.NewRanker(r.Key)
-	targets := p.byRegion[region]
-	for i, t := range targets {
+	for i, t := range p.byRegion[region] {
 		if !r.avoids(t.spec.ID) && eligible(t) {
 			ranker.Offer(i, t.group, t.hash, float64(max(t.spec.Slots, 1)))
 		}
 	}
-	any := false
-	best, bestCost, place := (*target)(nil), 0.0, 0
-	for i, index := range ranker.Ranking(p.preferred(region)) {
-		if index < 0 || !targets[index].usable(now) {
+	return ranker.Ranking(p.preferred(region))
+}
+
+// cheapest picks the target of a ranking that costs least among those that can be used
+// and are not full. It fails with ReasonNoTarget if none can be used.
+func (p *Pool) cheapest(now time.Time, r *Request, region string, ranking affinity.Ranking) candidate {
+	best := candidate{reason: ReasonNoTarget}
+	bestCost := 0.0
+	for place, index := range ranking {
+		if index < 0 || !p.byRegion[region][index].usable(now) {
 			continue
 		}
-		any = true
-		t := targets[index]
+		t := p.byRegion[region][index]
 		if p.full(now, r, t) {
+			if !best.found {
+				best.reason = ReasonFull
+			}
 			continue
 		}
-		cost := p.cost(now, r, t) + rankPenalty*float64(i)
-		if best == nil || cost < bestCost {
-			best, bestCost, place = t, cost, i
+		cost := p.cost(now, r, t) + rankPenalty*float64(place)
+		if !best.found || cost < bestCost {
+			best, bestCost = candidate{found: true, target: t, reason: reasonOf(place)}, cost
 		}
 	}
-	switch {
-	case !any:
-		return candidate{reason: ReasonNoTarget}
-	case best == nil && !r.Sticky:
+	if best.reason == ReasonFull && !r.Sticky {
 		return p.leastLoaded(now, r, region)
-	case best == nil:
-		return candidate{reason: ReasonFull}
 	}
-	reason := ReasonFirst
+	return best
+}
+
+// reasonOf returns the reason of the choice of a place in a ranking.
+func reasonOf(place int) Reason {
 	if place > 0 {
-		reason = ReasonLoad
+		return ReasonLoad
 	}
-	return candidate{found: true, target: best, reason: reason}
+	return ReasonFirst
 }
 
 // preferred returns the group of the own hall, if it is in the region.
