The test of metrics no longer takes a target's hall for granted

Change: whichever target the object has loses one answer; all assertions stand. Result: green, go test ./gateway -run TestMetrics.

--- a/gateway/metrics_test.go
+++ b/gateway/metrics_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -33,9 +34,17 @@
 	for range 10 {
 		in.send("GET", "/x/", "")
 	}
-	first.SetScript(func(*http.Request) origin.Fault { return origin.Lost })
+	// Whichever target the object has loses one answer.
+	var lost atomic.Bool
+	loseOne := func(*http.Request) origin.Fault {
+		if lost.CompareAndSwap(false, true) {
+			return origin.Lost
+		}
+		return origin.None
+	}
+	first.SetScript(loseOne)
+	second.SetScript(loseOne)
 	require.Equal(t, 200, in.send("GET", "/x/", "").status)
-	second.SetScript(func(*http.Request) origin.Fault { return origin.Lost })
 	text := in.scrape()
 	const scope = `otel_scope_name="rainford",otel_scope_schema_url="",otel_scope_version="",`
 	for _, want := range []string{
