rainford explain -summary: where requests are late or refused

Ruled out: metrics alone, which do not tell of objects at targets. Change: -summary counts request lines by service, span and region, and times by the objects since the last one; request lines carry the route's objective.

--- a/cmd/rainford/explain.go
+++ b/cmd/rainford/explain.go
@@ -27,21 +27,24 @@
 
 // logLine is one line of an instance's log. Only what explain uses is decoded.
 type logLine struct {
-	Time      time.Time    `json:"time"`
-	Level     string       `json:"level"`
-	Message   string       `json:"msg"`
-	Instance  string       `json:"instance"`
-	RequestID string       `json:"request_id"`
-	Route     string       `json:"route"`
-	Service   string       `json:"service"`
-	Config    int64        `json:"config"`
-	Status    int          `json:"status"`
-	Reason    string       `json:"reason"`
-	TookMs    int64        `json:"took_ms"`
-	BudgetMs  int64        `json:"budget_ms"`
-	NewsAgeMs int64        `json:"news_age_ms"`
-	Attempts  []logAttempt `json:"attempts"`
-	Target    string       `json:"target"`
+	Time      time.Time `json:"time"`
+	Level     string    `json:"level"`
+	Message   string    `json:"msg"`
+	Instance  string    `json:"instance"`
+	RequestID string    `json:"request_id"`
+	Route     string    `json:"route"`
+	Service   string    `json:"service"`
+	Config    int64     `json:"config"`
+	Status    int       `json:"status"`
+	Reason    string    `json:"reason"`
+	TookMs    int64     `json:"took_ms"`
+	BudgetMs  int64     `json:"budget_ms"`
+	// ObjectiveMs is the time within which the route's answers should come.
+	ObjectiveMs int64        `json:"objective_ms"`
+	Key         string       `json:"key"`
+	NewsAgeMs   int64        `json:"news_age_ms"`
+	Attempts    []logAttempt `json:"attempts"`
+	Target      string       `json:"target"`
 
 	raw string
 }
@@ -55,6 +58,8 @@
 	Outcome string  `json:"outcome"`
 	Error   string  `json:"error"`
 	TookMs  int64   `json:"took_ms"`
+	// Reused says that the connection had carried other requests.
+	Reused bool `json:"reused"`
 }
 
 // story is what is known of one request.
@@ -72,13 +77,18 @@
 func (a *app) explainCommand() *ffcli.Command {
 	fs := flag.NewFlagSet("rainford explain", flag.ContinueOnError)
 	asJSON := fs.Bool("json", false, "print one JSON object")
+	whole := fs.Bool("summary", false, "tell of all requests: where and when they were late or refused")
+	every := fs.Duration("every", 2*time.Second, "span of time of a row of the summary")
 	return &ffcli.Command{
 		Name:       "explain",
-		ShortUsage: "rainford explain [-json] REQUEST-ID FILE…",
+		ShortUsage: "rainford explain [-json] REQUEST-ID FILE… | -summary [-every 2s] FILE…",
 		ShortHelp:  "tell from the instances' logs what became of a request, and why",
 		LongHelp:   "FILE is a log, plain or gzip, or - for standard input.",
 		FlagSet:    fs,
 		Exec: func(_ context.Context, args []string) error {
+			if *whole {
+				return a.summarize(args, *every)
+			}
 			if len(args) < 2 {
 				return usagef("want a request ID and at least one file")
 			}
@@ -95,6 +105,27 @@
 	}
 }
 
+// summarize prints the summary of logs.
+func (a *app) summarize(files []string, every time.Duration) error {
+	if len(files) == 0 || every <= 0 {
+		return usagef("want at least one file and a span over 0")
+	}
+	s := summary{every: every}
+	for _, name := range files {
+		r, err := a.openLog(name)
+		if err != nil {
+			return err
+		}
+		err = s.read(r)
+		_ = r.Close()
+		if err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	s.print(a.stdout)
+	return nil
+}
+
 // readStory reads the logs twice over in memory: first for the request, then for
 // the beliefs of the instances that it touched.
 func (a *app) readStory(id string, files []string) (*story, error) {
--- /dev/null
+++ b/cmd/rainford/summary.go
@@ -0,0 +1,249 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strings"
+	"time"
+)
+
+// summary tells where requests are late or refused, by service, region and span of time,
+// from the request lines of many instances.
+type summary struct {
+	every time.Duration
+	lines []logLine
+	lost  int
+}
+
+// spanKey names a row of the summary. Region is that of the last target that got the
+// request, or "" if none did.
+type spanKey struct {
+	at      time.Time
+	service string
+	region  string
+}
+
+// span is what happened in one row.
+type span struct {
+	requests, late, failed int
+	refused                map[string]int
+	// first counts attempts at the first target of a key, fresh those on a new
+	// connection.
+	attempts, first, fresh int
+	load                   float64
+	tookMs                 []int64
+	targets                map[string]*targetSpan
+}
+
+// targetSpan is what one target got in a span.
+type targetSpan struct {
+	busyMs  int64
+	objects map[string]bool
+}
+
+// read takes in a log's request lines. What stands before the first brace of a line,
+// which log collectors put there, is left out.
+func (s *summary) read(r io.Reader) error {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(make([]byte, 64<<10), maxLine)
+	for scanner.Scan() {
+		_, text, found := strings.Cut(scanner.Text(), "{")
+		if !found || !strings.Contains(text, `"msg":"request"`) {
+			continue
+		}
+		var l logLine
+		err := json.Unmarshal([]byte("{"+text), &l)
+		if err != nil {
+			s.lost++
+			continue
+		}
+		s.lines = append(s.lines, l)
+	}
+	return scanner.Err()
+}
+
+// spans counts the lines by row.
+func (s *summary) spans() map[spanKey]*span {
+	out := make(map[spanKey]*span)
+	for _, l := range s.lines {
+		began := l.Time.Add(-time.Duration(l.TookMs) * time.Millisecond)
+		key := spanKey{at: began.Truncate(s.every), service: l.Service}
+		if n := len(l.Attempts); n > 0 {
+			key.region = l.Attempts[n-1].Region
+		}
+		row := out[key]
+		if row == nil {
+			row = &span{refused: make(map[string]int), targets: make(map[string]*targetSpan)}
+			out[key] = row
+		}
+		row.add(l)
+	}
+	return out
+}
+
+func (row *span) add(l logLine) {
+	row.requests++
+	row.tookMs = append(row.tookMs, l.TookMs)
+	switch {
+	case l.Status == http.StatusServiceUnavailable:
+		row.refused[l.Reason]++
+	case l.Status/100 != 2:
+		row.failed++
+	case l.ObjectiveMs > 0 && l.TookMs > l.ObjectiveMs:
+		row.late++
+	}
+	for _, a := range l.Attempts {
+		row.attempt(l, a)
+	}
+}
+
+func (row *span) attempt(l logLine, a logAttempt) {
+	row.attempts++
+	row.load += a.Load
+	if a.Reason == "first-choice" {
+		row.first++
+	}
+	if !a.Reused {
+		row.fresh++
+	}
+	t := row.targets[a.Target]
+	if t == nil {
+		t = &targetSpan{objects: make(map[string]bool)}
+		row.targets[a.Target] = t
+	}
+	t.busyMs += a.TookMs
+	t.objects[l.Route+"/"+l.Key] = true
+}
+
+// print writes a row a line, and then the time of an attempt by the number of other
+// objects that the target has had since it last had the request's.
+func (s *summary) print(w io.Writer) {
+	rows := s.spans()
+	keys := make([]spanKey, 0, len(rows))
+	for key := range rows {
+		keys = append(keys, key)
+	}
+	sort.Slice(keys, func(i, j int) bool {
+		a, b := keys[i], keys[j]
+		switch {
+		case a.service != b.service:
+			return a.service < b.service
+		case !a.at.Equal(b.at):
+			return a.at.Before(b.at)
+		default:
+			return a.region < b.region
+		}
+	})
+	fmt.Fprintln(w, "service at region requests late failed refused p50_ms in_flight/slot busiest/median objects/target first fresh")
+	for _, key := range keys {
+		row := rows[key]
+		fmt.Fprintf(w, "%s %s %s %d %d %d %s %d %s\n", orDash(key.service), key.at.Format("15:04:05"), orDash(key.region),
+			row.requests, row.late, row.failed, row.refusals(), median(row.tookMs), row.attemptsText())
+	}
+	s.printObjects(w)
+	if s.lost > 0 {
+		fmt.Fprintf(w, "%d lines could not be read\n", s.lost)
+	}
+}
+
+func orDash(text string) string {
+	if text == "" {
+		return "-"
+	}
+	return text
+}
+
+// refusals returns the refused requests by reason.
+func (row *span) refusals() string {
+	var parts []string
+	for reason, n := range row.refused {
+		parts = append(parts, fmt.Sprintf("%s=%d", reason, n))
+	}
+	sort.Strings(parts)
+	return orDash(strings.Join(parts, ","))
+}
+
+// attemptsText returns the columns that tell of attempts.
+func (row *span) attemptsText() string {
+	if row.attempts == 0 {
+		return "- - - - -"
+	}
+	busy := make([]int64, 0, len(row.targets))
+	most, objects := int64(0), 0
+	for _, t := range row.targets {
+		busy = append(busy, t.busyMs)
+		most = max(most, t.busyMs)
+		objects += len(t.objects)
+	}
+	n := float64(row.attempts)
+	return fmt.Sprintf("%.2f %.1f %.1f %.2f %.2f", row.load/n, float64(most)/float64(max(median(busy), 1)),
+		float64(objects)/float64(len(row.targets)), float64(row.first)/n, float64(row.fresh)/n)
+}
+
+// median returns the median of values, 0 if there are none.
+func median(values []int64) int64 {
+	if len(values) == 0 {
+		return 0
+	}
+	sort.Slice(values, func(i, j int) bool { return values[i] < values[j] })
+	return values[len(values)/2]
+}
+
+// sinceBounds are the upper bounds of the classes of objects since last seen. A target
+// of the sites of today keeps a few dozen.
+var sinceBounds = []int{8, 16, 32, 64}
+
+// printObjects writes the median time of answered attempts by how many other objects
+// the target has had since it last had this one, which shows how many it keeps.
+func (s *summary) printObjects(w io.Writer) {
+	fmt.Fprintln(w, "service objects_since_last_seen attempts p50_ms")
+	sort.SliceStable(s.lines, func(i, j int) bool { return s.lines[i].Time.Before(s.lines[j].Time) })
+	recent := make(map[string][]string)
+	classes := make(map[string][]int64)
+	for _, l := range s.lines {
+		for _, a := range l.Attempts {
+			var since int
+			recent[a.Target], since = touch(recent[a.Target], l.Route+"/"+l.Key)
+			if a.Outcome == "ran" {
+				class := l.Service + " " + sinceClass(since)
+				classes[class] = append(classes[class], a.TookMs)
+			}
+		}
+	}
+	names := make([]string, 0, len(classes))
+	for name := range classes {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		fmt.Fprintf(w, "%s %d %d\n", name, len(classes[name]), median(classes[name]))
+	}
+}
+
+// touch moves an object to the end of a target's recent ones. It returns how many
+// others came since it was there last, or -1 if it was not there.
+func touch(recent []string, object string) ([]string, int) {
+	for i := len(recent) - 1; i >= 0; i-- {
+		if recent[i] == object {
+			since := len(recent) - 1 - i
+			return append(append(recent[:i:i], recent[i+1:]...), object), since
+		}
+	}
+	return append(recent, object), -1
+}
+
+func sinceClass(since int) string {
+	if since < 0 {
+		return "never-seen"
+	}
+	for _, bound := range sinceBounds {
+		if since < bound {
+			return fmt.Sprintf("under-%03d", bound)
+		}
+	}
+	return fmt.Sprintf("over-%03d", sinceBounds[len(sinceBounds)-1])
+}
--- /dev/null
+++ b/cmd/rainford/summary_test.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const sampleRequests = `12.0 n1 {"time":"2026-01-01T00:00:01Z","msg":"request","route":"r","service":"s","key":"1","status":200,"reason":"answered","took_ms":300,"objective_ms":250,"attempts":[{"target":"t1","region":"a","reason":"first-choice","load":0.5,"outcome":"ran","took_ms":300}]}
+{"time":"2026-01-01T00:00:01.5Z","msg":"request","route":"r","service":"s","key":"1","status":200,"reason":"answered","took_ms":100,"objective_ms":250,"attempts":[{"target":"t1","region":"a","reason":"by-load","load":1.5,"outcome":"ran","took_ms":100,"reused":true}]}
+{"time":"2026-01-01T00:00:01.6Z","msg":"request","route":"r","service":"s","key":"2","status":503,"reason":"targets-full","took_ms":60,"objective_ms":250,"attempts":null}
+{"time":"2026-01-01T00:00:02.5Z","msg":"target belief","target":"t1"}
+{"time":"2026-01-01T00:00:02.5Z","msg":"request",
+`
+
+func TestSummary(t *testing.T) {
+	text, code := explain(t, sampleRequests, "-summary", "-")
+	require.Zero(t, code, text)
+	require.Contains(t, text, "s 00:00:00 a 2 1 0 - 300 1.00 1.0 1.0 0.50 0.50\n")
+	require.Contains(t, text, "s 00:00:00 - 1 0 0 targets-full=1 60 - - - - -\n")
+	require.Contains(t, text, "s never-seen 1 300\n")
+	require.Contains(t, text, "s under-008 1 100\n")
+	require.Contains(t, text, "1 lines could not be read")
+	_, code = explain(t, "", "-summary")
+	require.Equal(t, exitUsage, code)
+}
+
+func TestTouch(t *testing.T) {
+	recent, since := touch(nil, "a")
+	require.Equal(t, -1, since)
+	recent, _ = touch(recent, "b")
+	recent, since = touch(recent, "a")
+	require.Equal(t, 1, since)
+	require.Equal(t, []string{"b", "a"}, recent)
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -249,10 +249,20 @@
 		slog.Int("status", status),
 		slog.String("reason", reason),
 		slog.Int64("budget_ms", ex.deadline.Sub(ex.start).Milliseconds()),
+		slog.Int64("objective_ms", objective(ex.route).Milliseconds()),
 		slog.Int64("took_ms", took.Milliseconds()),
 		slog.Any("attempts", ex.trail))
 }
 
+// objective returns the time within which answers of a route should come, 0 if it has
+// none or there is no route.
+func objective(route *catalog.Route) time.Duration {
+	if route == nil {
+		return 0
+	}
+	return route.Objective
+}
+
 // outcomeOf is the class of a final status, for the metrics.
 func outcomeOf(status int) string {
 	switch {
