--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -6,6 +6,7 @@
 
 	"github.com/rainford/rainford/affinity"
 	"github.com/rainford/rainford/catalog"
+	"github.com/rainford/rainford/internal/mix"
 	"github.com/rainford/rainford/table"
 )
 
@@ -43,6 +44,8 @@
 	events []Event
 	// typical is the usual time of an answer from a target that is not full.
 	typical time.Duration
+	// salt tells the instances' drawn times apart.
+	salt uint64
 }
 
 // firstTypical is assumed before any answer was seen.
@@ -62,6 +65,7 @@
 		groups:   numberHalls(config.RegionOf),
 		plans:    make(map[string]*plan),
 		typical:  firstTypical,
+		salt:     mix.Hash(config.Self),
 	}
 }
 
@@ -212,10 +216,10 @@
 		return p.send(now, &r, c)
 	}
 	if now.Add(p.typical).After(r.Deadline) {
-		return Decision{Verdict: Refuse, Reason: ReasonLate, RetryAfter: p.retryAfter()}
+		return Decision{Verdict: Refuse, Reason: ReasonLate, RetryAfter: p.retryAfter(r.ID)}
 	}
 	if !p.queue.add(now, r) {
-		return Decision{Verdict: Refuse, Reason: ReasonQueueFull, RetryAfter: p.retryAfter()}
+		return Decision{Verdict: Refuse, Reason: ReasonQueueFull, RetryAfter: p.retryAfter(r.ID)}
 	}
 	return Decision{Verdict: Wait, Reason: c.reason}
 }
@@ -234,8 +238,24 @@
 	}
 }
 
-// retryAfter is when a refused request should come back.
-func (p *Pool) retryAfter() time.Duration { return max(p.typical, 100*time.Millisecond) }
+const (
+	// A refused request is told to come back after between so many usual times of an
+	// answer: by then the requests that filled its targets are done, and spread out so
+	// that those refused together do not come back together. Measured best of 1, 1.5
+	// to 3.5 and 3 to 6 (docs/DECIDING.md).
+	earliestReturn = 1.5
+	latestReturn   = 3.5
+	// leastTypical bounds what is taken for the usual time here from below: a client
+	// needs about that to come back at all.
+	leastTypical = 100 * time.Millisecond
+)
+
+// retryAfter is when a refused request should come back. The ID of a request spreads
+// those of one instance evenly.
+func (p *Pool) retryAfter(id uint64) time.Duration {
+	times := earliestReturn + (latestReturn-earliestReturn)*mix.Unit(mix.Join(id, p.salt))
+	return time.Duration(times * float64(max(p.typical, leastTypical)))
+}
 
 // Release ends an attempt and returns the grants that this makes possible.
 func (p *Pool) Release(now time.Time, id string, r Result) []Grant {
@@ -292,7 +312,7 @@
 		case c.found:
 			grants = append(grants, Grant{ID: w.ID, Decision: p.send(now, &w.Request, c)})
 		case now.Sub(w.since) >= w.Patience || now.Add(p.typical).After(w.Deadline):
-			refusal := Decision{Verdict: Refuse, Reason: c.reason, RetryAfter: p.retryAfter()}
+			refusal := Decision{Verdict: Refuse, Reason: c.reason, RetryAfter: p.retryAfter(w.ID)}
 			grants = append(grants, Grant{ID: w.ID, Decision: refusal})
 		default:
 			kept = append(kept, w)
