A rejection by a target with free slots is no overload

Cause: servers that reject a part of their requests at random were paused for 150 ms at each rejection, and their keys went to second targets, where they are cold; refusals after such rejections named 300 ms, when the answer could no longer be in time. Ruled out: overload; the rejecting targets ran at 0.3 to 0.6 of their slots. Change: such a target is paused after five rejections in a row only, the repeat goes to it again, and a refusal names 20 ms. TestRejectionWithFreeSlots, TestRejectedIsTriedAgainThere and TestRejectedIsToldToComeBackSoon were seen red on the old code.

--- /dev/null
+++ b/gateway/refusal_test.go
@@ -0,0 +1,58 @@
+package gateway_test
+
+import (
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rainford/rainford/internal/standin/origin"
+)
+
+// TestRejectedIsTriedAgainThere checks that a request that a target with free slots has
+// rejected goes to the same target again, which knows its object, and not to another.
+func TestRejectedIsTriedAgainThere(t *testing.T) {
+	s := newSite(t)
+	s.configure(1, safeRoute)
+	first, second := s.server("i-1", "s", "a1"), s.server("i-2", "s", "a2")
+	in := s.instance("n1", "a1")
+	in.awaitStatus("/x/", 200)
+	for range 10 {
+		// Requests earn the budget of repeats.
+		in.send("GET", "/x/", "")
+	}
+	var arrivals [2]atomic.Int64
+	var rejected atomic.Bool
+	rejectOne := func(i int) func(*http.Request) origin.Fault {
+		return func(*http.Request) origin.Fault {
+			arrivals[i].Add(1)
+			if rejected.CompareAndSwap(false, true) {
+				return origin.Shed
+			}
+			return origin.None
+		}
+	}
+	first.SetScript(rejectOne(0))
+	second.SetScript(rejectOne(1))
+	require.Equal(t, 200, in.send("GET", "/x/", "").status)
+	require.ElementsMatch(t, []int64{2, 0}, []int64{arrivals[0].Load(), arrivals[1].Load()})
+}
+
+// TestRejectedIsToldToComeBackSoon checks that a request that targets with free slots
+// went on rejecting is refused at once, as not run, and told to come back while an
+// answer would still be in time.
+func TestRejectedIsToldToComeBackSoon(t *testing.T) {
+	s := newSite(t)
+	s.configure(1, safeRoute)
+	server := s.server("i-1", "s", "a1")
+	in := s.instance("n1", "a1")
+	in.awaitStatus("/x/", 200)
+	server.SetScript(func(*http.Request) origin.Fault { return origin.Shed })
+	got := in.send("GET", "/x/", "")
+	require.Equal(t, 503, got.status)
+	after, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+	require.NoError(t, err)
+	require.LessOrEqual(t, after, 0.05)
+}
--- a/upstream/refusal_test.go
+++ b/upstream/refusal_test.go
@@ -9,6 +9,47 @@
 	"github.com/rainford/rainford/upstream"
 )
 
+// reject ends a request with the target's word that it did not run.
+func reject(p *upstream.Pool, now time.Time, target string) {
+	p.Release(now, target, upstream.Result{Outcome: upstream.Rejected})
+}
+
+// TestRejectionWithFreeSlots checks that a target that rejects a request though it has
+// free slots goes on being used, since its keys are cold elsewhere, until it has
+// rejected several in a row.
+func TestRejectionWithFreeSlots(t *testing.T) {
+	p := newPool()
+	p.SetTargets(start, spread(3), nil)
+	first := p.Acquire(start, request("k")).Target.ID
+	reject(p, start, first)
+	for range 3 {
+		require.Equal(t, first, p.Acquire(start, request("k")).Target.ID)
+		reject(p, start, first)
+	}
+	require.Equal(t, first, p.Acquire(start, request("k")).Target.ID)
+	reject(p, start, first)
+	require.NotEqual(t, first, p.Acquire(start, request("k")).Target.ID, "five in a row")
+	later := start.Add(time.Second)
+	require.Equal(t, first, p.Acquire(later, request("k")).Target.ID)
+	p.Release(later, first, upstream.Result{Took: time.Millisecond})
+	p.Acquire(later, request("k"))
+	reject(p, later, first)
+	require.Equal(t, first, p.Acquire(later, request("k")).Target.ID, "an answer begins the count anew")
+}
+
+// TestRejectionWhenFull checks that a full target that rejects a request gets none for
+// a moment.
+func TestRejectionWhenFull(t *testing.T) {
+	p := newPool()
+	p.SetTargets(start, spread(3), nil)
+	first := p.Acquire(start, request("k")).Target.ID
+	for range spread(3)[0].Slots {
+		require.Equal(t, first, p.Acquire(start, request("k")).Target.ID)
+	}
+	reject(p, start, first)
+	require.NotEqual(t, first, p.Acquire(start, request("k")).Target.ID)
+}
+
 // TestReturnsAreSpread checks that requests that are refused together are told different
 // times to come back, from one and a half to three and a half usual times.
 func TestReturnsAreSpread(t *testing.T) {
