--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -14,12 +14,18 @@
 )
 
 const (
+	// soonRetryAfter is told when a target with free slots has rejected a request: it
+	// may well take the next one, and the answer is then still in time. It is about
+	// the shortest that clients' timers keep.
+	soonRetryAfter = 20 * time.Millisecond
 	// maxUnsent bounds the targets that could not be reached, on top of the
 	// attempts that the route allows.
 	maxUnsent = 3
 	// patienceShare is the part of a route's objective that a request waits
-	// for a target before it is refused.
-	patienceShare   = 4
+	// for a target before it is refused. With the way to the client it is told
+	// within a quarter of its objective, early enough to come back in time.
+	// Measured against a quarter and a sixteenth (docs/DECIDING.md).
+	patienceShare   = 8
 	defaultPatience = 250 * time.Millisecond
 	// targetMargin is how much less time than is left a target is given, and
 	// lateMargin how long after the deadline its answer is waited for. A
@@ -42,9 +48,10 @@
 	want := g.want(ex)
 	header := forward.EndToEnd(ex.r.Header)
 	unknown := false
+	backoff := defaultRetryAfter
 	for sent, unsent := 0, 0; sent < ex.route.MaxAttempts && unsent <= maxUnsent; {
 		if sent > 0 && !p.spend() {
-			return given(unknown, "no-budget", defaultRetryAfter), nil
+			return given(unknown, "no-budget", backoff), nil
 		}
 		queuedAt := time.Now()
 		decision := p.acquire(ex.ctx, want)
@@ -69,9 +76,15 @@
 		if stop, v := g.after(ex, a); stop {
 			return v, nil
 		}
+		if a.Target.Outcome == upstream.Rejected && decision.Load < 1 {
+			// The target was not full and is the one that knows the object.
+			backoff = soonRetryAfter
+			continue
+		}
+		backoff = defaultRetryAfter
 		want.Avoid = append(want.Avoid, decision.Target.ID)
 	}
-	return given(unknown, "no-attempt-left", defaultRetryAfter), nil
+	return given(unknown, "no-attempt-left", backoff), nil
 }
 
 // want says what the request needs of a target.
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -20,6 +20,10 @@
 	failuresToSuspect = 3
 	firstSuspicion    = 500 * time.Millisecond
 	maxSuspicion      = 4 * time.Second
+	// rejectionsToPause is the number of rejections in a row after which a target is
+	// paused though it has free slots. One that rejects half of its requests by chance
+	// seldom gets there, and its keys are cold elsewhere.
+	rejectionsToPause = 5
 	// rejectedPause keeps requests from a target that has just rejected one.
 	rejectedPause = 150 * time.Millisecond
 
@@ -54,7 +58,9 @@
 	// requests in flight.
 	unlisted bool
 
-	failures     int
+	failures int
+	// rejections is the number of rejections in a row.
+	rejections   int
 	suspicion    time.Duration
 	suspectUntil time.Time
 	// probing is set while one request tries a target after a suspicion.
@@ -137,6 +143,7 @@
 
 // end takes in what became of a request.
 func (t *target) end(now time.Time, r Result) {
+	full := t.load(now) >= float64(t.spec.Slots)
 	t.inFlight--
 	t.probing = false
 	if r.Report != nil {
@@ -144,10 +151,13 @@
 	}
 	switch r.Outcome {
 	case Answered:
-		t.failures, t.suspicion = 0, 0
+		t.failures, t.suspicion, t.rejections = 0, 0, 0
 	case Rejected:
 		t.failures, t.suspicion = 0, 0
-		t.pausedUntil = now.Add(rejectedPause)
+		t.rejections++
+		if full || t.rejections >= rejectionsToPause {
+			t.pausedUntil = now.Add(rejectedPause)
+		}
 	case Replaced:
 		t.replaced = true
 	case Unreachable, Silent:
