--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -36,6 +36,8 @@
 	targets []*target
 	// byRegion holds the same targets by region.
 	byRegion map[string][]*target
+	// usages hold the load of each region's targets.
+	usages map[string]*usage
 	// groups number the halls of each region.
 	groups map[string]int
 	// plans hold what was computed for each set of home regions.
@@ -62,6 +64,7 @@
 		regions:  len(regions),
 		byID:     make(map[string]*target),
 		byRegion: make(map[string][]*target),
+		usages:   make(map[string]*usage),
 		groups:   numberHalls(config.RegionOf),
 		plans:    make(map[string]*plan),
 		typical:  firstTypical,
@@ -190,10 +193,21 @@
 	}
 	t.group = p.groups[spec.Hall]
 	t.spec, t.region = spec, p.config.RegionOf[spec.Hall]
+	t.peers = p.usageOf(t.region)
 	t.evacuated, t.unlisted = evacuated, false
 	p.note(t, before, Answered)
 }
 
+// usageOf returns the usage of a region's targets.
+func (p *Pool) usageOf(region string) *usage {
+	u := p.usages[region]
+	if u == nil {
+		u = &usage{}
+		p.usages[region] = u
+	}
+	return u
+}
+
 // chill counts the target as cold from now on for a while. What was sent of late
 // counts against the quota, so the window begins full.
 func (t *target) chill(now time.Time, length time.Duration) {
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -46,6 +46,8 @@
 	// others is the number of requests of other instances at the target.
 	others   float64
 	othersAt time.Time
+	// peers is what the targets of the same region have reported of late.
+	peers *usage
 
 	coldUntil time.Time
 	quota     int
@@ -94,13 +96,21 @@
 	}
 }
 
-// load is the number of requests expected at the target.
+// load is the number of requests expected at the target. Where it has not reported of
+// late the load of its region's targets stands in: in a large fleet an instance hears
+// of each single one seldom.
 func (t *target) load(now time.Time) float64 {
-	return float64(t.inFlight) + t.others*t.freshness(now)
+	fresh := freshness(now.Sub(t.othersAt))
+	others := t.others * fresh
+	if fresh < 1 {
+		usual := t.peers.at(now)*float64(max(t.spec.Slots, 1)) - float64(t.inFlight)
+		others += (1 - fresh) * max(0, usual)
+	}
+	return float64(t.inFlight) + others
 }
 
-func (t *target) freshness(now time.Time) float64 {
-	age := now.Sub(t.othersAt)
+// freshness is how much a report of some age counts.
+func freshness(age time.Duration) float64 {
 	switch {
 	case age <= othersFresh:
 		return 1
@@ -148,6 +158,7 @@
 	t.probing = false
 	if r.Report != nil {
 		t.report(now, *r.Report)
+		t.peers.hear(now, *r.Report)
 	}
 	switch r.Outcome {
 	case Answered:
