Connections to far targets are opened ahead of need

Cause: a third of the requests to other regions had to open a connection, a round trip of 40 ms on sites whose objectives are 200 to 400 ms; targets close idle connections after about a second, and requests overlap. Ruled out: the margin before the limit that targets state (they state none here). Change: a request that leaves fewer than two idle connections to a target that takes 10 ms and more to connect to, and had a request within the last second, has one opened.

--- a/cmd/rainford/explain.go
+++ b/cmd/rainford/explain.go
@@ -58,7 +58,7 @@
 	Outcome string  `json:"outcome"`
 	Error   string  `json:"error"`
 	TookMs  int64   `json:"took_ms"`
-	// Reused says that the connection had carried other requests.
+	// Reused says that the connection was open before the request came.
 	Reused bool `json:"reused"`
 }
 
--- a/forward/client.go
+++ b/forward/client.go
@@ -46,16 +46,21 @@
 	headers Headers
 	codec   Codec
 	idle    idle
+	spares  spares
 }
 
 // NewClient returns a client without connections.
 func NewClient(headers Headers, codec Codec) *Client {
-	return &Client{headers: headers, codec: codec, idle: idle{conns: make(map[string][]*conn)}}
+	return &Client{headers: headers, codec: codec, idle: idle{conns: make(map[string][]*conn)},
+		spares: spares{slow: slowDial, targets: make(map[string]*spareState)}}
 }
 
 // Expire closes connections that were idle for too long. It is to be called now
 // and then.
-func (c *Client) Expire(now time.Time) { c.idle.expire(now) }
+func (c *Client) Expire(now time.Time) {
+	c.idle.expire(now)
+	c.spares.expire(now)
+}
 
 // Do sends a request and reads the answer.
 func (c *Client) Do(ctx context.Context, r *Request) Attempt {
@@ -83,10 +88,19 @@
 	if r.Once {
 		limit = maxIdleOnce
 	}
-	if cn := c.idle.take(r.Target, limit); cn != nil {
+	cn := c.idle.take(r.Target, limit)
+	if c.idle.count(r.Target) < sparesAhead && c.spares.begin(time.Now(), r.Target) {
+		go c.openSpare(r.Target, r.Addr)
+	}
+	if cn != nil {
 		return cn, nil
 	}
-	return dial(ctx, r.Addr, r.Deadline)
+	start := time.Now()
+	cn, err := dial(ctx, r.Addr, r.Deadline)
+	if err == nil {
+		c.spares.dialed(r.Target, time.Since(start))
+	}
+	return cn, err
 }
 
 // exchange writes the request and reads the answer. The connection is kept if
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -126,6 +126,13 @@
 	return c
 }
 
+// count returns the number of connections to a target that are kept.
+func (i *idle) count(target string) int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return len(i.conns[target])
+}
+
 func (i *idle) keep(target string, c *conn) {
 	c.idleAt = time.Now()
 	i.put(target, c)
--- a/forward/message.go
+++ b/forward/message.go
@@ -68,7 +68,7 @@
 	Target upstream.Result
 	// Sent says that some of the request may have arrived.
 	Sent bool
-	// Reused says that the connection had carried other requests.
+	// Reused says that the connection was open before the request came.
 	Reused bool
 	// Err says why there is no answer.
 	Err error
--- /dev/null
+++ b/forward/spare.go
@@ -0,0 +1,98 @@
+package forward
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+const (
+	// slowDial is how long it takes to open a connection to a target from which on one
+	// more is kept ready: within a region it takes one to three milliseconds, between
+	// regions forty and more, which a request that has to wait for it adds to its time.
+	slowDial = 10 * time.Millisecond
+	// sparesAhead is the number of idle connections to a far target below which one
+	// more is opened with a request. Measured best of 0 to 3 (docs/DECIDING.md).
+	sparesAhead = 2
+	// spareWithin is how recently a target must have had the request before, for
+	// another one to be likely before the target closes an idle connection.
+	spareWithin = time.Second
+	// spareForgotten is when what is known of a target's connections is dropped.
+	spareForgotten = time.Minute
+)
+
+// spares decides for which targets a connection is opened ahead of need. It is safe for
+// concurrent use.
+type spares struct {
+	// slow is slowDial, or less in tests.
+	slow time.Duration
+
+	mu      sync.Mutex
+	targets map[string]*spareState
+}
+
+// spareState is what is known of the connections to one target.
+type spareState struct {
+	usedAt  time.Time
+	took    time.Duration
+	opening bool
+}
+
+func (s *spares) state(target string) *spareState {
+	state := s.targets[target]
+	if state == nil {
+		state = &spareState{}
+		s.targets[target] = state
+	}
+	return state
+}
+
+// dialed notes how long it took to open a connection.
+func (s *spares) dialed(target string, took time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state(target).took = took
+}
+
+// begin notes a request to a target that leaves fewer than sparesAhead idle connections
+// there. It reports whether one is to be opened; end has to be called once it is.
+func (s *spares) begin(now time.Time, target string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	state := s.state(target)
+	recent := now.Sub(state.usedAt) < spareWithin
+	state.usedAt = now
+	if state.opening || !recent || state.took < s.slow {
+		return false
+	}
+	state.opening = true
+	return true
+}
+
+func (s *spares) end(target string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.state(target).opening = false
+}
+
+// expire forgets targets that have had no request for long.
+func (s *spares) expire(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for target, state := range s.targets {
+		if !state.opening && now.Sub(state.usedAt) >= spareForgotten {
+			delete(s.targets, target)
+		}
+	}
+}
+
+// openSpare opens a connection to a target and keeps it for a request to come.
+func (c *Client) openSpare(target, addr string) {
+	defer c.spares.end(target)
+	cn, err := dial(context.Background(), addr, time.Now().Add(maxDialTime))
+	if err != nil {
+		// The next request to the target dials by itself and says why it fails.
+		return
+	}
+	c.idle.keep(target, cn)
+}
