An answer that has arrived is read though the deadline has passed

Cause: a process that was paused over a request's deadline gave up on answers that lay in the kernel's buffer, though their targets had run the requests; clients got 504. Ruled out: the margin after the deadline, which covers 60 ms and no pause. Change: when the deadline has passed before the first byte was read, the connection is read for 5 ms more, which finds what has arrived and nothing else. TestArrivedAnswerIsRead was seen red on the old code (i/o timeout).

--- /dev/null
+++ b/forward/arrived_test.go
@@ -0,0 +1,56 @@
+package forward
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rainford/rainford/upstream"
+)
+
+// noCodec reads nothing.
+type noCodec struct{}
+
+func (noCodec) Load(string) *upstream.Report { return nil }
+func (noCodec) Replaced(int) bool            { return false }
+
+// pair returns a connection to a target and the target's side of it.
+func pair(t *testing.T) (*conn, net.Conn) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	c, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	server, err := l.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = server.Close() })
+	return &conn{Conn: c, reader: bufio.NewReader(c)}, server
+}
+
+// TestArrivedAnswerIsRead checks that an answer that has arrived is read although the
+// deadline has passed, as after a pause of the process, and that one that has not is
+// given up at once.
+func TestArrivedAnswerIsRead(t *testing.T) {
+	client := NewClient(Headers{RequestID: "Request-Id", Signature: "Signed"}, noCodec{})
+	r := &Request{Method: http.MethodGet, ID: "q1"}
+	cn, server := pair(t)
+	_, err := io.WriteString(server, "HTTP/1.1 200 OK\r\nRequest-Id: q1\r\nSigned: yes\r\nContent-Length: 2\r\n\r\nhi")
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return !cn.quiet() }, 5*time.Second, time.Millisecond)
+	require.NoError(t, cn.SetDeadline(time.Unix(1, 0)))
+	got, err := client.read(cn, r)
+	require.NoError(t, err)
+	require.Equal(t, "hi", string(got.body))
+
+	silent, _ := pair(t)
+	require.NoError(t, silent.SetDeadline(time.Unix(1, 0)))
+	_, err = client.read(silent, r)
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+}
--- a/forward/client.go
+++ b/forward/client.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -21,6 +22,9 @@
 	inlineBody = 8 << 10
 	// maxSurplus bounds the answers to other requests that are skipped.
 	maxSurplus = 8
+	// arrivedTime is how long an answer is read that had arrived when the deadline had
+	// passed: its bytes lie in the kernel's buffer.
+	arrivedTime = 5 * time.Millisecond
 	// keepAliveMargin is taken off the time that a target says it keeps a
 	// connection.
 	keepAliveMargin = time.Second
@@ -208,6 +212,10 @@
 // read reads answers until one that belongs to the request.
 func (c *Client) read(cn *conn, r *Request) (*answer, error) {
 	for range maxSurplus {
+		err := c.await(cn)
+		if err != nil {
+			return nil, err
+		}
 		resp, err := http.ReadResponse(cn.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return nil, err
@@ -233,6 +241,19 @@
 	return nil, ErrForeign
 }
 
+// await waits for the first byte of an answer until the connection's deadline. An answer
+// that has arrived by then is read even if this process was paused meanwhile and the
+// deadline has passed: the target has run the request.
+func (c *Client) await(cn *conn) error {
+	_, err := cn.reader.Peek(1)
+	if !errors.Is(err, os.ErrDeadlineExceeded) {
+		return err
+	}
+	_ = cn.SetReadDeadline(time.Now().Add(arrivedTime))
+	_, err = cn.reader.Peek(1)
+	return err
+}
+
 func errOr(err, fallback error) error {
 	if err != nil {
 		return err
