--- /dev/null
+++ b/upstream/bench_test.go
@@ -0,0 +1,37 @@
+package upstream_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/rainford/rainford/catalog"
+	"github.com/rainford/rainford/upstream"
+)
+
+// BenchmarkDecision measures a choice of a target and its end, at the numbers of targets
+// of a small, a grown and the largest service of the sites, with 100 keys.
+func BenchmarkDecision(b *testing.B) {
+	for _, n := range []int{12, 74, 372} {
+		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
+			p := newPool()
+			var specs []catalog.Target
+			names := []string{"a1", "a2", "b1", "c1"}
+			for i := range n {
+				specs = append(specs, catalog.Target{ID: fmt.Sprint("t-", i), Service: "s", Addr: "x", Hall: names[i%len(names)], Slots: 5})
+			}
+			p.SetTargets(start, specs, nil)
+			requests := make([]upstream.Request, 100)
+			for i := range requests {
+				requests[i] = request(fmt.Sprint("r-abc/", i))
+			}
+			now := start
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now = now.Add(time.Millisecond)
+				d := p.Acquire(now, requests[i%len(requests)])
+				p.Release(now, d.Target.ID, upstream.Result{Took: 100 * time.Millisecond})
+			}
+		})
+	}
+}
