The place of a key among the shares is computed once a request

Cause: the fit of shares to keys hashed the key once more for each choice, and noted it again for each look at the queue. Change: Acquire computes and notes it once.

--- a/upstream/plan.go
+++ b/upstream/plan.go
@@ -55,9 +55,6 @@
 		pl = &plan{mover: locality.Mover{Step: p.config.ShiftStep, Window: p.config.ShiftWindow}, stale: true}
 		p.plans[key] = pl
 	}
-	if r.Sticky {
-		pl.points.Note(now, point(r.Key))
-	}
 	if pl.stale {
 		p.compute(pl, r)
 	}
@@ -99,12 +96,9 @@
 
 // draw returns the region of the request.
 func (p *Pool) draw(pl *plan, r *Request) string {
-	return locality.Draw(p.config.Region, pl.shares, point(r.Key))
+	return locality.Draw(p.config.Region, pl.shares, r.point)
 }
 
-// point returns the place of a key among the shares, in [0, 1).
-func point(key string) float64 { return mix.Unit(mix.Pair(key, "region")) }
-
 // regionSlots returns the slots of each region whose targets are meant to serve:
 // suspicion and coldness pass, so that they do not move shares.
 func (p *Pool) regionSlots(r *Request) map[string]float64 {
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -225,6 +225,10 @@
 
 // Acquire chooses a target for a request, queues the request, or refuses it.
 func (p *Pool) Acquire(now time.Time, r Request) Decision {
+	r.point = mix.Unit(mix.Pair(r.Key, "region"))
+	if r.Sticky {
+		p.planFor(now, &r).points.Note(now, r.point)
+	}
 	c := p.choose(now, &r)
 	if c.found {
 		return p.send(now, &r, c)
--- a/upstream/request.go
+++ b/upstream/request.go
@@ -26,6 +26,9 @@
 	Patience time.Duration
 	// Avoid are the targets that the request was sent to already.
 	Avoid []string
+
+	// point is the place of the key among the shares of regions, in [0, 1).
+	point float64
 }
 
 func (r *Request) avoids(id string) bool {
