Quotas of cold targets are computed only while a target is cold

Cause: each change of the known instances divided what every target bears anew, a sort of its hall's instances for each target. At 1,047 targets and 33 instances a hall that is 10.8 ms of a whole core for one service, again for each instance that is heard of, of which there are 294 while a fleet starts, on cores of 0.16. Ruled out: batching the changes alone; each would still cost that much for targets that are warm. Change: a target's quota is computed when it is asked for and kept until the instances, the rate or its hall change. The tests of quotas are as they were and pass.

--- a/upstream/bench_test.go
+++ b/upstream/bench_test.go
@@ -35,3 +35,28 @@
 		})
 	}
 }
+
+// BenchmarkMembers measures a change of the known instances, of which there are many
+// while a fleet starts, at the sizes of a small, a grown and a large site.
+func BenchmarkMembers(b *testing.B) {
+	for _, size := range []struct{ targets, instances int }{{24, 2}, {212, 12}, {1047, 33}} {
+		b.Run(fmt.Sprintf("targets=%d/instances=%d", size.targets, size.instances), func(b *testing.B) {
+			p := newPool()
+			var specs []catalog.Target
+			names := []string{"a1", "a2", "b1", "c1"}
+			for i := range size.targets {
+				specs = append(specs, catalog.Target{ID: fmt.Sprint("t-", i), Service: "s", Addr: "x", Hall: names[i%len(names)], Slots: 5})
+			}
+			p.SetTargets(start, specs, nil)
+			members := make(map[string][]string)
+			for _, hall := range names {
+				for i := range size.instances {
+					members[hall] = append(members[hall], fmt.Sprintf("edge-%s-%d", hall, i))
+				}
+			}
+			for b.Loop() {
+				p.SetMembers(members)
+			}
+		})
+	}
+}
--- a/upstream/choose.go
+++ b/upstream/choose.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/rainford/rainford/affinity"
-	"github.com/rainford/rainford/warmup"
 )
 
 const (
@@ -29,12 +28,6 @@
 	reason Reason
 }
 
-// quota returns what this instance may send to a target in any second while it
-// is cold.
-func (p *Pool) quota(t *target) int {
-	return warmup.Quota(p.config.Self, t.spec.ID, p.members[t.spec.Hall], p.rate)
-}
-
 // choose picks the target of a request: in the region drawn for it, or, if no
 // target there can be used at all, in another one. Full targets do not send a
 // request to another region: that would shift traffic faster than the bound.
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -28,8 +28,7 @@
 	config  Config
 	regions int
 	warmup  time.Duration
-	rate    float64
-	members map[string][]string
+	quotas  *quotas
 	rows    []table.Row
 
 	byID    map[string]*target
@@ -62,6 +61,7 @@
 	return &Pool{
 		config:   config,
 		regions:  len(regions),
+		quotas:   &quotas{self: config.Self, version: 1},
 		byID:     make(map[string]*target),
 		byRegion: make(map[string][]*target),
 		usages:   make(map[string]*usage),
@@ -94,8 +94,8 @@
 
 // SetService takes in what the configuration says of the service.
 func (p *Pool) SetService(s catalog.Service) {
-	p.warmup, p.rate = s.Warmup, s.WarmupRate
-	p.setQuotas()
+	p.warmup = s.Warmup
+	p.quotas.setRate(s.WarmupRate)
 }
 
 // SetRows takes in the operators' rows for requests that enter in the own region.
@@ -108,8 +108,7 @@
 // SetMembers takes in the names of the instances known in each hall, which
 // share what cold targets bear.
 func (p *Pool) SetMembers(members map[string][]string) {
-	p.members = members
-	p.setQuotas()
+	p.quotas.setMembers(members)
 }
 
 // SetTargets takes in the service's targets and the evacuated halls, and returns
@@ -127,7 +126,6 @@
 		}
 	}
 	p.arrange()
-	p.setQuotas()
 	return p.dispatch(now)
 }
 
@@ -154,11 +152,6 @@
 		return nil
 	}
 	p.arrange()
-	for _, spec := range changed {
-		if t := p.byID[spec.ID]; t != nil {
-			t.quota = p.quota(t)
-		}
-	}
 	return p.dispatch(now)
 }
 
@@ -180,7 +173,7 @@
 func (p *Pool) setTarget(now time.Time, spec catalog.Target, evacuated bool) {
 	t := p.byID[spec.ID]
 	if t == nil {
-		t = &target{known: make(map[string]time.Time), hash: affinity.Hash(spec.ID), coldUntil: now}
+		t = &target{known: make(map[string]time.Time), hash: affinity.Hash(spec.ID), coldUntil: now, quotas: p.quotas}
 		p.byID[spec.ID] = t
 	}
 	before := t.belief()
@@ -217,12 +210,6 @@
 	clear(t.known)
 }
 
-func (p *Pool) setQuotas() {
-	for _, t := range p.targets {
-		t.quota = p.quota(t)
-	}
-}
-
 // Acquire chooses a target for a request, queues the request, or refuses it.
 func (p *Pool) Acquire(now time.Time, r Request) Decision {
 	r.point = mix.Unit(mix.Pair(r.Key, "region"))
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -50,7 +50,8 @@
 	peers *usage
 
 	coldUntil time.Time
-	quota     int
+	quotas    *quotas
+	quota     quota
 	window    warmup.Window
 
 	evacuated bool
@@ -90,7 +91,7 @@
 	case t.suspicion > 0 && t.probing:
 		return false
 	case t.cold(now):
-		return t.window.Free(now, t.quota)
+		return t.window.Free(now, t.quotaNow())
 	default:
 		return true
 	}
@@ -144,7 +145,7 @@
 func (t *target) begin(now time.Time) {
 	t.inFlight++
 	if t.cold(now) {
-		t.window.Take(now, t.quota)
+		t.window.Take(now, t.quotaNow())
 	}
 	if t.suspicion > 0 {
 		t.probing = true
