Membership: instances hear from a fixed number of others, and ask before they suspect

Cause: in a fleet of 32 and more, members of other regions are not followed, but were held suspect whenever they had not written by themselves for 2.5 s, so each message from another region ended in a suspicion. In the own region partners drawn at random leave some instances without news for long. The model of a calm minute counts 377,405 views that suspect a living instance at 74 instances and 6,714,952 at 295 (TestCalmMinute, red). Ruled out: a longer limit, which delays the news of a death as much; partners at powers of the fanout (news of one member comes in few rounds of a cycle: 1,873 wrong views at 295, and more questions); partners drawn by each for itself. Change: a member that is not followed is unknown, not suspect. The partners of a round stand at distances that all instances share, so that each hears from three others. One that was silent for two rounds is asked directly, twice, before it is suspected after four. The partner in another region is the one at the same place there, not one of the few that were heard. Beats are of 5 bytes in place of 9, revisions a list in place of a map, and instances introduce themselves in one message of eight. Before and after (go test ./fleet -run 'Sizes|Calm' -v -large), 12, 85, 300, 730 instances: bytes sent 1.5, 2.1, 4.8, 5.5 KB/s to 0.9, 1.6, 4.1, 4.5; wrong views in a calm minute to none at 12, 74, 295, 730; a death known to all of the region after 2.5, 4, 5, 4.5 s to 2, 3, 3, 3 s. TestHallCut: both sides of a cut know within 5 s, and of its end.

--- a/fleet/model_test.go
+++ b/fleet/model_test.go
@@ -11,7 +11,6 @@
 	"github.com/stretchr/testify/require"
 	"github.com/vmihailenco/msgpack/v5"
 
-	"github.com/rainford/rainford/feed"
 	"github.com/rainford/rainford/fleet"
 	"github.com/rainford/rainford/peer"
 )
@@ -24,21 +23,29 @@
 	dead    map[string]bool
 	now     time.Time
 	rnd     *rand.Rand
-	bytes   int
-	rounds  int
+	// turns is the order in which instances gossip within a round: they started at
+	// different moments.
+	turns []string
+	// cut tells whether two instances can't reach each other, nil if all can.
+	cut    func(a, b string) bool
+	bytes  int
+	rounds int
 }
 
 // large adds the fleet of the size to come, which takes a minute.
 var large = flag.Bool("large", false, "run the model of 730 instances too")
 
-const round = 500 * time.Millisecond
+const round = fleet.RoundTime
 
 // revisions are those that a message of gossip carries.
-var revisions = map[feed.Kind]int64{"configuration": 70_000, "targets": 70_000, "evacuations": 70_000, "table": 70_000, "instances": 70_000}
+var revisions = []int64{70_000, 70_000, 70_000, 70_000, 70_000}
+
+// introduceEvery is the number of messages of which one carries the sender itself.
+const introduceEvery = 8
 
 func newModel(n, regions int, seed uint64) *model {
 	m := &model{views: map[string]*fleet.View{}, members: map[string]fleet.Member{}, dead: map[string]bool{},
-		now: time.Unix(0, 0), rnd: rand.New(rand.NewPCG(seed, 1))}
+		now: time.Date(2026, 12, 2, 0, 0, 0, 0, time.UTC), rnd: rand.New(rand.NewPCG(seed, 1))}
 	for i := range n {
 		name := fmt.Sprintf("edge-%03d", i)
 		m.members[name] = fleet.Member{Name: name, Hall: fmt.Sprint("h", i%(3*regions)), Region: fmt.Sprint("r", i%regions),
@@ -51,6 +58,8 @@
 		}
 		m.views[name] = v
 	}
+	m.turns = m.names()
+	m.rnd.Shuffle(len(m.turns), func(i, j int) { m.turns[i], m.turns[j] = m.turns[j], m.turns[i] })
 	return m
 }
 
@@ -65,31 +74,64 @@
 	return out
 }
 
-// round has every instance gossip once, in a drawn order.
+// round has every instance gossip once.
 func (m *model) round() {
 	m.now = m.now.Add(round)
 	m.rounds++
-	names := m.names()
-	m.rnd.Shuffle(len(names), func(i, j int) { names[i], names[j] = names[j], names[i] })
-	for _, name := range names {
+	for _, name := range m.turns {
+		if m.dead[name] {
+			continue
+		}
 		v := m.views[name]
 		flags := fleet.Ready
 		if v.Watches(m.now) {
 			flags |= fleet.Watching
 		}
 		v.SetFlags(flags)
-		v.Beat()
+		v.Beat(m.now)
 		for _, partner := range v.Partners(m.now, m.rnd) {
 			beats := v.Beats(m.now, partner.Region)
-			raw, err := peer.Encode(&peer.Gossip{From: v.Self(), Beats: beats, Revisions: revisions})
-			if err != nil {
-				panic(err)
+			message := &peer.Gossip{Beats: beats, Revisions: revisions}
+			if m.rounds%introduceEvery == 0 {
+				self := v.Self()
+				message.Member = &self
 			}
-			m.bytes += len(raw)
-			if !m.dead[partner.Name] && m.rnd.IntN(50) > 0 {
+			m.send(message)
+			if m.reaches(name, partner.Name) {
 				m.views[partner.Name].Hear(m.now, beats)
 			}
 		}
+		m.probe(v)
+	}
+}
+
+// send counts the bytes of a message.
+func (m *model) send(message peer.Message) {
+	raw, err := peer.Encode(message)
+	if err != nil {
+		panic(err)
+	}
+	m.bytes += len(raw)
+}
+
+// reaches tells whether a message arrives. One in fifty is lost.
+func (m *model) reaches(from, to string) bool {
+	if m.dead[to] || (m.cut != nil && m.cut(from, to)) {
+		return false
+	}
+	return m.rnd.IntN(50) > 0
+}
+
+// probe has an instance ask those that it doubts. An answer comes back at once.
+func (m *model) probe(v *fleet.View) {
+	for _, asked := range v.Probes(m.now) {
+		m.send(&peer.Probe{ReplyTo: v.Self().PeerAddr})
+		if !m.reaches(v.Self().Name, asked.Name) {
+			continue
+		}
+		answer := fleet.Beats{m.views[asked.Name].OwnBeat()}
+		m.send(&peer.Gossip{Beats: answer, Reply: true})
+		v.Hear(m.now, answer)
 	}
 }
 
@@ -120,7 +162,7 @@
 	view := fleet.NewView(other, fleet.NumberAt(now), fleet.DefaultSettings)
 	view.Add(self)
 	ahead := fleet.NewView(self, fleet.NumberAt(now.Add(time.Hour)), fleet.DefaultSettings)
-	ahead.Beat()
+	ahead.Beat(now.Add(time.Hour))
 	view.Hear(now, ahead.Beats(now, "r"))
 	now = now.Add(time.Minute)
 	fresh := fleet.NewView(self, fleet.NumberAt(now), fleet.DefaultSettings)
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -1,25 +1,35 @@
 package fleet
 
 import (
-	"math/rand/v2"
+	"slices"
 	"sort"
+	"strings"
 	"time"
 )
 
 // Settings are the settings of a view.
 type Settings struct {
-	// SuspectAfter is the time without a new heartbeat after which a member
-	// is suspected.
-	SuspectAfter time.Duration
+	// ProbeAfter is the time without a new heartbeat after which a member of the
+	// own region is asked directly, and SuspectAfter that after which it is
+	// suspected.
+	ProbeAfter, SuspectAfter time.Duration
 	// Watchers is the number of watchers in each region.
 	Watchers int
-	// Near and Far are the numbers of members of the own region and of other
-	// regions that a round of gossip goes to.
-	Near, Far int
+	// Near is the number of members of the own region that a round of gossip goes
+	// to.
+	Near int
 }
 
-// DefaultSettings suit a gossip twice a second.
-var DefaultSettings = Settings{SuspectAfter: 2500 * time.Millisecond, Watchers: 2, Near: 2, Far: 1}
+// DefaultSettings suit a round of gossip each RoundTime. With three partners news of a
+// member mostly comes in each round, and of one in a hundred in the third one only, so
+// one that was silent for two rounds is asked, twice before it is suspected. The model
+// tests measure what follows at 12 to 730 instances.
+var DefaultSettings = Settings{
+	ProbeAfter:   2 * RoundTime,
+	SuspectAfter: 4 * RoundTime,
+	Watchers:     2,
+	Near:         3,
+}
 
 // View is one instance's view of the fleet. It is not safe for concurrent use.
 type View struct {
@@ -28,8 +38,15 @@
 	beat     Beat
 	members  map[string]*record
 	byID     map[ID]*record
-	// order holds the names of the members in order.
-	order []string
+	// order holds the members in the order of their names.
+	order []*record
+	// near are the members of the own region and far those of the others, by region,
+	// in the order of ringLess. farRegions are the regions of far in order.
+	near       []*record
+	far        map[string][]*record
+	farRegions []string
+	// round counts the rounds of gossip.
+	round int64
 }
 
 type record struct {
@@ -50,9 +67,22 @@
 		beat:     Beat{Member: IDOf(self.Name), Number: number},
 		members:  make(map[string]*record),
 		byID:     make(map[ID]*record),
+		far:      make(map[string][]*record),
 	}
 }
 
+// Member returns the member of an ID, the own one too.
+func (v *View) Member(id ID) (Member, bool) {
+	if id == v.beat.Member {
+		return v.self, true
+	}
+	r := v.byID[id]
+	if r == nil {
+		return Member{}, false
+	}
+	return r.member, true
+}
+
 // Self returns the own member.
 func (v *View) Self() Member { return v.self }
 
@@ -70,17 +100,40 @@
 		v.arrange()
 		return
 	}
-	r.member = m
+	if r.member != m {
+		r.member = m
+		v.arrange()
+	}
 }
 
 func (v *View) arrange() {
-	v.order = v.order[:0]
+	v.order, v.near, v.farRegions = v.order[:0], v.near[:0], v.farRegions[:0]
 	clear(v.byID)
+	clear(v.far)
 	for name, r := range v.members {
-		v.order = append(v.order, name)
+		v.order = append(v.order, r)
 		v.byID[IDOf(name)] = r
 	}
-	sort.Strings(v.order)
+	slices.SortFunc(v.order, func(a, b *record) int { return strings.Compare(a.member.Name, b.member.Name) })
+	for _, r := range v.order {
+		if r.member.Region == v.self.Region {
+			v.near = append(v.near, r)
+			continue
+		}
+		v.far[r.member.Region] = append(v.far[r.member.Region], r)
+	}
+	byRing := func(a, b *record) int {
+		if ringLess(a.member, b.member) {
+			return -1
+		}
+		return 1
+	}
+	slices.SortFunc(v.near, byRing)
+	for region, ring := range v.far {
+		v.farRegions = append(v.farRegions, region)
+		slices.SortFunc(ring, byRing)
+	}
+	sort.Strings(v.farRegions)
 }
 
 // Remove drops a member that is known from the store alone and not alive.
@@ -93,7 +146,7 @@
 }
 
 // Beat counts one heartbeat of the own process.
-func (v *View) Beat() { v.beat.Number++ }
+func (v *View) Beat(now time.Time) { v.beat.Number = max(v.beat.Number+1, NumberAt(now)) }
 
 // fullView is the number of members up to which beats of all are passed on. In a
 // larger fleet an instance follows its own region and the others' watchers.
@@ -103,8 +156,7 @@
 func (v *View) Beats(now time.Time, region string) Beats {
 	out := make(Beats, 0, len(v.order)+1)
 	out = append(out, v.beat)
-	for _, name := range v.order {
-		r := v.members[name]
+	for _, r := range v.order {
 		if now.Sub(r.heardAt) < v.settings.SuspectAfter && v.concerns(r, region) {
 			out = append(out, r.beat)
 		}
@@ -121,6 +173,11 @@
 	return region == v.self.Region && r.member.Region == region
 }
 
+// follows tells whether the heartbeats of a member are expected to arrive.
+func (v *View) follows(r *record) bool {
+	return len(v.members) < fullView || r.member.Region == v.self.Region
+}
+
 // Hear takes in beats.
 func (v *View) Hear(now time.Time, beats Beats) {
 	for _, b := range beats {
@@ -145,6 +202,9 @@
 	}
 }
 
+// OwnBeat returns the heartbeat of the own process.
+func (v *View) OwnBeat() Beat { return v.beat }
+
 // Outlived returns a heartbeat of the sender's member that is newer than all that the
 // sender itself knows: an earlier process had a clock that was ahead. The sender has
 // to be told, or its own heartbeats would count for nothing.
@@ -170,74 +230,40 @@
 }
 
 func (v *View) state(now time.Time, r *record) State {
-	silent := r.heardAt.IsZero() || now.Sub(r.heardAt) >= v.settings.SuspectAfter
+	heard := !r.heardAt.IsZero()
+	silent := now.Sub(r.heardAt) >= v.settings.SuspectAfter
+	refused := r.refusedAt.After(r.heardAt)
 	switch {
-	case r.beat.Flags&Leaving != 0 && !r.heardAt.IsZero():
+	case heard && r.beat.Flags&Leaving != 0:
 		return Gone
-	case silent || r.refusedAt.After(r.heardAt):
+	case heard && !silent && !refused:
+		return Alive
+	case v.follows(r) && (heard || refused):
 		return Suspect
 	default:
-		return Alive
+		return Unknown
 	}
 }
 
 // All returns every member, the own one too, in the order of names.
 func (v *View) All(now time.Time) []Status {
-	out := make([]Status, 0, len(v.order)+1)
 	own := Status{Member: v.self, State: Alive, Flags: v.beat.Flags}
 	if v.beat.Flags&Leaving != 0 {
 		own.State = Gone
 	}
-	placed := false
-	for _, name := range v.order {
-		if !placed && name > v.self.Name {
-			out = append(out, own)
-			placed = true
-		}
-		r := v.members[name]
+	out := v.Others(now)
+	at := sort.Search(len(out), func(i int) bool { return out[i].Name > v.self.Name })
+	return slices.Insert(out, at, own)
+}
+
+// Others returns every member but the own one, in the order of names.
+func (v *View) Others(now time.Time) []Status {
+	out := make([]Status, 0, len(v.order)+1)
+	for _, r := range v.order {
 		out = append(out, Status{Member: r.member, State: v.state(now, r), Flags: r.beat.Flags})
 	}
-	if !placed {
-		out = append(out, own)
-	}
 	return out
 }
 
 // Len returns the number of members, the own one too.
 func (v *View) Len() int { return len(v.order) + 1 }
-
-// Partners draws the members that a round of gossip goes to: some of the own
-// region and some of others. Members that are not alive are tried once in a while,
-// so that a healed cut is noticed; of another region only if none there is alive,
-// since those of a large fleet are not followed one by one.
-func (v *View) Partners(now time.Time, rnd *rand.Rand) []Member {
-	var near, far, silent, silentFar []Member
-	heard := make(map[string]bool)
-	for _, s := range v.All(now) {
-		switch {
-		case s.Name == v.self.Name:
-		case s.State == Alive && s.Region == v.self.Region:
-			near = append(near, s.Member)
-		case s.State == Alive:
-			far = append(far, s.Member)
-			heard[s.Region] = true
-		case s.Region == v.self.Region || len(v.members) < fullView:
-			silent = append(silent, s.Member)
-		default:
-			silentFar = append(silentFar, s.Member)
-		}
-	}
-	for _, m := range silentFar {
-		if !heard[m.Region] {
-			silent = append(silent, m)
-		}
-	}
-	out := draw(near, v.settings.Near, rnd)
-	out = append(out, draw(far, v.settings.Far, rnd)...)
-	return append(out, draw(silent, 1, rnd)...)
-}
-
-func draw(from []Member, n int, rnd *rand.Rand) []Member {
-	rnd.Shuffle(len(from), func(i, j int) { from[i], from[j] = from[j], from[i] })
-	return from[:min(n, len(from))]
-}
--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -8,11 +8,11 @@
 // never none: an instance that hears of no watcher is the first in its own view.
 func (v *View) Watches(now time.Time) bool {
 	before := 0
-	for _, s := range v.All(now) {
-		if s.Name == v.self.Name {
+	for _, r := range v.order {
+		if r.member.Name > v.self.Name {
 			return true
 		}
-		if s.Region == v.self.Region && s.State == Alive && s.Flags&Deaf == 0 {
+		if r.member.Region == v.self.Region && v.state(now, r) == Alive && r.beat.Flags&Deaf == 0 {
 			before++
 		}
 		if before >= v.settings.Watchers {
@@ -24,11 +24,10 @@
 
 // WatchesFirst tells whether the own process is the first watcher of its region.
 func (v *View) WatchesFirst(now time.Time) bool {
-	for _, name := range v.order {
-		if name > v.self.Name {
+	for _, r := range v.order {
+		if r.member.Name > v.self.Name {
 			break
 		}
-		r := v.members[name]
 		if r.member.Region == v.self.Region && v.state(now, r) == Alive && r.beat.Flags&Deaf == 0 {
 			return false
 		}
@@ -42,7 +41,7 @@
 	var out []Member
 	for _, s := range v.All(now) {
 		near := s.Region == v.self.Region
-		if s.Name == v.self.Name || s.State == Suspect {
+		if s.Name == v.self.Name || s.State == Suspect || s.State == Unknown {
 			continue
 		}
 		if near || s.Flags&Watching != 0 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -39,6 +39,8 @@
 	listeners listeners
 	front     *http.Server
 
+	startedAt time.Time
+
 	// mu guards the replicas and the view.
 	mu        sync.Mutex
 	replicas  map[feed.Kind]*feed.Replica
@@ -47,7 +49,9 @@
 	evacuated map[string]bool
 	specs     map[string]catalog.Target
 	askedAt   map[feed.Kind]time.Time
-	lag       map[feed.Kind]lag
+	// rounds counts the rounds of gossip.
+	rounds int
+	lag    map[feed.Kind]lag
 	// lapse holds back removals of targets after an outage of the store.
 	lapse    feed.Lapse
 	reported reporter
@@ -85,6 +89,7 @@
 		replicas:  make(map[feed.Kind]*feed.Replica),
 		evacuated: make(map[string]bool),
 		specs:     make(map[string]catalog.Target),
+		startedAt: time.Now(),
 		askedAt:   make(map[feed.Kind]time.Time),
 		lag:       make(map[feed.Kind]lag),
 		rand:      rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), rand.Uint64())),
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -10,7 +10,12 @@
 )
 
 const (
-	gossipEvery = 500 * time.Millisecond
+	// introduceFor is the time from its start on for which an instance introduces
+	// itself in all its messages, and introduceEvery the number of rounds between
+	// two introductions later: most others know it from the store or from the first
+	// time, and those of a hall that was cut off until then learn of it late.
+	introduceFor   = 10 * time.Second
+	introduceEvery = 8
 	// askEvery is the shortest time between two questions for a kind.
 	askEvery = 300 * time.Millisecond
 	// askAfter and askFarAfter are how long a watcher's push may take before an
@@ -24,7 +29,7 @@
 // gossipLoop tells others what this instance knows of the fleet and how far its
 // replicas are.
 func (g *Gateway) gossipLoop(ctx context.Context) {
-	ticker := time.NewTicker(gossipEvery)
+	ticker := time.NewTicker(fleet.RoundTime)
 	defer ticker.Stop()
 	for {
 		g.gossip(time.Now(), false)
@@ -47,11 +52,15 @@
 		g.log.Warn(logStoreLost, "error", "others hear changes that the own watch does not bring")
 	}
 	g.view.SetFlags(g.flags())
-	g.view.Beat()
+	g.view.Beat(now)
+	g.rounds++
 	partners := g.partners(now, wide)
 	for _, m := range partners {
 		g.mesh.Send(m.PeerAddr, g.message(now, m.Region))
 	}
+	for _, m := range g.view.Probes(now) {
+		g.mesh.Send(m.PeerAddr, &peer.Probe{ReplyTo: g.view.Self().PeerAddr})
+	}
 	if len(partners) > 0 {
 		return
 	}
@@ -62,9 +71,13 @@
 
 // message returns what this instance tells one of a region. The caller holds mu.
 func (g *Gateway) message(now time.Time, region string) *peer.Gossip {
-	m := &peer.Gossip{From: g.view.Self(), Beats: g.view.Beats(now, region), Revisions: make(map[feed.Kind]int64)}
-	for kind, replica := range g.replicas {
-		m.Revisions[kind] = replica.At()
+	m := &peer.Gossip{Beats: g.view.Beats(now, region), Revisions: make([]int64, 0, len(kinds))}
+	for _, kind := range kinds {
+		m.Revisions = append(m.Revisions, g.replicas[kind].At())
+	}
+	if now.Sub(g.startedAt) < introduceFor || g.rounds%introduceEvery == 0 {
+		self := g.view.Self()
+		m.Member = &self
 	}
 	return m
 }
@@ -93,7 +106,7 @@
 	}
 	var out []fleet.Member
 	for _, s := range g.view.All(now) {
-		if s.State != fleet.Suspect && s.Name != g.config.Name {
+		if (s.State == fleet.Alive || s.State == fleet.Gone) && s.Name != g.config.Name {
 			out = append(out, s.Member)
 		}
 	}
@@ -108,13 +121,31 @@
 	case *peer.Delta:
 		g.learnLapse(m)
 		if !g.take(m.Delta, from) {
-			g.ask(time.Now(), from, m.Kind)
+			g.askFor(from, m.Kind)
 		}
 	case *peer.Since:
 		g.answer(m)
+	case *peer.Probe:
+		g.answerProbe(m)
 	}
 }
 
+// answerProbe tells an instance that doubts it that this one is alive.
+func (g *Gateway) answerProbe(m *peer.Probe) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.view.SetFlags(g.flags())
+	g.view.Beat(time.Now())
+	g.mesh.Send(m.ReplyTo, &peer.Gossip{Beats: fleet.Beats{g.view.OwnBeat()}, Reply: true})
+}
+
+// askFor asks an instance for the changes of a kind whose last delta left a gap.
+func (g *Gateway) askFor(from string, kind feed.Kind) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ask(time.Now(), from, kind)
+}
+
 // learnLapse has removals held back as long as the sender of the delta does.
 func (g *Gateway) learnLapse(m *peer.Delta) {
 	if m.Kind != KindTargets || m.Lapse <= 0 {
@@ -135,42 +166,62 @@
 // hear takes in gossip and asks the sender for what it is ahead with. A sender
 // that is behind is told so, and will ask.
 func (g *Gateway) hear(m *peer.Gossip) {
+	if len(m.Beats) == 0 {
+		return
+	}
 	now := time.Now()
-	var behind []feed.Kind
 	g.heardNews(now)
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	known := g.view.Len()
-	g.view.Add(m.From)
+	if m.Member != nil {
+		g.view.Add(*m.Member)
+	}
 	g.view.Hear(now, m.Beats)
 	if g.view.Len() != known {
 		g.shareOut(now)
 	}
-	ahead := false
-	for kind, replica := range g.replicas {
-		switch revision := m.Revisions[kind]; {
-		case revision > replica.At():
-			if g.lags(now, kind, replica.At(), m.From.Region == g.config.Region) {
-				behind = append(behind, kind)
-			}
-		case revision < replica.At() && (revision == 0 || urgent(kind)):
-			ahead = true
-		}
+	sender, ok := g.view.Member(m.Beats[0].Member)
+	if !ok {
+		// It introduces itself before long.
+		return
 	}
+	behind, ahead := g.compare(now, m.Revisions, sender.Region == g.config.Region)
 	outlived, behindItself := g.view.Outlived(m.Beats)
 	if (ahead || behindItself) && !m.Reply {
-		reply := g.message(now, m.From.Region)
+		reply := g.message(now, sender.Region)
 		reply.Reply = true
 		if behindItself {
 			reply.Beats = append(reply.Beats, outlived)
 		}
-		g.mesh.Send(m.From.PeerAddr, reply)
+		g.mesh.Send(sender.PeerAddr, reply)
 	}
-	g.mu.Unlock()
 	for _, kind := range behind {
-		g.ask(now, m.From.PeerAddr, kind)
+		g.ask(now, sender.PeerAddr, kind)
 	}
 }
 
+// compare holds the revisions of another instance, which is near or not, against the own
+// ones. It returns the kinds to ask it for, and whether it has to be told that it is
+// behind. The caller holds mu.
+func (g *Gateway) compare(now time.Time, revisions []int64, near bool) (behind []feed.Kind, ahead bool) {
+	for i, kind := range kinds {
+		if i >= len(revisions) {
+			break
+		}
+		at := g.replicas[kind].At()
+		switch revision := revisions[i]; {
+		case revision > at:
+			if g.lags(now, kind, at, near) {
+				behind = append(behind, kind)
+			}
+		case revision < at && (revision == 0 || urgent(kind)):
+			ahead = true
+		}
+	}
+	return behind, ahead
+}
+
 // lag is since when a replica was seen to be behind at a revision.
 type lag struct {
 	revision int64
@@ -196,10 +247,9 @@
 	return now.Sub(g.lag[kind].since) >= after
 }
 
-// ask asks an instance for the changes of a kind since the own revision.
+// ask asks an instance for the changes of a kind since the own revision. The caller holds
+// mu.
 func (g *Gateway) ask(now time.Time, addr string, kind feed.Kind) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	if g.replicas[kind] == nil || now.Sub(g.askedAt[kind]) < askEvery {
 		return
 	}
--- a/peer/message.go
+++ b/peer/message.go
@@ -27,6 +27,7 @@
 	kindGossip
 	kindDelta
 	kindSince
+	kindProbe
 )
 
 // Message is a message between instances.
@@ -83,12 +84,17 @@
 	Reply claim.Reply `msgpack:"r"`
 }
 
-// Gossip tells of the sender, the beats that it knows and the revisions that its
-// replicas reflect.
+// Gossip tells of the beats that the sender knows and the revisions that its replicas
+// reflect.
 type Gossip struct {
-	From      fleet.Member        `msgpack:"f"`
-	Beats     fleet.Beats         `msgpack:"b"`
-	Revisions map[feed.Kind]int64 `msgpack:"r"`
+	// Beats begin with the sender's own, which names it.
+	Beats fleet.Beats `msgpack:"b"`
+	// Member is the sender itself, for receivers that may not know it; nil in most
+	// messages.
+	Member *fleet.Member `msgpack:"m,omitempty"`
+	// Revisions are those of the sender's replicas, in an order of kinds that all
+	// instances share. New kinds come last.
+	Revisions []int64 `msgpack:"r,omitempty"`
 	// Reply marks an answer to gossip, which is not answered again.
 	Reply bool `msgpack:"a,omitempty"`
 }
@@ -109,6 +115,13 @@
 	ReplyTo string `msgpack:"a"`
 }
 
+// Probe asks whether the receiver is alive. The answer is Gossip with the receiver's own
+// beat alone.
+type Probe struct {
+	// ReplyTo is the asker's peer address.
+	ReplyTo string `msgpack:"a"`
+}
+
 // NewObject returns the message that passes obj on.
 func NewObject(obj objectstore.Object) *Object {
 	return &Object{Key: obj.Key, Version: obj.Version, Value: obj.Value}
@@ -125,6 +138,7 @@
 func (*Gossip) kind() kind     { return kindGossip }
 func (*Delta) kind() kind      { return kindDelta }
 func (*Since) kind() kind      { return kindSince }
+func (*Probe) kind() kind      { return kindProbe }
 
 // empty returns a new message of a kind, or nil for an unknown one.
 func empty(k kind) Message {
@@ -151,6 +165,8 @@
 		return &Delta{}
 	case kindSince:
 		return &Since{}
+	case kindProbe:
+		return &Probe{}
 	default:
 		return nil
 	}
