Changes of many members are told in one line a round

Cause: each instance told each change of each other in a line. Ruled out: dropping them by rate, which keeps the first and loses the one that is looked for. Change: up to 4 changes a round of gossip are told one by one, more in one line with the counts by state and 8 names, suspected ones first. That nothing is known of a member is not told. Test: TestMemberLines.

--- a/gateway/logs.go
+++ b/gateway/logs.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/rainford/rainford/fleet"
@@ -29,6 +31,7 @@
 	logTable         = "table in force"
 	logTableRefused  = "table refused"
 	logMember        = "member"
+	logMembers       = "members"
 	logWatching      = "watching"
 	logStoreLost     = "store lost"
 	logStoreRegained = "store regained"
@@ -40,27 +43,54 @@
 // thinned out under load.
 const RequestMessage = logRequest
 
+// maxMemberLines is the number of changes in the view of the fleet that a round of
+// gossip tells in a line each. More are told in one line, so that the lines of an
+// instance are bounded whatever the size of the fleet, as when a hall is lost or all
+// instances start.
+const maxMemberLines = 4
+
+// maxMembersNamed bounds the members that a line on many changes names.
+const maxMembersNamed = 8
+
 // reporter logs what changes in the view of the fleet.
 type reporter struct {
 	states   map[string]fleet.State
 	watching bool
 }
 
-// report logs what has changed since the last call. The caller holds mu.
-func (g *Gateway) report(now time.Time, watching bool) {
-	if g.reported.states == nil {
-		g.reported.states = make(map[string]fleet.State)
+// memberChange is a member whose state has changed.
+type memberChange struct {
+	fleet.Status
+	before fleet.State
+}
+
+// changes returns the members whose state differs from the one told last. That nothing is
+// known of a member is not told.
+func (r *reporter) changes(members []fleet.Status) []memberChange {
+	if r.states == nil {
+		r.states = make(map[string]fleet.State)
 	}
-	for _, s := range g.view.All(now) {
-		if s.Name == g.config.Name || g.reported.states[s.Name] == s.State {
+	var out []memberChange
+	for _, s := range members {
+		before := r.states[s.Name]
+		if s.State == before || s.State == fleet.Unknown {
 			continue
 		}
-		level := slog.LevelInfo
-		if s.State == fleet.Suspect {
-			level = slog.LevelWarn
+		r.states[s.Name] = s.State
+		out = append(out, memberChange{Status: s, before: before})
+	}
+	return out
+}
+
+// report logs what has changed since the last call. The caller holds mu.
+func (g *Gateway) report(now time.Time, watching bool) {
+	changes := g.reported.changes(g.view.Others(now))
+	if len(changes) > maxMemberLines {
+		g.reportMany(changes)
+	} else {
+		for _, c := range changes {
+			g.log.Log(context.Background(), memberLevel(c.State), logMember, "member", c.Name, "hall", c.Hall, "state", c.State, "before", c.before)
 		}
-		g.log.Log(context.Background(), level, logMember, "member", s.Name, "hall", s.Hall, "state", s.State, "before", g.reported.states[s.Name])
-		g.reported.states[s.Name] = s.State
 	}
 	if watching != g.reported.watching {
 		g.reported.watching = watching
@@ -68,6 +98,31 @@
 	}
 }
 
+// reportMany logs many changes in one line: how many came to each state, and some of
+// them by name, suspected ones first.
+func (g *Gateway) reportMany(changes []memberChange) {
+	slices.SortStableFunc(changes, func(a, b memberChange) int {
+		return cmp.Compare(memberLevel(b.State), memberLevel(a.State))
+	})
+	counts := make(map[fleet.State]int)
+	var named []string
+	for _, c := range changes {
+		counts[c.State]++
+		if len(named) < maxMembersNamed {
+			named = append(named, c.Name+"="+string(c.State))
+		}
+	}
+	g.log.Log(context.Background(), memberLevel(changes[0].State), logMembers, "changes", len(changes),
+		"alive", counts[fleet.Alive], "suspect", counts[fleet.Suspect], "leaving", counts[fleet.Gone], "named", named)
+}
+
+func memberLevel(s fleet.State) slog.Level {
+	if s == fleet.Suspect {
+		return slog.LevelWarn
+	}
+	return slog.LevelInfo
+}
+
 // newsAge is the time since the store or another instance was last heard.
 func (g *Gateway) newsAge(now time.Time) time.Duration {
 	at := g.heardAt.Load()
--- /dev/null
+++ b/gateway/logs_test.go
@@ -0,0 +1,60 @@
+package gateway
+
+import (
+	"bytes"
+	"fmt"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rainford/rainford/fleet"
+)
+
+// viewOf returns the view of an instance that has heard of the first heard of count
+// others of its region.
+func viewOf(now time.Time, count, heard int) *fleet.View {
+	view := fleet.NewView(fleet.Member{Name: "n0", Hall: "a1", Region: "a"}, fleet.NumberAt(now), fleet.DefaultSettings)
+	var beats fleet.Beats
+	for i := range count {
+		name := fmt.Sprintf("n%d", i+1)
+		view.Add(fleet.Member{Name: name, Hall: "a1", Region: "a"})
+		if i < heard {
+			beats = append(beats, fleet.Beat{Member: fleet.IDOf(name), Number: fleet.NumberAt(now), Flags: fleet.Ready})
+		}
+	}
+	view.Hear(now, beats)
+	return view
+}
+
+// TestMemberLines checks that a few changes in the view of the fleet are told in a line
+// each, many in one, and those that nothing is known of in none.
+func TestMemberLines(t *testing.T) {
+	now := time.Date(2026, 12, 2, 0, 0, 0, 0, time.UTC)
+	cases := []struct {
+		name         string
+		count, heard int
+		lines        int
+		want         string
+	}{
+		{"few", 50, maxMemberLines, maxMemberLines, `"msg":"member","member":"n1","hall":"a1","state":"alive"`},
+		{"many", 300, 300, 1, `"msg":"members","changes":300,"alive":300,"suspect":0,"leaving":0`},
+		{"unknown", 300, 0, 0, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var out bytes.Buffer
+			g := &Gateway{log: slog.New(slog.NewJSONHandler(&out, nil)), view: viewOf(now, c.count, c.heard)}
+			g.report(now, false)
+			require.Equal(t, c.lines, strings.Count(out.String(), "\n"), out.String())
+			require.Contains(t, out.String(), c.want)
+			out.Reset()
+			g.report(now, false)
+			require.Empty(t, out.String(), "what was told is not told again")
+			g.report(now.Add(time.Minute), false)
+			require.Equal(t, c.lines, strings.Count(out.String(), `"level":"WARN"`), "all that were heard are silent now")
+		})
+	}
+}
