A request without a route has no budget in its line, and is no failure in the summary

Cause: a request that ends before its time is known told budget_ms -, the difference to a time that was never set. explain -summary counted questions which configuration is in force, which no route is for, as failed requests. Change: such a line has budget 0; the summary counts these requests apart. Tests: TestBudgetWithoutRoute, TestSummary.

--- a/cmd/rainford/summary.go
+++ b/cmd/rainford/summary.go
@@ -17,8 +17,14 @@
 	every time.Duration
 	lines []logLine
 	lost  int
+	// routeless counts requests that no route is for: questions which configuration
+	// is in force, or callers' mistakes.
+	routeless int
 }
 
+// reasonNoRoute is the reason of a request that no route is for.
+const reasonNoRoute = "no-route"
+
 // spanKey names a row of the summary. Region is that of the last target that got the
 // request, or "" if none did.
 type spanKey struct {
@@ -61,6 +67,10 @@
 			s.lost++
 			continue
 		}
+		if l.Reason == reasonNoRoute {
+			s.routeless++
+			continue
+		}
 		s.lines = append(s.lines, l)
 	}
 	return scanner.Err()
@@ -145,6 +155,9 @@
 			row.requests, row.late, row.failed, row.refusals(), median(row.tookMs), row.attemptsText())
 	}
 	s.printObjects(w)
+	if s.routeless > 0 {
+		fmt.Fprintf(w, "%d requests without a route left out\n", s.routeless)
+	}
 	if s.lost > 0 {
 		fmt.Fprintf(w, "%d lines could not be read\n", s.lost)
 	}
--- a/cmd/rainford/summary_test.go
+++ b/cmd/rainford/summary_test.go
@@ -9,6 +9,7 @@
 const sampleRequests = `12.0 n1 {"time":"2026-01-01T00:00:01Z","msg":"request","route":"r","service":"s","key":"1","status":200,"reason":"answered","took_ms":300,"objective_ms":250,"attempts":[{"target":"t1","region":"a","reason":"first-choice","load":0.5,"outcome":"ran","took_ms":300}]}
 {"time":"2026-01-01T00:00:01.5Z","msg":"request","route":"r","service":"s","key":"1","status":200,"reason":"answered","took_ms":100,"objective_ms":250,"attempts":[{"target":"t1","region":"a","reason":"by-load","load":1.5,"outcome":"ran","took_ms":100,"reused":true}]}
 {"time":"2026-01-01T00:00:01.6Z","msg":"request","route":"r","service":"s","key":"2","status":503,"reason":"targets-full","took_ms":60,"objective_ms":250,"attempts":null}
+{"time":"2026-01-01T00:00:01.7Z","msg":"request","route":"","service":"","status":404,"reason":"no-route","took_ms":0,"attempts":null}
 {"time":"2026-01-01T00:00:02.5Z","msg":"target belief","target":"t1"}
 {"time":"2026-01-01T00:00:02.5Z","msg":"request",
 `
@@ -21,6 +22,8 @@
 	require.Contains(t, text, "s never-seen 1 300\n")
 	require.Contains(t, text, "s under-008 1 100\n")
 	require.Contains(t, text, "1 lines could not be read")
+	require.Contains(t, text, "1 requests without a route left out")
+	require.NotContains(t, text, "- 00:00:00")
 	_, code = explain(t, "", "-summary")
 	require.Equal(t, exitUsage, code)
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -248,12 +248,21 @@
 		slog.Int64("news_age_ms", g.newsAge(time.Now()).Milliseconds()),
 		slog.Int("status", status),
 		slog.String("reason", reason),
-		slog.Int64("budget_ms", ex.deadline.Sub(ex.start).Milliseconds()),
+		slog.Int64("budget_ms", ex.budget().Milliseconds()),
 		slog.Int64("objective_ms", objective(ex.route).Milliseconds()),
 		slog.Int64("took_ms", took.Milliseconds()),
 		slog.Any("attempts", ex.trail))
 }
 
+// budget returns the time that the request had from its start, 0 if it ended before it was
+// known.
+func (ex *exchange) budget() time.Duration {
+	if ex.deadline.IsZero() {
+		return 0
+	}
+	return ex.deadline.Sub(ex.start)
+}
+
 // objective returns the time within which answers of a route should come, 0 if it has
 // none or there is no route.
 func objective(route *catalog.Route) time.Duration {
