Changes spread by way of a few instances each, packed once

Ruled out: the store (the second watcher read each change within 0.2 s); lost messages. Change: a change goes to four members, each of which passes it on to a part of the region's ring (fleet.Spread), four steps for 100 members and few crossings between halls. Answers to instances that ask for the same changes are packed once. A watcher of another region gets urgent changes as before. Ruled out besides: a tree by halls with leaders, which needs their failover; gossip makes up for a branch that is down here as it did for a lost push.

--- a/fleet/model_test.go
+++ b/fleet/model_test.go
@@ -3,7 +3,9 @@
 import (
 	"flag"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"testing"
 	"time"
@@ -53,9 +55,7 @@
 	}
 	for name, member := range m.members {
 		v := fleet.NewView(member, 1, fleet.DefaultSettings)
-		for _, other := range m.members {
-			v.Add(other)
-		}
+		v.Add(slices.Collect(maps.Values(m.members))...)
 		m.views[name] = v
 	}
 	m.turns = m.names()
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -89,19 +89,22 @@
 // SetFlags sets what the own process says of itself.
 func (v *View) SetFlags(flags Flags) { v.beat.Flags = flags }
 
-// Add takes in a member that the store or a peer named.
-func (v *View) Add(m Member) {
-	if m.Name == v.self.Name || m.Name == "" {
-		return
-	}
-	r := v.members[m.Name]
-	if r == nil {
-		v.members[m.Name] = &record{member: m}
-		v.arrange()
-		return
+// Add takes in members that the store or a peer named.
+func (v *View) Add(members ...Member) {
+	changed := false
+	for _, m := range members {
+		r := v.members[m.Name]
+		switch {
+		case m.Name == v.self.Name || m.Name == "":
+		case r == nil:
+			v.members[m.Name] = &record{member: m}
+			changed = true
+		case r.member != m:
+			r.member = m
+			changed = true
+		}
 	}
-	if r.member != m {
-		r.member = m
+	if changed {
 		v.arrange()
 	}
 }
--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -35,17 +35,12 @@
 	return v.beat.Flags&Deaf == 0
 }
 
-// Receivers returns the members that a watcher passes a change on to: all that
-// are alive in its region, and the watchers of the other regions.
-func (v *View) Receivers(now time.Time) []Member {
+// FarWatchers returns the watchers of the other regions that are alive.
+func (v *View) FarWatchers(now time.Time) []Member {
 	var out []Member
-	for _, s := range v.All(now) {
-		near := s.Region == v.self.Region
-		if s.Name == v.self.Name || s.State == Suspect || s.State == Unknown {
-			continue
-		}
-		if near || s.Flags&Watching != 0 {
-			out = append(out, s.Member)
+	for _, r := range v.order {
+		if r.member.Region != v.self.Region && r.beat.Flags&Watching != 0 && v.state(now, r) == Alive {
+			out = append(out, r.member)
 		}
 	}
 	return out
--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -4,13 +4,13 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/rainford/rainford/catalog"
 	"github.com/rainford/rainford/config"
 	"github.com/rainford/rainford/feed"
 	"github.com/rainford/rainford/fleet"
-	"github.com/rainford/rainford/peer"
 	"github.com/rainford/rainford/table"
 )
 
@@ -51,34 +51,6 @@
 	return true
 }
 
-// urgent tells whether the changes of a kind are few and have to be in force
-// everywhere soon. They are pushed on every way. Those of other kinds are pushed by
-// one watcher to its own region, since other regions have watchers of their own;
-// what is lost on the way is made up by gossip.
-func urgent(kind feed.Kind) bool {
-	return kind == KindConfig || kind == KindEvacuations || kind == KindTable
-}
-
-// passOn sends a delta to the instances that this one is the source of. The
-// caller holds mu.
-func (g *Gateway) passOn(d feed.Delta, source string) {
-	now := time.Now()
-	fromStore := source == sourceStore
-	if !urgent(d.Kind) && !(fromStore && g.view.WatchesFirst(now)) {
-		return
-	}
-	if !fromStore && !g.watch.isWatching() {
-		return
-	}
-	message := &peer.Delta{Delta: d, Lapse: g.lapse.Remaining(now)}
-	for _, m := range g.view.Receivers(now) {
-		near := m.Region == g.config.Region
-		if m.PeerAddr != source && (near || (fromStore && urgent(d.Kind))) {
-			g.mesh.Send(m.PeerAddr, message)
-		}
-	}
-}
-
 // putInForce makes changes count. The caller holds mu.
 func (g *Gateway) putInForce(now time.Time, kind feed.Kind, changes []feed.Change, source string, revision int64) {
 	switch kind {
@@ -103,9 +75,7 @@
 		}
 		g.pools.setTargets(now, g.specs, g.evacuated)
 	case KindInstances:
-		for _, c := range changes {
-			g.applyInstance(now, c)
-		}
+		g.applyInstances(now, changes)
 		g.shareOut(now)
 	}
 }
@@ -226,18 +196,24 @@
 	g.log.Info(logTable, "number", doc.Number, "rows", len(doc.Table.Rows), "source", source, "revision", revision)
 }
 
-func (g *Gateway) applyInstance(now time.Time, c feed.Change) {
-	if c.Gone {
-		g.view.Remove(now, c.Name)
-		return
-	}
-	var m fleet.Member
-	err := json.Unmarshal(c.Value, &m)
-	if err != nil {
-		g.log.Error("instance refused", "name", c.Name, "error", err.Error())
-		return
+// applyInstances takes in changes of instances' entries.
+func (g *Gateway) applyInstances(now time.Time, changes []feed.Change) {
+	var named []fleet.Member
+	for _, c := range changes {
+		if c.Gone {
+			named = slices.DeleteFunc(named, func(m fleet.Member) bool { return m.Name == c.Name })
+			g.view.Remove(now, c.Name)
+			continue
+		}
+		var m fleet.Member
+		err := json.Unmarshal(c.Value, &m)
+		if err != nil {
+			g.log.Error(logInstanceRefused, "name", c.Name, "error", err.Error())
+			continue
+		}
+		named = append(named, m)
 	}
-	g.view.Add(m)
+	g.view.Add(named...)
 }
 
 // shareOut divides what all instances share anew. The caller holds mu.
--- /dev/null
+++ b/gateway/delta.go
@@ -0,0 +1,130 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/rainford/rainford/feed"
+	"github.com/rainford/rainford/peer"
+)
+
+// urgent tells whether the changes of a kind are few and have to be in force
+// everywhere soon. They are pushed on every way. Those of other kinds are pushed by
+// one watcher to its own region, since other regions have watchers of their own;
+// what is lost on the way is made up by gossip.
+func urgent(kind feed.Kind) bool {
+	return kind == KindConfig || kind == KindEvacuations || kind == KindTable
+}
+
+// passOn sends a delta to the instances that this one is the source of: those of its
+// region, by way of a few of them, and for urgent kinds the watchers of others. The caller
+// holds mu.
+func (g *Gateway) passOn(d feed.Delta, source string) {
+	now := time.Now()
+	fromStore := source == sourceStore
+	if !urgent(d.Kind) && !(fromStore && g.view.WatchesFirst(now)) {
+		return
+	}
+	if !fromStore && !g.watch.isWatching() {
+		return
+	}
+	message, err := peer.NewDelta(d)
+	if err != nil {
+		g.log.Error(logDeltaRefused, "kind", d.Kind, "error", err.Error())
+		return
+	}
+	message.Lapse = g.lapse.Remaining(now)
+	for _, branch := range g.view.Spread(now) {
+		g.mesh.Send(branch.PeerAddr, message.RelayTo(branch))
+	}
+	if !fromStore || !urgent(d.Kind) {
+		return
+	}
+	for _, m := range g.view.FarWatchers(now) {
+		g.mesh.Send(m.PeerAddr, message)
+	}
+}
+
+// receiveDelta passes a delta on to those that the sender has left to this instance, and
+// takes it in.
+func (g *Gateway) receiveDelta(from string, m *peer.Delta) {
+	g.relayDelta(m)
+	delta, err := m.Unpack()
+	if err != nil {
+		g.log.Error(logDeltaRefused, "kind", m.Kind, "source", from, "error", err.Error())
+		return
+	}
+	g.learnLapse(m)
+	if !g.take(delta, from) {
+		g.askFor(from, m.Kind)
+	}
+}
+
+// relayDelta passes a delta on if its sender asks for it.
+func (g *Gateway) relayDelta(m *peer.Delta) {
+	if !m.Relay {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, branch := range g.view.SpreadUntil(time.Now(), m.Until) {
+		g.mesh.Send(branch.PeerAddr, m.RelayTo(branch))
+	}
+}
+
+// askFor asks an instance for the changes of a kind whose last delta left a gap.
+func (g *Gateway) askFor(from string, kind feed.Kind) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.ask(time.Now(), from, kind)
+}
+
+// learnLapse has removals held back as long as the sender of the delta does.
+func (g *Gateway) learnLapse(m *peer.Delta) {
+	if m.Kind != KindTargets || m.Lapse <= 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.lapse.Learned(time.Now(), m.Lapse)
+}
+
+// answer sends the changes that another instance asks for.
+func (g *Gateway) answer(m *peer.Since) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	replica := g.replicas[m.Kind]
+	if replica == nil || replica.At() <= m.Revision {
+		return
+	}
+	answer, err := g.answers.since(replica, m.Kind, m.Revision)
+	if err != nil {
+		g.log.Error(logDeltaRefused, "kind", m.Kind, "error", err.Error())
+		return
+	}
+	answer.Lapse = g.lapse.Remaining(time.Now())
+	g.mesh.Send(m.ReplyTo, &answer)
+}
+
+// answers keep the last delta that was packed of each kind: many instances that start
+// together ask for the same one.
+type answers map[feed.Kind]packedDelta
+
+// packedDelta is a delta from one revision to another.
+type packedDelta struct {
+	from, to int64
+	message  *peer.Delta
+}
+
+// since returns the message that leads from a revision to the replica's own.
+func (a answers) since(replica *feed.Replica, kind feed.Kind, from int64) (peer.Delta, error) {
+	held, ok := a[kind]
+	if !ok || held.from != from || held.to != replica.At() {
+		message, err := peer.NewDelta(replica.Since(from))
+		if err != nil {
+			return peer.Delta{}, err
+		}
+		held = packedDelta{from: from, to: replica.At(), message: message}
+		a[kind] = held
+	}
+	return *held.message, nil
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -50,8 +50,9 @@
 	specs     map[string]catalog.Target
 	askedAt   map[feed.Kind]time.Time
 	// rounds counts the rounds of gossip.
-	rounds int
-	lag    map[feed.Kind]lag
+	rounds  int
+	lag     map[feed.Kind]lag
+	answers answers
 	// lapse holds back removals of targets after an outage of the store.
 	lapse    feed.Lapse
 	reported reporter
@@ -92,6 +93,7 @@
 		startedAt: time.Now(),
 		askedAt:   make(map[feed.Kind]time.Time),
 		lag:       make(map[feed.Kind]lag),
+		answers:   make(answers),
 		rand:      rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), rand.Uint64())),
 	}
 	for _, kind := range kinds {
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -119,10 +119,7 @@
 	case *peer.Gossip:
 		g.hear(m)
 	case *peer.Delta:
-		g.learnLapse(m)
-		if !g.take(m.Delta, from) {
-			g.askFor(from, m.Kind)
-		}
+		g.receiveDelta(from, m)
 	case *peer.Since:
 		g.answer(m)
 	case *peer.Probe:
@@ -139,23 +136,6 @@
 	g.mesh.Send(m.ReplyTo, &peer.Gossip{Beats: fleet.Beats{g.view.OwnBeat()}, Reply: true})
 }
 
-// askFor asks an instance for the changes of a kind whose last delta left a gap.
-func (g *Gateway) askFor(from string, kind feed.Kind) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.ask(time.Now(), from, kind)
-}
-
-// learnLapse has removals held back as long as the sender of the delta does.
-func (g *Gateway) learnLapse(m *peer.Delta) {
-	if m.Kind != KindTargets || m.Lapse <= 0 {
-		return
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.lapse.Learned(time.Now(), m.Lapse)
-}
-
 // Unreachable implements peer.Receiver.
 func (g *Gateway) Unreachable(addr string) {
 	g.mu.Lock()
@@ -256,13 +236,3 @@
 	g.askedAt[kind] = now
 	g.mesh.Send(addr, &peer.Since{Kind: kind, Revision: g.replicas[kind].At(), ReplyTo: g.view.Self().PeerAddr})
 }
-
-func (g *Gateway) answer(m *peer.Since) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	replica := g.replicas[m.Kind]
-	if replica == nil || replica.At() <= m.Revision {
-		return
-	}
-	g.mesh.Send(m.ReplyTo, &peer.Delta{Delta: replica.Since(m.Revision), Lapse: g.lapse.Remaining(time.Now())})
-}
--- a/gateway/logs.go
+++ b/gateway/logs.go
@@ -37,6 +37,9 @@
 	logStoreRegained = "store regained"
 	logHistoryGone   = "history gone"
 	logNotRegistered = "not registered"
+	logDeltaRefused  = "delta refused"
+
+	logInstanceRefused = "instance refused"
 )
 
 // RequestMessage is the message of the line of a request, by which logs are
--- a/peer/message.go
+++ b/peer/message.go
@@ -99,14 +99,6 @@
 	Reply bool `msgpack:"a,omitempty"`
 }
 
-// Delta passes changes of a kind on.
-type Delta struct {
-	feed.Delta
-	// Lapse is how long the sender holds removals back after an outage of the
-	// store.
-	Lapse time.Duration `msgpack:"l,omitempty"`
-}
-
 // Since asks for the changes of a kind after a revision.
 type Since struct {
 	Kind     feed.Kind `msgpack:"k"`
