Beliefs on many targets that change together are told in one line

Change: up to 4 changes that one cause brings are told one by one, more in one line with the counts by belief. Up to 4,096 wait to be told in place of 256, so that the count is right. Test: TestBeliefLines.

--- a/gateway/logs.go
+++ b/gateway/logs.go
@@ -27,6 +27,7 @@
 	logTargetGone    = "target gone"
 	logTargetLapsed  = "target lapsed"
 	logTargetBelief  = "target belief"
+	logTargetBeliefs = "target beliefs"
 	logEvacuation    = "evacuation"
 	logTable         = "table in force"
 	logTableRefused  = "table refused"
--- a/gateway/logs_test.go
+++ b/gateway/logs_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/rainford/rainford/catalog"
 	"github.com/rainford/rainford/fleet"
 )
 
@@ -58,3 +59,19 @@
 		})
 	}
 }
+
+// TestBeliefLines checks that the beliefs on many targets that change together, as when
+// new ones join, are told in one line with their number.
+func TestBeliefLines(t *testing.T) {
+	var out bytes.Buffer
+	config := Config{Name: "n0", Hall: "a1", Region: "a", RegionOf: map[string]string{"a1": "a"}, Log: slog.New(slog.NewJSONHandler(&out, nil))}
+	ps := newPools(config)
+	specs := make(map[string]catalog.Target)
+	for i := range 300 {
+		name := fmt.Sprint("t", i)
+		specs[name] = catalog.Target{ID: name, Service: "s", Hall: "a1", Slots: 9, ColdFor: 3 * time.Second}
+	}
+	ps.setTargets(time.Now(), specs, nil)
+	require.Equal(t, 1, strings.Count(out.String(), "\n"), out.String())
+	require.Contains(t, out.String(), `"msg":"target beliefs","changes":300,"beliefs":{"cold":300}`)
+}
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -173,20 +173,44 @@
 	p.tell()
 }
 
+// maxBeliefLines is the number of changes in the beliefs on targets that one cause brings
+// and that are told in a line each. New targets and halls that are taken back bring
+// hundreds at a time, at every instance.
+const maxBeliefLines = 4
+
 // tell logs what has changed in the beliefs on targets. The log never blocks.
 func (p *pool) tell() {
-	for _, e := range p.upstream.TakeEvents() {
-		level := slog.LevelInfo
-		if e.Kind == upstream.Suspected || e.Kind == upstream.Taken {
-			level = slog.LevelWarn
-		}
+	events := p.upstream.TakeEvents()
+	if len(events) > maxBeliefLines {
+		p.tellMany(events)
+		return
+	}
+	for _, e := range events {
 		attrs := []slog.Attr{slog.String("target", e.Target), slog.String("belief", string(e.Kind)),
 			slog.String("cause", e.Cause.String()), slog.Int("in_flight", e.InFlight), slog.Int("failures", e.Failures)}
 		if !e.Until.IsZero() {
 			attrs = append(attrs, slog.Int64("for_ms", time.Until(e.Until).Milliseconds()))
 		}
-		p.log.LogAttrs(context.Background(), level, logTargetBelief, attrs...)
+		p.log.LogAttrs(context.Background(), beliefLevel(e.Kind), logTargetBelief, attrs...)
+	}
+}
+
+// tellMany logs many changes in one line: how many there are of each kind.
+func (p *pool) tellMany(events []upstream.Event) {
+	counts := make(map[upstream.EventKind]int)
+	level := slog.LevelInfo
+	for _, e := range events {
+		counts[e.Kind]++
+		level = max(level, beliefLevel(e.Kind))
+	}
+	p.log.LogAttrs(context.Background(), level, logTargetBeliefs, slog.Int("changes", len(events)), slog.Any("beliefs", counts))
+}
+
+func beliefLevel(kind upstream.EventKind) slog.Level {
+	if kind == upstream.Suspected || kind == upstream.Taken {
+		return slog.LevelWarn
 	}
+	return slog.LevelInfo
 }
 
 func (p *pool) wake(grants []upstream.Grant) {
--- a/upstream/event.go
+++ b/upstream/event.go
@@ -31,8 +31,9 @@
 	Until    time.Time
 }
 
-// maxEvents bounds the events that wait to be taken.
-const maxEvents = 256
+// maxEvents bounds the events that wait to be taken: more than a service of the sites has
+// targets.
+const maxEvents = 4096
 
 // TakeEvents returns the events since the last call.
 func (p *Pool) TakeEvents() []Event {
