Few instances watch the store while a fleet starts, and first reads are stale ones

Ruled out: lists by instances that start (3 of each kind; the others got theirs from peers). Change: an instance that is no seed does not watch for its first three rounds of gossip. One that starts again registers only if its entry is not there. Watches wait for 15 s in place of 8. An instance is ready once it knows its targets too: before, one that had only the configuration was told to clients and refused their requests.

--- a/feed/replica.go
+++ b/feed/replica.go
@@ -52,6 +52,12 @@
 // Len returns the number of objects.
 func (r *Replica) Len() int { return len(r.objects) }
 
+// Has tells whether there is an object of a name.
+func (r *Replica) Has(name string) bool {
+	_, ok := r.objects[name]
+	return ok
+}
+
 // Objects calls f with each object.
 func (r *Replica) Objects(f func(Object)) {
 	for name, value := range r.objects {
--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -39,6 +39,9 @@
 	if replica.At() == before {
 		return true
 	}
+	if d.Kind == KindTargets {
+		g.knowsTargets.Store(true)
+	}
 	if len(changes) > 0 {
 		g.putInForce(time.Now(), d.Kind, changes, source, replica.At())
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -57,6 +57,9 @@
 	lapse    feed.Lapse
 	reported reporter
 
+	// knowsTargets is set once the targets have been read.
+	knowsTargets atomic.Bool
+
 	watch    watchState
 	leaving  atomic.Bool
 	refusing atomic.Bool
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -45,7 +45,7 @@
 func (g *Gateway) gossip(now time.Time, wide bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	watches := g.view.Watches(now)
+	watches := g.watches(now)
 	g.watch.setWatching(watches)
 	g.report(now, watches)
 	if g.watch.review(now, watches) && g.watch.setDeaf(true) {
@@ -84,7 +84,7 @@
 
 func (g *Gateway) flags() fleet.Flags {
 	var flags fleet.Flags
-	if g.router.Load() != nil {
+	if g.isReady() {
 		flags |= fleet.Ready
 	}
 	if g.leaving.Load() {
@@ -209,13 +209,16 @@
 }
 
 // lags tells whether a replica that is behind should be brought forward by asking:
-// at once if the kind is urgent, or if it holds nothing and the instance that is
-// ahead is near; else once the usual way has not done it for a while, which is
-// longer for an instance of another region. The caller holds mu.
+// at once if the kind is urgent, or if it holds nothing, the own first read has not brought
+// it and the instance that is ahead is near; else once the usual way has not done it for a
+// while, which is longer for an instance of another region. The caller holds mu.
 func (g *Gateway) lags(now time.Time, kind feed.Kind, revision int64, near bool) bool {
-	if urgent(kind) || (near && revision == 0) {
+	if urgent(kind) {
 		return true
 	}
+	if near && revision == 0 {
+		return g.config.FirstStart || now.Sub(g.startedAt) >= readTime
+	}
 	if held, ok := g.lag[kind]; !ok || held.revision != revision || now.Sub(held.since) > lagForgotten {
 		g.lag[kind] = lag{revision: revision, since: now}
 		return false
--- a/gateway/lookup.go
+++ b/gateway/lookup.go
@@ -100,7 +100,13 @@
 	switch {
 	case !g.codec.IsReady(r):
 		w.WriteHeader(http.StatusNotFound)
-	case g.router.Load() == nil || g.leaving.Load():
+	case !g.isReady() || g.leaving.Load():
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
+
+// isReady tells whether the instance can serve: it has a configuration and knows the
+// targets.
+func (g *Gateway) isReady() bool {
+	return g.router.Load() != nil && g.knowsTargets.Load()
+}
--- a/gateway/ports.go
+++ b/gateway/ports.go
@@ -32,6 +32,9 @@
 // Store is what an instance needs of the platform's store.
 type Store interface {
 	List(ctx context.Context, kind feed.Kind) (feed.Delta, error)
+	// ListStale returns the objects as they may have been some seconds ago, which
+	// costs the store less.
+	ListStale(ctx context.Context, kind feed.Kind) (feed.Delta, error)
 	// Watch returns the changes after a revision, or waits for one.
 	Watch(ctx context.Context, kind feed.Kind, after int64, wait time.Duration) (feed.Delta, error)
 	// Probe tells whether the store answers. It is the cheapest call that there is.
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -7,12 +7,14 @@
 	"time"
 
 	"github.com/rainford/rainford/feed"
+	"github.com/rainford/rainford/fleet"
 	"github.com/rainford/rainford/internal/pause"
 )
 
 const (
-	// watchWait is how long a watch waits for a change.
-	watchWait = 8 * time.Second
+	// watchWait is how long a watch waits for a change: less than the 20 s of history
+	// that the store of the sites keeps, so that a watch that is cut can go on.
+	watchWait = 15 * time.Second
 	// idleCheck is how often an instance that does not watch looks whether
 	// it should.
 	idleCheck = 250 * time.Millisecond
@@ -27,6 +29,15 @@
 	firstPeersTime = 1500 * time.Millisecond
 	peersTime      = 300 * time.Millisecond
 	peersPoll      = 30 * time.Millisecond
+	// settleTime is the time from its start on for which an instance that is no seed
+	// leaves watching to others: three rounds of gossip, in which it hears of them.
+	settleTime = 3 * fleet.RoundTime
+	// registerWait is how long an instance that starts again waits to learn whether it
+	// is registered.
+	registerWait = 3 * time.Second
+	// readTime is how long an instance that starts waits for its own first read of a
+	// kind before it asks others for it.
+	readTime = 300 * time.Millisecond
 	// gatherTime is the time between two watches of kinds that change often.
 	gatherTime = 200 * time.Millisecond
 	// deafWait is how long a watch waits that is to find out whether the store is
@@ -61,11 +72,23 @@
 		cancels:  make(map[feed.Kind]context.CancelFunc),
 		missedAt: make(map[feed.Kind]time.Time),
 		cursors:  make(map[feed.Kind]int64),
-		// Before it knows any other, an instance is the first of all.
-		watching: true,
 	}
 }
 
+// watches tells whether this instance is to watch the store. One that has just started
+// knows of nobody and is the first in its own view, as all are that start with it, so it
+// leaves that to the seeds for a while.
+func (g *Gateway) watches(now time.Time) bool {
+	if !g.isSeed() && now.Sub(g.startedAt) < settleTime {
+		return false
+	}
+	return g.view.Watches(now)
+}
+
+// isSeed tells whether the instance is one that others try first, or knows too few such
+// to wait for them.
+func (g *Gateway) isSeed() bool { return len(g.config.Seeds) < minSeeds }
+
 // cursor returns where the next watch begins for a replica at a revision.
 func (w *watchState) cursor(kind feed.Kind, revision int64) int64 {
 	w.mu.Lock()
@@ -170,6 +193,7 @@
 // instance is a watcher.
 func (g *Gateway) watchLoop(ctx context.Context, kind feed.Kind) {
 	g.awaitPeers(ctx, kind)
+	g.firstRead(ctx, kind)
 	wait := firstPause
 	for ctx.Err() == nil {
 		if !g.watch.isChosen() {
@@ -199,6 +223,23 @@
 	}
 }
 
+// firstRead reads a kind that nobody has brought, whether or not this instance is to watch,
+// until the store answers or others bring it. What it reads may be some seconds old: the
+// watchers bring what is newer.
+func (g *Gateway) firstRead(ctx context.Context, kind feed.Kind) {
+	wait := firstPause
+	for ctx.Err() == nil && g.revision(kind) == 0 {
+		delta, err := g.store.ListStale(ctx, kind)
+		g.noteStore(kind, err)
+		if err == nil {
+			g.take(delta, sourceStore)
+			return
+		}
+		pause.For(ctx, wait)
+		wait = min(2*wait, maxPause)
+	}
+}
+
 // probeLoop finds out whether the store still answers while this instance is a watcher:
 // a pending watch does not tell.
 func (g *Gateway) probeLoop(ctx context.Context) {
@@ -228,7 +269,7 @@
 
 func (g *Gateway) peersTime(kind feed.Kind) time.Duration {
 	switch {
-	case len(g.config.Seeds) < minSeeds:
+	case g.isSeed():
 		return 0
 	case g.config.FirstStart:
 		return firstPeersTime
@@ -315,10 +356,14 @@
 	}
 }
 
-// register puts the own member into the store, so that others find it.
+// register puts the own member into the store, so that others find it, unless it is there
+// from an earlier process.
 func (g *Gateway) register(ctx context.Context) {
+	if !g.config.FirstStart {
+		g.awaitInstances(ctx)
+	}
 	wait := firstPause
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !g.isRegistered() {
 		err := g.store.Create(ctx, KindInstances, g.config.Name, g.view.Self())
 		if err == nil {
 			return
@@ -328,3 +373,17 @@
 		wait = min(2*wait, maxPause)
 	}
 }
+
+// awaitInstances waits until the registered instances are known.
+func (g *Gateway) awaitInstances(ctx context.Context) {
+	end := time.Now().Add(registerWait)
+	for time.Now().Before(end) && g.revision(KindInstances) == 0 && pause.For(ctx, peersPoll) {
+	}
+}
+
+// isRegistered tells whether the own member is known to be in the store.
+func (g *Gateway) isRegistered() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.replicas[KindInstances].Has(g.config.Name)
+}
