One instance in four reads the targets at a start and brings them to its hall

The 295 instances have their configuration 0.2 s after their start, and then refuse 10,129 tries with no-target for a second: each reads 350 kB of targets, 103 MB together, and the store's link of 1,000 Mbit/s takes 0.84 s for it. Change: an instance that starts again reads the targets from the store if its name's hash says so, one in four. Others ask one of these in their hall, which they find among the registered instances, and the store only after two of them had 0.3 s each. A reader that is asked before it has read answers when it has. An instance whose hall has no reader reads by itself, so nothing changes at two a hall or where the readers are down.

--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -39,6 +39,9 @@
 	if replica.At() == before {
 		return true
 	}
+	if before == 0 {
+		g.answerAskers(d.Kind)
+	}
 	if d.Kind == KindTargets {
 		g.knowsTargets.Store(true)
 	}
--- a/gateway/delta.go
+++ b/gateway/delta.go
@@ -88,14 +88,32 @@
 	g.lapse.Learned(time.Now(), m.Lapse)
 }
 
-// answer sends the changes that another instance asks for.
+// answer sends the changes that another instance asks for, at once or when this instance
+// has them itself.
 func (g *Gateway) answer(m *peer.Since) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	replica := g.replicas[m.Kind]
-	if replica == nil || replica.At() <= m.Revision {
-		return
+	switch {
+	case replica == nil:
+	case replica.At() == 0 && len(g.askers[m.Kind]) < maxAskers:
+		g.askers[m.Kind] = append(g.askers[m.Kind], m)
+	case replica.At() > m.Revision:
+		g.sendSince(replica, m)
+	}
+}
+
+// answerAskers answers those that have asked for a kind before this instance had it. The
+// caller holds mu.
+func (g *Gateway) answerAskers(kind feed.Kind) {
+	for _, m := range g.askers[kind] {
+		g.sendSince(g.replicas[kind], m)
 	}
+	delete(g.askers, kind)
+}
+
+// sendSince sends the changes that another instance asks for. The caller holds mu.
+func (g *Gateway) sendSince(replica *feed.Replica, m *peer.Since) {
 	answer, err := g.answers.since(replica, m.Kind, m.Revision)
 	if err != nil {
 		g.log.Error(logDeltaRefused, "kind", m.Kind, "error", err.Error())
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -53,6 +53,8 @@
 	rounds  int
 	lag     map[feed.Kind]lag
 	answers answers
+	// askers are instances that asked for a kind that this one does not have yet.
+	askers map[feed.Kind][]*peer.Since
 	// lapse holds back removals of targets after an outage of the store.
 	lapse    feed.Lapse
 	reported reporter
@@ -97,6 +99,7 @@
 		askedAt:   make(map[feed.Kind]time.Time),
 		lag:       make(map[feed.Kind]lag),
 		answers:   make(answers),
+		askers:    make(map[feed.Kind][]*peer.Since),
 		rand:      rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), rand.Uint64())),
 	}
 	for _, kind := range kinds {
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -94,6 +94,11 @@
 }
 
 func (s *site) instance(name, hall string, change ...func(*gateway.Config)) *instance {
+	return s.instanceOf(platform.NewStore(s.addr), name, hall, change...)
+}
+
+// instanceOf starts an instance with a client of the store.
+func (s *site) instanceOf(store gateway.Store, name, hall string, change ...func(*gateway.Config)) *instance {
 	c := gateway.Defaults()
 	c.Name, c.Hall, c.Region, c.RegionOf = name, hall, halls[hall], halls
 	for _, addr := range []*string{&c.Listen, &c.LookupListen, &c.ReadyListen, &c.PeerListen, &c.AdminListen} {
@@ -105,7 +110,7 @@
 	for _, f := range change {
 		f(&c)
 	}
-	g, err := gateway.New(c, platform.NewStore(s.addr), platform.Codec{}, platform.Headers())
+	g, err := gateway.New(c, store, platform.Codec{}, platform.Headers())
 	require.NoError(s.t, err)
 	ctx, stop := context.WithCancel(context.Background())
 	in := &instance{site: s, config: c, stop: stop, done: make(chan struct{}), client: &http.Client{Transport: &http.Transport{}}}
--- /dev/null
+++ b/gateway/start.go
@@ -0,0 +1,150 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/rainford/rainford/feed"
+	"github.com/rainford/rainford/fleet"
+	"github.com/rainford/rainford/internal/mix"
+	"github.com/rainford/rainford/internal/pause"
+	"github.com/rainford/rainford/peer"
+)
+
+const (
+	// minSeeds is the number of other instances in the settings from which on
+	// an instance waits for them at the first start of the system, for
+	// firstPeersTime. The seeds themselves know fewer others and do not wait.
+	minSeeds       = 3
+	firstPeersTime = 1500 * time.Millisecond
+	peersPoll      = 30 * time.Millisecond
+	// registerWait is how long an instance that starts again waits to learn whether it
+	// is registered.
+	registerWait = 3 * time.Second
+	// readTime is how long an instance that starts waits for its own first read of a
+	// kind before it asks any other instance that has it.
+	readTime = time.Second
+
+	// oneReaderIn is the number of instances of which one, by its name, reads the
+	// targets from the store when it starts, and brings them to others of its hall.
+	// When all 295 instances of the largest site start again at once and each reads
+	// 350 kB, the store's link of 1,000 Mbit/s is full for 0.8 s.
+	oneReaderIn = 4
+	// instancesTime is how long an instance that starts waits to learn of the readers,
+	// and readerTime how long it gives a reader before it asks the next one.
+	instancesTime = 400 * time.Millisecond
+	readerTime    = 300 * time.Millisecond
+	// maxReaders is the number of readers that are asked before the store is.
+	maxReaders = 2
+	// maxAskers bounds the instances that a reader remembers until it has read.
+	maxAskers = 64
+)
+
+// awaitPeers gives the instances of the settings a moment to bring a kind at the first
+// start of the system, when there is time, which spares the store a list for each instance.
+// At other starts there is no wait: all may have been killed at once.
+func (g *Gateway) awaitPeers(ctx context.Context, kind feed.Kind) {
+	g.awaitKind(ctx, kind, g.peersTime())
+}
+
+func (g *Gateway) peersTime() time.Duration {
+	switch {
+	case g.isSeed():
+		return 0
+	case g.config.FirstStart:
+		return firstPeersTime
+	default:
+		return 0
+	}
+}
+
+// firstRead reads a kind that nobody has brought, whether or not this instance is to watch,
+// until the store answers or others bring it. What it reads may be some seconds old: the
+// watchers bring what is newer.
+func (g *Gateway) firstRead(ctx context.Context, kind feed.Kind) {
+	if kind == KindTargets {
+		g.askReaders(ctx)
+	}
+	wait := firstPause
+	for ctx.Err() == nil && g.revision(kind) == 0 {
+		delta, err := g.store.ListStale(ctx, kind)
+		g.noteStore(kind, err)
+		if err == nil {
+			g.take(delta, sourceStore)
+			return
+		}
+		pause.For(ctx, wait)
+		wait = min(2*wait, maxPause)
+	}
+}
+
+// isReader tells whether the instance of a name reads the targets from the store when it
+// starts.
+func isReader(name string) bool { return mix.Pair(name, "reader")%oneReaderIn == 0 }
+
+// askReaders has the readers of the hall bring the targets, if this instance is none and
+// knows of one. It returns once the targets are there or the readers had their time.
+func (g *Gateway) askReaders(ctx context.Context) {
+	if isReader(g.config.Name) {
+		return
+	}
+	g.awaitKind(ctx, KindInstances, instancesTime)
+	for _, reader := range g.readers() {
+		if g.revision(KindTargets) > 0 {
+			return
+		}
+		g.mesh.Send(reader.PeerAddr, &peer.Since{Kind: KindTargets, ReplyTo: g.view.Self().PeerAddr})
+		g.awaitKind(ctx, KindTargets, readerTime)
+	}
+}
+
+// readers returns the readers of the hall that this instance is to ask: different ones for
+// each instance.
+func (g *Gateway) readers() []fleet.Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var all []fleet.Member
+	for _, s := range g.view.Others(time.Now()) {
+		if s.Hall == g.config.Hall && isReader(s.Name) {
+			all = append(all, s.Member)
+		}
+	}
+	if len(all) == 0 {
+		return nil
+	}
+	first := int(mix.Pair(g.config.Name, "asks") % uint64(len(all)))
+	ordered := append(all[first:len(all):len(all)], all[:first]...)
+	return ordered[:min(len(ordered), maxReaders)]
+}
+
+// awaitKind waits until a kind is there, for a time at most.
+func (g *Gateway) awaitKind(ctx context.Context, kind feed.Kind, most time.Duration) {
+	end := time.Now().Add(most)
+	for time.Now().Before(end) && g.revision(kind) == 0 && pause.For(ctx, peersPoll) {
+	}
+}
+
+// register puts the own member into the store, so that others find it, unless it is there
+// from an earlier process.
+func (g *Gateway) register(ctx context.Context) {
+	if !g.config.FirstStart {
+		g.awaitKind(ctx, KindInstances, registerWait)
+	}
+	wait := firstPause
+	for ctx.Err() == nil && !g.isRegistered() {
+		err := g.store.Create(ctx, KindInstances, g.config.Name, g.view.Self())
+		if err == nil {
+			return
+		}
+		g.log.Warn(logNotRegistered, "error", err.Error())
+		pause.For(ctx, wait)
+		wait = min(2*wait, maxPause)
+	}
+}
+
+// isRegistered tells whether the own member is known to be in the store.
+func (g *Gateway) isRegistered() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.replicas[KindInstances].Has(g.config.Name)
+}
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -21,23 +21,9 @@
 	// missedAfter is how long a watch may lag behind another instance's
 	// before it counts as deaf.
 	missedAfter = time.Second
-	// minSeeds is the number of other instances in the settings from which on
-	// an instance waits for them at its start. The seeds themselves know fewer
-	// others and do not wait. firstPeersTime is how long it waits at the first
-	// start of the system, and peersTime at others.
-	minSeeds       = 3
-	firstPeersTime = 1500 * time.Millisecond
-	peersTime      = 300 * time.Millisecond
-	peersPoll      = 30 * time.Millisecond
 	// settleTime is the time from its start on for which an instance that is no seed
 	// leaves watching to others: three rounds of gossip, in which it hears of them.
 	settleTime = 3 * fleet.RoundTime
-	// registerWait is how long an instance that starts again waits to learn whether it
-	// is registered.
-	registerWait = 3 * time.Second
-	// readTime is how long an instance that starts waits for its own first read of a
-	// kind before it asks others for it.
-	readTime = 300 * time.Millisecond
 	// gatherTime is the time between two watches of kinds that change often.
 	gatherTime = 200 * time.Millisecond
 	// deafWait is how long a watch waits that is to find out whether the store is
@@ -223,23 +209,6 @@
 	}
 }
 
-// firstRead reads a kind that nobody has brought, whether or not this instance is to watch,
-// until the store answers or others bring it. What it reads may be some seconds old: the
-// watchers bring what is newer.
-func (g *Gateway) firstRead(ctx context.Context, kind feed.Kind) {
-	wait := firstPause
-	for ctx.Err() == nil && g.revision(kind) == 0 {
-		delta, err := g.store.ListStale(ctx, kind)
-		g.noteStore(kind, err)
-		if err == nil {
-			g.take(delta, sourceStore)
-			return
-		}
-		pause.For(ctx, wait)
-		wait = min(2*wait, maxPause)
-	}
-}
-
 // probeLoop finds out whether the store still answers while this instance is a watcher:
 // a pending watch does not tell.
 func (g *Gateway) probeLoop(ctx context.Context) {
@@ -256,30 +225,6 @@
 	}
 }
 
-// awaitPeers gives the instances of the settings a moment to bring the kind, which
-// spares the store a list for each instance that starts. After the first start of
-// the system the wait is short, and there is none for what requests need, the urgent
-// kinds and the targets: all may have been killed at once.
-func (g *Gateway) awaitPeers(ctx context.Context, kind feed.Kind) {
-	wait := g.peersTime(kind)
-	end := time.Now().Add(wait)
-	for time.Now().Before(end) && g.revision(kind) == 0 && pause.For(ctx, peersPoll) {
-	}
-}
-
-func (g *Gateway) peersTime(kind feed.Kind) time.Duration {
-	switch {
-	case g.isSeed():
-		return 0
-	case g.config.FirstStart:
-		return firstPeersTime
-	case urgent(kind) || kind == KindTargets:
-		return 0
-	default:
-		return peersTime
-	}
-}
-
 // readOnce lists the kind if nothing is held, and else waits for changes.
 func (g *Gateway) readOnce(ctx context.Context, kind feed.Kind) error {
 	at := g.revision(kind)
@@ -355,35 +300,3 @@
 		g.log.Warn(logStoreLost, "kind", kind, "error", err.Error())
 	}
 }
-
-// register puts the own member into the store, so that others find it, unless it is there
-// from an earlier process.
-func (g *Gateway) register(ctx context.Context) {
-	if !g.config.FirstStart {
-		g.awaitInstances(ctx)
-	}
-	wait := firstPause
-	for ctx.Err() == nil && !g.isRegistered() {
-		err := g.store.Create(ctx, KindInstances, g.config.Name, g.view.Self())
-		if err == nil {
-			return
-		}
-		g.log.Warn(logNotRegistered, "error", err.Error())
-		pause.For(ctx, wait)
-		wait = min(2*wait, maxPause)
-	}
-}
-
-// awaitInstances waits until the registered instances are known.
-func (g *Gateway) awaitInstances(ctx context.Context) {
-	end := time.Now().Add(registerWait)
-	for time.Now().Before(end) && g.revision(KindInstances) == 0 && pause.For(ctx, peersPoll) {
-	}
-}
-
-// isRegistered tells whether the own member is known to be in the store.
-func (g *Gateway) isRegistered() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.replicas[KindInstances].Has(g.config.Name)
-}
