Instances pass on the loads of busy targets

Hundreds of targets idle meanwhile. Ruled out: cold runs (these tries' objects had been at their target before), full targets that were known to be. Change: the reports that targets give of their load with answers are passed on with gossip in the own region, those of targets with 0.9 requests a slot and more, and of targets that had so within 3 s, at most 24 a message, six bytes each, none older than 1.5 s. A report that is newer than what is known counts as an own one. What the load does to the choice is as before: a key goes to its second target from a wait of 0.7 usual times on. A small site's instances hear of each target themselves. Tests: TestBusyTargetIsHeardOf (red without Hear), TestSightingsOnTheWire.

--- a/fleet/model_test.go
+++ b/fleet/model_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/rainford/rainford/fleet"
 	"github.com/rainford/rainford/peer"
+	"github.com/rainford/rainford/upstream"
 )
 
 // model is a fleet whose messages are lost now and then and arrive within the
@@ -42,6 +43,10 @@
 // revisions are those that a message of gossip carries.
 var revisions = []int64{70_000, 70_000, 70_000, 70_000, 70_000}
 
+// busy are as many loads of targets as a message of gossip carries, as while a site is
+// overloaded.
+var busy = make(upstream.Sightings, 24)
+
 // introduceEvery is the number of messages of which one carries the sender itself.
 const introduceEvery = 8
 
@@ -92,6 +97,9 @@
 		for _, partner := range v.Partners(m.now, m.rnd) {
 			beats := v.Beats(m.now, partner.Region)
 			message := &peer.Gossip{Beats: beats, Revisions: revisions}
+			if partner.Region == v.Self().Region {
+				message.Busy = busy
+			}
 			if m.rounds%introduceEvery == 0 {
 				self := v.Self()
 				message.Member = &self
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -16,6 +16,9 @@
 	// time, and those of a hall that was cut off until then learn of it late.
 	introduceFor   = 10 * time.Second
 	introduceEvery = 8
+	// maxSightings bounds the loads of busy targets in a message: 150 bytes, less than
+	// a fifth of the message.
+	maxSightings = 24
 	// askEvery is the shortest time between two questions for a kind.
 	askEvery = 300 * time.Millisecond
 	// askAfter and askFarAfter are how long a watcher's push may take before an
@@ -55,8 +58,13 @@
 	g.view.Beat(now)
 	g.rounds++
 	partners := g.partners(now, wide)
+	busy := g.pools.sightings(now).Sample(maxSightings, g.rand)
 	for _, m := range partners {
-		g.mesh.Send(m.PeerAddr, g.message(now, m.Region))
+		message := g.message(now, m.Region)
+		if m.Region == g.config.Region {
+			message.Busy = busy
+		}
+		g.mesh.Send(m.PeerAddr, message)
 	}
 	for _, m := range g.view.Probes(now) {
 		g.mesh.Send(m.PeerAddr, &peer.Probe{ReplyTo: g.view.Self().PeerAddr})
@@ -158,6 +166,7 @@
 		g.view.Add(*m.Member)
 	}
 	g.view.Hear(now, m.Beats)
+	g.pools.hear(now, m.Busy)
 	if g.view.Len() != known {
 		g.shareOut(now)
 	}
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -154,6 +154,29 @@
 	}
 }
 
+// sightings returns the loads of busy targets of all services.
+func (ps *pools) sightings(now time.Time) upstream.Sightings {
+	ps.mu.RLock()
+	defer ps.mu.RUnlock()
+	var out upstream.Sightings
+	for _, p := range ps.pools {
+		out = append(out, p.sightings(now)...)
+	}
+	return out
+}
+
+// hear takes in the loads of targets that another instance has told of.
+func (ps *pools) hear(now time.Time, seen upstream.Sightings) {
+	if len(seen) == 0 {
+		return
+	}
+	ps.mu.RLock()
+	defer ps.mu.RUnlock()
+	for _, p := range ps.pools {
+		p.hear(now, seen)
+	}
+}
+
 // pool is the targets of one service, with the requests that wait for them.
 type pool struct {
 	mu       sync.Mutex
@@ -289,6 +312,18 @@
 	p.tell()
 }
 
+func (p *pool) sightings(now time.Time) upstream.Sightings {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.upstream.Sightings(now)
+}
+
+func (p *pool) hear(now time.Time, seen upstream.Sightings) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.upstream.Hear(now, seen)
+}
+
 // arrived counts a request of a client for the budget of repeats.
 func (p *pool) arrived() {
 	p.mu.Lock()
--- a/peer/message.go
+++ b/peer/message.go
@@ -9,6 +9,7 @@
 	"github.com/rainford/rainford/member"
 	"github.com/rainford/rainford/objectstore"
 	"github.com/rainford/rainford/share"
+	"github.com/rainford/rainford/upstream"
 )
 
 // kind is the kind of a frame.
@@ -95,6 +96,8 @@
 	// Revisions are those of the sender's replicas, in an order of kinds that all
 	// instances share. New kinds come last.
 	Revisions []int64 `msgpack:"r,omitempty"`
+	// Busy are the loads of targets that have more requests than they can work on.
+	Busy upstream.Sightings `msgpack:"l,omitempty"`
 	// Reply marks an answer to gossip, which is not answered again.
 	Reply bool `msgpack:"a,omitempty"`
 }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -31,8 +31,10 @@
 	quotas  *quotas
 	rows    []table.Row
 
-	byID    map[string]*target
-	targets []*target
+	byID map[string]*target
+	// byShortID holds the same targets by the form of their IDs in sightings.
+	byShortID map[uint32]*target
+	targets   []*target
 	// byRegion holds the same targets by region.
 	byRegion map[string][]*target
 	// usages hold the load of each region's targets.
@@ -59,16 +61,17 @@
 		regions[region] = true
 	}
 	return &Pool{
-		config:   config,
-		regions:  len(regions),
-		quotas:   &quotas{self: config.Self, version: 1},
-		byID:     make(map[string]*target),
-		byRegion: make(map[string][]*target),
-		usages:   make(map[string]*usage),
-		groups:   numberHalls(config.RegionOf),
-		plans:    make(map[string]*plan),
-		typical:  firstTypical,
-		salt:     mix.Hash(config.Self),
+		config:    config,
+		regions:   len(regions),
+		quotas:    &quotas{self: config.Self, version: 1},
+		byID:      make(map[string]*target),
+		byShortID: make(map[uint32]*target),
+		byRegion:  make(map[string][]*target),
+		usages:    make(map[string]*usage),
+		groups:    numberHalls(config.RegionOf),
+		plans:     make(map[string]*plan),
+		typical:   firstTypical,
+		salt:      mix.Hash(config.Self),
 	}
 }
 
@@ -160,8 +163,10 @@
 func (p *Pool) arrange() {
 	p.targets = p.targets[:0]
 	clear(p.byRegion)
+	clear(p.byShortID)
 	for _, t := range p.byID {
 		p.targets = append(p.targets, t)
+		p.byShortID[shortID(t.hash)] = t
 	}
 	sort.Slice(p.targets, func(i, j int) bool { return p.targets[i].spec.ID < p.targets[j].spec.ID })
 	for _, t := range p.targets {
--- /dev/null
+++ b/upstream/sighting_test.go
@@ -0,0 +1,72 @@
+package upstream_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/rainford/rainford/upstream"
+)
+
+// TestBusyTargetIsHeardOf checks that a request goes to its key's second target when
+// another instance has told that the first has more requests than it can work on, and to
+// the first again when it has told that this is over, or nothing for a while.
+func TestBusyTargetIsHeardOf(t *testing.T) {
+	there, here := newPool(), newPool()
+	for _, p := range []*upstream.Pool{there, here} {
+		p.SetTargets(start, spread(6), nil)
+	}
+	target := func(p *upstream.Pool, now time.Time) upstream.Decision {
+		d := p.Acquire(now, request("k"))
+		p.Release(now, d.Target.ID, upstream.Result{Outcome: upstream.Abandoned})
+		return d
+	}
+	first := target(here, start).Target.ID
+	for range 2 {
+		require.Equal(t, first, there.Acquire(start, request("k")).Target.ID)
+	}
+	answer := func(now time.Time, running, waiting int) {
+		there.Release(now, first, upstream.Result{Report: &upstream.Report{Running: running, Waiting: waiting, Slots: 3}, Took: time.Second})
+	}
+	require.Empty(t, there.Sightings(start))
+
+	answer(start, 3, 4)
+	seen := there.Sightings(start)
+	require.Len(t, seen, 1)
+	here.Hear(start.Add(50*time.Millisecond), seen)
+	now := start.Add(100 * time.Millisecond)
+	require.NotEqual(t, first, target(here, now).Target.ID)
+	require.Equal(t, upstream.ReasonLoad, target(here, now).Reason)
+	require.Len(t, here.Sightings(now), 1, "what was heard is passed on")
+	require.Empty(t, here.Sightings(start.Add(2*time.Second)), "while it is new")
+	require.Equal(t, first, target(here, start.Add(4*time.Second)).Target.ID)
+
+	now = start.Add(200 * time.Millisecond)
+	answer(now, 1, 0)
+	over := there.Sightings(now)
+	require.Len(t, over, 1, "that a target is no longer busy is told too")
+	here.Hear(now, over)
+	here.Hear(now, seen)
+	require.Equal(t, first, target(here, now).Target.ID, "older reports change nothing")
+}
+
+// TestSightingsOnTheWire checks that sightings arrive as they were but for their rounding,
+// in six bytes each, and that ones that are cut short are refused.
+func TestSightingsOnTheWire(t *testing.T) {
+	seen := upstream.Sightings{
+		{Target: 1 << 31, PerSlot: 1.5, Age: 730 * time.Millisecond},
+		{Target: 7, PerSlot: 100, Age: time.Hour},
+	}
+	raw, err := msgpack.Marshal(seen)
+	require.NoError(t, err)
+	require.LessOrEqual(t, len(raw), 2+2*6)
+	var got upstream.Sightings
+	require.NoError(t, msgpack.Unmarshal(raw, &got))
+	require.Equal(t, seen[0], got[0])
+	require.Equal(t, upstream.Sighting{Target: 7, PerSlot: 255.0 / 32, Age: 2550 * time.Millisecond}, got[1])
+	cut, err := msgpack.Marshal([]byte("12345"))
+	require.NoError(t, err)
+	require.ErrorIs(t, msgpack.Unmarshal(cut, &got), upstream.ErrSightings)
+}
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -46,6 +46,7 @@
 	// others is the number of requests of other instances at the target.
 	others   float64
 	othersAt time.Time
+	last     lastReport
 	// peers is what the targets of the same region have reported of late.
 	peers *usage
 
@@ -191,12 +192,19 @@
 	t.suspectUntil = now.Add(t.suspicion)
 }
 
+// report takes in what the target told of its load with an answer.
 func (t *target) report(now time.Time, r Report) {
-	others := max(0, float64(r.Running+r.Waiting-t.inFlight))
-	if now.Sub(t.othersAt) >= othersGone {
+	t.last.take(now, float64(r.Running+r.Waiting)/float64(max(r.Slots, 1)))
+	t.count(now, float64(r.Running+r.Waiting))
+}
+
+// count takes in the number of requests at the target at a moment.
+func (t *target) count(at time.Time, requests float64) {
+	others := max(0, requests-float64(t.inFlight))
+	if at.Sub(t.othersAt) >= othersGone {
 		t.others = others
 	} else {
 		t.others += reportWeight * (others - t.others)
 	}
-	t.othersAt = now
+	t.othersAt = at
 }
