Instances pass on which targets can't be reached

Change: a target that refused a connection or did not take it within the time for one is passed on with the loads of busy targets, for 1.5 s after it was seen. An instance that can't reach more targets than it gets answers from says nothing of it. A load that was passed on counts only while the region's targets are not all busy.

--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -322,6 +322,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.upstream.Hear(now, seen)
+	p.tell()
 }
 
 // arrived counts a request of a client for the budget of repeats.
--- a/upstream/sighting.go
+++ b/upstream/sighting.go
@@ -20,28 +20,38 @@
 	// sightingLife is how old a report may be to be passed on: with another round of
 	// gossip on its way it still counts.
 	sightingLife = 1500 * time.Millisecond
+	// downPause is how long after another instance could not reach a target it gets
+	// nothing: until gossip would have told whether that goes on.
+	downPause = 1500 * time.Millisecond
 )
 
-// Sighting is a target's report on its load as instances pass it on. In a large fleet an
-// instance has an answer of each target once in minutes, so it would not know which few
-// have more requests than they have slots.
+// Sighting is what an instance has seen of a target and passes on to others. In a large
+// fleet an instance has an answer of each target once in minutes, so it would not know
+// which few have more requests than they have slots, and each would find out by itself that
+// a target is down.
 type Sighting struct {
 	// Target is a short form of the target's ID.
 	Target uint32
 	// PerSlot is the number of requests running and waiting there, over its slots.
 	PerSlot float64
-	// Age is the time since the report came with an answer.
+	// Down says that no connection to the target could be had. That an answer did not
+	// come is not passed on: while targets are overloaded that is so of many, and what
+	// leaves them is cold elsewhere.
+	Down bool
+	// Age is the time since it was seen.
 	Age time.Duration
 }
 
 // Sightings are reports as a message carries them.
 type Sightings []Sighting
 
-// Units of a sighting in a message: a byte each for the load and the age.
+// Units of a sighting in a message: a byte each for the load and the age. The highest load
+// stands for a target that is down.
 const (
 	sightingBytes = 4 + 1 + 1
 	loadUnit      = 1.0 / 32
 	ageUnit       = 10 * time.Millisecond
+	downByte      = math.MaxUint8
 )
 
 // ErrSightings is returned for sightings that are cut short.
@@ -52,13 +62,17 @@
 	raw := make([]byte, 0, len(s)*sightingBytes)
 	for _, seen := range s {
 		raw = binary.BigEndian.AppendUint32(raw, seen.Target)
-		raw = append(raw, byteOf(seen.PerSlot/loadUnit), byteOf(float64(seen.Age/ageUnit)))
+		load := byteOf(seen.PerSlot/loadUnit, downByte-1)
+		if seen.Down {
+			load = downByte
+		}
+		raw = append(raw, load, byteOf(float64(seen.Age/ageUnit), math.MaxUint8))
 	}
 	return enc.EncodeBytes(raw)
 }
 
-// byteOf rounds a value to a byte.
-func byteOf(v float64) byte { return byte(min(max(math.Round(v), 0), math.MaxUint8)) }
+// byteOf rounds a value to a byte of at most most.
+func byteOf(v, most float64) byte { return byte(min(max(math.Round(v), 0), most)) }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (s *Sightings) DecodeMsgpack(dec *msgpack.Decoder) error {
@@ -71,11 +85,11 @@
 	}
 	*s = make(Sightings, 0, len(raw)/sightingBytes)
 	for ; len(raw) > 0; raw = raw[sightingBytes:] {
-		*s = append(*s, Sighting{
-			Target:  binary.BigEndian.Uint32(raw),
-			PerSlot: float64(raw[4]) * loadUnit,
-			Age:     time.Duration(raw[5]) * ageUnit,
-		})
+		seen := Sighting{Target: binary.BigEndian.Uint32(raw), Down: raw[4] == downByte, Age: time.Duration(raw[5]) * ageUnit}
+		if !seen.Down {
+			seen.PerSlot = float64(raw[4]) * loadUnit
+		}
+		*s = append(*s, seen)
 	}
 	return nil
 }
@@ -95,36 +109,73 @@
 	}
 }
 
-// Sightings returns the reports to pass on to other instances of the region: those of busy
-// targets, and of targets that were busy a moment ago.
+// Sightings returns what to pass on to other instances of the region: the reports of busy
+// targets, and of targets that were busy a moment ago, and which targets are down. An
+// instance that can't reach more targets than it gets answers from says nothing of that: the
+// fault may be its own.
 func (p *Pool) Sightings(now time.Time) Sightings {
-	var out Sightings
+	var busy, down Sightings
+	answering := 0
 	for _, t := range p.targets {
+		if now.Sub(t.answeredAt) < sightingLife {
+			answering++
+		}
+		if !t.serves() {
+			continue
+		}
+		if age := now.Sub(t.downAt); age < sightingLife && t.suspicion > 0 {
+			down = append(down, Sighting{Target: shortID(t.hash), Down: true, Age: age})
+			continue
+		}
 		age := now.Sub(t.last.at)
-		if age < sightingLife && now.Sub(t.last.busyAt) < busyFor && t.serves() {
-			out = append(out, Sighting{Target: shortID(t.hash), PerSlot: t.last.perSlot, Age: age})
+		if age < sightingLife && now.Sub(t.last.busyAt) < busyFor {
+			busy = append(busy, Sighting{Target: shortID(t.hash), PerSlot: t.last.perSlot, Age: age})
 		}
 	}
-	return out
+	if len(down) > answering {
+		return busy
+	}
+	return append(down, busy...)
 }
 
-// Hear takes in reports that other instances had. Those of targets of other services are
+// Hear takes in what other instances have seen. Targets of other services are
 // passed over.
 func (p *Pool) Hear(now time.Time, seen Sightings) {
 	for _, s := range seen {
 		t := p.byShortID[s.Target]
 		at := now.Add(-s.Age)
-		if t == nil || !at.After(t.last.at) {
-			continue
+		switch {
+		case t == nil:
+		case s.Down:
+			p.hearDown(t, at)
+		case at.After(t.last.at):
+			t.last.take(at, s.PerSlot)
+			p.hearLoad(now, t, at, s.PerSlot)
 		}
-		t.hear(at, s.PerSlot)
 	}
 }
 
-// hear takes in a report that another instance had.
-func (t *target) hear(at time.Time, perSlot float64) {
-	t.last.take(at, perSlot)
-	t.count(at, perSlot*float64(max(t.spec.Slots, 1)))
+// hearLoad takes in a load that another instance has told of. It counts for nothing while
+// all targets of the region are busy: requests that leave one of them wait elsewhere too,
+// and for a target that does not have their object.
+func (p *Pool) hearLoad(now time.Time, t *target, at time.Time, perSlot float64) {
+	if t.peers.at(now) < busyFrom {
+		t.count(at, perSlot*float64(max(t.spec.Slots, 1)))
+	}
+}
+
+// hearDown takes in that another instance could not reach a target. It counts only if
+// this instance has had none for a while either: one that knows a target by itself is not
+// moved off it by the bad luck of another.
+func (p *Pool) hearDown(t *target, at time.Time) {
+	if at.Sub(t.answeredAt) < othersGone {
+		return
+	}
+	before := t.belief()
+	if until := at.Add(downPause); until.After(t.pausedUntil) {
+		t.pausedUntil = until
+	}
+	p.note(t, before, Unreachable)
 }
 
 // shortID is the form of a target's ID in sightings.
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -62,6 +62,10 @@
 	// requests in flight.
 	unlisted bool
 
+	// answeredAt is when the target last answered here, and downAt when it last could
+	// not be reached.
+	answeredAt, downAt time.Time
+
 	failures int
 	// rejections is the number of rejections in a row.
 	rejections   int
@@ -165,15 +169,20 @@
 	switch r.Outcome {
 	case Answered:
 		t.failures, t.suspicion, t.rejections = 0, 0, 0
+		t.answeredAt = now
 	case Rejected:
 		t.failures, t.suspicion = 0, 0
+		t.answeredAt = now
 		t.rejections++
 		if full || t.rejections >= rejectionsToPause {
 			t.pausedUntil = now.Add(rejectedPause)
 		}
 	case Replaced:
 		t.replaced = true
-	case Unreachable, Silent:
+	case Unreachable:
+		t.downAt = now
+		t.suspect(now)
+	case Silent:
 		t.suspect(now)
 	case Broken:
 		t.failures++
