A request waits a little for an instance that has just started

Cause: after a loss of all power or processes an instance has its configuration after 0.2 s and the targets after 0.7 s, and refuses every request until then; what comes in the last quarter of a second could have been served in time. Change: such a request waits for a sixty-fourth of the time that its client gives, which is about what a request waits for a target (an eighth of the objective), and goes on as soon as configuration and targets are known. What is not known by then is refused as before. Test: TestAwaitReady.

--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -42,12 +42,13 @@
 	if before == 0 {
 		g.answerAskers(d.Kind)
 	}
-	if d.Kind == KindTargets {
-		g.knowsTargets.Store(true)
-	}
 	if len(changes) > 0 {
 		g.putInForce(time.Now(), d.Kind, changes, source, replica.At())
 	}
+	if d.Kind == KindTargets {
+		g.readiness.knowsTargets.Store(true)
+	}
+	g.noteReady()
 	if len(changes) > 0 && !d.Full {
 		g.passOn(d, source)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,8 +59,7 @@
 	lapse    feed.Lapse
 	reported reporter
 
-	// knowsTargets is set once the targets have been read.
-	knowsTargets atomic.Bool
+	readiness readiness
 
 	watch    watchState
 	leaving  atomic.Bool
@@ -96,6 +95,7 @@
 		evacuated: make(map[string]bool),
 		specs:     make(map[string]catalog.Target),
 		startedAt: time.Now(),
+		readiness: readiness{reached: make(chan struct{})},
 		askedAt:   make(map[feed.Kind]time.Time),
 		lag:       make(map[feed.Kind]lag),
 		answers:   make(answers),
--- a/gateway/lookup.go
+++ b/gateway/lookup.go
@@ -104,9 +104,3 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
-
-// isReady tells whether the instance can serve: it has a configuration and knows the
-// targets.
-func (g *Gateway) isReady() bool {
-	return g.router.Load() != nil && g.knowsTargets.Load()
-}
--- /dev/null
+++ b/gateway/ready.go
@@ -0,0 +1,50 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// startShare is the part of the time that a client waits for which a request may wait for
+// an instance that has just started. It is about what a request waits for a target at most:
+// an eighth of an objective, of which the clients of the sites wait six to ten.
+const startShare = 64
+
+// readiness tells when the instance can serve: once it has a configuration and knows the
+// targets.
+type readiness struct {
+	knowsTargets atomic.Bool
+	once         sync.Once
+	// reached is closed when the instance is ready.
+	reached chan struct{}
+}
+
+// isReady tells whether the instance can serve.
+func (g *Gateway) isReady() bool {
+	return g.router.Load() != nil && g.readiness.knowsTargets.Load()
+}
+
+// noteReady lets the requests go on that wait for the instance to be ready, if it is.
+func (g *Gateway) noteReady() {
+	if g.isReady() {
+		g.readiness.once.Do(func() { close(g.readiness.reached) })
+	}
+}
+
+// awaitReady has a request wait for an instance that has just started, for a small part of
+// the time that its client waits: the instance has what it needs within a second, and a
+// request that is refused has to come back.
+func (g *Gateway) awaitReady(ctx context.Context, clientWaits time.Duration) {
+	if g.isReady() {
+		return
+	}
+	timer := time.NewTimer(clientWaits / startShare)
+	defer timer.Stop()
+	select {
+	case <-g.readiness.reached:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/gateway/ready_test.go
@@ -0,0 +1,38 @@
+package gateway
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rainford/rainford/catalog"
+)
+
+// TestAwaitReady checks that a request waits for an instance that has just started for a
+// small part of its time, and goes on at once when the instance has what it needs.
+func TestAwaitReady(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := &Gateway{readiness: readiness{reached: make(chan struct{})}}
+		began := time.Now()
+		g.awaitReady(t.Context(), 6400*time.Millisecond)
+		require.Equal(t, 100*time.Millisecond, time.Since(began))
+
+		began = time.Now()
+		go func() {
+			time.Sleep(40 * time.Millisecond)
+			g.router.Store(catalog.NewRouter(&catalog.Config{}))
+			g.noteReady()
+			time.Sleep(20 * time.Millisecond)
+			g.readiness.knowsTargets.Store(true)
+			g.noteReady()
+		}()
+		g.awaitReady(t.Context(), 6400*time.Millisecond)
+		require.Equal(t, 60*time.Millisecond, time.Since(began))
+		began = time.Now()
+		g.awaitReady(t.Context(), 6400*time.Millisecond)
+		g.noteReady()
+		require.Zero(t, time.Since(began))
+	})
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -82,6 +82,7 @@
 	if g.refusing.Load() {
 		return verdict{status: http.StatusServiceUnavailable, reason: "stopping", retryAfter: defaultRetryAfter, close: true}, nil
 	}
+	g.awaitReady(ex.ctx, g.clientWaits(ex.r))
 	router := g.router.Load()
 	if router == nil {
 		return verdict{status: http.StatusServiceUnavailable, reason: "no-configuration", retryAfter: defaultRetryAfter, close: true}, nil
@@ -121,17 +122,22 @@
 // timeFor returns how long a request may take: what the client waits, and no
 // longer than the route allows.
 func (g *Gateway) timeFor(ex *exchange) time.Duration {
-	limit := g.config.DefaultDeadline
-	ms, err := strconv.ParseInt(ex.r.Header.Get(g.headers.Deadline), 10, 64)
-	if err == nil && ms > 0 {
-		limit = time.Duration(ms)*time.Millisecond - answerMargin
-	}
+	limit := g.clientWaits(ex.r)
 	if ex.route.Timeout > 0 {
 		limit = min(limit, ex.route.Timeout)
 	}
 	return limit
 }
 
+// clientWaits returns how long the client waits for the answer, less the way back.
+func (g *Gateway) clientWaits(r *http.Request) time.Duration {
+	ms, err := strconv.ParseInt(r.Header.Get(g.headers.Deadline), 10, 64)
+	if err != nil || ms <= 0 {
+		return g.config.DefaultDeadline
+	}
+	return time.Duration(ms)*time.Millisecond - answerMargin
+}
+
 // readBody reads the whole body, so that it can be sent again.
 func (g *Gateway) readBody(ex *exchange, limits catalog.Limits) (verdict, bool) {
 	most := limits.BodyBytes
