Clients are not all sent to the first instances that are heard of after a start

An instance that answers look-ups knows after its start only those that have written to it, names these alone, and clients keep the answer for two seconds and more. Change: for its first four seconds an instance names all instances of the hall that are registered, but for those that refused a connection or are leaving. Besides, where less than half of a hall's known instances are left, those of the region are named too, and of more than 64 a random choice.

--- a/gateway/lookup.go
+++ b/gateway/lookup.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"sort"
 	"sync"
@@ -12,9 +13,16 @@
 const (
 	// maxAddresses bounds the addresses of an answer.
 	maxAddresses = 64
-	// enoughNear is the number of instances in a hall from which on its
-	// clients are told of these alone.
-	enoughNear = 2
+	// enoughNear is the least number of instances in a hall for which its clients are
+	// told of these alone, and enoughShare the least part of those that it is known to
+	// have: what remains of a hall would have to carry the clients of all.
+	enoughNear  = 2
+	enoughShare = 0.5
+	// learnTime is the time from its start on for which an instance takes others that it
+	// has not heard of, or that are not ready yet, to be there: when all have started
+	// together it hears of them one by one, and clients that are told of the first few
+	// alone overwhelm them.
+	learnTime = 8 * fleet.RoundTime
 	// lookupLife is how long a prepared answer is used.
 	lookupLife = 200 * time.Millisecond
 )
@@ -55,7 +63,7 @@
 		return entry.body
 	}
 	g.mu.Lock()
-	addrs := addressesFor(g.view.All(now), region, hall)
+	addrs := addressesFor(g.view.All(now), region, hall, now.Sub(g.startedAt) < learnTime)
 	g.mu.Unlock()
 	body, err := g.codec.LookupAnswer(addrs, g.config.LookupTTL)
 	if err != nil {
@@ -70,12 +78,16 @@
 
 // addressesFor returns the instances that clients of a hall should use: those of
 // the hall, those of its region too if there are few, and others only if the
-// region has none.
-func addressesFor(members []fleet.Status, region, hall string) []string {
+// region has none. Learning is set while this instance can't tell who is there.
+func addressesFor(members []fleet.Status, region, hall string, learning bool) []string {
 	var same, near, far []string
+	known := 0
 	for _, m := range members {
+		if m.Hall == hall {
+			known++
+		}
 		switch {
-		case !m.Serves():
+		case !m.Serves() && !(learning && mayServe(m)):
 		case m.Hall == hall:
 			same = append(same, m.FrontAddr)
 		case m.Region == region:
@@ -85,14 +97,28 @@
 		}
 	}
 	out := same
-	if len(out) < enoughNear {
+	if len(out) < enoughNear || float64(len(out)) < enoughShare*float64(known) {
 		out = append(out, near...)
 	}
 	if len(out) == 0 {
 		out = far
 	}
-	sort.Strings(out)
-	return out[:min(len(out), maxAddresses)]
+	return sample(out)
+}
+
+// mayServe tells whether a member may be there, as far as an instance can tell that has just
+// started.
+func mayServe(m fleet.Status) bool { return m.State == fleet.Unknown || m.State == fleet.Alive }
+
+// sample returns at most maxAddresses of the addresses, other ones for each caller, in
+// order.
+func sample(addrs []string) []string {
+	if len(addrs) > maxAddresses {
+		rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
+		addrs = addrs[:maxAddresses]
+	}
+	sort.Strings(addrs)
+	return addrs
 }
 
 // serveReady answers the platform's readiness checks.
