--- /dev/null
+++ b/gateway/delta_test.go
@@ -0,0 +1,125 @@
+package gateway
+
+import (
+	"log/slog"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rainford/rainford/feed"
+	"github.com/rainford/rainford/fleet"
+	"github.com/rainford/rainford/peer"
+)
+
+// inbox is an instance that keeps the messages that it gets.
+type inbox struct {
+	addr     string
+	messages chan peer.Message
+}
+
+// Receive implements peer.Receiver.
+func (i *inbox) Receive(_ string, m peer.Message) { i.messages <- m }
+
+// Unreachable implements peer.Receiver.
+func (i *inbox) Unreachable(string) {}
+
+func (i *inbox) next(t *testing.T) peer.Message {
+	select {
+	case m := <-i.messages:
+		return m
+	case <-time.After(10 * time.Second):
+		t.Fatal("no message")
+		return nil
+	}
+}
+
+func newInbox(t *testing.T) *inbox {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	in := &inbox{addr: ln.Addr().String(), messages: make(chan peer.Message, 16)}
+	mesh := peer.NewMesh(in.addr, "", in, slog.New(slog.DiscardHandler))
+	go func() { _ = mesh.Serve(ln) }()
+	t.Cleanup(func() {
+		_ = ln.Close()
+		mesh.Close()
+	})
+	return in
+}
+
+// newSender returns an instance without a store or a listener, which sends messages.
+func newSender(t *testing.T) *Gateway {
+	log := slog.New(slog.DiscardHandler)
+	g := &Gateway{
+		config:   Config{Name: "n0", Hall: "a1", Region: "a", RegionOf: map[string]string{"a1": "a"}, Log: log},
+		log:      log,
+		replicas: make(map[feed.Kind]*feed.Replica),
+		askers:   make(map[feed.Kind][]*peer.Since),
+		answers:  make(answers),
+		view:     viewOf(time.Now(), 0, 0),
+	}
+	g.pools = newPools(g.config)
+	for _, kind := range kinds {
+		g.replicas[kind] = feed.NewReplica(kind)
+	}
+	g.mesh = peer.NewMesh("n0", "", g, log)
+	t.Cleanup(g.mesh.Close)
+	return g
+}
+
+// TestAskersAreAnswered checks that an instance that is asked for a kind before it has it
+// answers once it has, and the next one at once.
+func TestAskersAreAnswered(t *testing.T) {
+	g, in := newSender(t), newInbox(t)
+	g.Receive("", &peer.Since{Kind: KindInstances, ReplyTo: in.addr})
+	whole := feed.Delta{Kind: KindInstances, To: 7, Full: true, Changes: []feed.Change{{Object: feed.Object{Name: "n1", Value: []byte(`{"Name":"n1"}`)}}}}
+	require.True(t, g.take(whole, sourceStore))
+	g.Receive("", &peer.Since{Kind: KindInstances, ReplyTo: in.addr})
+	for range 2 {
+		answer, ok := in.next(t).(*peer.Delta)
+		require.True(t, ok)
+		got, err := answer.Unpack()
+		require.NoError(t, err)
+		require.Equal(t, whole, got)
+		require.False(t, answer.Relay)
+	}
+	require.Empty(t, g.askers)
+}
+
+// TestProbeIsAnswered checks that an instance that is asked whether it is alive says so with
+// a heartbeat of its own that is newer than the one before.
+func TestProbeIsAnswered(t *testing.T) {
+	g, in := newSender(t), newInbox(t)
+	before := g.view.OwnBeat()
+	g.Receive("", &peer.Probe{ReplyTo: in.addr})
+	answer, ok := in.next(t).(*peer.Gossip)
+	require.True(t, ok)
+	require.True(t, answer.Reply)
+	require.Len(t, answer.Beats, 1)
+	require.Equal(t, fleet.IDOf("n0"), answer.Beats[0].Member)
+	require.Greater(t, answer.Beats[0].Number, before.Number)
+}
+
+// TestDeltaIsRelayed checks that a delta is passed on, as it came, to those that its sender
+// has left to this instance, also if it brings nothing new here.
+func TestDeltaIsRelayed(t *testing.T) {
+	g, in := newSender(t), newInbox(t)
+	now := time.Now()
+	for _, m := range []fleet.Member{
+		{Name: "n1", Hall: "a1", Region: "a", PeerAddr: in.addr},
+		{Name: "n2", Hall: "a1", Region: "a", PeerAddr: "127.0.0.1:1"},
+	} {
+		g.view.Add(m)
+		g.view.Hear(now, fleet.Beats{{Member: fleet.IDOf(m.Name), Number: fleet.NumberAt(now)}})
+	}
+	message, err := peer.NewDelta(feed.Delta{Kind: KindTargets, From: 1, To: 2})
+	require.NoError(t, err)
+	g.relayDelta(message)
+	g.relayDelta(message.RelayTo(fleet.Branch{Until: fleet.IDOf("n1")}))
+	relayed, ok := in.next(t).(*peer.Delta)
+	require.True(t, ok)
+	require.Equal(t, message.Packed, relayed.Packed)
+	require.Equal(t, fleet.IDOf("n1"), relayed.Until)
+	require.Empty(t, in.messages, "a delta that is not to be relayed was not")
+}
