--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -42,6 +42,9 @@
 	if before == 0 {
 		g.answerAskers(d.Kind)
 	}
+	if before == 0 && d.Kind == KindInstances {
+		g.instancesAt = time.Now()
+	}
 	if len(changes) > 0 {
 		g.putInForce(time.Now(), d.Kind, changes, source, replica.At())
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -53,6 +53,8 @@
 	rounds  int
 	lag     map[feed.Kind]lag
 	answers answers
+	// instancesAt is when this instance came to know which are registered.
+	instancesAt time.Time
 	// askers are instances that asked for a kind that this one does not have yet.
 	askers map[feed.Kind][]*peer.Since
 	// lapse holds back removals of targets after an outage of the store.
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -21,9 +21,12 @@
 	// missedAfter is how long a watch may lag behind another instance's
 	// before it counts as deaf.
 	missedAfter = time.Second
-	// settleTime is the time from its start on for which an instance that is no seed
-	// leaves watching to others: three rounds of gossip, in which it hears of them.
+	// settleTime is the time for which an instance that is no seed leaves watching to
+	// others, from when it knows which instances are registered: three rounds of gossip,
+	// in which it hears of those of its region. settleMost is the same from its start
+	// on if it does not come to know them: the store may be away.
 	settleTime = 3 * fleet.RoundTime
+	settleMost = 10 * fleet.RoundTime
 	// gatherTime is the time between two watches of kinds that change often.
 	gatherTime = 200 * time.Millisecond
 	// deafWait is how long a watch waits that is to find out whether the store is
@@ -63,12 +66,18 @@
 
 // watches tells whether this instance is to watch the store. One that has just started
 // knows of nobody and is the first in its own view, as all are that start with it, so it
-// leaves that to the seeds for a while.
+// leaves that to the seeds for a while. The caller holds mu.
 func (g *Gateway) watches(now time.Time) bool {
-	if !g.isSeed() && now.Sub(g.startedAt) < settleTime {
-		return false
+	return (g.isSeed() || g.hasSettled(now)) && g.view.Watches(now)
+}
+
+// hasSettled tells whether the instance has had the time to hear of the others. The caller
+// holds mu.
+func (g *Gateway) hasSettled(now time.Time) bool {
+	if !g.instancesAt.IsZero() && now.Sub(g.instancesAt) >= settleTime {
+		return true
 	}
-	return g.view.Watches(now)
+	return now.Sub(g.startedAt) >= settleMost
 }
 
 // isSeed tells whether the instance is one that others try first, or knows too few such
