--- a/fleet/partners.go
+++ b/fleet/partners.go
@@ -41,9 +41,8 @@
 }
 
 // Partners returns the members that a round of gossip goes to: some of the own region,
-// by a schedule that all instances share, and one of another region. Members of the own
-// region that are not alive are tried once in a while, so that a healed cut is noticed;
-// members of another region that is silent too.
+// by a schedule that all instances share, one of another region, whether or not it was
+// heard of, and one of the own region that is not alive, so that a healed cut is noticed.
 func (v *View) Partners(now time.Time, rnd *rand.Rand) []Member {
 	v.nextRound(now)
 	var near, silent []Member
--- a/upstream/doc.go
+++ b/upstream/doc.go
@@ -7,7 +7,8 @@
 // bytes between halls. A target of another hall comes second. The
 // cost of a target is the wait expected there, by the requests of this instance
 // and what the target told of those of others, plus a penalty if it probably
-// does not have the object.
+// does not have the object. Instances pass on what they have seen of busy and of
+// unreachable targets: see Sighting.
 //
 // A target that is leaving, in an evacuated hall, suspected, or cold without a
 // quota left is not used. When all targets of a request are full the request
--- a/upstream/sighting.go
+++ b/upstream/sighting.go
@@ -165,8 +165,8 @@
 }
 
 // hearDown takes in that another instance could not reach a target. It counts only if
-// this instance has had none for a while either: one that knows a target by itself is not
-// moved off it by the bad luck of another.
+// this instance has had no answer from it for a while: one that knows a target by itself is
+// not moved off it by the bad luck of another.
 func (p *Pool) hearDown(t *target, at time.Time) {
 	if at.Sub(t.answeredAt) < othersGone {
 		return
