A client that has left: looked for before a request is sent, and each way of leaving has a test

Cause: a request that had waited unread for longer than its client was sent to a target first and cancelled a moment later, when net/http's own read of the connection noticed. Ruled out by tests that pass without a change: a client that leaves while its request is at a target, in the queue, within its body, or while a connection to a target is opened; these are noticed by the context (close and reset alike), the read of the body, and the dialer.

Change: before the first send the connection is looked at (one peek).

Measured: TestRequestReadAfterItsClientLeft fails without the look (seen), passes with it.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -142,7 +142,7 @@
 	late := !time.Now().Before(ex.deadline)
 	switch {
 	case ex.ctx.Err() != nil:
-		return true, verdict{reason: "client-left"}
+		return true, verdict{reason: reasonClientLeft}
 	case a.Outcome == retry.NotRun && late:
 		return true, notRun("late-not-run", defaultRetryAfter)
 	case a.Outcome == retry.NotRun:
--- /dev/null
+++ b/gateway/client_test.go
@@ -0,0 +1,195 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"golang.org/x/sys/unix"
+
+	"github.com/rainford/rainford/internal/standin/objects"
+	"github.com/rainford/rainford/internal/standin/origin"
+)
+
+// leaveTime bounds how long after its client has left a request may go on.
+const leaveTime = 500 * time.Millisecond
+
+// ask writes a request that its client will leave.
+func (c rawConn) ask(method, path, more string) {
+	c.write(method + " " + path + " HTTP/1.1\r\nHost: h.example\r\nRequest-Id: left\r\nTimeout-Ms: 9000\r\n" + more + "\r\n")
+}
+
+// leave ends a client's connection by a close or a reset.
+func (c rawConn) leave(reset bool) {
+	if reset {
+		_ = c.Conn.(*net.TCPConn).SetLinger(0)
+	}
+	require.NoError(c.t, c.Close())
+}
+
+// TestClientLeavesAtTarget checks that a request whose client has left is cancelled at its
+// target.
+func TestClientLeavesAtTarget(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		t.Run(fmt.Sprintf("reset=%t", reset), func(t *testing.T) {
+			s := newSite(t)
+			s.configure(1, route{prefix: "/x/", service: "s", kind: "idempotent", timeout: "9s"})
+			server := s.server("i-1", "s", "a1")
+			in := s.instance("n1", "a1")
+			in.awaitStatus("/x/", 200)
+			arrived := make(chan struct{}, 1)
+			server.SetObserver(func(origin.Arrival) { arrived <- struct{}{} })
+			server.SetScript(func(*http.Request) origin.Fault { return origin.Silent })
+			conn := in.dial()
+			conn.ask("GET", "/x/", "")
+			<-arrived
+			conn.leave(reset)
+			require.Eventually(t, func() bool { return server.Canceled() == 1 }, leaveTime, poll)
+		})
+	}
+}
+
+// TestClientLeavesInQueue checks that a request whose client leaves while it waits for a
+// target is never sent.
+func TestClientLeavesInQueue(t *testing.T) {
+	s := newSite(t)
+	s.store.Configure(objects.Configuration{
+		Version: "r1",
+		Routes: map[string]objects.Route{"r": {Host: "h.example", PathPrefix: "/x/", RouteType: "idempotent", Timeout: "9s", TargetLatency: "8s",
+			Priority: 1, Service: "s", MaxAttempts: 2}},
+		Services: map[string]objects.Service{"s": {Warmup: "3s", WarmupPerS: 11}},
+	})
+	server := s.server("i-1", "s", "a1")
+	in := s.instance("n1", "a1")
+	in.awaitStatus("/x/", 200)
+	var arrivals atomic.Int64
+	release := make(chan struct{})
+	server.SetObserver(func(origin.Arrival) {
+		arrivals.Add(1)
+		<-release
+	})
+	// Requests that fill the target: twice its slots.
+	for range 6 {
+		go in.send("GET", "/x/", "")
+	}
+	require.Eventually(t, func() bool { return arrivals.Load() == 6 }, wait, poll)
+	conn := in.dial()
+	conn.ask("GET", "/x/", "")
+	time.Sleep(50 * time.Millisecond)
+	conn.leave(false)
+	time.Sleep(100 * time.Millisecond)
+	close(release)
+	require.Never(t, func() bool { return arrivals.Load() > 6 }, leaveTime, poll)
+}
+
+// TestClientLeavesWithinItsBody checks that a request whose body does not come to its end
+// is not sent.
+func TestClientLeavesWithinItsBody(t *testing.T) {
+	s := newSite(t)
+	s.configure(1, safeRoute)
+	server := s.server("i-1", "s", "a1")
+	in := s.instance("n1", "a1")
+	in.awaitStatus("/x/", 200)
+	ran := len(server.Runs())
+	for _, reset := range []bool{false, true} {
+		conn := in.dial()
+		conn.ask("POST", "/x/", "Content-Length: 5\r\n")
+		conn.write("ab")
+		conn.leave(reset)
+	}
+	require.Never(t, func() bool { return len(server.Runs()) > ran }, leaveTime, poll)
+}
+
+// TestClientLeavesWhileConnecting checks that a request whose client leaves while a
+// connection to a target is opened does not go on when it opens.
+func TestClientLeavesWhileConnecting(t *testing.T) {
+	s := newSite(t)
+	s.configure(1, route{prefix: "/x/", service: "s", kind: "idempotent", timeout: "9s"})
+	ln := fullListener(t)
+	s.store.Record("i-1", objects.Server{Service: "s", Address: ln.Addr().String(), Zone: "a1", Slots: 3, State: "ready", WarmupRemaining: "0ms"})
+	in := s.instance("n1", "a1")
+	in.awaitReady()
+	conn := in.dial()
+	conn.ask("GET", "/x/", "")
+	time.Sleep(50 * time.Millisecond)
+	conn.leave(false)
+	time.Sleep(50 * time.Millisecond)
+	var received atomic.Int64
+	go func() {
+		for {
+			accepted, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				n, _ := io.Copy(io.Discard, accepted)
+				received.Add(n)
+			}()
+		}
+	}()
+	// A connection request is sent again after a second, and then gets through.
+	require.Never(t, func() bool { return received.Load() > 0 }, 3*leaveTime, poll)
+}
+
+// fullListener returns a listener whose queue is full, so that connections to it are not
+// opened until some are accepted.
+func fullListener(t *testing.T) net.Listener {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	raw, err := ln.(*net.TCPListener).SyscallConn()
+	require.NoError(t, err)
+	require.NoError(t, raw.Control(func(fd uintptr) { err = unix.Listen(int(fd), 0) }))
+	require.NoError(t, err)
+	for {
+		c, err := net.DialTimeout("tcp", ln.Addr().String(), 100*time.Millisecond)
+		if err != nil {
+			return ln
+		}
+		t.Cleanup(func() { _ = c.Close() })
+	}
+}
+
+// TestRequestReadAfterItsClientLeft checks that a request that had waited unread until its
+// client left is not sent.
+func TestRequestReadAfterItsClientLeft(t *testing.T) {
+	s := newSite(t)
+	s.configure(1, safeRoute)
+	server := s.server("i-1", "s", "a1")
+	var arrivals atomic.Int64
+	s.wrapFront = func(ln net.Listener) net.Listener { return lateListener{ln} }
+	in := s.instance("n1", "a1")
+	in.awaitStatus("/x/", 200)
+	server.SetObserver(func(origin.Arrival) { arrivals.Add(1) })
+	for range 50 {
+		conn := in.dial()
+		conn.ask("GET", "/x/", "")
+		conn.leave(false)
+	}
+	require.Never(t, func() bool { return arrivals.Load() > 0 }, leaveTime, poll)
+}
+
+// lateListener accepts connections that are read late, as by a process that has much to do.
+type lateListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l lateListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return lateConn{c.(*net.TCPConn)}, nil
+}
+
+type lateConn struct{ *net.TCPConn }
+
+// Read implements net.Conn.
+func (c lateConn) Read(p []byte) (int, error) {
+	time.Sleep(20 * time.Millisecond)
+	return c.TCPConn.Read(p)
+}
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -33,6 +34,8 @@
 	store  *objects.Store
 	addr   string
 	nextID atomic.Int64
+	// wrapFront changes the listener for clients of the next instances, if it is set.
+	wrapFront func(net.Listener) net.Listener
 }
 
 func newSite(t *testing.T) *site {
@@ -112,6 +115,9 @@
 	}
 	g, err := gateway.New(c, store, platform.Codec{}, platform.Headers())
 	require.NoError(s.t, err)
+	if s.wrapFront != nil {
+		g.WrapFront(s.wrapFront)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	in := &instance{site: s, config: c, stop: stop, done: make(chan struct{}), client: &http.Client{Transport: &http.Transport{}}}
 	go func() {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -122,9 +122,15 @@
 	if !ok {
 		return v, nil
 	}
+	if hasLeft(ex.r) {
+		return verdict{reason: reasonClientLeft}, nil
+	}
 	return g.run(ex)
 }
 
+// reasonClientLeft is the reason of a request whose client did not wait for the answer.
+const reasonClientLeft = "client-left"
+
 // requestURI returns the path and query as the client sent them.
 func requestURI(r *http.Request) string {
 	if strings.HasPrefix(r.RequestURI, "/") {
@@ -204,9 +210,10 @@
 // finish sends the final answer and logs what decided it.
 func (g *Gateway) finish(ex *exchange, v verdict, resp *forward.Response) {
 	status := v.status
+	_ = http.NewResponseController(ex.w).SetWriteDeadline(time.Now().Add(answerTime))
 	switch {
-	case ex.ctx.Err() != nil:
-		status, v.reason = 0, "client-left"
+	case ex.ctx.Err() != nil || v.reason == reasonClientLeft:
+		status, v.reason = 0, reasonClientLeft
 	case resp != nil:
 		status = resp.Status
 		g.relay(ex, resp)
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -28,6 +28,7 @@
 		ReadHeaderTimeout: anyHeadTimeout,
 		IdleTimeout:       anyIdleTimeout,
 		MaxHeaderBytes:    maxHeadBytes,
+		ConnContext:       withClient,
 		ErrorLog:          errorLog,
 	}
 	g.open(g.front, limitedListener{g.listeners.front, g})
