Connections that go silent for good: one that gave no answer costs the others their trust

Cause: a kept connection that carries nothing any more shows no sign of it. To targets each of them cost a request its whole time; to other instances frames went on into it until the kernel gave up (minutes); to the store a watch was noticed by its keep-alive, but the next call took the next silent connection.

Links between instances end when bytes are not acknowledged for a second, and are renewed when an owner of limits does not answer or a member that was asked directly does not. A frame is read in one call of the system instead of two or more.

--- a/forward/client.go
+++ b/forward/client.go
@@ -111,6 +111,7 @@
 // nothing speaks against it, and closed otherwise, which also tells the target
 // to drop the request.
 func (c *Client) exchange(ctx context.Context, cn *conn, r *Request) Attempt {
+	reused := cn.reused
 	_ = cn.SetDeadline(r.Deadline)
 	stop := context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
 	written := c.write(cn, r)
@@ -126,7 +127,13 @@
 		_ = cn.Close()
 	}
 	if err != nil {
-		return c.failure(ctx, r, resp, err)
+		a := c.failure(ctx, r, resp, err)
+		if reused && resp == nil && a.Target.Outcome != upstream.Abandoned {
+			// What silenced or forgot a kept connection has most often done so to all that
+			// were open at the time. New ones may well work.
+			c.idle.drop(r.Target)
+		}
+		return a
 	}
 	return c.judge(resp)
 }
--- a/forward/client_test.go
+++ b/forward/client_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 
 	"github.com/rainford/rainford/forward"
 	"github.com/rainford/rainford/internal/standin/origin"
+	"github.com/rainford/rainford/internal/standin/relay"
 	"github.com/rainford/rainford/platform"
 	"github.com/rainford/rainford/retry"
 	"github.com/rainford/rainford/upstream"
@@ -161,6 +163,37 @@
 	require.Equal(t, 2, s.Accepted())
 }
 
+// TestSilencedConnections has all kept connections to a target go silent for good, and
+// checks that one request finds out for all of them.
+func TestSilencedConnections(t *testing.T) {
+	s, c := start(t, origin.None)
+	network, err := relay.Start(s.Addr())
+	require.NoError(t, err)
+	t.Cleanup(network.Close)
+	send := func(length time.Duration) forward.Attempt {
+		r := request(s)
+		r.Addr = network.Addr()
+		r.Deadline = time.Now().Add(length)
+		return c.Do(context.Background(), r)
+	}
+	// Several connections are open at a time, and then kept.
+	s.SetWork(100 * time.Millisecond)
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() { send(5 * time.Second) })
+	}
+	wg.Wait()
+	s.SetWork(0)
+	require.Equal(t, 4, network.Accepted())
+	network.Silence()
+	silent := send(200 * time.Millisecond)
+	require.True(t, silent.Reused)
+	require.Equal(t, upstream.Silent, silent.Target.Outcome)
+	next := send(5 * time.Second)
+	require.Equal(t, retry.Ran, next.Outcome, "%v", next.Err)
+	require.False(t, next.Reused)
+}
+
 func TestConnectionsAreReused(t *testing.T) {
 	s, c := start(t, origin.None)
 	for range 20 {
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -5,10 +5,11 @@
 	"context"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/rainford/rainford/internal/sockopt"
 )
 
 const (
@@ -40,7 +41,7 @@
 	dialer := net.Dialer{
 		Timeout:   min(maxDialTime, time.Until(deadline)),
 		KeepAlive: -1,
-		Control:   limitUnacked,
+		Control:   sockopt.LimitUnacked(unackedTimeout),
 	}
 	c, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
@@ -49,17 +50,6 @@
 	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBuffer), maxIdle: maxIdle}, nil
 }
 
-func limitUnacked(_, _ string, raw syscall.RawConn) error {
-	var setErr error
-	err := raw.Control(func(fd uintptr) {
-		setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds()))
-	})
-	if err != nil {
-		return err
-	}
-	return setErr
-}
-
 // quiet tells whether the connection is open and nothing has arrived on it since
 // the last answer: a kept connection with bytes on it carries something that is
 // nobody's answer, and one at its end is of no use.
@@ -148,6 +138,17 @@
 	i.conns[target] = append(i.conns[target], c)
 }
 
+// drop closes all connections kept to a target.
+func (i *idle) drop(target string) {
+	i.mu.Lock()
+	list := i.conns[target]
+	delete(i.conns, target)
+	i.mu.Unlock()
+	for _, c := range list {
+		_ = c.Close()
+	}
+}
+
 // expire closes connections that were idle for too long.
 func (i *idle) expire(now time.Time) {
 	i.mu.Lock()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -50,6 +50,8 @@
 	evacuated map[string]bool
 	specs     map[string]catalog.Target
 	askedAt   map[feed.Kind]time.Time
+	// probed are the members that the last round of gossip asked directly.
+	probed map[string]bool
 	// rounds counts the rounds of gossip.
 	rounds  int
 	lag     map[feed.Kind]lag
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -66,9 +66,7 @@
 		}
 		g.mesh.Send(m.PeerAddr, message)
 	}
-	for _, m := range g.view.Probes(now) {
-		g.mesh.Send(m.PeerAddr, &peer.Probe{ReplyTo: g.view.Self().PeerAddr})
-	}
+	g.probe(g.view.Probes(now))
 	if len(partners) > 0 {
 		return
 	}
@@ -77,6 +75,21 @@
 	}
 }
 
+// probe asks members of which nothing was heard for a while whether they are alive. One
+// that did not answer the last time is asked over a new connection: the open one may be
+// silent for good while the member is well. The caller holds mu.
+func (g *Gateway) probe(doubtful []fleet.Member) {
+	probed := make(map[string]bool, len(doubtful))
+	for _, m := range doubtful {
+		if g.probed[m.Name] {
+			g.mesh.Renew(m.PeerAddr)
+		}
+		probed[m.Name] = true
+		g.mesh.Send(m.PeerAddr, &peer.Probe{ReplyTo: g.view.Self().PeerAddr})
+	}
+	g.probed = probed
+}
+
 // message returns what this instance tells one of a region. The caller holds mu.
 func (g *Gateway) message(now time.Time, region string) *peer.Gossip {
 	m := &peer.Gossip{Beats: g.view.Beats(now, region), Revisions: make([]int64, 0, len(kinds))}
--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -264,7 +264,10 @@
 	defer p.mu.Unlock()
 	p.ticking = false
 	now := time.Now()
-	answers, asks := p.holder.Tick(now)
+	answers, asks, silent := p.holder.Tick(now)
+	for _, owner := range silent {
+		p.mesh.Renew(p.addrs[owner])
+	}
 	p.wake(answers)
 	p.send(now, asks)
 	p.reply(now, p.issuer.Tick(now)...)
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -1,6 +1,7 @@
 package peer
 
 import (
+	"bufio"
 	"context"
 	"crypto/subtle"
 	"errors"
@@ -12,17 +13,23 @@
 	"time"
 
 	"github.com/rainford/rainford/internal/pause"
+	"github.com/rainford/rainford/internal/sockopt"
 )
 
 const (
-	queueFrames  = 64
-	dialTimeout  = 2 * time.Second
-	writeTimeout = 5 * time.Second
-	helloTimeout = 5 * time.Second
+	queueFrames = 64
+	dialTimeout = 2 * time.Second
+	// unackedTimeout ends a connection whose bytes the other side does not acknowledge: it
+	// may be silent for good while new ones work. Frames on the way are lost by that, as
+	// they are anyway. The way between regions and back takes a tenth of it.
+	unackedTimeout = time.Second
+	writeTimeout   = 5 * time.Second
+	helloTimeout   = 5 * time.Second
 	// idleTimeout ends a connection that carries nothing, on both sides.
 	idleTimeout = time.Minute
 	redialPause = 500 * time.Millisecond
 	maxInbound  = 4096
+	readBuffer  = 2 << 10
 )
 
 // Receiver takes the messages that arrive. It is called from many goroutines.
@@ -117,9 +124,11 @@
 		return
 	}
 	counted := &countingReader{r: conn, n: &m.receivedBytes}
+	// A frame is read in one call of the system instead of two or more.
+	buffered := bufio.NewReaderSize(counted, readBuffer)
 	for {
 		_ = conn.SetReadDeadline(time.Now().Add(idleTimeout))
-		msg, err := ReadFrame(counted)
+		msg, err := ReadFrame(buffered)
 		if err != nil {
 			if errors.Is(err, ErrFrame) {
 				m.log.Warn("peer frame refused", "from", hello.From, "error", err.Error())
@@ -184,6 +193,16 @@
 	return l
 }
 
+// Renew ends the connection to a peer that has not answered what was sent to it: it may
+// carry nothing any more without a sign of it. The next frame opens another one.
+func (m *Mesh) Renew(addr string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if l := m.links[addr]; l != nil {
+		l.renew.Store(true)
+	}
+}
+
 // Close ends all connections and waits for their goroutines.
 func (m *Mesh) Close() {
 	m.mu.Lock()
@@ -206,6 +225,8 @@
 	queue  chan []byte
 	cancel context.CancelFunc
 	conn   net.Conn
+	// renew asks for another connection.
+	renew atomic.Bool
 }
 
 func (l *link) run(ctx context.Context) {
@@ -244,6 +265,9 @@
 // deliver writes one frame, over a new connection if need be. A frame that
 // can't be written is dropped.
 func (l *link) deliver(ctx context.Context, frame []byte) {
+	if l.renew.Swap(false) {
+		l.close()
+	}
 	if l.conn == nil && !l.open(ctx) {
 		l.mesh.dropped.Add(1)
 		if ctx.Err() == nil {
@@ -272,7 +296,7 @@
 }
 
 func (l *link) open(ctx context.Context) bool {
-	dialer := net.Dialer{Timeout: dialTimeout}
+	dialer := net.Dialer{Timeout: dialTimeout, Control: sockopt.LimitUnacked(unackedTimeout)}
 	conn, err := dialer.DialContext(ctx, "tcp", l.addr)
 	if err != nil {
 		return false
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rainford/rainford/claim"
+	"github.com/rainford/rainford/internal/standin/relay"
 	"github.com/rainford/rainford/member"
 	"github.com/rainford/rainford/seat"
 	"github.com/rainford/rainford/share"
@@ -173,3 +174,22 @@
 	require.Positive(t, dropped)
 	m.Close()
 }
+
+// TestRenew has the connection to a peer go silent for good, and checks that frames arrive
+// again once it is renewed.
+func TestRenew(t *testing.T) {
+	r := &recorder{}
+	_, addr := startMesh(t, "b", "", r)
+	network, err := relay.Start(addr)
+	require.NoError(t, err)
+	t.Cleanup(network.Close)
+	mesh, _ := startMesh(t, "a", "", &recorder{})
+	mesh.Send(network.Addr(), &Probe{ReplyTo: "a"})
+	require.Eventually(t, func() bool { return r.count() == 1 }, 10*time.Second, time.Millisecond)
+	network.Silence()
+	mesh.Send(network.Addr(), &Probe{ReplyTo: "a"})
+	require.Never(t, func() bool { return r.count() > 1 }, 100*time.Millisecond, time.Millisecond)
+	mesh.Renew(network.Addr())
+	mesh.Send(network.Addr(), &Probe{ReplyTo: "a"})
+	require.Eventually(t, func() bool { return r.count() == 2 }, 10*time.Second, time.Millisecond)
+}
--- a/ratelimit/holder.go
+++ b/ratelimit/holder.go
@@ -355,11 +355,9 @@
 	}
 }
 
-// Tick passes over owners that have not answered in time. It is to be called while Asking
-// is not 0.
-func (h *Holder) Tick(now time.Time) ([]Answer, []Ask) {
-	var answers []Answer
-	var asks []Ask
+// Tick passes over owners that have not answered in time, and returns their names too. It
+// is to be called while Asking is not 0.
+func (h *Holder) Tick(now time.Time) (answers []Answer, asks []Ask, silent []string) {
 	for name, a := range h.held {
 		if !a.asking {
 			continue
@@ -368,6 +366,7 @@
 			continue
 		}
 		h.silentUntil[a.ask.To.Name] = now.Add(silentFor)
+		silent = append(silent, a.ask.To.Name)
 		if len(a.waiting) == 0 {
 			h.setAsking(a, false)
 			continue
@@ -375,5 +374,5 @@
 		ended, asked := h.next(now, name, a)
 		answers, asks = append(answers, ended...), append(asks, asked...)
 	}
-	return answers, asks
+	return answers, asks, silent
 }
--- a/ratelimit/world_test.go
+++ b/ratelimit/world_test.go
@@ -298,7 +298,7 @@
 			return
 		}
 		n.ticking = false
-		answers, asks := n.holder.Tick(n.world.now)
+		answers, asks, _ := n.holder.Tick(n.world.now)
 		n.end(answers...)
 		n.ask(asks)
 		n.reply(n.issuer.Tick(n.world.now)...)
