--- a/cmd/rainford/explain.go
+++ b/cmd/rainford/explain.go
@@ -32,6 +32,7 @@
 	Message   string    `json:"msg"`
 	Instance  string    `json:"instance"`
 	RequestID string    `json:"request_id"`
+	Account   string    `json:"account"`
 	Route     string    `json:"route"`
 	Service   string    `json:"service"`
 	Config    int64     `json:"config"`
@@ -46,6 +47,14 @@
 	Attempts    []logAttempt `json:"attempts"`
 	Target      string       `json:"target"`
 
+	// What follows is on lines of accounts with a limit. PermitMs is how long the
+	// request waited for a permit; the others are on those that got none.
+	PermitMs     *int64  `json:"permit_ms"`
+	LimitOwner   string  `json:"limit_owner"`
+	SentPerS     float64 `json:"sent_per_s"`
+	PermitsPerS  float64 `json:"permits_per_s"`
+	RetryAfterMs int64   `json:"retry_after_ms"`
+
 	raw string
 }
 
@@ -251,6 +260,7 @@
 			fmt.Fprintf(w, "  attempt %d: target %s in %s (%s, load %.2f): %s after %d ms %s\n",
 				i+1, t.Target, t.Region, t.Reason, t.Load, t.Outcome, t.TookMs, t.Error)
 		}
+		r.printAccount(w)
 		fmt.Fprintf(w, "  answer %d: %s\n", r.Status, r.Reason)
 	}
 	if len(s.beliefs) > 0 {
@@ -264,6 +274,21 @@
 	}
 }
 
+// printAccount tells of the client account and of its limit, as far as they decided.
+func (l *logLine) printAccount(w io.Writer) {
+	if l.Account != "" {
+		fmt.Fprintf(w, "  account %s", l.Account)
+		if l.PermitMs != nil {
+			fmt.Fprintf(w, ", waited %d ms for a permit", *l.PermitMs)
+		}
+		fmt.Fprintln(w)
+	}
+	if l.LimitOwner != "" {
+		fmt.Fprintf(w, "  limit: %s was asked last; this instance got %.1f permits a second for %.1f requests a second; told to come back after %d ms\n",
+			l.LimitOwner, l.PermitsPerS, l.SentPerS, l.RetryAfterMs)
+	}
+}
+
 // reasons explains the reasons of final answers.
 var reasons = map[string]string{
 	"answered":         "a target answered",
@@ -284,6 +309,12 @@
 	"body-too-large":   "its body is larger than the limits allow",
 	"body-late":        "its body did not arrive in time; it did not run",
 	"body-broken":      "its body broke off; it did not run",
+	"no-key":           "it carried no key, or several, and its route needs one; it did not run",
+	"unknown-key":      "no account of the configuration has its key; it did not run",
+	"key-taken":        "its key was taken away while it waited; it was not sent from then on",
+	"no-common-home":   "its route and its account have no home region in common; it did not run",
+	"over-limit":       "its account was beyond its limit; it did not run",
+	"no-limit-owner":   "no instance that keeps its account's limit could be asked; it did not run",
 }
 
 func verdictOf(requests []logLine) string {
--- a/cmd/rainford/explain_test.go
+++ b/cmd/rainford/explain_test.go
@@ -62,3 +62,21 @@
 	_, code = explain(t, "", "q7")
 	require.Equal(t, exitUsage, code)
 }
+
+const accountLog = `{"time":"2026-01-01T00:00:01Z","level":"INFO","msg":"configuration in force","instance":"n1","version":4}
+{"time":"2026-01-01T00:00:02Z","level":"INFO","msg":"request","instance":"n1","permit_ms":3,"limit_owner":"n7","sent_per_s":40.5,"permits_per_s":10.25,"retry_after_ms":250,"request_id":"q1","account":"ada","route":"r","config":4,"status":429,"reason":"over-limit"}
+{"time":"2026-01-01T00:00:02Z","level":"INFO","msg":"request","instance":"n1","request_id":"q2","account":"","route":"r","config":4,"status":401,"reason":"unknown-key"}
+`
+
+// TestExplainAccounts checks what is told of requests that were turned away at the door.
+func TestExplainAccounts(t *testing.T) {
+	text, code := explain(t, accountLog, "q1", "-")
+	require.Zero(t, code, text)
+	require.Contains(t, text, "request q1: 429, its account was beyond its limit; it did not run")
+	require.Contains(t, text, "account ada, waited 3 ms for a permit")
+	require.Contains(t, text, "limit: n7 was asked last; this instance got 10.2 permits a second for 40.5 requests a second; told to come back after 250 ms")
+	text, code = explain(t, accountLog, "q2", "-")
+	require.Zero(t, code, text)
+	require.Contains(t, text, "request q2: 401, no account of the configuration has its key")
+	require.Contains(t, text, "configuration in force", "with the version that decided")
+}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -20,6 +20,7 @@
 	attempts  *telemetry.Counter
 	repeats   *telemetry.Counter
 	cold      *telemetry.Counter
+	permits   *telemetry.Counter
 	calls     *telemetry.Counter
 	whole     *telemetry.Histogram
 	queued    *telemetry.Histogram
@@ -54,6 +55,7 @@
 	counter(&m.attempts, "rainford.attempts", "Attempts at targets, by what became of them.", "service", "region", "outcome")
 	counter(&m.repeats, "rainford.repeats", "Attempts after the first one of a request.", "service")
 	counter(&m.cold, "rainford.cold.attempts", "Attempts at targets that are cold.", "service")
+	counter(&m.permits, "rainford.permits", "Requests of accounts with a limit, by what became of their permit.", "result")
 	counter(&m.calls, "rainford.store.reads", "Reads of the store, by what became of them.", "kind", "result")
 	return errors.Join(errs...)
 }
@@ -91,6 +93,8 @@
 		m.telemetry.Gauges("rainford.news.age.seconds", "Time since the store or another instance was last heard, -1 before.", nil,
 			func(observe func(float64, ...string)) { observe(g.newsAge(time.Now()).Seconds()) }),
 		m.telemetry.Gauges("rainford.replica.revision", "Revision that is held of each kind of object.", []string{"kind"}, g.observeRevisions),
+		m.telemetry.Gauges("rainford.account.use", "What is asked of the parts of limits that this instance owns, over the part, of the accounts that ask most.",
+			[]string{"account"}, g.permits.observe),
 		m.telemetry.Gauges("rainford.members", "Instances by state in this instance's view.", []string{"state"}, g.observeMembers))
 	return errors.Join(errs...)
 }
--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -274,6 +274,19 @@
 	p.tick()
 }
 
+// busiestAccounts bounds the accounts that the metrics name, whatever their number is.
+const busiestAccounts = 8
+
+// observe tells how much is asked of the parts that this instance owns, of the accounts
+// that ask most.
+func (p *permits) observe(observe func(float64, ...string)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, use := range p.issuer.Busiest(time.Now(), busiestAccounts) {
+		observe(use.Share, use.Account)
+	}
+}
+
 // forget drops what is known of accounts that send nothing.
 func (p *permits) forget(now time.Time) {
 	p.mu.Lock()
@@ -292,6 +305,7 @@
 	permit, answer := g.permits.take(ex.ctx, ex.account.Name)
 	ex.permitWait = time.Since(began)
 	ex.limited = answer
+	g.metrics.permits.Add(1, verdictName(answer.Verdict))
 	switch answer.Verdict {
 	case ratelimit.Admit:
 		ex.permit = permit
@@ -303,6 +317,18 @@
 	}
 }
 
+// verdictName is the name of a verdict in the metrics.
+func verdictName(v ratelimit.Verdict) string {
+	switch v {
+	case ratelimit.Admit:
+		return "admitted"
+	case ratelimit.Refuse:
+		return reasonOverLimit
+	default:
+		return reasonNoOwner
+	}
+}
+
 // knowsOwners tells whether the instance can find the owners of limits, if there are any.
 func (g *Gateway) knowsOwners(router *catalog.Router) bool {
 	return !router.Limited() || g.readiness.knowsInstances.Load()
--- a/ratelimit/issuer.go
+++ b/ratelimit/issuer.go
@@ -1,7 +1,9 @@
 package ratelimit
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -293,6 +295,27 @@
 	p.at = now
 }
 
+// Use is how much of an account's part is asked for.
+type Use struct {
+	Account string
+	// Share is the rate at which permits are asked for, over that of the part.
+	Share float64
+}
+
+// Busiest returns the n accounts of whose parts most is asked for, the highest first.
+func (i *Issuer) Busiest(now time.Time, n int) []Use {
+	uses := make([]Use, 0, len(i.parts))
+	for account, p := range i.parts {
+		if p.limit.Rate > 0 {
+			uses = append(uses, Use{Account: account, Share: p.asked.now(now) / p.limit.Rate})
+		}
+	}
+	slices.SortFunc(uses, func(a, b Use) int {
+		return cmp.Or(cmp.Compare(b.Share, a.Share), cmp.Compare(a.Account, b.Account))
+	})
+	return uses[:min(n, len(uses))]
+}
+
 // Forget drops what is known of accounts that nobody has asked for of late.
 func (i *Issuer) Forget(now time.Time) {
 	for account, p := range i.parts {
