Soak: accounts with keys and limits, connections that go silent; it says how to build what it needs

Change: clients belong to accounts, one of which sends far more than it may; keys are replaced while clients use them; the oracle checks that no key reaches a server, that servers are told the right name, that keys taken away are out of force after the bound, and the limit over all instances in each sliding window. Two new faults silence established connections, of an instance and of a server.

--- a/cmd/rainfordsoak/main.go
+++ b/cmd/rainfordsoak/main.go
@@ -54,6 +54,10 @@
 	if *quiet {
 		progress = io.Discard
 	}
+	if _, err := os.Stat(*program); err != nil {
+		fmt.Fprintf(stderr, "rainfordsoak: %v\nbuild it first: go build -o bin/ ./cmd/...\n", err)
+		return exitUsage
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	code := exitOK
--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -30,15 +30,17 @@
 type client struct {
 	site  *site
 	place place
-	rnd   *rand.Rand
-	http  *http.Client
-	addrs []string
-	until time.Time
-	bad   map[string]bool
+	// account is the client's own.
+	account account
+	rnd     *rand.Rand
+	http    *http.Client
+	addrs   []string
+	until   time.Time
+	bad     map[string]bool
 }
 
-func newClient(s *site, p place, seed uint64) *client {
-	return &client{site: s, place: p, rnd: rand.New(rand.NewPCG(seed, 7)), bad: make(map[string]bool),
+func newClient(s *site, p place, owner account, seed uint64) *client {
+	return &client{site: s, place: p, account: owner, rnd: rand.New(rand.NewPCG(seed, 7)), bad: make(map[string]bool),
 		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}}}
 }
 
@@ -135,6 +137,7 @@
 // when.
 func (c *client) attempt(ctx context.Context, addr, method, uri string, body []byte, deadline time.Time) (bool, time.Duration) {
 	a := c.site.oracle.begin(c.site.instanceAt(addr), method, uri, body)
+	a.account, a.key, a.hot = c.account.name, c.site.keys.use(c.account.name), c.account.hot
 	leaves := c.rnd.IntN(leaveOneIn) == 0
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
@@ -152,6 +155,8 @@
 	req.GetBody = nil
 	req.Host = "soak.example"
 	req.Header.Set("Request-Id", a.id)
+	req.Header.Set("Credential", a.key)
+	req.Header.Set("Tenant", "forged")
 	req.Header.Set("Affinity-Key", strconv.Itoa(c.rnd.IntN(objectsCount)))
 	req.Header.Set("Timeout-Ms", strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
 	resp, err := c.http.Do(req)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -41,6 +41,18 @@
 		r.storeFault(f, end)
 	case Evacuation:
 		r.evacuate(f)
+	case KeyChange:
+		r.changeKeys(f)
+	case LinkSilence:
+		s.oracle.disturbed(in.name, time.Now())
+		[]*proxy{in.front, in.peer, in.store}[f.How%3].silence()
+	case ServerSilence:
+		for _, in := range s.instances {
+			s.oracle.disturbed(in.name, time.Now())
+		}
+		if srv := s.pick(f.Which); srv != nil {
+			srv.proxy.silence()
+		}
 	case ConfigChange:
 		s.configure()
 	case ConfigStorm:
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -35,8 +35,15 @@
 	Evacuation     FaultKind = "evacuation"
 	ConfigChange   FaultKind = "config-change"
 	ConfigStorm    FaultKind = "config-storm"
+	KeyChange      FaultKind = "key-change"
+	LinkSilence    FaultKind = "link-silence"
+	ServerSilence  FaultKind = "server-silence"
 )
 
+// laterKinds came after seeds were kept. They are drawn by themselves, so that the other
+// faults of a seed stay as they are.
+var laterKinds = []FaultKind{KeyChange, LinkSilence, ServerSilence}
+
 // kindsOfFaults are all kinds, with how often they come.
 var kindsOfFaults = []struct {
 	kind   FaultKind
@@ -91,6 +98,10 @@
 		}
 		out = append(out, f)
 	}
+	again := rand.New(rand.NewPCG(seed, 2))
+	for at := 700 * time.Millisecond; at < last; at += gap + time.Duration(again.Int64N(int64(3*gap))) {
+		out = append(out, Fault{At: at, Kind: laterKinds[again.IntN(len(laterKinds))], Which: again.IntN(1 << 16), How: again.IntN(1 << 16)})
+	}
 	sort.SliceStable(out, func(i, j int) bool { return out[i].At < out[j].At })
 	return out
 }
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -40,6 +40,8 @@
 	target   string
 	mode     Mode
 	conns    map[net.Conn]bool
+	// silenced are connections that pass nothing any more.
+	silenced map[net.Conn]bool
 }
 
 func newProxy(target string) (*proxy, error) {
@@ -47,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &proxy{listener: ln, target: target, conns: make(map[net.Conn]bool)}
+	p := &proxy{listener: ln, target: target, conns: make(map[net.Conn]bool), silenced: make(map[net.Conn]bool)}
 	go p.accept()
 	return p, nil
 }
@@ -66,6 +68,22 @@
 	return p.mode
 }
 
+// silence has the connections that are open pass nothing any more, without a sign of it.
+// New ones work.
+func (p *proxy) silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		p.silenced[c] = true
+	}
+}
+
+func (p *proxy) isSilenced(c net.Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.silenced[c]
+}
+
 // reset breaks all connections.
 func (p *proxy) reset() {
 	p.mu.Lock()
@@ -101,6 +119,7 @@
 		return
 	}
 	delete(p.conns, c)
+	delete(p.silenced, c)
 }
 
 func (p *proxy) serve(client net.Conn) {
@@ -133,6 +152,12 @@
 	buf := make([]byte, proxyBuffer)
 	for {
 		n, err := src.Read(buf)
+		if p.isSilenced(src) {
+			if err != nil {
+				return
+			}
+			continue
+		}
 		for sent := 0; sent < n; {
 			size := p.next(n-sent, deaf)
 			_, writeErr := dst.Write(buf[sent : sent+size])
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -99,7 +99,7 @@
 	var clients sync.WaitGroup
 	for i := range r.options.Clients {
 		clients.Add(1)
-		go newClient(r.site, places[i%len(places)], r.options.Seed*1000+uint64(i)).run(loadCtx, &clients)
+		go newClient(r.site, places[i%len(places)], accountOf(i/len(places)), r.options.Seed*1000+uint64(i)).run(loadCtx, &clients)
 	}
 	clients.Add(1)
 	go r.site.probe(loadCtx, &clients)
@@ -112,6 +112,7 @@
 	stop()
 	clients.Wait()
 	r.site.oracle.budget()
+	r.site.oracle.limits()
 	r.finish(began)
 }
 
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -54,6 +54,7 @@
 	program string
 	dir     string
 	oracle  *oracle
+	keys    *keyring
 	store   *objects.Store
 	http    *httptest.Server
 
@@ -95,7 +96,8 @@
 }
 
 func newSite(program, dir string, instances int) (*site, error) {
-	s := &site{program: program, dir: dir, oracle: newOracle(), store: objects.New()}
+	keys := newKeyring()
+	s := &site{program: program, dir: dir, oracle: newOracle(keys), keys: keys, store: objects.New()}
 	s.http = httptest.NewServer(s.store)
 	s.configure()
 	for _, p := range places {
@@ -187,7 +189,9 @@
 		"home": route("/home/", "read", "idempotent", "a"),
 	}
 	for v := max(1, s.version-20); v <= s.version; v++ {
-		routes[fmt.Sprintf("v%d", v)] = route(fmt.Sprintf("/v%d/", v), "read", "idempotent")
+		version := route(fmt.Sprintf("/v%d/", v), "read", "idempotent")
+		version.AllowAnonymous = true
+		routes[fmt.Sprintf("v%d", v)] = version
 	}
 	service := objects.Service{HealthCheckPath: "/health", MaxConnections: 390, Warmup: "3s", WarmupPerS: warmupRate}
 	s.store.Configure(objects.Configuration{
@@ -195,6 +199,7 @@
 		Routes:   routes,
 		Services: map[string]objects.Service{"read": service, "pay": service},
 		Limits:   objects.Limits{MaxBodyBytes: 4 << 20, IdleTimeout: "15s", HeaderTimeout: "3s", MaxHeaderBytes: 16384},
+		Tenants:  s.keys.tenants(),
 	})
 	s.oracle.configured(s.version, time.Now())
 }
