Owners of limits that refuse connections are passed over at once

Ruled out: owners unknown (they are listed). Change: what the mesh finds out by dialling counts for the holder of permits.

--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -163,6 +163,11 @@
 
 // Unreachable implements peer.Receiver.
 func (g *Gateway) Unreachable(addr string) {
+	g.refused(addr)
+	g.permits.unreachable(addr)
+}
+
+func (g *Gateway) refused(addr string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.view.Refused(time.Now(), addr)
--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -287,6 +287,22 @@
 	}
 }
 
+// unreachable takes in that no connection to an instance could be had.
+func (p *permits) unreachable(addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	for name, known := range p.addrs {
+		if known != addr {
+			continue
+		}
+		answers, asks := p.holder.Unreachable(now, name)
+		p.wake(answers)
+		p.send(now, asks)
+	}
+	p.tick()
+}
+
 // forget drops what is known of accounts that send nothing.
 func (p *permits) forget(now time.Time) {
 	p.mu.Lock()
--- a/ratelimit/holder.go
+++ b/ratelimit/holder.go
@@ -355,6 +355,24 @@
 	}
 }
 
+// Unreachable passes over an owner that refused a connection, and asks the next one for
+// the requests that wait for its answer.
+func (h *Holder) Unreachable(now time.Time, owner string) (answers []Answer, asks []Ask) {
+	h.silentUntil[owner] = now.Add(silentFor)
+	for name, a := range h.held {
+		if !a.asking || a.ask.To.Name != owner {
+			continue
+		}
+		if len(a.waiting) == 0 {
+			h.setAsking(a, false)
+			continue
+		}
+		ended, asked := h.next(now, name, a)
+		answers, asks = append(answers, ended...), append(asks, asked...)
+	}
+	return answers, asks
+}
+
 // Tick passes over owners that have not answered in time, and returns their names too. It
 // is to be called while Asking is not 0.
 func (h *Holder) Tick(now time.Time) (answers []Answer, asks []Ask, silent []string) {
