Instances that never come back are taken off the store's list

Cause: an instance registers once and its entry was never removed. Ruled out: removal on suspicion, since an instance that is cut off keeps issuing from its part.

An instance whose own entry goes registers again.

--- a/cmd/rainfordd/gateway.go
+++ b/cmd/rainfordd/gateway.go
@@ -109,6 +109,7 @@
 	fs.StringVar(&s.seedIPs, "seeds", "", "addresses of other instances, comma separated; the port is that of peer-listen")
 	fs.StringVar(&s.peers, "peers", "", "peer addresses of other instances, comma separated, where ports differ")
 	fs.BoolVar(&s.FirstStart, "first-start", false, "the whole system starts for the first time")
+	fs.DurationVar(&s.ForgetAfter, "forget-after", s.ForgetAfter, "how long an instance may be silent before its entry in the store is removed")
 	fs.DurationVar(&s.Grace, "grace", s.Grace, "longest planned stop")
 	fs.DurationVar(&s.LookupTTL, "lookup-ttl", s.LookupTTL, "how long clients may keep a look-up")
 	fs.Float64Var(&s.RetryRatio, "retry-ratio", s.RetryRatio, "repeats of all instances together, as a ratio of the requests")
--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -218,6 +218,7 @@
 		if c.Gone {
 			named = slices.DeleteFunc(named, func(m fleet.Member) bool { return m.Name == c.Name })
 			delete(g.registered, c.Name)
+			g.noteUnregistered(c.Name)
 			g.view.Remove(now, c.Name)
 			continue
 		}
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -30,6 +30,10 @@
 	// nobody has anything yet and there is time.
 	FirstStart bool
 
+	// ForgetAfter is how long an instance may be silent before its entry in the store is
+	// removed.
+	ForgetAfter time.Duration
+
 	// Grace is how long a planned stop may take.
 	Grace time.Duration
 	// LookupTTL is how long clients may keep a look-up.
@@ -57,6 +61,7 @@
 // Defaults returns the settings that have defaults.
 func Defaults() Config {
 	return Config{
+		ForgetAfter:     10 * time.Minute,
 		Grace:           6 * time.Second,
 		LookupTTL:       2 * time.Second,
 		RetryRatio:      0.2,
@@ -95,6 +100,9 @@
 			add(named.field, err.Error())
 		}
 	}
+	if c.ForgetAfter <= 0 {
+		add("forget-after", "must be positive")
+	}
 	if c.Grace <= 0 {
 		add("grace", "must be positive")
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,6 +58,10 @@
 	answers answers
 	// instancesAt is when this instance came to know which are registered.
 	instancesAt time.Time
+	// absences are the members of the own region that are not alive.
+	absences fleet.Absences
+	// unregistered has an element when the own entry has gone from the store.
+	unregistered chan struct{}
 	// registered are the instances that the store lists.
 	registered map[string]fleet.Member
 	// askers are instances that asked for a kind that this one does not have yet.
@@ -108,7 +112,9 @@
 		answers:    make(answers),
 		askers:     make(map[feed.Kind][]*peer.Since),
 		registered: make(map[string]fleet.Member),
-		rand:       rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), rand.Uint64())),
+
+		unregistered: make(chan struct{}, 1),
+		rand:         rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), rand.Uint64())),
 	}
 	for _, kind := range kinds {
 		g.replicas[kind] = feed.NewReplica(kind)
@@ -168,7 +174,7 @@
 		g.start(func() { g.watchLoop(work, kind) })
 	}
 	g.start(func() { g.probeLoop(work) })
-	g.start(func() { g.register(work) })
+	g.start(func() { g.keepRegistered(work) })
 	g.start(func() { g.gossipLoop(work) })
 	g.start(func() { g.upkeepLoop(work) })
 	g.serveClients()
@@ -207,6 +213,7 @@
 		case now := <-ticker.C:
 			g.targets.Expire(now)
 			g.permits.forget(now)
+			g.forgetLost(ctx, now)
 		}
 	}
 }
--- a/gateway/logs.go
+++ b/gateway/logs.go
@@ -41,6 +41,8 @@
 	logDeltaRefused  = "delta refused"
 
 	logInstanceRefused = "instance refused"
+	logForgotten       = "instance forgotten"
+	logNotForgotten    = "instance not forgotten"
 )
 
 // RequestMessage is the message of the line of a request, by which logs are
--- a/gateway/ports.go
+++ b/gateway/ports.go
@@ -41,6 +41,8 @@
 	Probe(ctx context.Context) error
 	// Create makes an object unless it is there.
 	Create(ctx context.Context, kind feed.Kind, name string, spec any) error
+	// Remove removes an object. One that is not there is no error.
+	Remove(ctx context.Context, kind feed.Kind, name string) error
 	// Calls returns the number of calls made.
 	Calls() int64
 }
--- a/gateway/reload.go
+++ b/gateway/reload.go
@@ -22,6 +22,7 @@
 		{"hall", config.Hall != g.config.Hall},
 		{"listen", config.Listen != g.config.Listen},
 		{"peer-listen", config.PeerListen != g.config.PeerListen},
+		{"forget-after", config.ForgetAfter != g.config.ForgetAfter},
 		{"grace", config.Grace != g.config.Grace},
 		{"lookup-ttl", config.LookupTTL != g.config.LookupTTL},
 		{"retry-ratio", config.RetryRatio != g.config.RetryRatio},
--- a/gateway/start.go
+++ b/gateway/start.go
@@ -124,12 +124,23 @@
 	}
 }
 
-// register puts the own member into the store, so that others find it, unless it is there
-// from an earlier process.
-func (g *Gateway) register(ctx context.Context) {
+// keepRegistered puts the own member into the store, so that others find it, and again if
+// its entry goes: others take an instance that was cut off for long for lost.
+func (g *Gateway) keepRegistered(ctx context.Context) {
 	if !g.config.FirstStart {
 		g.awaitKind(ctx, KindInstances, registerWait)
 	}
+	for ctx.Err() == nil {
+		g.register(ctx)
+		select {
+		case <-ctx.Done():
+		case <-g.unregistered:
+		}
+	}
+}
+
+// register puts the own member into the store unless it is there from an earlier process.
+func (g *Gateway) register(ctx context.Context) {
 	wait := firstPause
 	for ctx.Err() == nil && !g.isRegistered() {
 		err := g.store.Create(ctx, KindInstances, g.config.Name, g.view.Self())
@@ -142,6 +153,18 @@
 	}
 }
 
+// noteUnregistered notes that an instance's entry has gone from the store. The caller holds
+// mu.
+func (g *Gateway) noteUnregistered(name string) {
+	if name != g.config.Name {
+		return
+	}
+	select {
+	case g.unregistered <- struct{}{}:
+	default:
+	}
+}
+
 // isRegistered tells whether the own member is known to be in the store.
 func (g *Gateway) isRegistered() bool {
 	g.mu.Lock()
