An instance that is behind tells whom it asked in vain, and which delta left a gap

The record of the leaving target can't tell whether the news came late or was not heeded: nothing says that an instance knows it is behind, whom it asks, and that no answer came.

--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -36,6 +36,9 @@
 	if !ok {
 		return false
 	}
+	if source != sourceStore {
+		g.noteAnswered(d.Kind)
+	}
 	if replica.At() == before {
 		return true
 	}
--- a/gateway/apply_test.go
+++ b/gateway/apply_test.go
@@ -24,6 +24,8 @@
 // noStore is a store that nobody calls.
 type noStore struct{ Store }
 
+func (noStore) Calls() int64 { return 0 }
+
 // newPlain returns a gateway that is not run, and a maker of changes of targets.
 func newPlain(t *testing.T) *Gateway {
 	c := Defaults()
--- a/gateway/delta.go
+++ b/gateway/delta.go
@@ -55,7 +55,7 @@
 	}
 	g.learnLapse(m)
 	if !g.take(delta, from) {
-		g.askFor(from, m.Kind)
+		g.askFor(from, delta)
 	}
 }
 
@@ -72,10 +72,13 @@
 }
 
 // askFor asks an instance for the changes of a kind whose last delta left a gap.
-func (g *Gateway) askFor(from string, kind feed.Kind) {
+func (g *Gateway) askFor(from string, d feed.Delta) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.ask(time.Now(), from, kind)
+	if replica := g.replicas[d.Kind]; replica != nil {
+		g.log.Info(logGap, "kind", d.Kind, "source", from, "begins", d.From, "revision", replica.At())
+	}
+	g.ask(time.Now(), from, d.Kind)
 }
 
 // learnLapse has removals held back as long as the sender of the delta does.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,7 +49,7 @@
 	rand      *rand.Rand
 	evacuated map[string]bool
 	specs     map[string]catalog.Target
-	askedAt   map[feed.Kind]time.Time
+	questions map[feed.Kind]question
 	// probed are the members that the last round of gossip asked directly.
 	probed map[string]bool
 	// rounds counts the rounds of gossip.
@@ -107,7 +107,7 @@
 		specs:      make(map[string]catalog.Target),
 		startedAt:  time.Now(),
 		readiness:  readiness{reached: make(chan struct{})},
-		askedAt:    make(map[feed.Kind]time.Time),
+		questions:  make(map[feed.Kind]question),
 		lag:        make(map[feed.Kind]lag),
 		answers:    make(answers),
 		askers:     make(map[feed.Kind][]*peer.Since),
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -261,12 +261,44 @@
 	return now.Sub(g.lag[kind].since) >= after
 }
 
+// question is the last one that this instance has asked for the changes of a kind.
+type question struct {
+	to string
+	at time.Time
+	// open says that nothing has come since.
+	open bool
+}
+
+// noteAnswered takes in that changes of a kind have come, from whichever instance. The
+// caller holds mu.
+func (g *Gateway) noteAnswered(kind feed.Kind) {
+	last, asked := g.questions[kind]
+	if !asked || !last.open {
+		return
+	}
+	last.open = false
+	g.questions[kind] = last
+	g.metrics.question(kind, questionAnswered)
+}
+
+// noteUnanswered tells of a question of a kind that is still open. The caller holds mu.
+func (g *Gateway) noteUnanswered(now time.Time, kind feed.Kind) {
+	last := g.questions[kind]
+	if !last.open {
+		return
+	}
+	g.metrics.question(kind, questionUnanswered)
+	g.log.Warn(logUnanswered, "kind", kind, "asked", last.to, "for_ms", now.Sub(last.at).Milliseconds(), "revision", g.replicas[kind].At())
+}
+
 // ask asks an instance for the changes of a kind since the own revision. The caller holds
 // mu.
 func (g *Gateway) ask(now time.Time, addr string, kind feed.Kind) {
-	if g.replicas[kind] == nil || now.Sub(g.askedAt[kind]) < askEvery {
+	last := g.questions[kind]
+	if g.replicas[kind] == nil || now.Sub(last.at) < askEvery {
 		return
 	}
-	g.askedAt[kind] = now
+	g.noteUnanswered(now, kind)
+	g.questions[kind] = question{to: addr, at: now, open: true}
 	g.mesh.Send(addr, &peer.Since{Kind: kind, Revision: g.replicas[kind].At(), ReplyTo: g.view.Self().PeerAddr})
 }
--- a/gateway/logs.go
+++ b/gateway/logs.go
@@ -39,6 +39,8 @@
 	logHistoryGone   = "history gone"
 	logNotRegistered = "not registered"
 	logDeltaRefused  = "delta refused"
+	logGap           = "delta leaves a gap"
+	logUnanswered    = "question not answered"
 
 	logInstanceRefused = "instance refused"
 	logForgotten       = "instance forgotten"
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -22,11 +22,18 @@
 	cold      *telemetry.Counter
 	permits   *telemetry.Counter
 	calls     *telemetry.Counter
+	questions *telemetry.Counter
 	whole     *telemetry.Histogram
 	queued    *telemetry.Histogram
 	attempted *telemetry.Histogram
 }
 
+// The results of a question to another instance, as the metrics name them.
+const (
+	questionAnswered   = "answered"
+	questionUnanswered = "unanswered"
+)
+
 // The results of a call to the store, as the metrics name them.
 const (
 	callOK          = "ok"
@@ -57,6 +64,7 @@
 	counter(&m.cold, "rainford.cold.attempts", "Attempts at targets that are cold.", "service")
 	counter(&m.permits, "rainford.permits", "Requests of accounts with a limit, by what became of their permit.", "result")
 	counter(&m.calls, "rainford.store.reads", "Reads of the store, by what became of them.", "kind", "result")
+	counter(&m.questions, "rainford.questions", "Questions to other instances for changes that this one lacks, by what became of them.", "kind", "result")
 	return errors.Join(errs...)
 }
 
@@ -201,6 +209,8 @@
 	m.calls.Add(1, string(kind), result)
 }
 
+func (m *metrics) question(kind feed.Kind, result string) { m.questions.Add(1, string(kind), result) }
+
 func (m *metrics) handler() http.Handler { return m.telemetry.Handler() }
 
 // routeName returns the name of a route, "" if there is none.
