Whoever is ahead and was not asked for longest is asked for what a replica lacks

Cause of the leaving target that went on being used: an instance asked whoever gossiped at the right moment, 300 ms after the last question at the earliest. Gossip comes every 500 ms at the same moments, so that an instance that never answers could take each turn, while others with the change came within the 300 ms after it; after 3 s the wait began anew.

feed.CatchUp decides it now, without a clock or connection of its own: all that say they are ahead are kept, the one that was not asked for longest is asked, and a gap or a question without an answer ends the wait for the usual way. Ruled out: asking two at once (twice the bytes of a whole kind where 97 instances ask), a shorter wait (the turn is still taken).

--- /dev/null
+++ b/feed/catchup_test.go
@@ -0,0 +1,165 @@
+package feed_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/rainford/rainford/feed"
+)
+
+var noon = time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
+
+const (
+	askEvery = 300 * time.Millisecond
+	round    = 500 * time.Millisecond
+)
+
+// TestCatchUp plays what a replica at revision 10 hears and checks whom it asks. An event
+// is at a time in milliseconds: a claim of a source, or, with gap set, a delta of it that
+// left a gap; or, if reached is set, changes that bring the replica to a revision.
+func TestCatchUp(t *testing.T) {
+	type event struct {
+		at      int
+		from    string
+		claims  int64
+		after   int
+		gap     bool
+		reached int64
+		asks    string
+	}
+	cases := []struct {
+		name   string
+		events []event
+	}{
+		{"at once if there is nothing to wait for", []event{{at: 0, from: "a", claims: 11, asks: "a"}}},
+		{"not if it is not ahead", []event{{at: 0, from: "a", claims: 10}}},
+		{"once the usual way had its time", []event{
+			{at: 0, from: "a", claims: 11, after: 700},
+			{at: 500, from: "a", claims: 11, after: 700},
+			{at: 1000, from: "a", claims: 11, after: 700, asks: "a"},
+		}},
+		{"not if the usual way has brought it", []event{
+			{at: 0, from: "a", claims: 11, after: 700},
+			{at: 100, reached: 11},
+			{at: 1000, from: "a", claims: 11, after: 700},
+		}},
+		{"not sooner for what comes later", []event{
+			{at: 0, from: "a", claims: 11, after: 700},
+			{at: 100, reached: 11},
+			{at: 1000, from: "a", claims: 12, after: 700},
+			{at: 1500, from: "a", claims: 12, after: 700},
+			{at: 2000, from: "a", claims: 12, after: 700, asks: "a"},
+		}},
+		{"at once after a gap, the sender first", []event{
+			{at: 0, from: "b", claims: 13, after: 700},
+			{at: 100, from: "a", claims: 13, gap: true, asks: "a"},
+		}},
+		{"a far one only later", []event{
+			{at: 0, from: "far", claims: 11, after: 1400},
+			{at: 200, from: "near", claims: 11, after: 700},
+			{at: 800, from: "far", claims: 11, after: 1400, asks: "near"},
+		}},
+		{"another one when there is no answer, the same one in the end", []event{
+			{at: 0, from: "a", claims: 13, gap: true, asks: "a"},
+			{at: 200, from: "b", claims: 13, after: 700},
+			{at: 500, from: "a", claims: 13, after: 700, asks: "b"},
+			{at: 700, from: "b", claims: 13, after: 700},
+			{at: 1000, from: "a", claims: 13, after: 700, asks: "a"},
+		}},
+		{"the only one again", []event{
+			{at: 0, from: "a", claims: 11, asks: "a"},
+			{at: 299, from: "a", claims: 11},
+			{at: 300, from: "a", claims: 11, asks: "a"},
+		}},
+		{"an old claim is forgotten, and so is the wait", []event{
+			{at: 0, from: "a", claims: 11, after: 700},
+			{at: 3001, from: "b", claims: 11, after: 700},
+			{at: 3701, from: "b", claims: 11, after: 700, asks: "b"},
+		}},
+		{"an answer that brings a part only", []event{
+			{at: 0, from: "a", claims: 13, gap: true, asks: "a"},
+			{at: 100, reached: 12},
+			{at: 350, from: "b", claims: 13, after: 700, asks: "a"},
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var catchUp feed.CatchUp
+			revision := int64(10)
+			for _, e := range c.events {
+				now := noon.Add(time.Duration(e.at) * time.Millisecond)
+				source := feed.Source{Addr: e.from, Revision: e.claims, After: time.Duration(e.after) * time.Millisecond}
+				switch {
+				case e.reached > 0:
+					revision = e.reached
+					catchUp.Answered()
+				case e.gap:
+					catchUp.Gap(now, revision, source)
+				default:
+					catchUp.Ahead(now, revision, source)
+				}
+				addr, ok := catchUp.Next(now, revision)
+				require.Equal(t, e.asks, addr, "at %d ms", e.at)
+				require.Equal(t, e.asks != "", ok)
+				if ok {
+					question, open := catchUp.Open()
+					require.True(t, open)
+					require.Equal(t, feed.Question{To: addr, At: now}, question)
+				}
+			}
+		})
+	}
+}
+
+// TestCatchUpAsksOneThatAnswers has any number of sources gossip once a round, each at its
+// own moment, of which some never answer, and checks that one that does is asked before
+// long: each silent one costs a round at most.
+func TestCatchUpAsksOneThatAnswers(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const after = 700 * time.Millisecond
+		n := rapid.IntRange(1, 8).Draw(t, "sources")
+		silent := rapid.IntRange(0, n-1).Draw(t, "silent")
+		phases := make([]time.Duration, n)
+		for i := range phases {
+			phases[i] = time.Duration(rapid.IntRange(0, int(round/time.Millisecond)-1).Draw(t, "phase")) * time.Millisecond
+		}
+		var catchUp feed.CatchUp
+		gap := rapid.Bool().Draw(t, "gap")
+		if gap {
+			catchUp.Gap(noon, 1, feed.Source{Addr: "0", Revision: 2})
+			addr, ok := catchUp.Next(noon, 1)
+			require.True(t, ok)
+			require.Equal(t, "0", addr)
+			if silent == 0 {
+				return
+			}
+		}
+		bound := after + round + time.Duration(silent+1)*round
+		asked := make(map[string]time.Time)
+		for at := time.Duration(0); at <= bound; at += time.Millisecond {
+			now := noon.Add(at)
+			for i, phase := range phases {
+				if at%round != phase {
+					continue
+				}
+				catchUp.Ahead(now, 1, feed.Source{Addr: fmt.Sprint(i), Revision: 2, After: after})
+				addr, ok := catchUp.Next(now, 1)
+				if !ok {
+					continue
+				}
+				for _, before := range asked {
+					require.GreaterOrEqual(t, now.Sub(before), askEvery)
+				}
+				asked[addr] = now
+				if addr >= fmt.Sprint(silent) {
+					return
+				}
+			}
+		}
+		t.Fatalf("only silent ones were asked within %v: %v", bound, asked)
+	})
+}
--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -36,8 +36,8 @@
 	if !ok {
 		return false
 	}
-	if source != sourceStore {
-		g.noteAnswered(d.Kind)
+	if source != sourceStore && g.catchUp[d.Kind].Answered() {
+		g.metrics.question(d.Kind, questionAnswered)
 	}
 	if replica.At() == before {
 		return true
--- a/gateway/delta.go
+++ b/gateway/delta.go
@@ -71,14 +71,19 @@
 	}
 }
 
-// askFor asks an instance for the changes of a kind whose last delta left a gap.
+// askFor asks for what is missing before a delta that left a gap, the instance that sent it
+// first.
 func (g *Gateway) askFor(from string, d feed.Delta) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if replica := g.replicas[d.Kind]; replica != nil {
-		g.log.Info(logGap, "kind", d.Kind, "source", from, "begins", d.From, "revision", replica.At())
+	replica := g.replicas[d.Kind]
+	if replica == nil {
+		return
 	}
-	g.ask(time.Now(), from, d.Kind)
+	now := time.Now()
+	g.log.Info(logGap, "kind", d.Kind, "source", from, "begins", d.From, "revision", replica.At())
+	g.catchUp[d.Kind].Gap(now, replica.At(), feed.Source{Addr: from, Revision: d.To})
+	g.ask(now, d.Kind)
 }
 
 // learnLapse has removals held back as long as the sender of the delta does.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,12 +49,12 @@
 	rand      *rand.Rand
 	evacuated map[string]bool
 	specs     map[string]catalog.Target
-	questions map[feed.Kind]question
+	// catchUp decides whom to ask for what a replica lacks.
+	catchUp map[feed.Kind]*feed.CatchUp
 	// probed are the members that the last round of gossip asked directly.
 	probed map[string]bool
 	// rounds counts the rounds of gossip.
 	rounds  int
-	lag     map[feed.Kind]lag
 	answers answers
 	// instancesAt is when this instance came to know which are registered.
 	instancesAt time.Time
@@ -107,8 +107,7 @@
 		specs:      make(map[string]catalog.Target),
 		startedAt:  time.Now(),
 		readiness:  readiness{reached: make(chan struct{})},
-		questions:  make(map[feed.Kind]question),
-		lag:        make(map[feed.Kind]lag),
+		catchUp:    make(map[feed.Kind]*feed.CatchUp),
 		answers:    make(answers),
 		askers:     make(map[feed.Kind][]*peer.Since),
 		registered: make(map[string]fleet.Member),
@@ -118,6 +117,7 @@
 	}
 	for _, kind := range kinds {
 		g.replicas[kind] = feed.NewReplica(kind)
+		g.catchUp[kind] = &feed.CatchUp{}
 	}
 	err := g.listen()
 	if err != nil {
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -19,14 +19,10 @@
 	// maxSightings bounds the loads of busy targets in a message: 150 bytes, less than
 	// a fifth of the message.
 	maxSightings = 24
-	// askEvery is the shortest time between two questions for a kind.
-	askEvery = 300 * time.Millisecond
 	// askAfter and askFarAfter are how long a watcher's push may take before an
-	// instance asks one of its own or of another region, and lagForgotten how
-	// long a lag is remembered.
-	askAfter     = 700 * time.Millisecond
-	askFarAfter  = 1400 * time.Millisecond
-	lagForgotten = 3 * time.Second
+	// instance asks one of its own or of another region.
+	askAfter    = 700 * time.Millisecond
+	askFarAfter = 1400 * time.Millisecond
 )
 
 // gossipLoop tells others what this instance knows of the fleet and how far its
@@ -173,8 +169,8 @@
 	g.view.Refused(time.Now(), addr)
 }
 
-// hear takes in gossip and asks the sender for what it is ahead with. A sender
-// that is behind is told so, and will ask.
+// hear takes in gossip and asks for what the sender is ahead with. A sender that is
+// behind is told so, and will ask.
 func (g *Gateway) hear(m *peer.Gossip) {
 	if len(m.Beats) == 0 {
 		return
@@ -197,7 +193,7 @@
 		// It introduces itself before long.
 		return
 	}
-	behind, ahead := g.compare(now, m.Revisions, sender.Region == g.config.Region)
+	ahead := g.compare(now, sender, m.Revisions)
 	outlived, behindItself := g.view.Outlived(m.Beats)
 	if (ahead || behindItself) && !m.Reply {
 		reply := g.message(now, sender.Region)
@@ -207,15 +203,15 @@
 		}
 		g.mesh.Send(sender.PeerAddr, reply)
 	}
-	for _, kind := range behind {
-		g.ask(now, sender.PeerAddr, kind)
+	for _, kind := range kinds {
+		g.ask(now, kind)
 	}
 }
 
-// compare holds the revisions of another instance, which is near or not, against the own
-// ones. It returns the kinds to ask it for, and whether it has to be told that it is
-// behind. The caller holds mu.
-func (g *Gateway) compare(now time.Time, revisions []int64, near bool) (behind []feed.Kind, ahead bool) {
+// compare holds the revisions of another instance against the own ones. It notes the kinds
+// with which the other is ahead, and tells whether it has to be told that it is behind. The
+// caller holds mu.
+func (g *Gateway) compare(now time.Time, sender fleet.Member, revisions []int64) (ahead bool) {
 	for i, kind := range kinds {
 		if i >= len(revisions) {
 			break
@@ -223,82 +219,46 @@
 		at := g.replicas[kind].At()
 		switch revision := revisions[i]; {
 		case revision > at:
-			if g.lags(now, kind, at, near) {
-				behind = append(behind, kind)
-			}
+			after := g.patience(now, kind, at, sender.Region == g.config.Region)
+			g.catchUp[kind].Ahead(now, at, feed.Source{Addr: sender.PeerAddr, Revision: revision, After: after})
 		case revision < at && (revision == 0 || urgent(kind)):
 			ahead = true
 		}
 	}
-	return behind, ahead
-}
-
-// lag is since when a replica was seen to be behind at a revision.
-type lag struct {
-	revision int64
-	since    time.Time
-}
-
-// lags tells whether a replica that is behind should be brought forward by asking:
-// at once if the kind is urgent, or if it holds nothing, the own first read has not brought
-// it and the instance that is ahead is near; else once the usual way has not done it for a
-// while, which is longer for an instance of another region. The caller holds mu.
-func (g *Gateway) lags(now time.Time, kind feed.Kind, revision int64, near bool) bool {
-	if urgent(kind) {
-		return true
-	}
-	if near && revision == 0 {
-		return g.config.FirstStart || now.Sub(g.startedAt) >= readTime
-	}
-	if held, ok := g.lag[kind]; !ok || held.revision != revision || now.Sub(held.since) > lagForgotten {
-		g.lag[kind] = lag{revision: revision, since: now}
-		return false
-	}
-	after := askAfter
-	if !near {
-		after = askFarAfter
-	}
-	return now.Sub(g.lag[kind].since) >= after
-}
-
-// question is the last one that this instance has asked for the changes of a kind.
-type question struct {
-	to string
-	at time.Time
-	// open says that nothing has come since.
-	open bool
+	return ahead
 }
 
-// noteAnswered takes in that changes of a kind have come, from whichever instance. The
-// caller holds mu.
-func (g *Gateway) noteAnswered(kind feed.Kind) {
-	last, asked := g.questions[kind]
-	if !asked || !last.open {
-		return
+// patience is how long a replica at a revision may be behind before an instance, which is
+// near or not, is asked for what is missing: not at all if the kind is urgent, until the own
+// first read had its time if the replica holds nothing and the instance is near, and else as
+// long as a push may take, which is longer if one in the own region may be about to come.
+func (g *Gateway) patience(now time.Time, kind feed.Kind, revision int64, near bool) time.Duration {
+	switch {
+	case urgent(kind):
+		return 0
+	case near && revision == 0 && g.config.FirstStart:
+		return 0
+	case near && revision == 0:
+		return max(0, readTime-now.Sub(g.startedAt))
+	case near:
+		return askAfter
+	default:
+		return askFarAfter
 	}
-	last.open = false
-	g.questions[kind] = last
-	g.metrics.question(kind, questionAnswered)
 }
 
-// noteUnanswered tells of a question of a kind that is still open. The caller holds mu.
-func (g *Gateway) noteUnanswered(now time.Time, kind feed.Kind) {
-	last := g.questions[kind]
-	if !last.open {
+// ask asks an instance that is ahead with a kind for the changes since the own revision, if
+// it is time. The caller holds mu.
+func (g *Gateway) ask(now time.Time, kind feed.Kind) {
+	at := g.replicas[kind].At()
+	last, open := g.catchUp[kind].Open()
+	addr, ok := g.catchUp[kind].Next(now, at)
+	if !ok {
 		return
 	}
-	g.metrics.question(kind, questionUnanswered)
-	g.log.Warn(logUnanswered, "kind", kind, "asked", last.to, "for_ms", now.Sub(last.at).Milliseconds(), "revision", g.replicas[kind].At())
-}
-
-// ask asks an instance for the changes of a kind since the own revision. The caller holds
-// mu.
-func (g *Gateway) ask(now time.Time, addr string, kind feed.Kind) {
-	last := g.questions[kind]
-	if g.replicas[kind] == nil || now.Sub(last.at) < askEvery {
-		return
+	if open {
+		g.metrics.question(kind, questionUnanswered)
+		g.log.Warn(logUnanswered, "kind", kind, "asked", last.To, "for_ms", now.Sub(last.At).Milliseconds(), "revision", at)
 	}
-	g.noteUnanswered(now, kind)
-	g.questions[kind] = question{to: addr, at: now, open: true}
-	g.mesh.Send(addr, &peer.Since{Kind: kind, Revision: g.replicas[kind].At(), ReplyTo: g.view.Self().PeerAddr})
+	g.mesh.Send(addr, &peer.Since{Kind: kind, Revision: at, ReplyTo: g.view.Self().PeerAddr})
 }
--- a/gateway/question_test.go
+++ b/gateway/question_test.go
@@ -68,7 +68,8 @@
 	silent := newNeighbour(t, "n0")
 	late := feed.Delta{Kind: KindTargets, From: 12, To: 13, Changes: []feed.Change{change("i-1", false)}}
 	silent.push(t, g, late)
-	time.Sleep(askEvery)
+	// Longer than the time for which another question waits for the answer to the first.
+	time.Sleep(fleet.RoundTime)
 	silent.push(t, g, late)
 	require.Contains(t, lines.String(), `"msg":"delta leaves a gap","kind":"targets","source":"`+silent.addr+`","begins":12,"revision":10`)
 	require.Contains(t, lines.String(), `"msg":"question not answered","kind":"targets","asked":"`+silent.addr+`"`)
