What a watcher finds out by a list, or from another instance, is pushed like the rest

The same cause elsewhere: changes that the first watcher of a region learned otherwise than by its own watch were left to the questions of the others, one by one, a second and more later.

A list is compared with what is held, and the difference is pushed. Such a delta is exact: it applies only to a replica at its first revision, since what came and went in between is not in it. TestWhatAListBringsIsPassedOn, TestWhatAWatcherIsToldIsPassedOn: red before.

--- a/feed/replica.go
+++ b/feed/replica.go
@@ -20,12 +20,14 @@
 }
 
 // Delta carries all changes of a kind after the revision From up to the
-// revision To. A full delta carries all objects instead; From is 0.
+// revision To. A full delta carries all objects instead; From is 0. An exact delta carries
+// the difference of the two states alone: what came and went in between is not in it.
 type Delta struct {
 	Kind    Kind     `msgpack:"k"`
 	From    int64    `msgpack:"f"`
 	To      int64    `msgpack:"t"`
 	Full    bool     `msgpack:"a,omitempty"`
+	Exact   bool     `msgpack:"e,omitempty"`
 	Changes []Change `msgpack:"c"`
 }
 
@@ -72,20 +74,38 @@
 	if d.To <= r.at {
 		return nil, true
 	}
-	if !d.Full && (r.at == 0 || d.From > r.at) {
+	if !r.continues(d) {
 		return nil, false
 	}
 	if d.Full {
 		changes = r.replace(d)
-		r.history = nil
+		d = Difference(d.Kind, r.at, d.To, changes)
 	} else {
 		changes = r.update(d)
-		r.remember(d)
 	}
+	r.remember(d)
 	r.at = d.To
 	return changes, true
 }
 
+// continues tells whether a delta leads on from the replica's state.
+func (r *Replica) continues(d Delta) bool {
+	switch {
+	case d.Full:
+		return true
+	case d.Exact:
+		return r.at > 0 && d.From == r.at
+	default:
+		return r.at > 0 && d.From <= r.at
+	}
+}
+
+// Difference returns the exact delta between two states, of which changes are all that
+// they differ in.
+func Difference(kind Kind, from, to int64, changes []Change) Delta {
+	return Delta{Kind: kind, From: from, To: to, Exact: true, Changes: changes}
+}
+
 func (r *Replica) update(d Delta) []Change {
 	var made []Change
 	for _, c := range d.Changes {
@@ -118,12 +138,16 @@
 	return r.update(Delta{Changes: append(all, d.Changes...)})
 }
 
-// remember keeps a delta that begins at or before the replica's revision. An
-// empty delta only moves the end of the one before it.
+// remember keeps a delta that begins at or before the replica's revision, unless the
+// replica held nothing. An empty delta only moves the end of the one before it, except that
+// an exact one, in which something may have come and gone, leaves one that is not as it is.
 func (r *Replica) remember(d Delta) {
+	if r.at == 0 {
+		return
+	}
 	d.From = r.at
 	last := len(r.history) - 1
-	if len(d.Changes) == 0 && last >= 0 {
+	if len(d.Changes) == 0 && last >= 0 && (!d.Exact || r.history[last].Exact) {
 		r.history[last].To = d.To
 		return
 	}
@@ -136,12 +160,7 @@
 // Since returns what leads from revision from to the replica's own: a delta if
 // the history reaches back that far, else the whole kind.
 func (r *Replica) Since(from int64) Delta {
-	start := -1
-	for i := range r.history {
-		if r.history[i].From <= from {
-			start = i
-		}
-	}
+	start := r.startOf(from)
 	switch {
 	case from == r.at && r.at > 0:
 		return Delta{Kind: r.kind, From: from, To: r.at}
@@ -150,11 +169,29 @@
 	}
 	d := Delta{Kind: r.kind, From: from, To: r.at}
 	for _, h := range r.history[start:] {
+		d.Exact = d.Exact || h.Exact
 		d.Changes = append(d.Changes, h.Changes...)
 	}
 	return d
 }
 
+// startOf returns the index of the delta of the history from which a replica at a revision
+// can go on, or -1. One whose revision lies within an exact delta can't.
+func (r *Replica) startOf(from int64) int {
+	start := -1
+	for i, h := range r.history {
+		switch {
+		case h.From > from:
+			return start
+		case h.From == from || !h.Exact:
+			start = i
+		default:
+			start = -1
+		}
+	}
+	return start
+}
+
 func (r *Replica) whole() Delta {
 	d := Delta{Kind: r.kind, To: r.at, Full: true}
 	for name, value := range r.objects {
--- a/feed/replica_test.go
+++ b/feed/replica_test.go
@@ -94,8 +94,14 @@
 				}
 			case 3: // A list.
 				d := s.whole()
+				before := r.At()
+				changes, ok := r.Apply(d)
+				require.True(t, ok)
+				check(r, before)
 				wire = append(wire, d)
-				take(r, d)
+				if before > 0 && r.At() > before {
+					wire = append(wire, feed.Difference("k", before, r.At(), changes))
+				}
 			case 4: // A delta arrives, late or again.
 				if len(wire) > 0 {
 					take(r, wire[rapid.IntRange(0, len(wire)-1).Draw(t, "delta")])
--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -55,7 +55,10 @@
 		g.readiness.knowsTargets.Store(true)
 	}
 	g.noteReady()
-	if len(changes) > 0 && !d.Full {
+	if len(changes) > 0 && before > 0 {
+		if d.Full {
+			d = feed.Difference(d.Kind, before, d.To, changes)
+		}
 		g.passOn(d, source)
 	}
 	if len(changes) > 0 && source != sourceStore {
--- a/gateway/delta.go
+++ b/gateway/delta.go
@@ -9,8 +9,8 @@
 
 // urgent tells whether the changes of a kind are few and have to be in force
 // everywhere soon. They are pushed on every way. Those of other kinds are pushed by
-// one watcher to its own region, since other regions have watchers of their own;
-// what is lost on the way is made up by gossip.
+// one watcher to its own region, however it came to know them, since other regions have
+// watchers of their own; what is lost on the way is made up by gossip.
 func urgent(kind feed.Kind) bool {
 	return kind == KindConfig || kind == KindEvacuations || kind == KindTable
 }
@@ -21,7 +21,7 @@
 func (g *Gateway) passOn(d feed.Delta, source string) {
 	now := time.Now()
 	fromStore := source == sourceStore
-	if !urgent(d.Kind) && !(fromStore && g.view.WatchesFirst(now)) {
+	if !urgent(d.Kind) && !g.view.WatchesFirst(now) {
 		return
 	}
 	if !fromStore && !g.watch.isWatching() {
--- a/gateway/question_test.go
+++ b/gateway/question_test.go
@@ -150,3 +150,44 @@
 	}
 	require.False(t, isUsed(t, g), "a target that leaves is used since an instance that was asked says nothing")
 }
+
+// delta waits for the next delta that the neighbour is sent.
+func (n *neighbour) delta(t *testing.T) feed.Delta {
+	for {
+		m, ok := n.next(t).(*peer.Delta)
+		if !ok {
+			continue
+		}
+		d, err := m.Unpack()
+		require.NoError(t, err)
+		return d
+	}
+}
+
+// TestWhatAListBringsIsPassedOn checks that the first watcher of a region pushes what it
+// finds out by a list, when the store has forgotten its history, and that the first list,
+// which everybody makes, is not pushed.
+func TestWhatAListBringsIsPassedOn(t *testing.T) {
+	g := newPlain(t)
+	g.watch.setWatching(true)
+	other := newNeighbour(t, "n2")
+	other.gossip(g, 1)
+	whole := feed.Delta{Kind: KindTargets, To: 1, Full: true, Changes: []feed.Change{change("i-1", false), change("i-2", false)}}
+	require.True(t, g.take(whole, sourceStore))
+	whole.To, whole.Changes = 5, []feed.Change{whole.Changes[0], leaves("i-2")}
+	require.True(t, g.take(whole, sourceStore))
+	require.Equal(t, feed.Difference(KindTargets, 1, 5, []feed.Change{leaves("i-2")}), other.delta(t))
+}
+
+// TestWhatAWatcherIsToldIsPassedOn checks that the first watcher of a region pushes also
+// what another instance brings it before its own watch does.
+func TestWhatAWatcherIsToldIsPassedOn(t *testing.T) {
+	g := newPlain(t)
+	g.watch.setWatching(true)
+	other, far := newNeighbour(t, "n2"), newNeighbour(t, "far")
+	other.gossip(g, 1)
+	require.True(t, g.take(feed.Delta{Kind: KindTargets, To: 1, Full: true, Changes: []feed.Change{change("i-1", false)}}, sourceStore))
+	d := feed.Delta{Kind: KindTargets, From: 1, To: 2, Changes: []feed.Change{leaves("i-1")}}
+	far.push(t, g, d)
+	require.Equal(t, d, other.delta(t))
+}
