A watcher that is behind asks another region as soon as its own

An instance that is behind gives the watchers of its region 1.4 s to push before it asks another region. A watcher waited as long, for itself. It waits 0.7 s now, as for one of its own region. TestPatience: red before in that case.

--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -231,7 +231,8 @@
 // patience is how long a replica at a revision may be behind before an instance, which is
 // near or not, is asked for what is missing: not at all if the kind is urgent, until the own
 // first read had its time if the replica holds nothing and the instance is near, and else as
-// long as a push may take, which is longer if one in the own region may be about to come.
+// long as a push may take. That is longer while a watcher of the own region may be about to
+// push, for which a watcher does not wait: its own watch would have told it.
 func (g *Gateway) patience(now time.Time, kind feed.Kind, revision int64, near bool) time.Duration {
 	switch {
 	case urgent(kind):
@@ -240,7 +241,7 @@
 		return 0
 	case near && revision == 0:
 		return max(0, readTime-now.Sub(g.startedAt))
-	case near:
+	case near || g.watch.isWatching():
 		return askAfter
 	default:
 		return askFarAfter
--- a/gateway/question_test.go
+++ b/gateway/question_test.go
@@ -151,6 +151,35 @@
 	require.False(t, isUsed(t, g), "a target that leaves is used since an instance that was asked says nothing")
 }
 
+// TestPatience checks how long an instance that is behind waits for the usual way before
+// it asks another one.
+func TestPatience(t *testing.T) {
+	now := time.Date(2026, 12, 2, 0, 0, 0, 0, time.UTC)
+	cases := []struct {
+		name                string
+		kind                feed.Kind
+		revision            int64
+		near, watches       bool
+		first               bool
+		sinceStart, expects time.Duration
+	}{
+		{name: "urgent", kind: KindConfig, revision: 7},
+		{name: "near", kind: KindTargets, revision: 7, near: true, expects: askAfter},
+		{name: "far", kind: KindTargets, revision: 7, expects: askFarAfter},
+		{name: "far, and nobody else of the region is to bring it", kind: KindTargets, revision: 7, watches: true, expects: askAfter},
+		{name: "nothing held, just started", kind: KindTargets, near: true, expects: readTime},
+		{name: "nothing held for long", kind: KindTargets, near: true, sinceStart: readTime, expects: 0},
+		{name: "nothing held at the first start", kind: KindTargets, near: true, first: true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			g := &Gateway{config: Config{FirstStart: c.first}, startedAt: now.Add(-c.sinceStart), watch: newWatchState()}
+			g.watch.setWatching(c.watches)
+			require.Equal(t, c.expects, g.patience(now, c.kind, c.revision, c.near))
+		})
+	}
+}
+
 // delta waits for the next delta that the neighbour is sent.
 func (n *neighbour) delta(t *testing.T) feed.Delta {
 	for {
