--- a/feed/replica.go
+++ b/feed/replica.go
@@ -1,6 +1,10 @@
 package feed
 
-import "sort"
+import (
+	"sort"
+
+	"github.com/rainford/rainford/internal/mix"
+)
 
 // Kind names a kind of object. The values are the product's own.
 type Kind string
@@ -39,6 +43,8 @@
 	kind    Kind
 	at      int64
 	objects map[string][]byte
+	// digest is that of the objects.
+	digest uint64
 	// history holds the latest deltas, which join without a gap.
 	history []Delta
 }
@@ -51,6 +57,11 @@
 // At returns the revision that the replica reflects, 0 before the first delta.
 func (r *Replica) At() int64 { return r.at }
 
+// Digest returns a value that two replicas share if they hold the same objects, whatever
+// revisions they reflect: one that was read anew reflects a later one than those that
+// stayed at the last change.
+func (r *Replica) Digest() uint64 { return r.digest }
+
 // Len returns the number of objects.
 func (r *Replica) Len() int { return len(r.objects) }
 
@@ -115,9 +126,13 @@
 			delete(r.objects, c.Name)
 		case !c.Gone && (!known || string(held) != string(c.Value)):
 			r.objects[c.Name] = c.Value
+			r.digest ^= digestOf(c.Name, c.Value)
 		default:
 			continue
 		}
+		if known {
+			r.digest ^= digestOf(c.Name, held)
+		}
 		made = append(made, c)
 	}
 	return made
@@ -157,13 +172,19 @@
 	}
 }
 
-// Since returns what leads from revision from to the replica's own: a delta if
-// the history reaches back that far, else the whole kind.
-func (r *Replica) Since(from int64) Delta {
+// digestOf returns the part of an object in a digest.
+func digestOf(name string, value []byte) uint64 { return mix.Pair(name, string(value)) }
+
+// Since returns what leads from revision from, at which there are the objects of a digest,
+// to the replica's own: a delta if they are the same or the history reaches back that far,
+// else the whole kind.
+func (r *Replica) Since(from int64, digest uint64) Delta {
 	start := r.startOf(from)
 	switch {
 	case from == r.at && r.at > 0:
 		return Delta{Kind: r.kind, From: from, To: r.at}
+	case from > 0 && digest != 0 && digest == r.digest:
+		return Difference(r.kind, from, r.at, nil)
 	case start < 0 || from == 0:
 		return r.whole()
 	}
--- a/feed/replica_test.go
+++ b/feed/replica_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -73,6 +74,9 @@
 		check := func(r *feed.Replica, before int64) {
 			require.GreaterOrEqual(t, r.At(), before)
 			require.Equal(t, s.states[r.At()], held(r))
+			for _, other := range replicas {
+				require.Equal(t, maps.Equal(held(r), held(other)), r.Digest() == other.Digest())
+			}
 		}
 		take := func(r *feed.Replica, d feed.Delta) {
 			before := r.At()
@@ -109,7 +113,10 @@
 			case 5: // A replica asks another for what it lacks.
 				other := replicas[rapid.IntRange(0, 4).Draw(t, "other")]
 				if other.At() > r.At() {
-					d := other.Since(r.At())
+					d := other.Since(r.At(), r.Digest())
+					if r.Digest() == other.Digest() {
+						require.Empty(t, d.Changes)
+					}
 					wire = append(wire, d)
 					take(r, d)
 					require.Equal(t, other.At(), r.At())
@@ -129,3 +136,22 @@
 	require.False(t, ok)
 	require.EqualValues(t, 3, r.At())
 }
+
+// TestSameObjectsNeedNothing checks that a replica that was read anew, and so reflects a
+// later revision than those of its neighbours, brings them to its own revision without
+// sending them what they hold, and that a change goes on from there without a gap.
+func TestSameObjectsNeedNothing(t *testing.T) {
+	object := feed.Change{Object: feed.Object{Name: "o", Value: []byte("1")}}
+	follower, anew := feed.NewReplica("k"), feed.NewReplica("k")
+	follower.Apply(feed.Delta{Kind: "k", To: 126, Full: true, Changes: []feed.Change{object}})
+	anew.Apply(feed.Delta{Kind: "k", To: 128, Full: true, Changes: []feed.Change{object}})
+	d := anew.Since(follower.At(), follower.Digest())
+	require.Equal(t, feed.Difference("k", 126, 128, nil), d)
+	_, ok := follower.Apply(d)
+	require.True(t, ok)
+	object.Value = []byte("2")
+	_, ok = follower.Apply(feed.Delta{Kind: "k", From: 128, To: 129, Changes: []feed.Change{object}})
+	require.True(t, ok)
+	require.EqualValues(t, 129, follower.At())
+	require.True(t, anew.Since(126, follower.Digest()).Full, "another object is held")
+}
--- a/gateway/delta.go
+++ b/gateway/delta.go
@@ -122,7 +122,7 @@
 
 // sendSince sends the changes that another instance asks for. The caller holds mu.
 func (g *Gateway) sendSince(replica *feed.Replica, m *peer.Since) {
-	answer, err := g.answers.since(replica, m.Kind, m.Revision)
+	answer, err := g.answers.since(replica, m)
 	if err != nil {
 		g.log.Error(logDeltaRefused, "kind", m.Kind, "error", err.Error())
 		return
@@ -135,22 +135,24 @@
 // together ask for the same one.
 type answers map[feed.Kind]packedDelta
 
-// packedDelta is a delta from one revision to another.
+// packedDelta is a delta from one state to another.
 type packedDelta struct {
-	from, to int64
-	message  *peer.Delta
+	from    int64
+	digest  uint64
+	to      int64
+	message *peer.Delta
 }
 
-// since returns the message that leads from a revision to the replica's own.
-func (a answers) since(replica *feed.Replica, kind feed.Kind, from int64) (peer.Delta, error) {
-	held, ok := a[kind]
-	if !ok || held.from != from || held.to != replica.At() {
-		message, err := peer.NewDelta(replica.Since(from))
+// since returns the message that leads from what an asker holds to what the replica does.
+func (a answers) since(replica *feed.Replica, m *peer.Since) (peer.Delta, error) {
+	held, ok := a[m.Kind]
+	if !ok || held.from != m.Revision || held.digest != m.Digest || held.to != replica.At() {
+		message, err := peer.NewDelta(replica.Since(m.Revision, m.Digest))
 		if err != nil {
 			return peer.Delta{}, err
 		}
-		held = packedDelta{from: from, to: replica.At(), message: message}
-		a[kind] = held
+		held = packedDelta{from: m.Revision, digest: m.Digest, to: replica.At(), message: message}
+		a[m.Kind] = held
 	}
 	return *held.message, nil
 }
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -261,5 +261,5 @@
 		g.metrics.question(kind, questionUnanswered)
 		g.log.Warn(logUnanswered, "kind", kind, "asked", last.To, "for_ms", now.Sub(last.At).Milliseconds(), "revision", at)
 	}
-	g.mesh.Send(addr, &peer.Since{Kind: kind, Revision: at, ReplyTo: g.view.Self().PeerAddr})
+	g.mesh.Send(addr, &peer.Since{Kind: kind, Revision: at, Digest: g.replicas[kind].Digest(), ReplyTo: g.view.Self().PeerAddr})
 }
--- a/peer/message.go
+++ b/peer/message.go
@@ -109,6 +109,8 @@
 type Since struct {
 	Kind     feed.Kind `msgpack:"k"`
 	Revision int64     `msgpack:"r"`
+	// Digest is that of the objects that the asker holds at the revision.
+	Digest uint64 `msgpack:"d,omitempty"`
 	// ReplyTo is the asker's peer address.
 	ReplyTo string `msgpack:"a"`
 }
