Demo: accounts on the gateways, a key taken away, one that sends three times its limit; heads fuzzed

The demo of gateways has two accounts: one key is taken away on the way, and the second account sends three times what it may. Its report judges that no key reaches a target and that the account's limit holds over all instances in each window. FuzzHead has any head of a client's request passed on: one request at the target, the account's name and time as the system sets them, no key.

--- /dev/null
+++ b/forward/head_test.go
@@ -0,0 +1,58 @@
+package forward
+
+import (
+	"bufio"
+	"bytes"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+// FuzzHead has any head of a client's request passed on, and checks that a target reads one
+// request of it, with the account's name, its own ID and its time as the system sets them,
+// and without the client's key.
+func FuzzHead(f *testing.F) {
+	const secret = "s3cret-key"
+	for _, seed := range []string{
+		"",
+		"Credential: " + secret,
+		"credential: " + secret + "\r\nCREDENTIAL: other\r\nTenant: forged",
+		"Tenant: a\r\nTenant: b\r\nTimeout-Ms: 9\r\nExpected-Instance: i-9",
+		"Connection: Tenant, Credential\r\nCredential: " + secret,
+		"Credential: " + secret + "\r\n Tenant: folded",
+		"Connection: keep-alive\r\nTransfer-Encoding: chunked\r\nTe: trailers\r\nCredential:\t" + secret + "\t",
+		"X-Odd: \"\r\nCookie: a=b; Credential=1",
+	} {
+		f.Add(seed)
+	}
+	headers := Headers{RequestID: "Request-Id", Deadline: "Timeout-Ms", Expected: "Expected-Instance", Credential: "Credential", Account: "Tenant"}
+	c := NewClient(headers, nil)
+	f.Fuzz(func(t *testing.T, lines string) {
+		if !strings.Contains(lines, secret) {
+			lines += "\r\nCredential: " + secret
+		}
+		in, err := http.ReadRequest(bufio.NewReader(strings.NewReader("GET /x/ HTTP/1.1\r\nHost: h.example\r\n" + strings.Trim(lines, "\r\n") + "\r\n\r\n")))
+		if err != nil {
+			return
+		}
+		passed := EndToEnd(in.Header)
+		head := c.head(&Request{Method: "GET", URI: "/x/", Host: "h.example", Header: passed, ID: "q", Account: "ada", Target: "i-1", Timeout: time.Second})
+		reader := bufio.NewReader(bytes.NewReader(head))
+		out, err := http.ReadRequest(reader)
+		if err != nil {
+			t.Fatalf("no request: %v in %q", err, head)
+		}
+		if _, err := reader.ReadByte(); err == nil {
+			t.Fatalf("something behind the request: %q", head)
+		}
+		for name, want := range map[string][]string{
+			headers.Account: {"ada"}, headers.Credential: nil, headers.Expected: {"i-1"}, headers.Deadline: {"1000"},
+		} {
+			if got := out.Header.Values(name); !slices.Equal(got, want) {
+				t.Fatalf("%s is %q, not %q, in %q", name, got, want, head)
+			}
+		}
+	})
+}
--- a/internal/demo/gateway.go
+++ b/internal/demo/gateway.go
@@ -62,7 +62,8 @@
 
 // RunGateways starts an estate of gateways with stand-ins of the store and of targets
 // in this process, sends requests while a configuration changes, a hall is emptied, a
-// target leaves and an instance stops, and reports what held.
+// target leaves and an instance stops, keys are taken away and an account sends three times
+// what it may, and reports what held.
 func RunGateways(ctx context.Context, options GatewayOptions) (*GatewayReport, error) {
 	e := &gatewayEstate{options: options, store: objects.New(), seen: newObserver()}
 	defer e.close()
@@ -79,7 +80,7 @@
 		return nil, fmt.Errorf("demo: %w", err)
 	}
 	load.report(report)
-	e.seen.report(report)
+	e.seen.report(report, options.busyLimit())
 	return report, nil
 }
 
@@ -91,7 +92,7 @@
 	e.storeAddr = ln.Addr().String()
 	e.storeHTTP = &http.Server{Handler: e.store}
 	go func() { _ = e.storeHTTP.Serve(ln) }()
-	e.configure(1)
+	e.configure(1, true)
 	for hall := range gatewayHalls {
 		for _, service := range []string{"listings", "ledger"} {
 			for n := range targetsPerHall {
@@ -108,12 +109,12 @@
 			return err
 		}
 	}
-	return e.await(ctx, "/read/1/")
+	return e.await(ctx, estateKey, "/read/1/", http.StatusOK)
 }
 
 // configure writes a configuration. Version n has a route /read/n/ that earlier ones
-// lack.
-func (e *gatewayEstate) configure(version int) {
+// lack. WithTaken tells whether the key that is taken away is still there.
+func (e *gatewayEstate) configure(version int, withTaken bool) {
 	route := func(prefix, service, kind string) objects.Route {
 		return objects.Route{Host: gatewayHost, PathPrefix: prefix, RouteType: kind, Timeout: "2s", TargetLatency: "200ms",
 			Priority: 1, Service: service, MaxAttempts: 2, StickySessions: true}
@@ -128,7 +129,7 @@
 	}
 	service := objects.Service{Warmup: "1s", WarmupPerS: 40}
 	e.store.Configure(objects.Configuration{Version: objects.VersionText(version), Routes: routes,
-		Services: map[string]objects.Service{"listings": service, "ledger": service}})
+		Services: map[string]objects.Service{"listings": service, "ledger": service}, Tenants: e.tenants(withTaken)})
 }
 
 func (e *gatewayEstate) startTarget(id, service, hall string) error {
@@ -179,14 +180,14 @@
 // errNotInForce says that a change was not in force in time.
 var errNotInForce = errors.New("a change was not in force in time")
 
-// await waits until every instance serves a path.
-func (e *gatewayEstate) await(ctx context.Context, path string) error {
+// await waits until every instance answers a request with a key for a path with a status.
+func (e *gatewayEstate) await(ctx context.Context, key, path string, status int) error {
 	const longest = 10 * time.Second
 	end := time.Now().Add(longest)
 	for _, in := range e.instances {
 		for {
-			a := sendTo(ctx, in.config.Listen, "await", http.MethodGet, path, nil)
-			if a.status == http.StatusOK {
+			a := sendTo(ctx, in.config.Listen, key, "await", http.MethodGet, path, nil)
+			if a.status == status {
 				break
 			}
 			if ctx.Err() != nil || time.Now().After(end) {
@@ -200,19 +201,28 @@
 
 // steps makes the changes of the run, each after a part of its length.
 func (e *gatewayEstate) steps(ctx context.Context, report *GatewayReport) error {
-	const parts = 6
+	const parts = 7
 	part := e.options.Duration / parts
 	say := func(format string, args ...any) { fmt.Fprintf(e.options.Progress, format+"\n", args...) }
 	pause.For(ctx, part)
 	began := time.Now()
-	e.configure(2)
-	err := e.await(ctx, "/read/2/")
+	e.configure(2, true)
+	err := e.await(ctx, estateKey, "/read/2/", http.StatusOK)
 	if err != nil {
 		return err
 	}
 	report.InForce = time.Since(began)
 	say("configuration 2 in force at all instances after %v", report.InForce.Round(time.Millisecond))
 	pause.For(ctx, part)
+	began = time.Now()
+	e.configure(3, false)
+	err = e.await(ctx, takenKey, "/read/1/", http.StatusUnauthorized)
+	if err != nil {
+		return err
+	}
+	report.KeyGone = time.Since(began)
+	say("a key that was taken away opens nothing after %v", report.KeyGone.Round(time.Millisecond))
+	pause.For(ctx, part)
 	e.store.Evacuate("kumasi-a")
 	say("kumasi-a is to be emptied")
 	e.seen.forbid(func(t *origin.Server) bool { return t.Zone == "kumasi-a" }, time.Now().Add(settled))
--- a/internal/demo/gateway_test.go
+++ b/internal/demo/gateway_test.go
@@ -16,5 +16,7 @@
 	require.NoError(t, err)
 	require.Empty(t, report.Broken)
 	require.Greater(t, report.Served, report.Requests/2)
+	require.Positive(t, report.TurnedAway)
+	require.Positive(t, report.KeyGone)
 	require.Len(t, report.ByHall, len(gatewayHalls))
 }
--- a/internal/demo/gatewayload.go
+++ b/internal/demo/gatewayload.go
@@ -23,6 +23,10 @@
 	since     time.Time
 	late      int
 	byHall    map[string]int
+	// keysSeen counts the requests that came with their key, and busy are the runs of the
+	// account with a limit.
+	keysSeen int
+	busy     []time.Time
 }
 
 func newObserver() *observer {
@@ -36,6 +40,7 @@
 		o.runs[a.ID]++
 	}
 	o.byHall[a.Server.Zone]++
+	o.noteAccount(a)
 	if o.forbidden != nil && o.forbidden(a.Server) && a.At.After(o.since) {
 		o.late++
 	}
@@ -63,7 +68,7 @@
 }
 
 // sendTo sends one request of a client to an instance.
-func sendTo(ctx context.Context, addr, id, method, path string, body []byte) answered {
+func sendTo(ctx context.Context, addr, key, id, method, path string, body []byte) answered {
 	began := time.Now()
 	a := answered{id: id}
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(body))
@@ -73,6 +78,7 @@
 	headers := platform.Headers()
 	req.Host = gatewayHost
 	req.Header.Set(headers.RequestID, id)
+	req.Header.Set(headers.Credential, key)
 	req.Header.Set(headers.Key, "object-"+id[len(id)-1:])
 	req.Header.Set(headers.Deadline, "3000")
 	resp, err := http.DefaultClient.Do(req)
@@ -135,7 +141,7 @@
 	case n%onceEvery == 0:
 		method, path, body = http.MethodPost, "/pay/", []byte("receipt")
 	}
-	a := sendTo(context.Background(), in.config.Listen, id, method, path, body)
+	a := sendTo(context.Background(), in.config.Listen, keyOf(n), id, method, path, body)
 	a.once = method == http.MethodPost
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/demo/gatewayreport.go
+++ b/internal/demo/gatewayreport.go
@@ -7,17 +7,21 @@
 	"sort"
 	"text/tabwriter"
 	"time"
+
+	"github.com/rainford/rainford/ratelimit"
 )
 
 // GatewayReport is the result of a run of gateways.
 type GatewayReport struct {
 	// Requests were sent; of these some were served, refused without having run,
 	// or ended otherwise. Unreached ones found no instance at their address.
-	Requests  int `json:"requests"`
-	Served    int `json:"served"`
-	Refused   int `json:"refused"`
-	Failed    int `json:"failed"`
-	Unreached int `json:"unreached"`
+	Requests int `json:"requests"`
+	Served   int `json:"served"`
+	Refused  int `json:"refused"`
+	Failed   int `json:"failed"`
+	// TurnedAway were beyond their account's limit.
+	TurnedAway int `json:"turned_away"`
+	Unreached  int `json:"unreached"`
 	// P50 and P99 are of served requests.
 	P50 time.Duration `json:"p50_ns"`
 	P99 time.Duration `json:"p99_ns"`
@@ -25,6 +29,8 @@
 	// instance, and Stop the length of the planned stop.
 	InForce time.Duration `json:"in_force_ns"`
 	Stop    time.Duration `json:"stop_ns"`
+	// KeyGone is the time until a key that was taken away opened nothing at any instance.
+	KeyGone time.Duration `json:"key_gone_ns"`
 	// ByHall counts the arrivals at the targets of each hall.
 	ByHall map[string]int `json:"by_hall"`
 	// Broken lists the invariants that did not hold.
@@ -50,6 +56,8 @@
 			r.Broken = append(r.Broken, a.id+" got an answer that is not its own or not whole")
 		case a.status == http.StatusServiceUnavailable:
 			r.Refused++
+		case a.status == http.StatusTooManyRequests:
+			r.TurnedAway++
 		case a.status == 0:
 			r.Unreached++
 		default:
@@ -63,7 +71,7 @@
 }
 
 // report takes in what reached the targets and judges the answers by it.
-func (o *observer) report(r *GatewayReport) {
+func (o *observer) report(r *GatewayReport, limit ratelimit.Limit) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	r.ByHall = o.byHall
@@ -72,7 +80,7 @@
 		switch {
 		case a.once && runs > 1:
 			r.Broken = append(r.Broken, fmt.Sprintf("%s ran %d times", a.id, runs))
-		case a.once && runs > 0 && a.status == http.StatusServiceUnavailable:
+		case a.once && runs > 0 && (a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests):
 			r.Broken = append(r.Broken, a.id+" was refused and had run")
 		case runs > 0 && a.status == 0:
 			r.Broken = append(r.Broken, a.id+" was cut")
@@ -81,6 +89,7 @@
 	if o.late > 0 {
 		r.Broken = append(r.Broken, fmt.Sprintf("%d requests reached targets that were to get nothing", o.late))
 	}
+	o.reportAccounts(r, limit)
 	if r.Served == 0 {
 		r.Broken = append(r.Broken, "nothing was served")
 	}
@@ -89,9 +98,9 @@
 // Print writes the report as a table.
 func (r *GatewayReport) Print(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "requests\tserved\trefused\tfailed\tunreached\tp50\tp99\tin force\tstop")
-	fmt.Fprintf(t, "%d\t%d\t%d\t%d\t%d\t%v\t%v\t%v\t%v\n", r.Requests, r.Served, r.Refused, r.Failed, r.Unreached,
-		r.P50.Round(time.Millisecond), r.P99.Round(time.Millisecond), r.InForce.Round(time.Millisecond), r.Stop.Round(time.Millisecond))
+	fmt.Fprintln(t, "requests\tserved\trefused\tturned away\tfailed\tunreached\tp50\tp99\tin force\tkey gone\tstop")
+	fmt.Fprintf(t, "%d\t%d\t%d\t%d\t%d\t%d\t%v\t%v\t%v\t%v\t%v\n", r.Requests, r.Served, r.Refused, r.TurnedAway, r.Failed, r.Unreached,
+		r.P50.Round(time.Millisecond), r.P99.Round(time.Millisecond), r.InForce.Round(time.Millisecond), r.KeyGone.Round(time.Millisecond), r.Stop.Round(time.Millisecond))
 	fmt.Fprintln(t, "\nhall\tarrivals")
 	halls := make([]string, 0, len(r.ByHall))
 	for hall := range r.ByHall {
