--- a/feed/replica_test.go
+++ b/feed/replica_test.go
@@ -155,3 +155,42 @@
 	require.EqualValues(t, 129, follower.At())
 	require.True(t, anew.Since(126, follower.Digest()).Full, "another object is held")
 }
+
+// TestWithinAnExactDelta checks that a replica that holds something which came and went
+// between the two states of an exact delta is brought on by the whole kind, whether or not
+// the delta is empty and whatever was remembered before it.
+func TestWithinAnExactDelta(t *testing.T) {
+	object := func(name string, gone bool) feed.Change {
+		return feed.Change{Object: feed.Object{Name: name, Value: []byte("1")}, Gone: gone}
+	}
+	whole := func(to int64, names ...string) feed.Delta {
+		d := feed.Delta{To: to, Full: true}
+		for _, name := range names {
+			d.Changes = append(d.Changes, object(name, false))
+		}
+		return d
+	}
+	cases := []struct {
+		name  string
+		steps []feed.Delta
+	}{
+		{"with a difference", []feed.Delta{whole(1), whole(5, "a")}},
+		{"empty", []feed.Delta{whole(1), whole(5)}},
+		{"empty, after one that is not exact", []feed.Delta{whole(1), {From: 1, To: 2, Changes: []feed.Change{object("a", false)}}, whole(5, "a")}},
+		{"before another one", []feed.Delta{whole(1), whole(5), {From: 5, To: 6, Changes: []feed.Change{object("a", false)}}}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r, within := feed.NewReplica(""), feed.NewReplica("")
+			for _, d := range c.steps {
+				_, ok := r.Apply(d)
+				require.True(t, ok)
+			}
+			within.Apply(whole(3, "came and went"))
+			_, ok := within.Apply(r.Since(within.At(), within.Digest()))
+			require.True(t, ok)
+			require.Equal(t, held(r), held(within))
+			require.Equal(t, r.At(), within.At())
+		})
+	}
+}
--- a/retry/tokens_test.go
+++ b/retry/tokens_test.go
@@ -44,7 +44,8 @@
 					again++
 				}
 			default:
-				r = rapid.IntRange(1, 50).Draw(t, "requests")
+				// Many, so that instances often hold as much as they may.
+				r = rapid.IntRange(1, 2000).Draw(t, "requests")
 				for range r {
 					tokens[i].Request()
 				}
