--- /dev/null
+++ b/forward/answer_fuzz_test.go
@@ -0,0 +1,73 @@
+package forward
+
+import (
+	"bufio"
+	"bytes"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rainford/rainford/retry"
+	"github.com/rainford/rainford/upstream"
+)
+
+// scripted is a connection on which bytes have arrived and that ends after them.
+type scripted struct{ *bytes.Reader }
+
+func (scripted) Write(p []byte) (int, error)      { return len(p), nil }
+func (scripted) Close() error                     { return nil }
+func (scripted) LocalAddr() net.Addr              { return nil }
+func (scripted) RemoteAddr() net.Addr             { return nil }
+func (scripted) SetDeadline(time.Time) error      { return nil }
+func (scripted) SetReadDeadline(time.Time) error  { return nil }
+func (scripted) SetWriteDeadline(time.Time) error { return nil }
+
+// plainCodec knows no loads, and 421 as the answer of another target.
+type plainCodec struct{}
+
+func (plainCodec) Load(string) *upstream.Report { return nil }
+func (plainCodec) Replaced(status int) bool     { return status == http.StatusMisdirectedRequest }
+
+// FuzzAnswer has a target answer with any bytes and close, and checks that a request counts
+// as not run only if a head says so, and that an answer is taken only if it carries the
+// request's ID, and as a success only with the target's signature.
+func FuzzAnswer(f *testing.F) {
+	for _, seed := range []string{
+		"",
+		"HTTP/1.1 200 OK\r\nRequest-Id: q\r\nServer-Signature: s\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nRequest-Id: q\r\nServer-Signature: s\r\nContent-Length: 9\r\n\r\nok",
+		"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nServer-Signature: s\r\nContent-Length: 0\r\n\r\nHTTP/1.1 500 No\r\nRequest-Id: q\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nRequest-Id: q\r\nServer-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 503 Full\r\nNot-Executed: full\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nRequest-Id: q\r\nContent-Length: 0\r\n\r\n",
+	} {
+		f.Add([]byte(seed))
+	}
+	headers := Headers{RequestID: "Request-Id", Signature: "Server-Signature", NotRun: "Not-Executed"}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		c := NewClient(headers, plainCodec{})
+		raw := scripted{bytes.NewReader(data)}
+		a := c.exchange(t.Context(), &conn{Conn: raw, reader: bufio.NewReader(raw)}, &Request{
+			Method: "GET", URI: "/", Host: "h.example", Header: http.Header{}, ID: "q", Target: "i-1", Timeout: time.Second,
+		})
+		text := strings.ToLower(string(data))
+		if a.Outcome == retry.NotRun && !strings.Contains(text, "not-executed") && !strings.Contains(text, "421") {
+			t.Fatalf("not run, by %q", data)
+		}
+		if a.Response == nil {
+			return
+		}
+		if a.Outcome != retry.Ran || a.Response.Header.Get("Request-Id") != "q" {
+			t.Fatalf("not an answer to the request: %q", data)
+		}
+		if a.Response.Status/100 == 2 && a.Response.Header.Get("Server-Signature") == "" {
+			t.Fatalf("a success without a signature: %q", data)
+		}
+		if !bytes.Contains(data, a.Response.Body) && !strings.Contains(text, "chunked") {
+			t.Fatalf("a body that was not sent: %q of %q", a.Response.Body, data)
+		}
+	})
+}
--- /dev/null
+++ b/peer/fuzz_test.go
@@ -0,0 +1,38 @@
+package peer_test
+
+import (
+	"testing"
+
+	"github.com/rainford/rainford/feed"
+	"github.com/rainford/rainford/peer"
+)
+
+// FuzzDelta has any bytes for packed changes, and checks that a replica takes what can be
+// unpacked or refuses it, and is then where it says.
+func FuzzDelta(f *testing.F) {
+	for _, d := range []feed.Delta{
+		entries(3),
+		{Kind: "targets", To: 9, Full: true, Changes: entries(2).Changes},
+		feed.Difference("targets", 5, 9, entries(1).Changes),
+		{Kind: "targets", From: -1, To: -7},
+	} {
+		m, err := peer.NewDelta(d)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(m.Packed)
+	}
+	f.Fuzz(func(t *testing.T, packed []byte) {
+		d, err := (&peer.Delta{Kind: "targets", Packed: packed}).Unpack()
+		if err != nil {
+			return
+		}
+		r := feed.NewReplica("targets")
+		r.Apply(feed.Delta{Kind: "targets", To: 5, Full: true})
+		_, ok := r.Apply(d)
+		if r.At() < 5 || (ok && r.At() < d.To) {
+			t.Fatalf("at %d after %d to %d", r.At(), d.From, d.To)
+		}
+		r.Since(5, 0)
+	})
+}
