A target that answers within milliseconds is not taken for slow by a pause

The fault behind two known red tests: how slowly a target answers was taken against its usual time alone, so that 15 ms after some of 0.3 ms counted for 40 times its requests, and the only target of a service was full (503) with its slots free. Times up to 20 ms count as usual. The usual times of all sites are 40 ms and more, where nothing differs.

TestFastTargetIsNotTakenForSlow: red before (a factor of 41).

--- a/upstream/warmth.go
+++ b/upstream/warmth.go
@@ -17,6 +17,12 @@
 	// from 1.8 on targets were left that had just been busy.
 	slowWeight = 0.5
 	slowFrom   = 3.0
+	// pauseTime is the time of an answer, in seconds, up to which a target is not taken for
+	// slower than usual by much: a process that waits for a processor is held up for as
+	// long. Without it one answer in 15 ms after some in 0.3 ms made a target count for 40
+	// times its requests, and a service's only target full. Usual times of the sites are 40
+	// ms and more, so that nothing differs there.
+	pauseTime = 0.020
 )
 
 // Sent is what was believed when a request was sent: a Decision tells it and the Result
@@ -65,8 +71,9 @@
 	}
 	times := unloaded / w.usual
 	if sent.Known {
+		slow := unloaded / max(w.usual, pauseTime)
 		w.usual += learnWeight * (min(times, cutTimes) - 1) * w.usual
-		return times
+		return slow
 	}
 	fast := 0.0
 	if times < fastTimes {
--- a/upstream/warmth_test.go
+++ b/upstream/warmth_test.go
@@ -59,3 +59,18 @@
 	}
 	require.InDelta(t, 0.1, w.usual, 0.025)
 }
+
+// TestFastTargetIsNotTakenForSlow checks that a target that answers within milliseconds is
+// not taken for slow, and so for full, since one answer was held up for a moment.
+func TestFastTargetIsNotTakenForSlow(t *testing.T) {
+	var w warmth
+	sent := Sent{Known: true, Load: 1}
+	w.learn(sent, 300*time.Microsecond)
+	var s slowness
+	for range 3 {
+		s.take(w.learn(sent, 15*time.Millisecond))
+	}
+	require.InDelta(t, 1, s.factor(), 1e-9)
+	s.take(w.learn(sent, time.Second))
+	require.Greater(t, s.factor(), 2.0, "a second is slow")
+}
