Request lines say which requests are alike, where one was broken off at a target

Cause: lines of an incident in which targets end could not tell whether the same request was at each of them: repeats have another ID, and the path is in no line. Ruled out: the path itself (long, and its query may hold what callers would not have logged). Only on requests of which an attempt broke, so that ordinary ones cost nothing.

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -7,13 +7,16 @@
 	"log/slog"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/rainford/rainford/catalog"
 	"github.com/rainford/rainford/forward"
+	"github.com/rainford/rainford/quarantine"
 	"github.com/rainford/rainford/ratelimit"
+	"github.com/rainford/rainford/retry"
 )
 
 const (
@@ -273,7 +276,7 @@
 	if !ordinary && !callersFault(status) {
 		level = slog.LevelWarn
 	}
-	g.log.LogAttrs(context.Background(), level, logRequest, append(ex.limitAttrs(),
+	g.log.LogAttrs(context.Background(), level, logRequest, append(append(ex.limitAttrs(), ex.contentAttrs()...),
 		slog.String("request_id", ex.id),
 		slog.String("account", accountName(ex.account)),
 		slog.String("route", routeName(ex.route)),
@@ -303,6 +306,20 @@
 		slog.Int64("retry_after_ms", ex.limited.RetryAfter.Milliseconds()))
 }
 
+// contentAttrs says which request this is the same as, if it was broken off at a target:
+// whatever ends targets comes again under another ID.
+func (ex *exchange) contentAttrs() []slog.Attr {
+	if !slices.ContainsFunc(ex.trail, func(h hop) bool { return h.Outcome == retry.Unknown.String() }) {
+		return nil
+	}
+	return []slog.Attr{slog.String("content", ex.content().Digest().String())}
+}
+
+// content is what a target is given to work on.
+func (ex *exchange) content() quarantine.Content {
+	return quarantine.Content{Account: accountName(ex.account), Method: ex.r.Method, Host: ex.r.Host, URI: ex.uri, Body: ex.body}
+}
+
 // hasNotRun tells whether a request that this instance ended with a status has certainly
 // not run.
 func hasNotRun(status int) bool {
