--- a/internal/standin/origin/server.go
+++ b/internal/standin/origin/server.go
@@ -43,6 +43,8 @@
 	Unsigned
 	// Failed runs the request and answers 500.
 	Failed
+	// End runs the request and ends the server with all that it has, as a crash does.
+	End
 )
 
 // Run is a request that was run.
@@ -259,6 +261,9 @@
 	switch fault {
 	case Lost:
 		return false
+	case End:
+		s.Close()
+		return false
 	case Silent:
 		s.untilClosed(c)
 		return false
