Requests under which targets end are remembered by all instances and held back

Cause: what became of a request was judged within one exchange and forgotten with it, so that each arrival of one that ends its target cost a target for each attempt. Ruled out: a bound on repeats (the arrivals are new requests), taking ended targets out (sends the next to those that are left). An end (digest of the content, incarnation of the target) is noted once the target refuses connections, has another server at its address, or its entry is gone; a broken connection alone says nothing. Ends and answers are facts that all tell each other at once, and make up by gossip. Within an exchange no third target is tried.

--- a/forward/spare.go
+++ b/forward/spare.go
@@ -86,13 +86,20 @@
 	}
 }
 
-// openSpare opens a connection to a target and keeps it for a request to come.
-func (c *Client) openSpare(target, addr string) {
-	defer c.spares.end(target)
+// Connect opens a connection to a target and keeps it for a request to come. Its error says
+// why there is none.
+func (c *Client) Connect(target, addr string) error {
 	cn, err := dial(context.Background(), addr, time.Now().Add(maxDialTime))
 	if err != nil {
-		// The next request to the target dials by itself and says why it fails.
-		return
+		return err
 	}
 	c.idle.keep(target, cn)
+	return nil
+}
+
+// openSpare opens a connection to a target and keeps it for a request to come.
+func (c *Client) openSpare(target, addr string) {
+	defer c.spares.end(target)
+	// If it fails the next request to the target dials by itself and says why.
+	_ = c.Connect(target, addr)
 }
--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -169,6 +169,7 @@
 		}
 	}
 	g.pools.changeTargets(now, changed, gone, g.evacuated)
+	g.listedEnds(now, changed, gone)
 	g.awaitLapsed(now)
 }
 
@@ -196,6 +197,7 @@
 		g.log.Info(logTargetGone, "target", name, "source", sourceLapse)
 	}
 	g.pools.changeTargets(now, nil, names, g.evacuated)
+	g.listedEnds(now, nil, names)
 }
 
 // applyTable puts the operators' table in force: their rows in place of the shares
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -40,6 +40,7 @@
 
 // run sends the request to targets until one answers or it is given up.
 func (g *Gateway) run(ex *exchange) (verdict, *forward.Response) {
+	defer g.endTrial(ex)
 	p := g.pools.get(ex.service)
 	if p == nil {
 		return notRun("no-target", defaultRetryAfter), nil
@@ -49,10 +50,14 @@
 	header := forward.EndToEnd(ex.r.Header)
 	unknown := false
 	backoff := defaultRetryAfter
-	for sent, unsent := 0, 0; sent < ex.route.MaxAttempts && unsent <= maxUnsent; {
+	for sent, unsent := 0, 0; sent < ex.attemptsAllowed() && unsent <= maxUnsent; {
+		if v, ok := g.pass(ex, unknown); !ok {
+			return v, nil
+		}
 		if sent > 0 && !p.spend() {
 			return given(unknown, "no-budget", backoff), nil
 		}
+		want.Alone = ex.trial
 		queuedAt := time.Now()
 		decision := p.acquire(ex.ctx, want)
 		g.metrics.queued.Record(time.Since(queuedAt).Seconds(), ex.service)
@@ -66,11 +71,16 @@
 			}
 			return v, nil
 		}
+		if !g.stillPasses(ex) {
+			p.release(decision.Target.ID, upstream.Result{Outcome: upstream.Abandoned})
+			continue
+		}
 		a := g.attempt(ex, header, decision)
 		a.Target.Sent = decision.Sent
 		p.release(decision.Target.ID, a.Target)
 		g.metrics.attempt(ex.service, decision.Target, a.Target)
 		ex.note(decision, a)
+		g.witness(ex, decision.Target, a)
 		if a.Response != nil {
 			g.sizes.note(ex.route.Name, len(ex.body)+len(a.Response.Body))
 			return verdict{reason: reasonAnswered}, a.Response
@@ -95,6 +105,14 @@
 	return given(unknown, "no-attempt-left", backoff), nil
 }
 
+// attemptsAllowed is the number of targets that a request may be sent to.
+func (ex *exchange) attemptsAllowed() int {
+	if ex.trial {
+		return 1
+	}
+	return ex.route.MaxAttempts
+}
+
 // want says what the request needs of a target.
 func (g *Gateway) want(ex *exchange) upstream.Request {
 	key := ex.r.Header.Get(g.headers.Key)
--- a/gateway/ending_test.go
+++ b/gateway/ending_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/rainford/rainford/gateway"
 	"github.com/rainford/rainford/internal/standin/objects"
 	"github.com/rainford/rainford/internal/standin/origin"
 )
@@ -148,6 +149,7 @@
 		instances[i%len(instances)].send("GET", endingPath, "")
 		time.Sleep(20 * time.Millisecond)
 	}
+	t.Logf("%d targets ended", v.endedSoFar())
 	require.LessOrEqual(t, v.endedSoFar(), mostEnds, "targets that ended under one request")
 	for _, in := range instances {
 		in.awaitStatus("/x/", 200)
@@ -162,8 +164,161 @@
 		instances[i%len(instances)].send("POST", endingPath, "the same")
 		time.Sleep(20 * time.Millisecond)
 	}
+	t.Logf("%d targets ended", v.endedSoFar())
 	require.LessOrEqual(t, v.endedSoFar(), mostEnds, "targets that ended under one request")
 	for _, in := range instances {
 		in.awaitStatus("/x/", 200)
 	}
 }
+
+// load sends requests from several clients until it is ended, and counts what became of them.
+type load struct {
+	mu      sync.Mutex
+	done    chan struct{}
+	wg      sync.WaitGroup
+	answers map[string]int
+}
+
+// startLoad has clients send reads of a path to the instances in turn. A client whose read was
+// not served tries once more, at the next instance.
+func startLoad(instances []*instance, clients int, path func(n int) string) *load {
+	l := &load{done: make(chan struct{}), answers: make(map[string]int)}
+	for c := range clients {
+		l.wg.Go(func() {
+			for n := c; ; n++ {
+				select {
+				case <-l.done:
+					return
+				case <-time.After(10 * time.Millisecond):
+				}
+				got := instances[n%len(instances)].send("GET", path(n), "")
+				if got.status != http.StatusOK {
+					got = instances[(n+1)%len(instances)].send("GET", path(n), "")
+				}
+				l.mu.Lock()
+				l.answers[fmt.Sprint(got.status)]++
+				l.mu.Unlock()
+			}
+		})
+	}
+	return l
+}
+
+// stop ends the load and returns the number of reads that were served and of all.
+func (l *load) stop() (served, all int) {
+	close(l.done)
+	l.wg.Wait()
+	for status, n := range l.answers {
+		all += n
+		if status == "200" {
+			served += n
+		}
+	}
+	return served, all
+}
+
+// TestBesideEndingRequest checks that reads beside a request that ends targets are served, a
+// hot one that runs at many targets too.
+func TestBesideEndingRequest(t *testing.T) {
+	v, instances := endingSite(t, "idempotent", isEnding)
+	hot := startLoad(instances, 4, func(int) string { return "/x/hot/" })
+	rest := startLoad(instances, 4, func(n int) string { return fmt.Sprint("/x/", n%50, "/") })
+	for i := range 100 {
+		instances[i%len(instances)].send("GET", endingPath, "")
+		time.Sleep(20 * time.Millisecond)
+	}
+	require.LessOrEqual(t, v.endedSoFar(), mostEnds)
+	for name, l := range map[string]*load{"hot": hot, "rest": rest} {
+		served, all := l.stop()
+		t.Logf("%s: %d of %d served", name, served, all)
+		require.Greater(t, served*100, all*98, name)
+	}
+}
+
+// TestInnocentIsServed ends targets for reasons of their own while one read is at all of them
+// most of the time, and checks that it is served all the same.
+func TestInnocentIsServed(t *testing.T) {
+	v, instances := endingSite(t, "idempotent", func(*http.Request) bool { return false })
+	hot := startLoad(instances, 8, func(int) string { return "/x/hot/" })
+	for range 20 {
+		v.endOne()
+		v.endOne()
+		time.Sleep(100 * time.Millisecond)
+	}
+	served, all := hot.stop()
+	t.Logf("%d of %d served while %d targets ended", served, all, v.endedSoFar())
+	require.Greater(t, served*100, all*95)
+	for _, in := range instances {
+		in.awaitStatus("/x/hot/", 200)
+	}
+}
+
+// endOne ends some target.
+func (v *reviving) endOne() {
+	v.mu.Lock()
+	var server *origin.Server
+	for s := range v.live {
+		server = s
+		break
+	}
+	v.mu.Unlock()
+	if server != nil {
+		v.end(server)
+	}
+}
+
+// TestLostAnswersHoldNothing checks that a request whose answers are lost, by targets that
+// live on, is not held back.
+func TestLostAnswersHoldNothing(t *testing.T) {
+	s := newSite(t)
+	s.configure(1, route{prefix: "/x/", service: "s", kind: "non_idempotent"})
+	var servers []*origin.Server
+	for i := range 4 {
+		server := s.server(fmt.Sprint("i-", i), "s", "a1")
+		server.SetScript(func(*http.Request) origin.Fault { return origin.Lost })
+		servers = append(servers, server)
+	}
+	in := s.instance("n1", "a1")
+	in.awaitReady()
+	for range 12 {
+		require.NotEqual(t, 503, in.send("POST", "/x/", "the same").status)
+		time.Sleep(20 * time.Millisecond)
+	}
+	for _, server := range servers {
+		server.SetScript(nil)
+	}
+	require.Eventually(t, func() bool { return in.send("POST", "/x/", "the same").status == 200 }, wait, poll)
+}
+
+// TestOtherBodyIsAnotherRequest checks that an operation under which targets end holds back
+// none with another body.
+func TestOtherBodyIsAnotherRequest(t *testing.T) {
+	bad := func(r *http.Request) bool { return isEnding(r) && r.ContentLength == int64(len("bad")) }
+	v, instances := endingSite(t, "non_idempotent", bad)
+	held := func() bool {
+		got := instances[0].send("POST", endingPath, "bad")
+		return got.status == 503 && got.header.Get("Retry-After") != ""
+	}
+	require.Eventually(t, held, wait, 20*time.Millisecond)
+	for _, in := range instances {
+		require.Equal(t, 200, in.send("POST", endingPath, "other").status)
+	}
+	require.LessOrEqual(t, v.endedSoFar(), mostEnds)
+}
+
+// TestLateInstanceKnows checks that an instance that starts later knows of a request that is
+// held back before it could send it.
+func TestLateInstanceKnows(t *testing.T) {
+	v, instances := endingSite(t, "idempotent", isEnding)
+	for i := range 20 {
+		instances[i%len(instances)].send("GET", endingPath, "")
+	}
+	before := v.endedSoFar()
+	late := v.site.instance("n9", "b1", func(c *gateway.Config) { c.Seeds = []string{instances[0].config.PeerListen} })
+	late.awaitReady()
+	late.awaitStatus("/x/", 200)
+	for range 5 {
+		require.Equal(t, 503, late.send("GET", endingPath, "").status)
+	}
+	require.Equal(t, before, v.endedSoFar())
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -32,6 +32,7 @@
 	targets *forward.Client
 	pools   *pools
 	permits *permits
+	holds   *holds
 	router  atomic.Pointer[catalog.Router]
 	lookups lookupCache
 	sizes   sizes
@@ -134,6 +135,7 @@
 	g.mesh = peer.NewMesh(self.PeerAddr, "", g, g.log)
 	g.pools = newPools(config)
 	g.permits = newPermits(config, g.mesh, g.startedAt, g.limitOf)
+	g.holds = newHolds()
 	g.watch = newWatchState()
 	g.metrics, err = newMetrics(g)
 	return g, err
@@ -213,6 +215,7 @@
 		case now := <-ticker.C:
 			g.targets.Expire(now)
 			g.permits.forget(now)
+			g.holds.expire(now)
 			g.forgetLost(ctx, now)
 		}
 	}
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -7,6 +7,7 @@
 	"github.com/rainford/rainford/feed"
 	"github.com/rainford/rainford/fleet"
 	"github.com/rainford/rainford/peer"
+	"github.com/rainford/rainford/quarantine"
 )
 
 const (
@@ -88,7 +89,7 @@
 
 // message returns what this instance tells one of a region. The caller holds mu.
 func (g *Gateway) message(now time.Time, region string) *peer.Gossip {
-	m := &peer.Gossip{Beats: g.view.Beats(now, region), Revisions: make([]int64, 0, len(kinds))}
+	m := &peer.Gossip{Beats: g.view.Beats(now, region), Revisions: make([]int64, 0, len(kinds)), NewsSum: g.newsSum()}
 	for _, kind := range kinds {
 		m.Revisions = append(m.Revisions, g.replicas[kind].At())
 	}
@@ -145,6 +146,10 @@
 		g.permits.receiveAsk(m)
 	case *peer.PermitIssue:
 		g.permits.receiveIssue(m)
+	case *peer.TrialAsk:
+		g.receiveTrialAsk(m)
+	case *peer.TrialAnswer:
+		g.receiveTrialAnswer(m)
 	}
 }
 
@@ -185,6 +190,8 @@
 	}
 	g.view.Hear(now, m.Beats)
 	g.pools.hear(now, m.Busy)
+	g.relayNews(now, m)
+	g.hearNews(now, m.News)
 	if g.view.Len() != known {
 		g.shareOut(now)
 	}
@@ -195,9 +202,14 @@
 	}
 	ahead := g.compare(now, sender, m.Revisions)
 	outlived, behindItself := g.view.Outlived(m.Beats)
-	if (ahead || behindItself) && !m.Reply {
+	var missed quarantine.News
+	if !m.Reply {
+		missed = g.newsFor(now, m.NewsSum)
+	}
+	if (ahead || behindItself || len(missed) > 0) && !m.Reply {
 		reply := g.message(now, sender.Region)
 		reply.Reply = true
+		reply.News = missed
 		if behindItself {
 			reply.Beats = append(reply.Beats, outlived)
 		}
--- a/gateway/logs.go
+++ b/gateway/logs.go
@@ -41,6 +41,9 @@
 	logDeltaRefused  = "delta refused"
 	logGap           = "delta leaves a gap"
 	logUnanswered    = "question not answered"
+	logTargetEnded   = "target ended"
+	logRequestHeld   = "request held"
+	logRequestFreed  = "request freed"
 
 	logInstanceRefused = "instance refused"
 	logForgotten       = "instance forgotten"
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -23,6 +23,7 @@
 	permits   *telemetry.Counter
 	calls     *telemetry.Counter
 	questions *telemetry.Counter
+	ends      *telemetry.Counter
 	whole     *telemetry.Histogram
 	queued    *telemetry.Histogram
 	attempted *telemetry.Histogram
@@ -65,6 +66,7 @@
 	counter(&m.permits, "rainford.permits", "Requests of accounts with a limit, by what became of their permit.", "result")
 	counter(&m.calls, "rainford.store.reads", "Reads of the store, by what became of them.", "kind", "result")
 	counter(&m.questions, "rainford.questions", "Questions to other instances for changes that this one lacks, by what became of them.", "kind", "result")
+	counter(&m.ends, "rainford.target.ends", "Targets that ended while they had requests of this instance.")
 	return errors.Join(errs...)
 }
 
@@ -93,6 +95,7 @@
 		}
 		return 0
 	})
+	gauge("rainford.requests.held", "Requests, by content, that are held back because targets end under them.", g.holds.suspects)
 	gauge("rainford.requests.in_flight", "Requests of clients in flight.", g.inFlight.Load)
 	gauge("rainford.store.calls", "Calls made to the store.", g.store.Calls)
 	gauge("rainford.peer.sent", "Bytes sent to other instances.", func() int64 { sent, _, _ := g.mesh.Traffic(); return sent })
--- /dev/null
+++ b/gateway/news.go
@@ -0,0 +1,101 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/rainford/rainford/fleet"
+	"github.com/rainford/rainford/peer"
+	"github.com/rainford/rainford/quarantine"
+)
+
+const (
+	// directMembers is the number of instances up to which each is told itself of a
+	// target's end. In a larger fleet the news spread like changes of the store.
+	directMembers = 32
+	// maxNews bounds the requests that gossip tells of, for those that missed the news:
+	// less than 1.5 kB.
+	maxNews = 16
+)
+
+// tell passes on what is known of some requests to all instances at once: a caller may
+// repeat a request within milliseconds, at any of them.
+func (g *Gateway) tell(now time.Time, digests ...quarantine.Digest) {
+	g.holds.mu.Lock()
+	news := g.holds.table.About(now, digests...)
+	g.holds.mu.Unlock()
+	if len(news) == 0 {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	message := peer.Gossip{Beats: fleet.Beats{g.view.OwnBeat()}, News: news, Reply: true}
+	if g.view.Len() <= directMembers {
+		for _, m := range g.partners(now, true) {
+			g.mesh.Send(m.PeerAddr, &message)
+		}
+		return
+	}
+	g.spreadNews(now, message)
+	message.Enter = true
+	for _, m := range g.view.FarWatchers(now) {
+		g.mesh.Send(m.PeerAddr, &message)
+	}
+}
+
+// spreadNews sends news to the own region by way of a few instances. The caller holds mu.
+func (g *Gateway) spreadNews(now time.Time, message peer.Gossip) {
+	for _, branch := range g.view.Spread(now) {
+		message.Until = branch.Until
+		g.mesh.Send(branch.PeerAddr, &message)
+	}
+}
+
+// relayNews passes news on to those that the sender has left to this instance. The caller
+// holds mu.
+func (g *Gateway) relayNews(now time.Time, m *peer.Gossip) {
+	message := peer.Gossip{Beats: m.Beats, News: m.News, Reply: true}
+	switch {
+	case m.Enter:
+		g.spreadNews(now, message)
+	case m.Until != 0:
+		for _, branch := range g.view.SpreadUntil(now, m.Until) {
+			message.Until = branch.Until
+			g.mesh.Send(branch.PeerAddr, &message)
+		}
+	}
+}
+
+// hearNews takes in what another instance knows of requests under which targets have ended.
+func (g *Gateway) hearNews(now time.Time, news quarantine.News) {
+	if len(news) == 0 {
+		return
+	}
+	g.holds.mu.Lock()
+	learned := g.holds.table.Merge(now, news)
+	g.holds.note()
+	g.holds.mu.Unlock()
+	g.reportHolds(now, learned, "peer")
+}
+
+// newsSum returns a number by which instances see that they do not know the same.
+func (g *Gateway) newsSum() uint32 {
+	if !g.holds.known.Load() {
+		return 0
+	}
+	g.holds.mu.Lock()
+	defer g.holds.mu.Unlock()
+	return g.holds.table.Sum()
+}
+
+// newsFor returns what to tell an instance that does not know the same.
+func (g *Gateway) newsFor(now time.Time, sum uint32) quarantine.News {
+	if !g.holds.known.Load() {
+		return nil
+	}
+	g.holds.mu.Lock()
+	defer g.holds.mu.Unlock()
+	if g.holds.table.Sum() == sum {
+		return nil
+	}
+	return g.holds.table.Most(now, maxNews)
+}
--- /dev/null
+++ b/gateway/quarantine.go
@@ -0,0 +1,280 @@
+package gateway
+
+import (
+	"errors"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rainford/rainford/catalog"
+	"github.com/rainford/rainford/forward"
+	"github.com/rainford/rainford/quarantine"
+	"github.com/rainford/rainford/upstream"
+)
+
+// reasonEndsTargets is the reason of requests that are held back because targets have ended
+// under them.
+const reasonEndsTargets = "ends-targets"
+
+// holds keeps which requests are held back because targets end under them. It is safe for
+// concurrent use.
+type holds struct {
+	// known says that anything is known of any request. While it is not, which is nearly
+	// always, requests pass without a digest.
+	known atomic.Bool
+
+	mu      sync.Mutex
+	table   quarantine.Table
+	witness quarantine.Witness
+	warden  quarantine.Warden
+	trials  map[quarantine.Digest]chan trialAnswer
+	// silent are the wardens that have not answered, until when they are passed over.
+	silent map[string]time.Time
+}
+
+func newHolds() *holds {
+	return &holds{trials: make(map[quarantine.Digest]chan trialAnswer), silent: make(map[string]time.Time)}
+}
+
+// note keeps known up to date. The caller holds mu.
+func (h *holds) note() { h.known.Store(h.table.Len() > 0 || h.witness.Len() > 0) }
+
+// expire forgets what is no longer remembered.
+func (h *holds) expire(now time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.table.Expire(now)
+	h.witness.Expire(now)
+	h.warden.Expire(now)
+	for name, until := range h.silent {
+		if !now.Before(until) {
+			delete(h.silent, name)
+		}
+	}
+	h.note()
+}
+
+// standing returns what the table says of a request, and how many targets may have ended
+// under it besides.
+func (h *holds) standing(now time.Time, d quarantine.Digest) (quarantine.Standing, int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.table.Standing(now, d), h.witness.Doubts(d)
+}
+
+// doubts tells whether it is not known if a target has ended.
+func (h *holds) doubts(target string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.witness.Doubtful(target)
+}
+
+// suspects returns the number of requests that are not free.
+func (h *holds) suspects() int64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return int64(h.table.Suspects())
+}
+
+// digestOf returns the digest of a request.
+func (ex *exchange) digestOf() quarantine.Digest {
+	if ex.digest == (quarantine.Digest{}) {
+		ex.digest = ex.content().Digest()
+	}
+	return ex.digest
+}
+
+// maxDoubtful is the number of targets that end under a request, or may have, from which on
+// it is not sent to another one within its exchange. The first end is repeated: most requests
+// that it hits are innocent, and it is what crashes of targets cost callers. After a second
+// one another attempt gains little, and each costs a target if the request is to blame: 76
+// targets ended under 100 such requests where two were repeated, 3 now
+// (TestEndingRequestIsHeld).
+const maxDoubtful = 2
+
+// pass tells whether a request may be sent now, or what it is answered. A suspect one is sent
+// as a trial if its warden grants that. Unknown says that an attempt of it was broken off.
+func (g *Gateway) pass(ex *exchange, unknown bool) (verdict, bool) {
+	if ex.trial || !g.holds.known.Load() {
+		return verdict{}, true
+	}
+	now := time.Now()
+	standing, doubts := g.holds.standing(now, ex.digestOf())
+	switch {
+	case unknown && standing.Ends+doubts >= maxDoubtful:
+		return given(true, reasonEndsTargets, 0), false
+	case standing.Verdict == quarantine.Free:
+		return verdict{}, true
+	case standing.Verdict == quarantine.Held:
+		return notRun(reasonEndsTargets, standing.Until.Sub(now)), false
+	}
+	granted, next := g.askTrial(ex)
+	if !granted {
+		return notRun(reasonEndsTargets, max(time.Until(next), defaultRetryAfter)), false
+	}
+	ex.trial = true
+	return verdict{}, true
+}
+
+// stillPasses tells whether a request that had to wait for its target may still be sent.
+func (g *Gateway) stillPasses(ex *exchange) bool {
+	if ex.trial || !g.holds.known.Load() {
+		return true
+	}
+	standing, _ := g.holds.standing(time.Now(), ex.digestOf())
+	return standing.Verdict == quarantine.Free
+}
+
+// witness takes in what an attempt says of its target's life.
+func (g *Gateway) witness(ex *exchange, target upstream.Choice, a forward.Attempt) {
+	now := time.Now()
+	switch {
+	case a.Response != nil:
+		g.answered(now, ex, target, a)
+	case a.Target.Outcome == upstream.Rejected:
+		g.lives(now.Add(-a.Target.Took), target.ID)
+	case a.Target.Outcome == upstream.Replaced, a.Target.Outcome == upstream.Unreachable && errors.Is(a.Err, syscall.ECONNREFUSED):
+		g.targetEnded(now, target.ID)
+	case a.Target.Outcome == upstream.Broken && a.Sent:
+		g.broke(now, ex, target)
+	}
+}
+
+// lives takes in that a target has answered a request that was sent at a time.
+func (g *Gateway) lives(sent time.Time, target string) {
+	if !g.holds.known.Load() {
+		return
+	}
+	g.holds.mu.Lock()
+	defer g.holds.mu.Unlock()
+	g.holds.witness.Lives(sent, target)
+}
+
+// answered takes in that a request was answered: targets do not end under it.
+func (g *Gateway) answered(now time.Time, ex *exchange, target upstream.Choice, a forward.Attempt) {
+	if !g.holds.known.Load() {
+		return
+	}
+	g.lives(now.Add(-a.Target.Took), target.ID)
+	d := ex.digestOf()
+	g.holds.mu.Lock()
+	freed := g.holds.table.Answered(now, d)
+	g.holds.mu.Unlock()
+	if freed {
+		g.log.Info(logRequestFreed, "content", d.String(), "target", target.ID)
+		g.tell(now, d)
+	}
+}
+
+// broke takes in that a request was broken off at a target, and finds out whether the target
+// has ended.
+func (g *Gateway) broke(now time.Time, ex *exchange, target upstream.Choice) {
+	ex.broken = true
+	if g.hasLeft(target.ID) {
+		return
+	}
+	broken := quarantine.Broken{Digest: ex.digestOf(), Account: accountName(ex.account), Trial: ex.trial}
+	g.holds.mu.Lock()
+	ended, ask := g.holds.witness.Broke(now, target.ID, broken)
+	g.holds.note()
+	g.holds.mu.Unlock()
+	g.noteEnds(now, target.ID, ended)
+	if ask {
+		g.start(func() { g.findOut(target) })
+	}
+}
+
+// hasLeft tells whether a target has said that it leaves, or is no longer listed: what it
+// breaks off then is its planned end.
+func (g *Gateway) hasLeft(target string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	spec, ok := g.specs[target]
+	return !ok || spec.Leaves
+}
+
+// findOut connects to a target at which a request was broken off. One that refuses has ended.
+// A connection says nothing for certain, and is kept for the next request.
+func (g *Gateway) findOut(target upstream.Choice) {
+	err := g.targets.Connect(target.ID, target.Addr)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		g.targetEnded(time.Now(), target.ID)
+	}
+}
+
+// targetEnded takes in that a target has ended.
+func (g *Gateway) targetEnded(now time.Time, target string) {
+	if !g.holds.known.Load() {
+		return
+	}
+	g.holds.mu.Lock()
+	broken := g.holds.witness.Ended(now, target)
+	g.holds.mu.Unlock()
+	g.noteEnds(now, target, broken)
+}
+
+// listedEnds takes in which entries of targets have gone or say that they leave. The caller
+// holds mu of the gateway.
+func (g *Gateway) listedEnds(now time.Time, changed []catalog.Target, gone []string) {
+	if !g.holds.known.Load() {
+		return
+	}
+	for _, spec := range changed {
+		if spec.Leaves {
+			g.holds.mu.Lock()
+			g.holds.witness.Leaves(spec.ID)
+			g.holds.mu.Unlock()
+		}
+	}
+	for _, id := range gone {
+		if g.holds.doubts(id) {
+			// What targetEnded locks is held by the caller.
+			g.start(func() { g.targetEnded(now, id) })
+		}
+	}
+}
+
+// noteEnds notes that a target has ended under some requests, and tells the other instances.
+func (g *Gateway) noteEnds(now time.Time, target string, broken []quarantine.Broken) {
+	if len(broken) == 0 {
+		return
+	}
+	digests := make([]quarantine.Digest, 0, len(broken))
+	contents := make([]string, 0, len(broken))
+	g.holds.mu.Lock()
+	for _, b := range broken {
+		if g.holds.table.Ended(now, b.Digest, b.Account, quarantine.TargetOf(target), b.Trial) {
+			digests = append(digests, b.Digest)
+			contents = append(contents, b.Digest.String())
+		}
+	}
+	g.holds.note()
+	g.holds.mu.Unlock()
+	if len(digests) == 0 {
+		return
+	}
+	g.metrics.ends.Add(1)
+	g.log.Warn(logTargetEnded, "target", target, "contents", contents[:min(len(contents), maxContents)], "requests", len(contents))
+	g.reportHolds(now, digests, "own")
+	g.tell(now, digests...)
+}
+
+// maxContents bounds the requests that a line on a target's end names.
+const maxContents = 8
+
+// reportHolds tells which of some requests are no longer free.
+func (g *Gateway) reportHolds(now time.Time, digests []quarantine.Digest, source string) {
+	for _, d := range digests {
+		standing, _ := g.holds.standing(now, d)
+		if standing.Verdict == quarantine.Free {
+			continue
+		}
+		attrs := []any{"content", d.String(), "ends", standing.Ends, "failed_trials", standing.Failed, "source", source}
+		if standing.Verdict == quarantine.Held {
+			attrs = append(attrs, slog.Int64("for_ms", standing.Until.Sub(now).Milliseconds()))
+		}
+		g.log.Warn(logRequestHeld, attrs...)
+	}
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/rainford/rainford/catalog"
+	"github.com/rainford/rainford/fleet"
 	"github.com/rainford/rainford/forward"
 	"github.com/rainford/rainford/quarantine"
 	"github.com/rainford/rainford/ratelimit"
@@ -54,6 +55,14 @@
 	body       []byte
 	uri        string
 	trail      []hop
+	// digest is that of the content, zero until it is needed, and trial says that the
+	// request is sent to find out whether targets end under it.
+	digest quarantine.Digest
+	trial  bool
+	// warden is the instance that granted the trial, and broken says that the trial was
+	// broken off.
+	warden fleet.Member
+	broken bool
 }
 
 // hop is what became of one attempt, for the log.
@@ -306,13 +315,14 @@
 		slog.Int64("retry_after_ms", ex.limited.RetryAfter.Milliseconds()))
 }
 
-// contentAttrs says which request this is the same as, if it was broken off at a target:
-// whatever ends targets comes again under another ID.
+// contentAttrs says which request this is the same as, if it was broken off at a target or
+// was looked up among those that end targets: these come again under another ID.
 func (ex *exchange) contentAttrs() []slog.Attr {
-	if !slices.ContainsFunc(ex.trail, func(h hop) bool { return h.Outcome == retry.Unknown.String() }) {
+	broken := slices.ContainsFunc(ex.trail, func(h hop) bool { return h.Outcome == retry.Unknown.String() })
+	if !broken && ex.digest == (quarantine.Digest{}) {
 		return nil
 	}
-	return []slog.Attr{slog.String("content", ex.content().Digest().String())}
+	return []slog.Attr{slog.String("content", ex.digestOf().String())}
 }
 
 // content is what a target is given to work on.
--- /dev/null
+++ b/gateway/trial.go
@@ -0,0 +1,146 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/rainford/rainford/fleet"
+	"github.com/rainford/rainford/peer"
+	"github.com/rainford/rainford/quarantine"
+)
+
+const (
+	// trialPatience is how long the warden of a request may take to answer whether it may
+	// be tried: the way to another region and back takes up to 120 ms.
+	trialPatience = 250 * time.Millisecond
+	// silentFor is how long a warden that did not answer is passed over.
+	silentFor = 2 * time.Second
+)
+
+// trialAnswer is the answer of a warden.
+type trialAnswer struct {
+	granted bool
+	// wait is when to ask again.
+	wait time.Duration
+}
+
+// askTrial asks the warden of a suspect request whether it may be sent now. If not, it returns
+// when to come back. One question of each request is open at a time.
+func (g *Gateway) askTrial(ex *exchange) (granted bool, next time.Time) {
+	now := time.Now()
+	d := ex.digestOf()
+	warden := g.wardenOf(now, d)
+	ex.warden = warden
+	until := ex.deadline.Add(lateMargin)
+	if warden.Name == g.config.Name {
+		g.holds.mu.Lock()
+		defer g.holds.mu.Unlock()
+		return g.holds.warden.Ask(now, &g.holds.table, d, g.config.Name, until)
+	}
+	wait := make(chan trialAnswer, 1)
+	g.holds.mu.Lock()
+	if g.holds.trials[d] != nil {
+		g.holds.mu.Unlock()
+		return false, now.Add(defaultRetryAfter)
+	}
+	g.holds.trials[d] = wait
+	news := g.holds.table.About(now, d)
+	g.holds.mu.Unlock()
+	defer g.endQuestion(d)
+	g.mesh.Send(warden.PeerAddr, &peer.TrialAsk{Digest: d, From: g.config.Name, ReplyTo: g.view.Self().PeerAddr, For: until.Sub(now), News: news})
+	select {
+	case answer := <-wait:
+		return answer.granted, now.Add(answer.wait)
+	case <-ex.ctx.Done():
+	case <-time.After(trialPatience):
+		g.passOver(warden.Name)
+	}
+	return false, now.Add(defaultRetryAfter)
+}
+
+func (g *Gateway) endQuestion(d quarantine.Digest) {
+	g.holds.mu.Lock()
+	defer g.holds.mu.Unlock()
+	delete(g.holds.trials, d)
+}
+
+func (g *Gateway) passOver(name string) {
+	g.holds.mu.Lock()
+	defer g.holds.mu.Unlock()
+	g.holds.silent[name] = time.Now().Add(silentFor)
+}
+
+// wardenOf returns the instance that grants the trials of a request: one of those that the
+// store lists and that are not known to be away, this one if there are none.
+func (g *Gateway) wardenOf(now time.Time, d quarantine.Digest) fleet.Member {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.holds.mu.Lock()
+	defer g.holds.mu.Unlock()
+	away := make(map[string]bool)
+	for _, s := range g.view.Others(now) {
+		if s.State == fleet.Suspect || s.State == fleet.Gone {
+			away[s.Name] = true
+		}
+	}
+	names := []string{g.config.Name}
+	for name := range g.registered {
+		if name != g.config.Name && !away[name] && now.After(g.holds.silent[name]) {
+			names = append(names, name)
+		}
+	}
+	name := quarantine.Choose(d, names)
+	if name == g.config.Name {
+		return g.view.Self()
+	}
+	return g.registered[name]
+}
+
+// endTrial tells the warden of a trial that it has ended. One that was broken off goes on for
+// the warden until the end of its target is known, or its time is over: what another trial
+// may cost depends on it.
+func (g *Gateway) endTrial(ex *exchange) {
+	if !ex.trial || ex.broken {
+		return
+	}
+	d := ex.digestOf()
+	if ex.warden.Name != g.config.Name {
+		g.mesh.Send(ex.warden.PeerAddr, &peer.TrialAsk{Digest: d, From: g.config.Name, Done: true})
+		return
+	}
+	g.holds.mu.Lock()
+	defer g.holds.mu.Unlock()
+	g.holds.warden.Done(d, g.config.Name)
+}
+
+// receiveTrialAsk answers another instance as the warden of a request.
+func (g *Gateway) receiveTrialAsk(m *peer.TrialAsk) {
+	now := time.Now()
+	g.holds.mu.Lock()
+	defer g.holds.mu.Unlock()
+	if m.Done {
+		g.holds.warden.Done(m.Digest, m.From)
+		return
+	}
+	g.holds.table.Merge(now, m.News)
+	g.holds.note()
+	granted, next := g.holds.warden.Ask(now, &g.holds.table, m.Digest, m.From, now.Add(m.For))
+	answer := &peer.TrialAnswer{Digest: m.Digest, Granted: granted}
+	if !granted {
+		answer.Wait = next.Sub(now)
+	}
+	g.mesh.Send(m.ReplyTo, answer)
+}
+
+// receiveTrialAnswer takes in the answer of a warden.
+func (g *Gateway) receiveTrialAnswer(m *peer.TrialAnswer) {
+	g.holds.mu.Lock()
+	defer g.holds.mu.Unlock()
+	wait := g.holds.trials[m.Digest]
+	if wait == nil {
+		return
+	}
+	select {
+	case wait <- trialAnswer{granted: m.Granted, wait: m.Wait}:
+	default:
+	}
+}
--- a/peer/message.go
+++ b/peer/message.go
@@ -8,6 +8,7 @@
 	"github.com/rainford/rainford/fleet"
 	"github.com/rainford/rainford/member"
 	"github.com/rainford/rainford/objectstore"
+	"github.com/rainford/rainford/quarantine"
 	"github.com/rainford/rainford/ratelimit"
 	"github.com/rainford/rainford/share"
 	"github.com/rainford/rainford/upstream"
@@ -32,6 +33,8 @@
 	kindProbe
 	kindPermitAsk
 	kindPermitIssue
+	kindTrialAsk
+	kindTrialAnswer
 )
 
 // Message is a message between instances.
@@ -103,6 +106,37 @@
 	Busy upstream.Sightings `msgpack:"l,omitempty"`
 	// Reply marks an answer to gossip, which is not answered again.
 	Reply bool `msgpack:"a,omitempty"`
+	// News are of requests under which targets have ended, and NewsSum is the same for
+	// instances that know the same of those that are held back.
+	News    quarantine.News `msgpack:"e,omitempty"`
+	NewsSum uint32          `msgpack:"s,omitempty"`
+	// Until is the last member of the region that the receiver has to pass the news on
+	// to, 0 for none, and Enter has it pass them on to its whole region.
+	Until fleet.ID `msgpack:"u,omitempty"`
+	Enter bool     `msgpack:"w,omitempty"`
+}
+
+// TrialAsk asks the warden of a request under which targets have ended whether it may be
+// sent.
+type TrialAsk struct {
+	Digest quarantine.Digest `msgpack:"d"`
+	// From is the asker's name and ReplyTo its peer address.
+	From    string `msgpack:"f"`
+	ReplyTo string `msgpack:"a"`
+	// For is how long the trial takes at most.
+	For time.Duration `msgpack:"t"`
+	// News are what the asker knows of the request.
+	News quarantine.News `msgpack:"e,omitempty"`
+	// Done says that the asker's trial has ended.
+	Done bool `msgpack:"o,omitempty"`
+}
+
+// TrialAnswer answers a TrialAsk.
+type TrialAnswer struct {
+	Digest  quarantine.Digest `msgpack:"d"`
+	Granted bool              `msgpack:"g"`
+	// Wait is when to ask again if it was not granted.
+	Wait time.Duration `msgpack:"t"`
 }
 
 // Since asks for the changes of a kind after a revision.
@@ -162,6 +196,8 @@
 func (*Probe) kind() kind       { return kindProbe }
 func (*PermitAsk) kind() kind   { return kindPermitAsk }
 func (*PermitIssue) kind() kind { return kindPermitIssue }
+func (*TrialAsk) kind() kind    { return kindTrialAsk }
+func (*TrialAnswer) kind() kind { return kindTrialAnswer }
 
 // empty returns a new message of a kind, or nil for an unknown one.
 func empty(k kind) Message {
@@ -194,6 +230,10 @@
 		return &PermitAsk{}
 	case kindPermitIssue:
 		return &PermitIssue{}
+	case kindTrialAsk:
+		return &TrialAsk{}
+	case kindTrialAnswer:
+		return &TrialAnswer{}
 	default:
 		return nil
 	}
--- a/upstream/choose.go
+++ b/upstream/choose.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"slices"
 	"time"
 
 	"github.com/rainford/rainford/affinity"
@@ -61,6 +62,9 @@
 // second one, which knows the object. Only if neither can be used is the ranking made
 // anew over those that can.
 func (p *Pool) chooseIn(now time.Time, r *Request, region string) candidate {
+	if r.Alone {
+		return p.chooseAlone(now, r, region)
+	}
 	c := p.cheapest(now, r, region, p.rank(r, region, (*target).serves))
 	if c.reason != ReasonNoTarget {
 		return c
@@ -69,6 +73,16 @@
 	return p.cheapest(now, r, region, p.rank(r, region, usable))
 }
 
+// chooseAlone picks the target of a request that may end it: the one with the fewest requests,
+// which would be lost with it.
+func (p *Pool) chooseAlone(now time.Time, r *Request, region string) candidate {
+	usable := func(t *target) bool { return !r.avoids(t.spec.ID) && t.usable(now) }
+	if !slices.ContainsFunc(p.byRegion[region], usable) {
+		return candidate{reason: ReasonNoTarget}
+	}
+	return p.leastLoaded(now, r, region)
+}
+
 // rank returns the first targets of the request's key among the eligible ones of a
 // region, as indexes.
 func (p *Pool) rank(r *Request, region string, eligible func(*target) bool) affinity.Ranking {
--- a/upstream/request.go
+++ b/upstream/request.go
@@ -18,6 +18,9 @@
 	Heavy bool
 	// Regions are the regions that may run the request, empty for any.
 	Regions []string
+	// Alone requests may end the target that runs them. They go to the one with the
+	// fewest requests.
+	Alone bool
 	// Priority is the rank, 0 the most urgent.
 	Priority int
 	// Deadline is when the answer has to be there.
