An instance that does not hear another one says so, and the other renews its connection

Cause: a connection between instances is renewed by the one that doubts the other. Where connections to an instance fall silent by something that still acknowledges, that is not the one that holds the silent connection: it hears the other well. Ruled out: time-outs of unacknowledged bytes (they are acknowledged); answers over the asker's own connection (they go one way only). Change: a question that repeats one without an answer says so, and gossip says that its receiver should be heard and is not; whoever is told opens another connection, at most once a second.

--- a/fleet/view.go
+++ b/fleet/view.go
@@ -248,6 +248,16 @@
 	}
 }
 
+// Misses tells whether a member whose heartbeats are expected is not heard.
+func (v *View) Misses(now time.Time, name string) bool {
+	r := v.members[name]
+	if r == nil || !v.follows(r) {
+		return false
+	}
+	state := v.state(now, r)
+	return state == Suspect || state == Unknown
+}
+
 // All returns every member, the own one too, in the order of names.
 func (v *View) All(now time.Time) []Status {
 	own := Status{Member: v.self, State: Alive, Flags: v.beat.Flags}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -54,6 +54,9 @@
 	catchUp map[feed.Kind]*feed.CatchUp
 	// probed are the members that the last round of gossip asked directly.
 	probed map[string]bool
+	// renewedAt is when a connection was last opened anew to an instance that does not
+	// hear this one.
+	renewedAt map[string]time.Time
 	// rounds counts the rounds of gossip.
 	rounds  int
 	answers answers
@@ -111,6 +114,7 @@
 		catchUp:    make(map[feed.Kind]*feed.CatchUp),
 		answers:    make(answers),
 		askers:     make(map[feed.Kind][]*peer.Since),
+		renewedAt:  make(map[string]time.Time),
 		registered: make(map[string]fleet.Member),
 
 		unregistered: make(chan struct{}, 1),
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -20,6 +20,12 @@
 	// maxSightings bounds the loads of busy targets in a message: 150 bytes, less than
 	// a fifth of the message.
 	maxSightings = 24
+	// hearTime is how long after its start an instance takes it that it should hear the
+	// others: by then each has sent it several messages.
+	hearTime = 4 * fleet.RoundTime
+	// renewPause is the least time between two connections to an instance that does not
+	// hear this one, for what is on the way to it over the first.
+	renewPause = time.Second
 	// askAfter and askFarAfter are how long a watcher's push may take before an
 	// instance asks one of its own or of another region.
 	askAfter    = 700 * time.Millisecond
@@ -55,12 +61,14 @@
 	g.view.Beat(now)
 	g.rounds++
 	partners := g.partners(now, wide)
+	settled := now.Sub(g.startedAt) >= hearTime
 	busy := g.pools.sightings(now).Sample(maxSightings, g.rand)
 	for _, m := range partners {
 		message := g.message(now, m.Region)
 		if m.Region == g.config.Region {
 			message.Busy = busy
 		}
+		message.Unheard = settled && g.view.Misses(now, m.Name)
 		g.mesh.Send(m.PeerAddr, message)
 	}
 	g.probe(g.view.Probes(now))
@@ -78,11 +86,12 @@
 func (g *Gateway) probe(doubtful []fleet.Member) {
 	probed := make(map[string]bool, len(doubtful))
 	for _, m := range doubtful {
-		if g.probed[m.Name] {
+		again := g.probed[m.Name]
+		if again {
 			g.mesh.Renew(m.PeerAddr)
 		}
 		probed[m.Name] = true
-		g.mesh.Send(m.PeerAddr, &peer.Probe{ReplyTo: g.view.Self().PeerAddr})
+		g.mesh.Send(m.PeerAddr, &peer.Probe{ReplyTo: g.view.Self().PeerAddr, Again: again})
 	}
 	g.probed = probed
 }
@@ -159,9 +168,26 @@
 	defer g.mu.Unlock()
 	g.view.SetFlags(g.flags())
 	g.view.Beat(time.Now())
+	if m.Again {
+		g.renewFor(time.Now(), m.ReplyTo)
+	}
 	g.mesh.Send(m.ReplyTo, &peer.Gossip{Beats: fleet.Beats{g.view.OwnBeat()}, Reply: true})
 }
 
+// renewFor opens another connection to an instance that says that it does not hear this one.
+// The open one may be silent for good without a sign of it on this side: something on the way
+// still acknowledges what is sent. Only the instance that does not hear can tell; before it
+// did, one whose connections from others fell silent heard nobody for as long as it ran
+// (TestHeardAgain). The caller holds mu.
+func (g *Gateway) renewFor(now time.Time, addr string) {
+	if now.Sub(g.renewedAt[addr]) < renewPause {
+		return
+	}
+	g.renewedAt[addr] = now
+	g.mesh.Renew(addr)
+	g.log.Info(logNotHeard, "addr", addr)
+}
+
 // Unreachable implements peer.Receiver.
 func (g *Gateway) Unreachable(addr string) {
 	g.refused(addr)
@@ -200,13 +226,16 @@
 		// It introduces itself before long.
 		return
 	}
+	if m.Unheard {
+		g.renewFor(now, sender.PeerAddr)
+	}
 	ahead := g.compare(now, sender, m.Revisions)
 	outlived, behindItself := g.view.Outlived(m.Beats)
 	var missed quarantine.News
 	if !m.Reply {
 		missed = g.newsFor(now, m.NewsSum)
 	}
-	if (ahead || behindItself || len(missed) > 0) && !m.Reply {
+	if (ahead || behindItself || m.Unheard || len(missed) > 0) && !m.Reply {
 		reply := g.message(now, sender.Region)
 		reply.Reply = true
 		reply.News = missed
--- a/gateway/logs.go
+++ b/gateway/logs.go
@@ -41,6 +41,7 @@
 	logDeltaRefused  = "delta refused"
 	logGap           = "delta leaves a gap"
 	logUnanswered    = "question not answered"
+	logNotHeard      = "not heard by another instance"
 	logTargetEnded   = "target ended"
 	logRequestHeld   = "request held"
 	logRequestFreed  = "request freed"
--- a/peer/message.go
+++ b/peer/message.go
@@ -106,6 +106,8 @@
 	Busy upstream.Sightings `msgpack:"l,omitempty"`
 	// Reply marks an answer to gossip, which is not answered again.
 	Reply bool `msgpack:"a,omitempty"`
+	// Unheard says that the sender should hear the receiver and does not.
+	Unheard bool `msgpack:"h,omitempty"`
 	// News are of requests under which targets have ended, and NewsSum is the same for
 	// instances that know the same of those that are held back.
 	News    quarantine.News `msgpack:"e,omitempty"`
@@ -154,6 +156,8 @@
 type Probe struct {
 	// ReplyTo is the asker's peer address.
 	ReplyTo string `msgpack:"a"`
+	// Again says that the Probe before was not answered.
+	Again bool `msgpack:"g,omitempty"`
 }
 
 // PermitAsk asks the owner of a part of an account's limit for permits.
