Targets that start again under their ID are new ones; entries of other writers name none

Cause: all that is learned of a target was kept by its ID, and any entry that could be decoded was used: an unknown or missing state counted as ready, and an entry that could not be decoded left in use what it had replaced. Change: a target's ID in the product is that of the incarnation, its name and start, so that connections, loads, suspicions, sightings, warmth and ends are kept by it without further change; the entry of an earlier incarnation is passed over, for a minute also after the later one has gone. One place in the adapter checks each field of an entry. One that is missing, of another type or says nothing known names no target; bounded log lines, a counter by field, a gauge of those listed. The same for entries of instances. Connections are kept by target and address. Seen red on the code before: TestStartsAgainUnderItsID (503 for a target that serves), TestNewIncarnationIsNotSuspected, TestForeignEntriesNameNoTarget. Fixtures of two tests had entries without all fields, and have them now; what they check is unchanged.

--- a/catalog/config.go
+++ b/catalog/config.go
@@ -103,18 +103,3 @@
 	HeaderTimeout time.Duration
 	IdleTimeout   time.Duration
 }
-
-// Target is one incarnation of a server.
-type Target struct {
-	// ID is unique to the incarnation.
-	ID      string
-	Service string
-	// Addr is IP:PORT. After the target's end another service's server may
-	// have it.
-	Addr   string
-	Hall   string
-	Slots  int
-	Leaves bool
-	// ColdFor is how much longer the target stays cold, as it said itself.
-	ColdFor time.Duration
-}
--- a/catalog/doc.go
+++ b/catalog/doc.go
@@ -4,5 +4,6 @@
 //
 // A route is picked by the host and the longest prefix of the path. It names the
 // service that runs the request, or several with weights. A target is one
-// incarnation of a server: a server that starts again is another target.
+// incarnation of a server: a server that starts again, under its name or another one, is
+// another target.
 package catalog
--- a/cmd/rainford/walks_test.go
+++ b/cmd/rainford/walks_test.go
@@ -57,7 +57,8 @@
 	require.NoError(t, err)
 	t.Cleanup(server.Close)
 	w.server = server
-	w.store.Set("servers", "i-1", map[string]any{"service": "s", "address": server.Addr(), "zone": "a1", "slots": 1, "state": "ready"})
+	w.store.Set("servers", "i-1", map[string]any{"service": "s", "address": server.Addr(), "zone": "a1", "version": "v1", "slots": 1,
+		"state": "ready", "warmupRemaining": "0ms", "sequence": 1})
 	w.store.Set("config", "main", map[string]any{"version": "r3", "routes": map[string]any{"r-once": map[string]any{
 		"host": "h.example", "pathPrefix": "/", "routeType": "non_idempotent", "timeout": "400ms", "targetLatency": "200ms", "service": "s", "maxAttempts": 2,
 	}}})
--- a/forward/answer_fuzz_test.go
+++ b/forward/answer_fuzz_test.go
@@ -51,7 +51,7 @@
 		c := NewClient(headers, plainCodec{})
 		raw := scripted{bytes.NewReader(data)}
 		a := c.exchange(t.Context(), &conn{Conn: raw, reader: bufio.NewReader(raw)}, &Request{
-			Method: "GET", URI: "/", Host: "h.example", Header: http.Header{}, ID: "q", Target: "i-1", Timeout: time.Second,
+			Method: "GET", URI: "/", Host: "h.example", Header: http.Header{}, ID: "q", Target: "i-1", Name: "i-1", Timeout: time.Second,
 		})
 		text := strings.ToLower(string(data))
 		if a.Outcome == retry.NotRun && !strings.Contains(text, "not-executed") && !strings.Contains(text, "421") {
--- a/forward/client.go
+++ b/forward/client.go
@@ -92,8 +92,8 @@
 	if r.Once {
 		limit = maxIdleOnce
 	}
-	cn := c.idle.take(r.Target, limit)
-	if c.idle.count(r.Target) < sparesAhead && c.spares.begin(time.Now(), r.Target) {
+	cn := c.idle.take(r.place(), limit)
+	if c.idle.count(r.place()) < sparesAhead && c.spares.begin(time.Now(), r.Target) {
 		go c.openSpare(r.Target, r.Addr)
 	}
 	if cn != nil {
@@ -122,7 +122,7 @@
 	}
 	if keep {
 		cn.maxIdle = idleLimit(resp.Header)
-		c.idle.keep(r.Target, cn)
+		c.idle.keep(r.place(), cn)
 	} else {
 		_ = cn.Close()
 	}
@@ -131,7 +131,7 @@
 		if reused && resp == nil && a.Target.Outcome != upstream.Abandoned {
 			// What silenced or forgot a kept connection has most often done so to all that
 			// were open at the time. New ones may well work.
-			c.idle.drop(r.Target)
+			c.idle.drop(r.place())
 		}
 		return a
 	}
@@ -189,7 +189,7 @@
 		}
 	}
 	buf = appendHeader(buf, c.headers.Deadline, strconv.FormatInt(max(1, r.Timeout.Milliseconds()), 10))
-	buf = appendHeader(buf, c.headers.Expected, r.Target)
+	buf = appendHeader(buf, c.headers.Expected, r.Name)
 	if r.Account != "" {
 		buf = appendHeader(buf, c.headers.Account, r.Account)
 	}
--- a/forward/client_test.go
+++ b/forward/client_test.go
@@ -34,7 +34,7 @@
 	lastID++
 	return &forward.Request{
 		Method: "POST", URI: "/a//b/%2f?q=1", Host: "h.example", Header: http.Header{"Request-Id": {fmt.Sprint(lastID)}},
-		ID: fmt.Sprint(lastID), Target: "i-1", Addr: s.Addr(), Body: []byte("body"),
+		ID: fmt.Sprint(lastID), Target: "i-1", Name: "i-1", Addr: s.Addr(), Body: []byte("body"),
 		Timeout: time.Second, Deadline: time.Now().Add(time.Second),
 	}
 }
@@ -117,7 +117,7 @@
 func TestAnotherIncarnation(t *testing.T) {
 	s, c := start(t, origin.None)
 	r := request(s)
-	r.Target = "i-0"
+	r.Target, r.Name = "i-0", "i-0"
 	a := c.Do(context.Background(), r)
 	require.Equal(t, retry.NotRun, a.Outcome)
 	require.Equal(t, upstream.Replaced, a.Target.Outcome)
--- a/forward/head_test.go
+++ b/forward/head_test.go
@@ -38,7 +38,7 @@
 			return
 		}
 		passed := EndToEnd(in.Header)
-		head := c.head(&Request{Method: "GET", URI: "/x/", Host: "h.example", Header: passed, ID: "q", Account: "ada", Target: "i-1", Timeout: time.Second})
+		head := c.head(&Request{Method: "GET", URI: "/x/", Host: "h.example", Header: passed, ID: "q", Account: "ada", Target: "i-1#7", Name: "i-1", Timeout: time.Second})
 		reader := bufio.NewReader(bytes.NewReader(head))
 		out, err := http.ReadRequest(reader)
 		if err != nil {
--- a/forward/message.go
+++ b/forward/message.go
@@ -46,8 +46,9 @@
 	ID string
 	// Account is the name of the client account, "" if there is none.
 	Account string
-	// Target and Addr are the incarnation to run the request and its address.
-	Target, Addr string
+	// Target and Addr are the incarnation to run the request and its address, and Name
+	// is what the target calls itself.
+	Target, Addr, Name string
 	// Timeout is the time that the target is given.
 	Timeout time.Duration
 	// Deadline is when the attempt is given up here.
@@ -57,6 +58,12 @@
 	Once bool
 }
 
+// place names the end of a connection: a target, or what is listed for one, may come to
+// have another address, and connections to the earlier one are not its.
+func (r *Request) place() string { return placeOf(r.Target, r.Addr) }
+
+func placeOf(target, addr string) string { return target + " " + addr }
+
 // Response is a whole answer.
 type Response struct {
 	Status int
--- a/forward/spare.go
+++ b/forward/spare.go
@@ -93,7 +93,7 @@
 	if err != nil {
 		return err
 	}
-	c.idle.keep(target, cn)
+	c.idle.keep(placeOf(target, addr), cn)
 	return nil
 }
 
--- a/forward/spare_test.go
+++ b/forward/spare_test.go
@@ -59,7 +59,7 @@
 	second, err := c.connect(t.Context(), r)
 	require.NoError(t, err)
 	require.False(t, second.reused)
-	require.Eventually(t, func() bool { return c.idle.count("t") > 0 }, 5*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return c.idle.count(r.place()) > 0 }, 5*time.Second, time.Millisecond)
 	third, err := c.connect(t.Context(), r)
 	require.NoError(t, err)
 	require.True(t, third.reused, "it was open before it was needed")
@@ -75,16 +75,17 @@
 	require.NoError(t, err)
 	defer func() { _ = l.Close() }()
 	c := NewClient(Headers{}, nil)
+	place := placeOf("t", l.Addr().String())
 	c.spares.state("t").opening = true
 	c.openSpare("t", l.Addr().String())
-	require.Equal(t, 1, c.idle.count("t"))
+	require.Equal(t, 1, c.idle.count(place))
 	server, err := l.Accept()
 	require.NoError(t, err)
 	require.NoError(t, server.Close())
 	require.Eventually(t, func() bool {
-		cn := c.idle.take("t", maxIdle)
+		cn := c.idle.take(place, maxIdle)
 		if cn != nil {
-			c.idle.put("t", cn)
+			c.idle.put(place, cn)
 		}
 		return cn == nil
 	}, 5*time.Second, time.Millisecond)
--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -1,9 +1,7 @@
 package gateway
 
 import (
-	"context"
 	"encoding/json"
-	"log/slog"
 	"slices"
 	"time"
 
@@ -84,12 +82,12 @@
 			}
 			g.log.Info(logEvacuation, "hall", c.Name, "evacuated", !c.Gone, "source", source, "revision", revision)
 		}
-		g.pools.setTargets(now, g.specs, g.evacuated)
+		g.pools.setTargets(now, g.listed.specs, g.evacuated)
 	case KindTable:
 		for _, c := range changes {
 			g.applyTable(c, source, revision)
 		}
-		g.pools.setTargets(now, g.specs, g.evacuated)
+		g.pools.setTargets(now, g.listed.specs, g.evacuated)
 	case KindInstances:
 		g.applyInstances(now, changes)
 		g.shareOut(now)
@@ -123,83 +121,6 @@
 	g.log.Info(logConfig, "version", config.Version, "routes", len(config.Routes), "source", source, "revision", revision)
 }
 
-// manyTargets is the number of changes at once from which on one line tells of
-// them all.
-const manyTargets = 16
-
-// applyTargets takes in changes of targets' entries.
-func (g *Gateway) applyTargets(now time.Time, changes []feed.Change, source string, revision int64) {
-	level := slog.LevelInfo
-	if len(changes) >= manyTargets {
-		level = slog.LevelDebug
-		g.log.Info(logTargets, "changes", len(changes), "held", g.replicas[KindTargets].Len(), "source", source, "revision", revision)
-	}
-	touched := make(map[string]bool, len(changes))
-	ctx := context.Background()
-	for _, c := range changes {
-		if c.Gone && !g.specs[c.Name].Leaves && g.lapse.Hold(now, c.Name) {
-			g.log.Log(ctx, level, logTargetLapsed, "target", c.Name, "for_ms", g.lapse.Remaining(now).Milliseconds(), "source", source, "revision", revision)
-			continue
-		}
-		g.lapse.Back(c.Name)
-		touched[c.Name] = true
-		if c.Gone {
-			delete(g.specs, c.Name)
-			g.log.Log(ctx, level, logTargetGone, "target", c.Name, "source", source, "revision", revision)
-			continue
-		}
-		spec, err := g.codec.Target(c.Name, c.Value)
-		if err != nil {
-			g.log.Error(logTargetRefused, "target", c.Name, "error", err.Error())
-			continue
-		}
-		g.specs[c.Name] = spec
-		g.log.Log(ctx, level, logTarget, "target", c.Name, "service", spec.Service, "hall", spec.Hall, "addr", spec.Addr,
-			"leaves", spec.Leaves, "cold_ms", spec.ColdFor.Milliseconds(), "source", source, "revision", revision)
-	}
-	// A target may change, go and come back within a delta: what it came to
-	// counts.
-	var changed []catalog.Target
-	var gone []string
-	for name := range touched {
-		if spec, ok := g.specs[name]; ok {
-			changed = append(changed, spec)
-		} else {
-			gone = append(gone, name)
-		}
-	}
-	g.pools.changeTargets(now, changed, gone, g.evacuated)
-	g.listedEnds(now, changed, gone)
-	g.awaitLapsed(now)
-}
-
-// awaitLapsed looks again when removals are no longer held back. That time may be put
-// off meanwhile. The caller holds mu.
-func (g *Gateway) awaitLapsed(now time.Time) {
-	if g.lapse.Holding() {
-		time.AfterFunc(g.lapse.Remaining(now)+time.Millisecond, g.expireLapsed)
-	}
-}
-
-// expireLapsed removes the targets whose entries are still missing some time after
-// an outage of the store.
-func (g *Gateway) expireLapsed() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := time.Now()
-	names := g.lapse.Expired(now)
-	g.awaitLapsed(now)
-	if len(names) == 0 {
-		return
-	}
-	for _, name := range names {
-		delete(g.specs, name)
-		g.log.Info(logTargetGone, "target", name, "source", sourceLapse)
-	}
-	g.pools.changeTargets(now, nil, names, g.evacuated)
-	g.listedEnds(now, nil, names)
-}
-
 // applyTable puts the operators' table in force: their rows in place of the shares
 // computed from slots, and their drains. Other objects of the kind are not for
 // instances.
@@ -233,7 +154,14 @@
 		}
 		var m fleet.Member
 		err := json.Unmarshal(c.Value, &m)
+		if err == nil {
+			err = g.checkInstance(c.Name, m)
+		}
 		if err != nil {
+			// Another writer has made it: what it replaced is no longer listed.
+			delete(g.registered, c.Name)
+			g.noteUnregistered(c.Name)
+			g.metrics.refused.Add(1, string(KindInstances), "entry")
 			g.log.Error(logInstanceRefused, "name", c.Name, "error", err.Error())
 			continue
 		}
@@ -245,6 +173,21 @@
 	g.readiness.knowsInstances.Store(true)
 }
 
+// checkInstance tells why the entry of an instance can't be one that an instance has made.
+func (g *Gateway) checkInstance(name string, m fleet.Member) error {
+	_, hall := g.config.RegionOf[m.Hall]
+	switch {
+	case m.Name != name:
+		return &catalog.EntryError{Field: "name", Problem: "is not that of the object"}
+	case !hall || g.config.RegionOf[m.Hall] != m.Region:
+		return &catalog.EntryError{Field: "hall", Problem: "is not one of the settings, or in another region"}
+	case m.PeerAddr == "" || m.FrontAddr == "":
+		return &catalog.EntryError{Field: "address", Problem: "is missing"}
+	default:
+		return nil
+	}
+}
+
 // shareOut divides what all instances share anew. The caller holds mu.
 func (g *Gateway) shareOut(now time.Time) {
 	members := make(map[string][]string)
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -148,6 +148,7 @@
 		ID:       ex.id,
 		Account:  accountName(ex.account),
 		Target:   d.Target.ID,
+		Name:     d.Target.Name,
 		Addr:     d.Target.Addr,
 		Timeout:  left - targetMargin,
 		Deadline: ex.deadline.Add(lateMargin),
--- a/gateway/delta_test.go
+++ b/gateway/delta_test.go
@@ -76,7 +76,7 @@
 func TestAskersAreAnswered(t *testing.T) {
 	g, in := newSender(t), newInbox(t)
 	g.Receive("", &peer.Since{Kind: KindInstances, ReplyTo: in.addr})
-	whole := feed.Delta{Kind: KindInstances, To: 7, Full: true, Changes: []feed.Change{{Object: feed.Object{Name: "n1", Value: []byte(`{"Name":"n1"}`)}}}}
+	whole := feed.Delta{Kind: KindInstances, To: 7, Full: true, Changes: []feed.Change{{Object: feed.Object{Name: "n1", Value: []byte(`{"name":"n1","hall":"a1","region":"a","front_addr":"10.0.0.1:1","peer_addr":"10.0.0.1:2"}`)}}}}
 	require.True(t, g.take(whole, sourceStore))
 	g.Receive("", &peer.Since{Kind: KindInstances, ReplyTo: in.addr})
 	for range 2 {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -49,7 +49,7 @@
 	view      *fleet.View
 	rand      *rand.Rand
 	evacuated map[string]bool
-	specs     map[string]catalog.Target
+	listed    listed
 	// catchUp decides whom to ask for what a replica lacks.
 	catchUp map[feed.Kind]*feed.CatchUp
 	// probed are the members that the last round of gossip asked directly.
@@ -108,7 +108,7 @@
 		targets:    forward.NewClient(headers, codec),
 		replicas:   make(map[feed.Kind]*feed.Replica),
 		evacuated:  make(map[string]bool),
-		specs:      make(map[string]catalog.Target),
+		listed:     newListed(),
 		startedAt:  time.Now(),
 		readiness:  readiness{reached: make(chan struct{})},
 		catchUp:    make(map[feed.Kind]*feed.CatchUp),
@@ -145,6 +145,12 @@
 	return g, err
 }
 
+func (g *Gateway) expireListed(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.listed.expire(now)
+}
+
 func orElse(a, b string) string {
 	if a != "" {
 		return a
@@ -220,6 +226,7 @@
 			g.targets.Expire(now)
 			g.permits.forget(now)
 			g.holds.expire(now)
+			g.expireListed(now)
 			g.forgetLost(ctx, now)
 		}
 	}
--- /dev/null
+++ b/gateway/incarnation_test.go
@@ -0,0 +1,156 @@
+package gateway_test
+
+import (
+	"fmt"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rainford/rainford/internal/standin/objects"
+	"github.com/rainford/rainford/internal/standin/origin"
+)
+
+// recordBorn writes the entry of a server that tells when it started, and returns its
+// revision.
+func (s *site) recordBorn(server *origin.Server, state string, born int64) int64 {
+	return s.store.Record(server.ID, objects.Server{Service: server.Service, Address: server.Addr(), Zone: server.Zone, Slots: server.Slots,
+		State: state, WarmupRemaining: "0ms", Sequence: 1, Born: born, Version: "v1"})
+}
+
+// bornServer starts a server that tells when it started.
+func (s *site) bornServer(id string, born int64) *origin.Server {
+	server, err := origin.Start(id, "s", "a1", 9)
+	require.NoError(s.t, err)
+	s.t.Cleanup(server.Close)
+	s.recordBorn(server, objects.Ready, born)
+	return server
+}
+
+// TestStartsAgainUnderItsID has a target leave, end, and start again under its ID at another
+// address, and checks that nothing of the first one sticks to the second: it is used though
+// its ID was leaving, and what the first wrote comes too late to count.
+func TestStartsAgainUnderItsID(t *testing.T) {
+	s := newSite(t)
+	s.configure(1, safeRoute)
+	first := s.bornServer("i-1", 1000)
+	in := s.instance("n1", "a1")
+	in.awaitStatus("/x/", 200)
+	s.recordBorn(first, objects.Draining, 1000)
+	in.awaitStatus("/x/", 503)
+	first.Close()
+	second := s.bornServer("i-1", 2000)
+	in.awaitStatus("/x/", 200)
+	served := len(second.Runs())
+	require.NotZero(t, served)
+	// What the first one wrote late.
+	in.awaitTargets(s.recordBorn(first, objects.Draining, 1000))
+	require.Equal(t, 200, in.send("GET", "/x/", "").status)
+	in.awaitTargets(s.recordBorn(first, objects.Ready, 1000))
+	require.Equal(t, 200, in.send("GET", "/x/", "").status)
+	s.store.Remove(objects.KindServers, "i-1")
+	in.awaitStatus("/x/", 503)
+	in.awaitTargets(s.recordBorn(first, objects.Ready, 1000))
+	require.Equal(t, 503, in.send("GET", "/x/", "").status)
+}
+
+// targetRevision matches the revision of the targets that an instance holds.
+var targetRevision = regexp.MustCompile(`rainford_replica_revision\{kind="targets"[^}]*\} (\S+)`)
+
+// awaitTargets waits until an instance holds the targets as of a revision.
+func (in *instance) awaitTargets(revision int64) {
+	require.Eventually(in.site.t, func() bool {
+		found := targetRevision.FindStringSubmatch(in.scrape())
+		if found == nil {
+			return false
+		}
+		held, err := strconv.ParseFloat(found[1], 64)
+		return err == nil && int64(held) >= revision
+	}, wait, poll)
+}
+
+// TestNewIncarnationIsNotSuspected checks that a target that starts again under its ID, at the
+// same address, is used at once though the one before was suspected for seconds.
+func TestNewIncarnationIsNotSuspected(t *testing.T) {
+	s := newSite(t)
+	s.configure(1, safeRoute)
+	server := s.bornServer("i-1", 1000)
+	in := s.instance("n1", "a1")
+	in.awaitStatus("/x/", 200)
+	server.Close()
+	for range 20 {
+		in.send("GET", "/x/", "")
+	}
+	again := s.bornServer("i-1", 2000)
+	in.awaitTargets(s.recordBorn(again, objects.Ready, 2001))
+	require.Equal(t, 200, in.send("GET", "/x/", "").status)
+	require.NotEmpty(t, again.Runs())
+}
+
+// foreign are entries of other writers.
+var foreign = []any{
+	map[string]any{"service": "s"},
+	map[string]any{"service": "s", "address": 7, "zone": "a1", "version": "v1", "slots": 3, "state": "ready", "warmupRemaining": "0ms", "sequence": 1},
+	map[string]any{"service": "s", "address": "127.0.0.1:1", "zone": "a1", "version": "v1", "slots": 3, "state": "resting", "warmupRemaining": "0ms", "sequence": 1},
+	map[string]any{"service": "s", "address": "127.0.0.1:1", "zone": "nowhere", "version": "v1", "slots": 3, "state": "ready", "warmupRemaining": "0ms", "sequence": 1},
+	"bytes that can't be read", nil, 7, []int{1},
+}
+
+// TestForeignEntriesNameNoTarget has entries of other writers beside that of a target, at the
+// start and later, and checks that only the target is used, and that a target whose entry is
+// written over is no longer.
+func TestForeignEntriesNameNoTarget(t *testing.T) {
+	s := newSite(t)
+	s.configure(1, safeRoute)
+	for i, entry := range foreign {
+		s.store.Set(objects.KindServers, fmt.Sprint("f-", i), entry)
+	}
+	good := s.server("i-1", "s", "a1")
+	in := s.instance("n1", "a1")
+	in.awaitStatus("/x/", 200)
+	serves := func() {
+		for range 20 {
+			require.Equal(t, 200, in.send("GET", "/x/", "").status)
+		}
+	}
+	serves()
+	for i, entry := range foreign {
+		s.store.Set(objects.KindServers, fmt.Sprint("g-", i), entry)
+	}
+	require.Eventually(t, func() bool { return in.metric("rainford_targets_refused") == 2*len(foreign) }, wait, poll)
+	serves()
+	over := s.server("i-2", "s", "a1")
+	require.Eventually(t, func() bool { in.send("GET", "/x/", ""); in.sendKey("other"); return len(over.Runs()) > 0 }, wait, poll)
+	for i, entry := range foreign {
+		s.record(over, objects.Ready)
+		require.Eventually(t, func() bool { return in.metric("rainford_targets_refused") == 2*len(foreign) }, wait, poll)
+		s.store.Set(objects.KindServers, "i-2", entry)
+		require.Eventually(t, func() bool { return in.metric("rainford_targets_refused") == 2*len(foreign)+1 }, wait, poll, "%d", i)
+		before := len(over.Runs())
+		for n := range 10 {
+			in.sendKey(fmt.Sprint("k", n))
+		}
+		require.Len(t, over.Runs(), before, "entry %d", i)
+	}
+	require.NotEmpty(t, good.Runs())
+}
+
+// sendKey sends a read of an object.
+func (in *instance) sendKey(key string) reply {
+	return in.sendWith(in.site.t.Context(), in.site.newID(), "GET", "/x/", "", map[string][]string{"Affinity-Key": {key}})
+}
+
+// metric returns the value of a metric without labels of its own, -1 if there is none.
+func (in *instance) metric(name string) int {
+	for _, line := range strings.Split(in.scrape(), "\n") {
+		if fields := strings.Fields(line); len(fields) == 2 && strings.HasPrefix(fields[0], name) {
+			n, err := strconv.Atoi(fields[1])
+			if err == nil {
+				return n
+			}
+		}
+	}
+	return -1
+}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -24,6 +24,7 @@
 	calls     *telemetry.Counter
 	questions *telemetry.Counter
 	ends      *telemetry.Counter
+	refused   *telemetry.Counter
 	whole     *telemetry.Histogram
 	queued    *telemetry.Histogram
 	attempted *telemetry.Histogram
@@ -66,6 +67,7 @@
 	counter(&m.permits, "rainford.permits", "Requests of accounts with a limit, by what became of their permit.", "result")
 	counter(&m.calls, "rainford.store.reads", "Reads of the store, by what became of them.", "kind", "result")
 	counter(&m.questions, "rainford.questions", "Questions to other instances for changes that this one lacks, by what became of them.", "kind", "result")
+	counter(&m.refused, "rainford.entries.refused", "Entries of the store that could not be taken, by the field at fault.", "kind", "field")
 	counter(&m.ends, "rainford.target.ends", "Targets that ended while they had requests of this instance.")
 	return errors.Join(errs...)
 }
@@ -95,6 +97,11 @@
 		}
 		return 0
 	})
+	gauge("rainford.targets.refused", "Listed entries of targets that name no target to use.", func() int64 {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return int64(len(g.listed.refused))
+	})
 	gauge("rainford.requests.held", "Requests, by content, that are held back because targets end under them.", g.holds.suspects)
 	gauge("rainford.requests.in_flight", "Requests of clients in flight.", g.inFlight.Load)
 	gauge("rainford.store.calls", "Calls made to the store.", g.store.Calls)
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -90,7 +90,7 @@
 	if ps.plan == nil {
 		return false
 	}
-	return ps.plan.TargetDrained(spec.ID) || ps.plan.HallDrained(spec.Hall) ||
+	return ps.plan.TargetDrained(spec.Name) || ps.plan.HallDrained(spec.Hall) ||
 		ps.plan.RegionDrained(ps.config.RegionOf[spec.Hall])
 }
 
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -172,7 +172,7 @@
 // has ended.
 func (g *Gateway) broke(now time.Time, ex *exchange, target upstream.Choice) {
 	ex.broken = true
-	if g.hasLeft(target.ID) {
+	if g.hasLeft(target) {
 		return
 	}
 	broken := quarantine.Broken{Digest: ex.digestOf(), Account: accountName(ex.account), Trial: ex.trial}
@@ -188,11 +188,11 @@
 
 // hasLeft tells whether a target has said that it leaves, or is no longer listed: what it
 // breaks off then is its planned end.
-func (g *Gateway) hasLeft(target string) bool {
+func (g *Gateway) hasLeft(target upstream.Choice) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	spec, ok := g.specs[target]
-	return !ok || spec.Leaves
+	spec, ok := g.listed.specs[target.Name]
+	return !ok || (spec.ID == target.ID && spec.Leaves)
 }
 
 // findOut connects to a target at which a request was broken off. One that refuses has ended.
--- /dev/null
+++ b/gateway/targets.go
@@ -0,0 +1,202 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"time"
+
+	"github.com/rainford/rainford/catalog"
+	"github.com/rainford/rainford/feed"
+)
+
+// manyTargets is the number of changes at once from which on one line tells of
+// them all.
+const manyTargets = 16
+
+// maxRefusedLines bounds the entries refused in one delta that are told in a line each.
+const maxRefusedLines = 4
+
+// listed are the targets that the store names.
+type listed struct {
+	// specs holds those to use by their names.
+	specs map[string]catalog.Target
+	// refused are the entries that name no target to use, with what is wrong with them.
+	refused map[string]*catalog.EntryError
+	// last holds the latest incarnation known of each name, for a while also of those
+	// that are gone.
+	last map[string]incarnation
+}
+
+// incarnation is when a target started, and when its entry went, zero while it is there.
+type incarnation struct {
+	born   int64
+	goneAt time.Time
+}
+
+// bornKept is how long it is remembered when a target that is gone had started. A write of an
+// earlier incarnation that the store was slow to do may come some seconds later.
+const bornKept = time.Minute
+
+func newListed() listed {
+	return listed{
+		specs:   make(map[string]catalog.Target),
+		refused: make(map[string]*catalog.EntryError),
+		last:    make(map[string]incarnation),
+	}
+}
+
+// isOld tells whether an entry is that of an earlier incarnation than the one known.
+func (l *listed) isOld(spec catalog.Target) bool {
+	return spec.Born > 0 && spec.Born < l.last[spec.Name].born
+}
+
+// put takes in the entry of a target to use.
+func (l *listed) put(spec catalog.Target) {
+	l.specs[spec.Name] = spec
+	delete(l.refused, spec.Name)
+	if spec.Born > 0 {
+		l.last[spec.Name] = incarnation{born: spec.Born}
+	}
+}
+
+// drop takes in that a name has no target to use any more.
+func (l *listed) drop(now time.Time, name string) {
+	delete(l.specs, name)
+	delete(l.refused, name)
+	if known, ok := l.last[name]; ok {
+		known.goneAt = now
+		l.last[name] = known
+	}
+}
+
+// expire forgets when targets had started that are gone for long.
+func (l *listed) expire(now time.Time) {
+	for name, known := range l.last {
+		if !known.goneAt.IsZero() && now.Sub(known.goneAt) >= bornKept {
+			delete(l.last, name)
+		}
+	}
+}
+
+// applyTargets takes in changes of targets' entries. An entry that can't be taken names no
+// target: what was listed under its name is no longer used, and all others hold. The caller
+// holds mu.
+func (g *Gateway) applyTargets(now time.Time, changes []feed.Change, source string, revision int64) {
+	level := slog.LevelInfo
+	if len(changes) >= manyTargets {
+		level = slog.LevelDebug
+		g.log.Info(logTargets, "changes", len(changes), "held", g.replicas[KindTargets].Len(), "source", source, "revision", revision)
+	}
+	before := make(map[string]catalog.Target, len(changes))
+	refused := 0
+	ctx := context.Background()
+	for _, c := range changes {
+		if _, ok := before[c.Name]; !ok {
+			before[c.Name] = g.listed.specs[c.Name]
+		}
+		if c.Gone && !g.listed.specs[c.Name].Leaves && g.lapse.Hold(now, c.Name) {
+			g.log.Log(ctx, level, logTargetLapsed, "target", c.Name, "for_ms", g.lapse.Remaining(now).Milliseconds(), "source", source, "revision", revision)
+			continue
+		}
+		g.lapse.Back(c.Name)
+		if c.Gone {
+			g.listed.drop(now, c.Name)
+			g.log.Log(ctx, level, logTargetGone, "target", c.Name, "source", source, "revision", revision)
+			continue
+		}
+		spec, err := g.targetOf(c)
+		if err != nil {
+			refused++
+			g.refuseTarget(now, c, err, refused, source, revision)
+			continue
+		}
+		if g.listed.isOld(spec) {
+			g.log.Log(ctx, level, logTargetOld, "target", c.Name, "born", spec.Born, "known", g.listed.last[c.Name].born, "source", source, "revision", revision)
+			continue
+		}
+		g.listed.put(spec)
+		g.log.Log(ctx, level, logTarget, "target", spec.ID, "service", spec.Service, "hall", spec.Hall, "addr", spec.Addr,
+			"leaves", spec.Leaves, "cold_ms", spec.ColdFor.Milliseconds(), "source", source, "revision", revision)
+	}
+	if refused > maxRefusedLines {
+		g.log.Error(logTargetsRefused, "entries", refused, "source", source, "revision", revision)
+	}
+	g.useTargets(now, before)
+	g.awaitLapsed(now)
+}
+
+// targetOf returns the target that an entry names. It has to be in a hall of the settings.
+func (g *Gateway) targetOf(c feed.Change) (catalog.Target, error) {
+	spec, err := g.codec.Target(c.Name, c.Value)
+	if err != nil {
+		return spec, err
+	}
+	if _, ok := g.config.RegionOf[spec.Hall]; !ok {
+		return spec, &catalog.EntryError{Field: "hall", Problem: "is not one of the settings"}
+	}
+	return spec, nil
+}
+
+// refuseTarget takes in an entry that names no target to use. The nth of a delta is told in a
+// line of its own if it is among the first. The caller holds mu.
+func (g *Gateway) refuseTarget(now time.Time, c feed.Change, err error, nth int, source string, revision int64) {
+	g.listed.drop(now, c.Name)
+	field := "entry"
+	var foreign *catalog.EntryError
+	if errors.As(err, &foreign) {
+		field = foreign.Field
+		g.listed.refused[c.Name] = foreign
+	}
+	g.metrics.refused.Add(1, string(KindTargets), field)
+	if nth <= maxRefusedLines {
+		g.log.Error(logTargetRefused, "target", c.Name, "field", field, "error", err.Error(), "source", source, "revision", revision)
+	}
+}
+
+// useTargets has the pools use what the changed names came to: a target may change, go and
+// come back within a delta. Before holds what was listed under these names before. The caller
+// holds mu.
+func (g *Gateway) useTargets(now time.Time, before map[string]catalog.Target) {
+	var changed []catalog.Target
+	var gone []string
+	for name, old := range before {
+		spec, ok := g.listed.specs[name]
+		if ok {
+			changed = append(changed, spec)
+		}
+		if old.ID != "" && old.ID != spec.ID {
+			gone = append(gone, old.ID)
+		}
+	}
+	g.pools.changeTargets(now, changed, gone, g.evacuated)
+	g.listedEnds(now, changed, gone)
+}
+
+// awaitLapsed looks again when removals are no longer held back. That time may be put
+// off meanwhile. The caller holds mu.
+func (g *Gateway) awaitLapsed(now time.Time) {
+	if g.lapse.Holding() {
+		time.AfterFunc(g.lapse.Remaining(now)+time.Millisecond, g.expireLapsed)
+	}
+}
+
+// expireLapsed removes the targets whose entries are still missing some time after
+// an outage of the store.
+func (g *Gateway) expireLapsed() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := time.Now()
+	names := g.lapse.Expired(now)
+	g.awaitLapsed(now)
+	if len(names) == 0 {
+		return
+	}
+	before := make(map[string]catalog.Target, len(names))
+	for _, name := range names {
+		before[name] = g.listed.specs[name]
+		g.listed.drop(now, name)
+		g.log.Info(logTargetGone, "target", name, "source", sourceLapse)
+	}
+	g.useTargets(now, before)
+}
--- a/internal/standin/objects/spec.go
+++ b/internal/standin/objects/spec.go
@@ -68,10 +68,13 @@
 	Service         string `json:"service"`
 	Address         string `json:"address"`
 	Zone            string `json:"zone"`
+	Version         string `json:"version"`
 	Slots           int    `json:"slots"`
 	State           string `json:"state"`
 	WarmupRemaining string `json:"warmupRemaining"`
 	Sequence        int    `json:"sequence"`
+	// Born is the Unix millisecond of the server's start, 0 where it is not told.
+	Born int64 `json:"born,omitempty"`
 }
 
 // The states of a server.
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -258,7 +258,7 @@
 		Verdict: Send,
 		Reason:  c.reason,
 		Sent:    sent,
-		Target:  Choice{ID: t.spec.ID, Addr: t.spec.Addr, Hall: t.spec.Hall, Region: t.region, Cold: cold},
+		Target:  Choice{ID: t.spec.ID, Name: t.spec.Name, Addr: t.spec.Addr, Hall: t.spec.Hall, Region: t.region, Cold: cold},
 	}
 }
 
--- a/upstream/request.go
+++ b/upstream/request.go
@@ -95,7 +95,9 @@
 
 // Choice is a chosen target.
 type Choice struct {
+	// ID is that of the incarnation, and Name what the target calls itself.
 	ID     string
+	Name   string
 	Addr   string
 	Hall   string
 	Region string
