--- a/cmd/rainfordd/gateway.go
+++ b/cmd/rainfordd/gateway.go
@@ -15,6 +15,7 @@
 	"github.com/peterbourgon/ff/v3"
 
 	"github.com/rainford/rainford/gateway"
+	"github.com/rainford/rainford/internal/clock"
 	"github.com/rainford/rainford/internal/logqueue"
 	"github.com/rainford/rainford/platform"
 	"github.com/rainford/rainford/table"
@@ -58,6 +59,7 @@
 	s.Log = slog.New(logqueue.NewHandler(log.Handler(), logqueue.Limit{Message: gateway.RequestMessage, PerSecond: s.logRate}))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	s.Clock = clock.Real()
 	g, err := gateway.New(s.Config, platform.NewStore(s.store), platform.Codec{}, platform.Headers())
 	if err != nil {
 		s.Log.Error("start", "error", err.Error())
--- a/forward/answer_fuzz_test.go
+++ b/forward/answer_fuzz_test.go
@@ -48,7 +48,7 @@
 	}
 	headers := Headers{RequestID: "Request-Id", Signature: "Server-Signature", NotRun: "Not-Executed"}
 	f.Fuzz(func(t *testing.T, data []byte) {
-		c := NewClient(headers, plainCodec{})
+		c := NewClient(headers, plainCodec{}, nil)
 		raw := scripted{bytes.NewReader(data)}
 		a := c.exchange(t.Context(), &conn{Conn: raw, reader: bufio.NewReader(raw)}, &Request{
 			Method: "GET", URI: "/", Host: "h.example", Header: http.Header{}, ID: "q", Target: "i-1", Name: "i-1", Timeout: time.Second,
--- a/forward/arrived_test.go
+++ b/forward/arrived_test.go
@@ -38,7 +38,7 @@
 // deadline has passed, as after a pause of the process, and that one that has not is
 // given up at once.
 func TestArrivedAnswerIsRead(t *testing.T) {
-	client := NewClient(Headers{RequestID: "Request-Id", Signature: "Signed"}, noCodec{})
+	client := NewClient(Headers{RequestID: "Request-Id", Signature: "Signed"}, noCodec{}, nil)
 	r := &Request{Method: http.MethodGet, ID: "q1"}
 	cn, server := pair(t)
 	_, err := io.WriteString(server, "HTTP/1.1 200 OK\r\nRequest-Id: q1\r\nSigned: yes\r\nContent-Length: 2\r\n\r\nhi")
--- a/forward/client.go
+++ b/forward/client.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/rainford/rainford/internal/clock"
 	"github.com/rainford/rainford/retry"
 	"github.com/rainford/rainford/upstream"
 )
@@ -49,13 +50,15 @@
 type Client struct {
 	headers Headers
 	codec   Codec
+	clock   *clock.Clock
 	idle    idle
 	spares  spares
 }
 
-// NewClient returns a client without connections.
-func NewClient(headers Headers, codec Codec) *Client {
-	return &Client{headers: headers, codec: codec, idle: idle{conns: make(map[string][]*conn)},
+// NewClient returns a client without connections. The deadlines of its requests are times of
+// a clock.
+func NewClient(headers Headers, codec Codec, clock *clock.Clock) *Client {
+	return &Client{headers: headers, codec: codec, clock: clock, idle: idle{clock: clock, conns: make(map[string][]*conn)},
 		spares: spares{slow: slowDial, targets: make(map[string]*spareState)}}
 }
 
@@ -68,7 +71,7 @@
 
 // Do sends a request and reads the answer.
 func (c *Client) Do(ctx context.Context, r *Request) Attempt {
-	start := time.Now()
+	start := c.clock.Now()
 	cn, err := c.connect(ctx, r)
 	if err != nil {
 		a := Attempt{Outcome: retry.NotRun, Err: err}
@@ -83,7 +86,7 @@
 	a := c.exchange(ctx, cn, r)
 	a.Sent = true
 	a.Reused = reused
-	a.Target.Took = time.Since(start)
+	a.Target.Took = c.clock.Since(start)
 	return a
 }
 
@@ -93,16 +96,16 @@
 		limit = maxIdleOnce
 	}
 	cn := c.idle.take(r.place(), limit)
-	if c.idle.count(r.place()) < sparesAhead && c.spares.begin(time.Now(), r.Target) {
+	if c.idle.count(r.place()) < sparesAhead && c.spares.begin(c.clock.Now(), r.Target) {
 		go c.openSpare(r.Target, r.Addr)
 	}
 	if cn != nil {
 		return cn, nil
 	}
-	start := time.Now()
-	cn, err := dial(ctx, r.Addr, r.Deadline)
+	start := c.clock.Now()
+	cn, err := dial(ctx, r.Addr, c.clock.Until(r.Deadline))
 	if err == nil {
-		c.spares.dialed(r.Target, time.Since(start))
+		c.spares.dialed(r.Target, c.clock.Since(start))
 	}
 	return cn, err
 }
@@ -112,7 +115,7 @@
 // to drop the request.
 func (c *Client) exchange(ctx context.Context, cn *conn, r *Request) Attempt {
 	reused := cn.reused
-	_ = cn.SetDeadline(r.Deadline)
+	_ = cn.SetDeadline(c.clock.System(r.Deadline))
 	stop := context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
 	written := c.write(cn, r)
 	resp, err := c.read(cn, r)
@@ -331,7 +334,7 @@
 	switch {
 	case ctx.Err() != nil:
 		a.Target.Outcome = upstream.Abandoned
-	case resp == nil && !time.Now().Before(r.Deadline):
+	case resp == nil && !c.clock.Now().Before(r.Deadline):
 		a.Target.Outcome = upstream.Silent
 	default:
 		a.Target.Outcome = upstream.Broken
--- a/forward/client_test.go
+++ b/forward/client_test.go
@@ -25,7 +25,7 @@
 	require.NoError(t, err)
 	t.Cleanup(s.Close)
 	s.SetScript(func(*http.Request) origin.Fault { return fault })
-	return s, forward.NewClient(platform.Headers(), platform.Codec{})
+	return s, forward.NewClient(platform.Headers(), platform.Codec{}, nil)
 }
 
 var lastID int
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"github.com/rainford/rainford/internal/clock"
 	"github.com/rainford/rainford/internal/sockopt"
 )
 
@@ -37,9 +38,10 @@
 	reused  bool
 }
 
-func dial(ctx context.Context, addr string, deadline time.Time) (*conn, error) {
+// dial opens a connection to a target within the time that is left.
+func dial(ctx context.Context, addr string, left time.Duration) (*conn, error) {
 	dialer := net.Dialer{
-		Timeout:   min(maxDialTime, time.Until(deadline)),
+		Timeout:   min(maxDialTime, left),
 		KeepAlive: -1,
 		Control:   sockopt.LimitUnacked(unackedTimeout),
 	}
@@ -77,6 +79,8 @@
 
 // idle holds the kept connections by target.
 type idle struct {
+	clock *clock.Clock
+
 	mu    sync.Mutex
 	conns map[string][]*conn
 }
@@ -84,7 +88,7 @@
 // take returns the connection used last, if it was used less than limit ago and
 // is quiet.
 func (i *idle) take(target string, limit time.Duration) *conn {
-	now := time.Now()
+	now := i.clock.Now()
 	for {
 		c := i.pop(target)
 		if c == nil {
@@ -124,7 +128,7 @@
 }
 
 func (i *idle) keep(target string, c *conn) {
-	c.idleAt = time.Now()
+	c.idleAt = i.clock.Now()
 	i.put(target, c)
 }
 
--- a/forward/head_test.go
+++ b/forward/head_test.go
@@ -28,7 +28,7 @@
 		f.Add(seed)
 	}
 	headers := Headers{RequestID: "Request-Id", Deadline: "Timeout-Ms", Expected: "Expected-Instance", Credential: "Credential", Account: "Tenant"}
-	c := NewClient(headers, nil)
+	c := NewClient(headers, nil, nil)
 	f.Fuzz(func(t *testing.T, lines string) {
 		if !strings.Contains(lines, secret) {
 			lines += "\r\nCredential: " + secret
--- a/forward/spare.go
+++ b/forward/spare.go
@@ -89,7 +89,7 @@
 // Connect opens a connection to a target and keeps it for a request to come. Its error says
 // why there is none.
 func (c *Client) Connect(target, addr string) error {
-	cn, err := dial(context.Background(), addr, time.Now().Add(maxDialTime))
+	cn, err := dial(context.Background(), addr, maxDialTime)
 	if err != nil {
 		return err
 	}
--- a/forward/spare_test.go
+++ b/forward/spare_test.go
@@ -50,7 +50,7 @@
 			accepted <- c
 		}
 	}()
-	c := NewClient(Headers{}, nil)
+	c := NewClient(Headers{}, nil, nil)
 	c.spares.slow = 0
 	r := &Request{Target: "t", Addr: l.Addr().String(), Deadline: time.Now().Add(time.Minute)}
 	first, err := c.connect(t.Context(), r)
@@ -74,7 +74,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	defer func() { _ = l.Close() }()
-	c := NewClient(Headers{}, nil)
+	c := NewClient(Headers{}, nil, nil)
 	place := placeOf("t", l.Addr().String())
 	c.spares.state("t").opening = true
 	c.openSpare("t", l.Addr().String())
--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -44,10 +44,10 @@
 		g.answerAskers(d.Kind)
 	}
 	if before == 0 && d.Kind == KindInstances {
-		g.instancesAt = time.Now()
+		g.instancesAt = g.clock.Now()
 	}
 	if len(changes) > 0 {
-		g.putInForce(time.Now(), d.Kind, changes, source, replica.At())
+		g.putInForce(g.clock.Now(), d.Kind, changes, source, replica.At())
 	}
 	if d.Kind == KindTargets {
 		g.readiness.knowsTargets.Store(true)
@@ -60,7 +60,7 @@
 		g.passOn(d, source)
 	}
 	if len(changes) > 0 && source != sourceStore {
-		g.watch.missed(d.Kind, time.Now())
+		g.watch.missed(d.Kind, g.clock.Now())
 	}
 	return true
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -58,9 +58,9 @@
 			return given(unknown, "no-budget", backoff), nil
 		}
 		want.Alone = ex.trial
-		queuedAt := time.Now()
+		queuedAt := g.clock.Now()
 		decision := p.acquire(ex.ctx, want)
-		g.metrics.queued.Record(time.Since(queuedAt).Seconds(), ex.service)
+		g.metrics.queued.Record(g.clock.Since(queuedAt).Seconds(), ex.service)
 		if decision.Verdict != upstream.Send {
 			return given(unknown, string(decision.Reason), decision.RetryAfter), nil
 		}
@@ -138,7 +138,7 @@
 }
 
 func (g *Gateway) attempt(ex *exchange, header http.Header, d upstream.Decision) forward.Attempt {
-	left := time.Until(ex.deadline)
+	left := g.clock.Until(ex.deadline)
 	return g.targets.Do(ex.ctx, &forward.Request{
 		Method:   ex.r.Method,
 		URI:      ex.uri,
@@ -159,7 +159,7 @@
 // after tells whether the request is given up after an attempt without an
 // answer, and with what.
 func (g *Gateway) after(ex *exchange, a forward.Attempt) (bool, verdict) {
-	late := !time.Now().Before(ex.deadline)
+	late := !g.clock.Now().Before(ex.deadline)
 	switch {
 	case ex.ctx.Err() != nil:
 		return true, verdict{reason: reasonClientLeft}
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/rainford/rainford/internal/clock"
 	"github.com/rainford/rainford/ratelimit"
 	"github.com/rainford/rainford/table"
 )
@@ -52,6 +53,10 @@
 	// LogSample is one in how many ordinary successes is logged, 0 for none.
 	LogSample int
 
+	// Clock tells the times by which everything is judged that lapses; nil for one that
+	// does not count suspensions of the machine.
+	Clock *clock.Clock
+
 	Log *slog.Logger
 }
 
--- a/gateway/delta.go
+++ b/gateway/delta.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"time"
-
 	"github.com/rainford/rainford/feed"
 	"github.com/rainford/rainford/peer"
 )
@@ -19,7 +17,7 @@
 // region, by way of a few of them, and for urgent kinds the watchers of others. The caller
 // holds mu.
 func (g *Gateway) passOn(d feed.Delta, source string) {
-	now := time.Now()
+	now := g.clock.Now()
 	fromStore := source == sourceStore
 	if !urgent(d.Kind) && !g.view.WatchesFirst(now) {
 		return
@@ -66,7 +64,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, branch := range g.view.SpreadUntil(time.Now(), m.Until) {
+	for _, branch := range g.view.SpreadUntil(g.clock.Now(), m.Until) {
 		g.mesh.Send(branch.PeerAddr, m.RelayTo(branch))
 	}
 }
@@ -80,7 +78,7 @@
 	if replica == nil {
 		return
 	}
-	now := time.Now()
+	now := g.clock.Now()
 	g.log.Info(logGap, "kind", d.Kind, "source", from, "begins", d.From, "revision", replica.At())
 	g.catchUp[d.Kind].Gap(now, replica.At(), feed.Source{Addr: from, Revision: d.To})
 	g.ask(now, d.Kind)
@@ -93,7 +91,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.lapse.Learned(time.Now(), m.Lapse)
+	g.lapse.Learned(g.clock.Now(), m.Lapse)
 }
 
 // answer sends the changes that another instance asks for, at once or when this instance
@@ -127,7 +125,7 @@
 		g.log.Error(logDeltaRefused, "kind", m.Kind, "error", err.Error())
 		return
 	}
-	answer.Lapse = g.lapse.Remaining(time.Now())
+	answer.Lapse = g.lapse.Remaining(g.clock.Now())
 	g.mesh.Send(m.ReplyTo, &answer)
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/rainford/rainford/feed"
 	"github.com/rainford/rainford/fleet"
 	"github.com/rainford/rainford/forward"
+	"github.com/rainford/rainford/internal/clock"
 	"github.com/rainford/rainford/internal/listen"
 	"github.com/rainford/rainford/peer"
 )
@@ -41,6 +42,8 @@
 	listeners listeners
 	front     *http.Server
 
+	// clock tells all times by which something is judged.
+	clock     *clock.Clock
 	startedAt time.Time
 
 	// mu guards the replicas and the view.
@@ -105,11 +108,12 @@
 		codec:      codec,
 		headers:    headers,
 		log:        config.Log,
-		targets:    forward.NewClient(headers, codec),
+		targets:    forward.NewClient(headers, codec, config.Clock),
 		replicas:   make(map[feed.Kind]*feed.Replica),
 		evacuated:  make(map[string]bool),
 		listed:     newListed(),
-		startedAt:  time.Now(),
+		startedAt:  config.Clock.Now(),
+		clock:      config.Clock,
 		readiness:  readiness{reached: make(chan struct{})},
 		catchUp:    make(map[feed.Kind]*feed.CatchUp),
 		answers:    make(answers),
@@ -135,7 +139,7 @@
 		FrontAddr: orElse(config.AdvertiseFront, g.listeners.front.Addr().String()),
 		PeerAddr:  orElse(config.AdvertisePeer, g.listeners.peer.Addr().String()),
 	}
-	g.view = fleet.NewView(self, fleet.NumberAt(time.Now()), fleet.DefaultSettings)
+	g.view = fleet.NewView(self, fleet.NumberAt(g.clock.Now()), fleet.DefaultSettings)
 	g.mesh = peer.NewMesh(self.PeerAddr, "", g, g.log)
 	g.pools = newPools(config)
 	g.permits = newPermits(config, g.mesh, g.startedAt, g.limitOf)
@@ -222,7 +226,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-ticker.C:
+		case <-ticker.C:
+			now := g.clock.Now()
 			g.targets.Expire(now)
 			g.permits.forget(now)
 			g.holds.expire(now)
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -23,6 +23,9 @@
 	// hearTime is how long after its start an instance takes it that it should hear the
 	// others: by then each has sent it several messages.
 	hearTime = 4 * fleet.RoundTime
+	// awayTime is how long an instance may stand still, frozen or suspended, before it asks
+	// all others at once for what it missed: they take it for gone by then.
+	awayTime = 4 * fleet.RoundTime
 	// renewPause is the least time between two connections to an instance that does not
 	// hear this one, for what is on the way to it over the first.
 	renewPause = time.Second
@@ -37,8 +40,15 @@
 func (g *Gateway) gossipLoop(ctx context.Context) {
 	ticker := time.NewTicker(fleet.RoundTime)
 	defer ticker.Stop()
+	last, suspended := g.clock.Now(), g.clock.Suspended()
 	for {
-		g.gossip(time.Now(), false)
+		now := g.clock.Now()
+		away := now.Sub(last) >= awayTime
+		if away {
+			g.log.Warn(logWasAway, "for_ms", now.Sub(last).Milliseconds(), "suspended_ms", (g.clock.Suspended() - suspended).Milliseconds())
+		}
+		g.gossip(now, away)
+		last, suspended = now, g.clock.Suspended()
 		select {
 		case <-ctx.Done():
 			return
@@ -167,9 +177,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.view.SetFlags(g.flags())
-	g.view.Beat(time.Now())
+	g.view.Beat(g.clock.Now())
 	if m.Again {
-		g.renewFor(time.Now(), m.ReplyTo)
+		g.renewFor(g.clock.Now(), m.ReplyTo)
 	}
 	g.mesh.Send(m.ReplyTo, &peer.Gossip{Beats: fleet.Beats{g.view.OwnBeat()}, Reply: true})
 }
@@ -197,7 +207,7 @@
 func (g *Gateway) refused(addr string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.view.Refused(time.Now(), addr)
+	g.view.Refused(g.clock.Now(), addr)
 }
 
 // hear takes in gossip and asks for what the sender is ahead with. A sender that is
@@ -206,7 +216,7 @@
 	if len(m.Beats) == 0 {
 		return
 	}
-	now := time.Now()
+	now := g.clock.Now()
 	g.heardNews(now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/gateway/logs.go
+++ b/gateway/logs.go
@@ -43,6 +43,7 @@
 	logDeltaRefused   = "delta refused"
 	logGap            = "delta leaves a gap"
 	logUnanswered     = "question not answered"
+	logWasAway        = "was away"
 	logNotHeard       = "not heard by another instance"
 	logTargetEnded    = "target ended"
 	logRequestHeld    = "request held"
--- a/gateway/lookup.go
+++ b/gateway/lookup.go
@@ -55,7 +55,7 @@
 }
 
 func (g *Gateway) lookup(region, hall string) []byte {
-	now := time.Now()
+	now := g.clock.Now()
 	g.lookups.mu.Lock()
 	defer g.lookups.mu.Unlock()
 	entry, ok := g.lookups.answers[hall]
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -109,7 +109,7 @@
 	gauge("rainford.peer.received", "Bytes received from other instances.", func() int64 { _, received, _ := g.mesh.Traffic(); return received })
 	errs = append(errs,
 		m.telemetry.Gauges("rainford.news.age.seconds", "Time since the store or another instance was last heard, -1 before.", nil,
-			func(observe func(float64, ...string)) { observe(g.newsAge(time.Now()).Seconds()) }),
+			func(observe func(float64, ...string)) { observe(g.newsAge(g.clock.Now()).Seconds()) }),
 		m.telemetry.Gauges("rainford.replica.revision", "Revision that is held of each kind of object.", []string{"kind"}, g.observeRevisions),
 		m.telemetry.Gauges("rainford.account.use", "What is asked of the parts of limits that this instance owns, over the part, of the accounts that ask most.",
 			[]string{"account"}, g.permits.observe),
@@ -126,14 +126,14 @@
 			ps.observe(func(p *pool, emit emit) { emit(float64(p.upstream.Waiting())) })),
 		m.telemetry.Gauges("rainford.targets", "Targets by hall and state.", []string{"service", "hall", "state"},
 			ps.observe(func(p *pool, emit emit) {
-				for group, n := range p.upstream.Census(time.Now()) {
+				for group, n := range p.upstream.Census(p.clock.Now()) {
 					emit(float64(n.Targets), group.Hall, string(group.State))
 				}
 			})),
 		m.telemetry.Gauges("rainford.attempts.in_flight", "Attempts in flight by the target's hall.", []string{"service", "hall"},
 			ps.observe(func(p *pool, emit emit) {
 				inFlight := make(map[string]int)
-				for group, n := range p.upstream.Census(time.Now()) {
+				for group, n := range p.upstream.Census(p.clock.Now()) {
 					inFlight[group.Hall] += n.InFlight
 				}
 				for hall, n := range inFlight {
@@ -173,7 +173,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	states := make(map[string]int)
-	for _, s := range g.view.All(time.Now()) {
+	for _, s := range g.view.All(g.clock.Now()) {
 		states[string(s.State)]++
 	}
 	for state, n := range states {
--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -8,6 +8,7 @@
 
 	"github.com/rainford/rainford/catalog"
 	"github.com/rainford/rainford/fleet"
+	"github.com/rainford/rainford/internal/clock"
 	"github.com/rainford/rainford/peer"
 	"github.com/rainford/rainford/ratelimit"
 )
@@ -29,6 +30,7 @@
 	mesh    *peer.Mesh
 	limitOf func(account string) (ratelimit.Limit, bool)
 	began   time.Time
+	clock   *clock.Clock
 
 	mu     sync.Mutex
 	holder *ratelimit.Holder
@@ -46,6 +48,7 @@
 		mesh:    mesh,
 		limitOf: limitOf,
 		began:   startedAt,
+		clock:   c.Clock,
 		holder:  ratelimit.NewHolder(c.Name),
 		issuer:  ratelimit.NewIssuer(c.Limits, startedAt, c.FirstStart),
 		addrs:   make(map[string]string),
@@ -95,7 +98,7 @@
 // take takes a permit for a request of an account, or returns why there is none. It waits
 // for the answer of an owner if the instance holds none.
 func (p *permits) take(ctx context.Context, account string) (permit, ratelimit.Answer) {
-	now := time.Now()
+	now := p.clock.Now()
 	p.mu.Lock()
 	p.lastID++
 	id := p.lastID
@@ -128,7 +131,7 @@
 	select {
 	case answer := <-wait:
 		if answer.Verdict == ratelimit.Admit {
-			p.holder.Return(time.Now(), account, answer.Until)
+			p.holder.Return(p.clock.Now(), account, answer.Until)
 		}
 	default:
 	}
@@ -141,13 +144,13 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.holder.Return(time.Now(), unused.account, unused.until)
+	p.holder.Return(p.clock.Now(), unused.account, unused.until)
 }
 
 // send sends questions to owners. The caller holds mu.
 func (p *permits) send(now time.Time, asks []ratelimit.Ask) {
 	for _, ask := range asks {
-		claim := ratelimit.Claim{From: p.name, At: p.clock(now), N: ask.N}
+		claim := ratelimit.Claim{From: p.name, At: p.stamp(now), N: ask.N}
 		if ask.To.Name == p.name {
 			p.issue(now, ask.Account, claim)
 			continue
@@ -171,7 +174,7 @@
 // borrow sends questions to owners of other domains. The caller holds mu.
 func (p *permits) borrow(now time.Time, loans []ratelimit.Loan) {
 	for _, loan := range loans {
-		p.mesh.Send(p.addrs[loan.From.Name], &peer.PermitAsk{Account: loan.Account, From: p.name, At: p.clock(now), N: loan.N, Lend: true})
+		p.mesh.Send(p.addrs[loan.From.Name], &peer.PermitAsk{Account: loan.Account, From: p.name, At: p.stamp(now), N: loan.N, Lend: true})
 	}
 }
 
@@ -188,15 +191,15 @@
 
 // hear takes in the answer of an owner. The caller holds mu.
 func (p *permits) hear(now time.Time, at int64, account, from string, issue ratelimit.Issue) {
-	answers, asks := p.holder.Hear(now, p.time(at), account, from, issue)
+	answers, asks := p.holder.Hear(now, p.moment(at), account, from, issue)
 	p.wake(answers)
 	p.send(now, asks)
 }
 
-// clock returns a time as messages carry it: that since the start of the process. time is
+// stamp returns a time as messages carry it: that since the start of the process. moment is
 // its inverse.
-func (p *permits) clock(t time.Time) int64    { return int64(t.Sub(p.began)) }
-func (p *permits) time(clock int64) time.Time { return p.began.Add(time.Duration(clock)) }
+func (p *permits) stamp(t time.Time) int64      { return int64(t.Sub(p.began)) }
+func (p *permits) moment(stamp int64) time.Time { return p.began.Add(time.Duration(stamp)) }
 
 // receiveAsk answers a question of another instance.
 func (p *permits) receiveAsk(m *peer.PermitAsk) {
@@ -207,7 +210,7 @@
 		// It asks others until this instance knows it.
 		return
 	}
-	now := time.Now()
+	now := p.clock.Now()
 	if !m.Lend {
 		p.issue(now, m.Account, ratelimit.Claim{From: m.From, At: m.At, N: m.N})
 		p.tick()
@@ -224,13 +227,13 @@
 func (p *permits) receiveIssue(m *peer.PermitIssue) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
-	if m.At > p.clock(now) {
+	now := p.clock.Now()
+	if m.At > p.stamp(now) {
 		// The question was asked by the process before this one.
 		return
 	}
 	if m.Lend {
-		replies, loans := p.issuer.Borrowed(now, p.time(m.At), m.Account, m.From, m.Issue)
+		replies, loans := p.issuer.Borrowed(now, p.moment(m.At), m.Account, m.From, m.Issue)
 		p.borrow(now, loans)
 		p.reply(now, replies...)
 	} else {
@@ -263,7 +266,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.ticking = false
-	now := time.Now()
+	now := p.clock.Now()
 	answers, asks, silent := p.holder.Tick(now)
 	for _, owner := range silent {
 		p.mesh.Renew(p.addrs[owner])
@@ -282,7 +285,7 @@
 func (p *permits) observe(observe func(float64, ...string)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, use := range p.issuer.Busiest(time.Now(), busiestAccounts) {
+	for _, use := range p.issuer.Busiest(p.clock.Now(), busiestAccounts) {
 		observe(use.Share, use.Account)
 	}
 }
@@ -291,7 +294,7 @@
 func (p *permits) unreachable(addr string) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	now := time.Now()
+	now := p.clock.Now()
 	for name, known := range p.addrs {
 		if known != addr {
 			continue
@@ -317,9 +320,9 @@
 	if !ex.account.Limited() {
 		return verdict{}, true
 	}
-	began := time.Now()
+	began := g.clock.Now()
 	permit, answer := g.permits.take(ex.ctx, ex.account.Name)
-	ex.permitWait = time.Since(began)
+	ex.permitWait = g.clock.Since(began)
 	ex.limited = answer
 	g.metrics.permits.Add(1, verdictName(answer.Verdict))
 	switch answer.Verdict {
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rainford/rainford/catalog"
+	"github.com/rainford/rainford/internal/clock"
 	"github.com/rainford/rainford/retry"
 	"github.com/rainford/rainford/table"
 	"github.com/rainford/rainford/upstream"
@@ -117,7 +118,7 @@
 		ShiftStep:   shiftStepShare * ps.config.ShiftMost,
 		ShiftWindow: shiftWindow,
 	})
-	p := &pool{upstream: u, tokens: retry.NewTokens(ps.config.RetryRatio), waits: make(map[uint64]chan upstream.Decision), log: ps.config.Log}
+	p := &pool{upstream: u, tokens: retry.NewTokens(ps.config.RetryRatio), waits: make(map[uint64]chan upstream.Decision), log: ps.config.Log, clock: ps.config.Clock}
 	u.SetService(ps.services[service])
 	u.SetMembers(ps.members)
 	u.SetHomeShares(ps.homeShares)
@@ -203,6 +204,7 @@
 	lastID   uint64
 	ticking  bool
 	log      *slog.Logger
+	clock    *clock.Clock
 }
 
 // update changes the pool and wakes the requests that this grants.
@@ -229,7 +231,7 @@
 		attrs := []slog.Attr{slog.String("target", e.Target), slog.String("belief", string(e.Kind)),
 			slog.String("cause", e.Cause.String()), slog.Int("in_flight", e.InFlight), slog.Int("failures", e.Failures)}
 		if !e.Until.IsZero() {
-			attrs = append(attrs, slog.Int64("for_ms", time.Until(e.Until).Milliseconds()))
+			attrs = append(attrs, slog.Int64("for_ms", p.clock.Until(e.Until).Milliseconds()))
 		}
 		p.log.LogAttrs(context.Background(), beliefLevel(e.Kind), logTargetBelief, attrs...)
 	}
@@ -269,7 +271,7 @@
 	p.mu.Lock()
 	p.lastID++
 	r.ID = p.lastID
-	decision := p.upstream.Acquire(time.Now(), r)
+	decision := p.upstream.Acquire(p.clock.Now(), r)
 	if decision.Verdict != upstream.Wait {
 		p.mu.Unlock()
 		return decision
@@ -295,7 +297,7 @@
 	select {
 	case granted := <-wait:
 		if granted.Verdict == upstream.Send {
-			p.wake(p.upstream.Release(time.Now(), granted.Target.ID, upstream.Result{Outcome: upstream.Abandoned}))
+			p.wake(p.upstream.Release(p.clock.Now(), granted.Target.ID, upstream.Result{Outcome: upstream.Abandoned}))
 		}
 	default:
 	}
@@ -316,7 +318,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.ticking = false
-	p.wake(p.upstream.Tick(time.Now()))
+	p.wake(p.upstream.Tick(p.clock.Now()))
 	if p.upstream.Waiting() > 0 {
 		p.tick()
 	}
@@ -325,7 +327,7 @@
 func (p *pool) release(target string, r upstream.Result) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.wake(p.upstream.Release(time.Now(), target, r))
+	p.wake(p.upstream.Release(p.clock.Now(), target, r))
 	p.tell()
 }
 
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -100,7 +100,7 @@
 	if ex.trial || !g.holds.known.Load() {
 		return verdict{}, true
 	}
-	now := time.Now()
+	now := g.clock.Now()
 	standing, doubts := g.holds.standing(now, ex.digestOf())
 	switch {
 	case unknown && standing.Ends+doubts >= maxDoubtful:
@@ -112,7 +112,7 @@
 	}
 	granted, next := g.askTrial(ex)
 	if !granted {
-		return notRun(reasonEndsTargets, max(time.Until(next), defaultRetryAfter)), false
+		return notRun(reasonEndsTargets, max(g.clock.Until(next), defaultRetryAfter)), false
 	}
 	ex.trial = true
 	return verdict{}, true
@@ -123,13 +123,13 @@
 	if ex.trial || !g.holds.known.Load() {
 		return true
 	}
-	standing, _ := g.holds.standing(time.Now(), ex.digestOf())
+	standing, _ := g.holds.standing(g.clock.Now(), ex.digestOf())
 	return standing.Verdict == quarantine.Free
 }
 
 // witness takes in what an attempt says of its target's life.
 func (g *Gateway) witness(ex *exchange, target upstream.Choice, a forward.Attempt) {
-	now := time.Now()
+	now := g.clock.Now()
 	switch {
 	case a.Response != nil:
 		g.answered(now, ex, target, a)
@@ -200,7 +200,7 @@
 func (g *Gateway) findOut(target upstream.Choice) {
 	err := g.targets.Connect(target.ID, target.Addr)
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		g.targetEnded(time.Now(), target.ID)
+		g.targetEnded(g.clock.Now(), target.ID)
 	}
 }
 
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -91,7 +91,7 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	ex := &exchange{w: w, r: r, ctx: r.Context(), start: time.Now(), id: r.Header.Get(g.headers.RequestID)}
+	ex := &exchange{w: w, r: r, ctx: r.Context(), start: g.clock.Now(), id: r.Header.Get(g.headers.RequestID)}
 	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -187,7 +187,7 @@
 		return verdict{}, true
 	}
 	control := http.NewResponseController(ex.w)
-	_ = control.SetReadDeadline(ex.deadline)
+	_ = control.SetReadDeadline(g.clock.System(ex.deadline))
 	body, err := readAll(http.MaxBytesReader(ex.w, ex.r.Body, most), ex.r.ContentLength)
 	_ = control.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
@@ -197,7 +197,7 @@
 		return verdict{}, true
 	case errors.As(err, &tooLarge):
 		return verdict{status: http.StatusRequestEntityTooLarge, reason: "body-too-large", close: true}, false
-	case !time.Now().Before(ex.deadline):
+	case !g.clock.Now().Before(ex.deadline):
 		return verdict{status: http.StatusRequestTimeout, reason: "body-late", close: true}, false
 	default:
 		return verdict{status: http.StatusBadRequest, reason: "body-broken", close: true}, false
@@ -275,7 +275,7 @@
 // record counts and logs a request: each failure and each repeat, and a sample
 // of the rest, by the request's ID, so that all instances log the same ones.
 func (g *Gateway) record(ex *exchange, status int, reason string) {
-	took := time.Since(ex.start)
+	took := g.clock.Since(ex.start)
 	g.metrics.request(ex, status, reason, took)
 	ordinary := status/100 == 2 && len(ex.trail) == 1
 	if ordinary && !sampled(ex.id, g.config.LogSample) {
@@ -292,7 +292,7 @@
 		slog.String("service", ex.service),
 		slog.String("key", ex.r.Header.Get(g.headers.Key)),
 		slog.Int64("config", int64(ex.version)),
-		slog.Int64("news_age_ms", g.newsAge(time.Now()).Milliseconds()),
+		slog.Int64("news_age_ms", g.newsAge(g.clock.Now()).Milliseconds()),
 		slog.Int("status", status),
 		slog.String("reason", reason),
 		slog.Int64("budget_ms", ex.budget().Milliseconds()),
--- a/gateway/start.go
+++ b/gateway/start.go
@@ -104,7 +104,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	var all []fleet.Member
-	for _, s := range g.view.Others(time.Now()) {
+	for _, s := range g.view.Others(g.clock.Now()) {
 		if s.Hall == g.config.Hall && isReader(s.Name) {
 			all = append(all, s.Member)
 		}
@@ -119,8 +119,8 @@
 
 // awaitKind waits until a kind is there, for a time at most.
 func (g *Gateway) awaitKind(ctx context.Context, kind feed.Kind, most time.Duration) {
-	end := time.Now().Add(most)
-	for time.Now().Before(end) && g.revision(kind) == 0 && pause.For(ctx, peersPoll) {
+	end := g.clock.Now().Add(most)
+	for g.clock.Now().Before(end) && g.revision(kind) == 0 && pause.For(ctx, peersPoll) {
 	}
 }
 
--- a/gateway/targets.go
+++ b/gateway/targets.go
@@ -186,7 +186,7 @@
 func (g *Gateway) expireLapsed() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	now := time.Now()
+	now := g.clock.Now()
 	names := g.lapse.Expired(now)
 	g.awaitLapsed(now)
 	if len(names) == 0 {
--- a/gateway/trial.go
+++ b/gateway/trial.go
@@ -26,7 +26,7 @@
 // askTrial asks the warden of a suspect request whether it may be sent now. If not, it returns
 // when to come back. One question of each request is open at a time.
 func (g *Gateway) askTrial(ex *exchange) (granted bool, next time.Time) {
-	now := time.Now()
+	now := g.clock.Now()
 	d := ex.digestOf()
 	warden := g.wardenOf(now, d)
 	ex.warden = warden
@@ -66,7 +66,7 @@
 func (g *Gateway) passOver(name string) {
 	g.holds.mu.Lock()
 	defer g.holds.mu.Unlock()
-	g.holds.silent[name] = time.Now().Add(silentFor)
+	g.holds.silent[name] = g.clock.Now().Add(silentFor)
 }
 
 // wardenOf returns the instance that grants the trials of a request: one of those that the
@@ -114,7 +114,7 @@
 
 // receiveTrialAsk answers another instance as the warden of a request.
 func (g *Gateway) receiveTrialAsk(m *peer.TrialAsk) {
-	now := time.Now()
+	now := g.clock.Now()
 	g.holds.mu.Lock()
 	defer g.holds.mu.Unlock()
 	if m.Done {
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -291,14 +291,14 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if err == nil || errors.Is(err, ErrHistoryGone) {
-		g.lapse.Heard(time.Now())
+		g.lapse.Heard(g.clock.Now())
 		return
 	}
 	g.lapse.Lost()
 }
 
 func (g *Gateway) heardStore() {
-	g.heardNews(time.Now())
+	g.heardNews(g.clock.Now())
 	if g.watch.setDeaf(false) {
 		g.log.Info(logStoreRegained)
 	}
