Soak: requests that end each server that runs them; links to peers that have ended are renewed

Before a message is written the connection is looked at for its end now (one system call a message).

--- a/forward/conn.go
+++ b/forward/conn.go
@@ -7,8 +7,6 @@
 	"sync"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"github.com/rainford/rainford/internal/clock"
 	"github.com/rainford/rainford/internal/sockopt"
 )
@@ -59,22 +57,7 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok {
-		return true
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var buf [1]byte
-		_, _, err := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		quiet = err == unix.EAGAIN
-		return true
-	})
-	return err == nil && quiet
+	return sockopt.Quiet(c.Conn)
 }
 
 // idle holds the kept connections by target.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -53,6 +53,8 @@
 		if srv := s.pick(f.Which); srv != nil {
 			srv.proxy.silence()
 		}
+	case EndingRequests:
+		r.sendEnding(f)
 	case ConfigChange:
 		s.configure()
 	case ConfigStorm:
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -84,6 +84,8 @@
 	evacuated map[string]time.Time
 	coldSends map[string][]time.Time
 	servers   map[string]*server
+	// endings are the servers that ended under a request, by its path.
+	endings map[string]*endings
 }
 
 func newOracle(keys *keyring) *oracle {
@@ -91,7 +93,7 @@
 		keys: keys, start: time.Now(), attempts: make(map[string]*attempt), checks: make(map[string]int),
 		quietSince: make(map[string]time.Time), stopping: make(map[string]time.Time), runs: make(map[string]int),
 		versionAt: make(map[int]time.Time), seen: make(map[string]int), draining: make(map[string]time.Time),
-		evacuated: make(map[string]time.Time), coldSends: make(map[string][]time.Time), servers: make(map[string]*server),
+		evacuated: make(map[string]time.Time), coldSends: make(map[string][]time.Time), servers: make(map[string]*server), endings: make(map[string]*endings),
 	}
 }
 
@@ -188,6 +190,7 @@
 	o.judgeAccount(a, v)
 	o.judgeTimes(a, v)
 	o.judgeCold(v)
+	o.judgeEnding(a, v)
 }
 
 // judgePlace checks service, home region and at most once. The caller holds mu.
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -38,6 +38,7 @@
 	KeyChange      FaultKind = "key-change"
 	LinkSilence    FaultKind = "link-silence"
 	ServerSilence  FaultKind = "server-silence"
+	EndingRequests FaultKind = "ending-requests"
 )
 
 // laterKinds came after seeds were kept. They are drawn by themselves, so that the other
@@ -102,6 +103,9 @@
 	for at := 700 * time.Millisecond; at < last; at += gap + time.Duration(again.Int64N(int64(3*gap))) {
 		out = append(out, Fault{At: at, Kind: laterKinds[again.IntN(len(laterKinds))], Which: again.IntN(1 << 16), How: again.IntN(1 << 16)})
 	}
+	ending := rand.New(rand.NewPCG(seed, 4))
+	at := 700*time.Millisecond + time.Duration(ending.Int64N(int64(duration/10)))
+	out = append(out, Fault{At: at, For: last - at, Kind: EndingRequests, Which: ending.IntN(1 << 16), How: ending.IntN(1 << 16)})
 	sort.SliceStable(out, func(i, j int) bool { return out[i].At < out[j].At })
 	return out
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -35,7 +35,9 @@
 	PeakMemory int64          `json:"peak_memory_bytes"`
 	PeakFiles  int            `json:"peak_files"`
 	Processes  int            `json:"processes"`
-	Broken     []Violation    `json:"broken"`
+	// Ended is how many servers ended under each request that ends them.
+	Ended  map[string]int `json:"ended"`
+	Broken []Violation    `json:"broken"`
 }
 
 const (
@@ -167,6 +169,7 @@
 func (r *runner) finish(began time.Time) {
 	o := r.site.oracle
 	r.report.Served, r.report.Requests = o.served(time.Time{})
+	r.report.Ended = o.endedInAll()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	r.report.Seconds = time.Since(began).Seconds()
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"os/exec"
@@ -154,6 +155,10 @@
 		return nil, err
 	}
 	srv := &server{Server: o, proxy: px, place: p}
+	o.SetEnding(func(r *http.Request) bool { return isEnding(r.RequestURI) }, func(r origin.Run) {
+		s.oracle.endedUnder(r.URI)
+		s.endUnder(srv)
+	})
 	if cold {
 		srv.coldUntil = time.Now().Add(warmupTime)
 	}
--- a/internal/sockopt/sockopt.go
+++ b/internal/sockopt/sockopt.go
@@ -1,7 +1,8 @@
-// Package sockopt sets options of sockets that the standard library has no names for.
+// Package sockopt does what sockets can and the standard library has no names for.
 package sockopt
 
 import (
+	"net"
 	"syscall"
 	"time"
 
@@ -23,3 +24,24 @@
 		return setErr
 	}
 }
+
+// Quiet tells whether a connection is open and nothing has arrived on it that was not read.
+// One that is not of TCP counts as quiet.
+func Quiet(conn net.Conn) bool {
+	tcp, ok := conn.(*net.TCPConn)
+	if !ok {
+		return true
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var buf [1]byte
+		_, _, err := unix.Recvfrom(int(fd), buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		quiet = err == unix.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
--- a/internal/standin/origin/server.go
+++ b/internal/standin/origin/server.go
@@ -76,6 +76,10 @@
 	script   func(*http.Request) Fault
 	runs     []Run
 	observe  func(Arrival)
+	// ends tells which requests end the server, and ended is told of the first.
+	ends     func(*http.Request) bool
+	ended    func(Run)
+	once     sync.Once
 	conns    map[net.Conn]bool
 	accepted int
 	canceled int
@@ -102,6 +106,14 @@
 	s.script = script
 }
 
+// SetEnding sets which requests end the server when it runs them, and what is told of the
+// first of them before the server ends.
+func (s *Server) SetEnding(ends func(*http.Request) bool, ended func(Run)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ends, s.ended = ends, ended
+}
+
 // SetObserver sets what is told of each request that arrives, before it is
 // answered.
 func (s *Server) SetObserver(observe func(Arrival)) {
@@ -202,10 +214,14 @@
 func (s *Server) fault(req *http.Request) Fault {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.script == nil {
+	switch {
+	case s.ends != nil && s.ends(req):
+		return End
+	case s.script == nil:
 		return None
+	default:
+		return s.script(req)
 	}
-	return s.script(req)
 }
 
 // one serves one request. It reports whether the connection goes on.
@@ -239,7 +255,12 @@
 		return false
 	}
 	s.arrived(id, req, body, true)
-	s.run(Run{ID: id, Method: req.Method, URI: req.RequestURI, Body: body})
+	r := Run{ID: id, Method: req.Method, URI: req.RequestURI, Body: body}
+	s.run(r)
+	if fault == End {
+		s.end(r)
+		return false
+	}
 	return s.answer(c, fault, id)
 }
 
@@ -251,6 +272,19 @@
 	time.Sleep(work)
 }
 
+// end ends the server under a request.
+func (s *Server) end(r Run) {
+	s.mu.Lock()
+	ended := s.ended
+	s.mu.Unlock()
+	s.once.Do(func() {
+		if ended != nil {
+			ended(r)
+		}
+	})
+	s.Close()
+}
+
 func (s *Server) headers(id string) string {
 	return fmt.Sprintf("Request-Id: %s\r\nServer-Signature: sig.%s\r\nServer-Load: 1,0,%d\r\n", id, s.ID, s.Slots)
 }
@@ -261,9 +295,6 @@
 	switch fault {
 	case Lost:
 		return false
-	case End:
-		s.Close()
-		return false
 	case Silent:
 		s.untilClosed(c)
 		return false
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -265,7 +265,10 @@
 // deliver writes one frame, over a new connection if need be. A frame that
 // can't be written is dropped.
 func (l *link) deliver(ctx context.Context, frame []byte) {
-	if l.renew.Swap(false) {
+	if l.renew.Swap(false) || (l.conn != nil && !sockopt.Quiet(l.conn)) {
+		// The peer sends nothing on it, so that anything there is its end: written to it,
+		// the first message to a peer that has started again would be lost, and those
+		// after it until the next write fails.
 		l.close()
 	}
 	if l.conn == nil && !l.open(ctx) {
