--- a/cmd/rainford/explain.go
+++ b/cmd/rainford/explain.go
@@ -11,6 +11,7 @@
 	"fmt"
 	"io"
 	"os"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -46,6 +47,9 @@
 	NewsAgeMs   int64        `json:"news_age_ms"`
 	Attempts    []logAttempt `json:"attempts"`
 	Target      string       `json:"target"`
+	// Content is the same for requests that are alike; Contents are those of several.
+	Content  string   `json:"content"`
+	Contents []string `json:"contents"`
 
 	// What follows is on lines of accounts with a limit. PermitMs is how long the
 	// request waited for a permit; the others are on those that got none.
@@ -233,9 +237,16 @@
 
 // concerns tells whether a belief may have decided the request: it is the same
 // instance's, from shortly before the request's end, and about one of its targets
-// or about no target at all.
+// or about no target at all; or it is of requests that are alike, at any instance and at
+// any time before, since what is learned of them is told to all and kept for long.
 func (s *story) concerns(l logLine) bool {
 	for _, r := range s.requests {
+		if l.isAlike(r) {
+			return !l.Time.After(r.Time)
+		}
+		if l.Content != "" || len(l.Contents) > 0 {
+			continue
+		}
 		if l.Instance != r.Instance || l.Time.After(r.Time) || r.Time.Sub(l.Time) > explainWindow {
 			continue
 		}
@@ -251,6 +262,11 @@
 	return false
 }
 
+// isAlike tells whether a line is about requests of the content of another line's.
+func (l logLine) isAlike(r logLine) bool {
+	return r.Content != "" && (l.Content == r.Content || slices.Contains(l.Contents, r.Content))
+}
+
 func (s *story) print(w io.Writer) {
 	fmt.Fprintf(w, "request %s: %s\n", s.RequestID, s.Verdict)
 	for _, r := range s.requests {
@@ -314,6 +330,7 @@
 	"key-taken":        "its key was taken away while it waited; it was not sent from then on",
 	"no-common-home":   "its route and its account have no home region in common; it did not run",
 	"over-limit":       "its account was beyond its limit; it did not run",
+	"ends-targets":     "targets end under this request wherever it runs: it was held back, or not sent to another one",
 	"no-limit-owner":   "no instance that keeps its account's limit could be asked; it did not run",
 }
 
--- a/cmd/rainford/walks_account_test.go
+++ b/cmd/rainford/walks_account_test.go
@@ -80,7 +80,8 @@
 func TestWalkNoCommonHome(t *testing.T) {
 	w := newWalk(t)
 	w.accounts(4, "old-key")
-	w.await("old-key", 200)
+	// Only the configuration with accounts turns a key away; the one before serves any.
+	w.await("nobodys-key", 401)
 	runs := len(w.server.Runs())
 	require.Equal(t, 503, w.sendAs("abroad", "abroad-key", "/home/"))
 	text := w.explain("abroad")
--- a/cmd/rainford/walks_test.go
+++ b/cmd/rainford/walks_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
@@ -154,3 +155,33 @@
 	require.Contains(t, text, "unknown after")
 	require.Contains(t, text, "EOF")
 }
+
+// replace has another server take the place of the one before.
+func (w *walk) replace(id string) {
+	w.store.Remove("servers", w.server.ID)
+	server, err := origin.Start(id, "s", "a1", 1)
+	require.NoError(w.t, err)
+	w.t.Cleanup(server.Close)
+	w.server = server
+	w.store.Set("servers", id, map[string]any{"service": "s", "address": server.Addr(), "zone": "a1", "version": "v1", "slots": 1,
+		"state": "ready", "warmupRemaining": "0ms", "sequence": 1})
+}
+
+// TestWalkEnding follows a request that is held back because targets end under it to the
+// targets that have ended.
+func TestWalkEnding(t *testing.T) {
+	w := newWalk(t)
+	for i, id := range []string{"i-2", "i-3", "i-4"} {
+		w.script(origin.End)
+		ends := func() bool { return w.send(fmt.Sprint("end", i)) == 502 }
+		require.Eventually(t, ends, 10*time.Second, 20*time.Millisecond)
+		w.replace(id)
+	}
+	require.Eventually(t, func() bool { return w.send("held") == 503 }, 10*time.Second, 20*time.Millisecond)
+	text := w.explain("held")
+	require.Contains(t, text, "request held: 503, targets end under this request wherever it runs")
+	for _, line := range []string{`"msg":"target ended","instance":"n1","target":"i-1"`, `"target":"i-2"`, `"target":"i-3"`, `"failed_trials":1`} {
+		require.Contains(t, text, line)
+	}
+	require.Empty(t, w.server.Runs())
+}
