--- /dev/null
+++ b/quarantine/model_test.go
@@ -0,0 +1,230 @@
+package quarantine
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// The model: instances that each hold a table, one caller that repeats a request under which
+// targets end, and news that take a while from instance to instance.
+const (
+	modelRun      = 50 * time.Millisecond
+	modelRevive   = 3 * time.Second
+	modelTargets  = 40
+	modelAttempts = 2
+	modelTime     = 60 * time.Second
+)
+
+// modelCase is one setting of the model.
+type modelCase struct {
+	instances int
+	// news is the mean time that news take, and perSecond the rate of the repeats.
+	news      time.Duration
+	perSecond float64
+	// sticky requests go to the same targets at all instances.
+	sticky bool
+	// silent has instances tell each other nothing, and free has suspect requests sent
+	// without a warden's leave.
+	silent, free bool
+}
+
+type modelEvent struct {
+	at time.Duration
+	do func()
+}
+
+type modelQueue []modelEvent
+
+func (q modelQueue) Len() int           { return len(q) }
+func (q modelQueue) Less(i, j int) bool { return q[i].at < q[j].at }
+func (q modelQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *modelQueue) Push(x any)        { *q = append(*q, x.(modelEvent)) }
+func (q *modelQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+// model plays one setting and counts the targets that end.
+type model struct {
+	modelCase
+	rnd    *rand.Rand
+	now    time.Duration
+	queue  modelQueue
+	tables []Table
+	warden Warden
+	down   map[int]time.Duration
+	next   int
+	digest Digest
+	ends   int
+	// lateSends are those later than four seconds after the third end.
+	thirdAt   time.Duration
+	lateSends int
+	newsBytes int
+}
+
+func (m *model) at(delay time.Duration, do func()) {
+	heap.Push(&m.queue, modelEvent{at: m.now + delay, do: do})
+}
+
+func (m *model) play() {
+	m.tables = make([]Table, m.instances)
+	m.down = make(map[int]time.Duration)
+	var arrive func()
+	arrive = func() {
+		m.arrive(m.rnd.IntN(m.instances), 0, 0)
+		m.at(time.Duration(float64(time.Second)/m.perSecond), arrive)
+	}
+	m.at(0, arrive)
+	for m.now < modelTime {
+		e := heap.Pop(&m.queue).(modelEvent)
+		m.now = e.at
+		e.do()
+	}
+}
+
+func (m *model) clock() time.Time { return after(m.now) }
+
+// arrive has an instance decide on an attempt. Broken is the number of attempts that ended
+// their target before.
+func (m *model) arrive(i, sent, broken int) {
+	s := m.tables[i].Standing(m.clock(), m.digest)
+	switch {
+	case broken > 0 && s.Ends >= suspectEnds, s.Verdict == Held, sent >= modelAttempts:
+		return
+	case s.Verdict == Free || m.free:
+		m.send(i, sent, broken, false)
+	default:
+		m.at(m.delay(), func() {
+			granted, _ := m.warden.Ask(m.clock(), &m.tables[0], m.digest, fmt.Sprint(i), after(m.now+3*time.Second))
+			if granted {
+				m.at(m.delay(), func() { m.send(i, sent, broken, true) })
+			}
+		})
+	}
+}
+
+// delay is how long a message takes.
+func (m *model) delay() time.Duration {
+	return time.Duration((0.5 + m.rnd.Float64()) * float64(m.news))
+}
+
+// send has the first target that is there run the request, or any.
+func (m *model) send(i, sent, broken int, trial bool) {
+	target := m.pick()
+	if target < 0 {
+		return
+	}
+	if m.thirdAt > 0 && m.now > m.thirdAt+4*time.Second {
+		m.lateSends++
+	}
+	until, there := m.down[target]
+	generation := until
+	m.at(modelRun, func() {
+		if now, again := m.down[target]; again != there || now != generation {
+			// It has ended under another copy meanwhile.
+			m.learn(i, target, generation, trial)
+		} else {
+			m.ends++
+			if m.ends == 3 {
+				m.thirdAt = m.now
+			}
+			m.down[target] = m.now + modelRevive
+			m.learn(i, target, generation, trial)
+		}
+		if !trial {
+			m.arrive(i, sent+1, broken+1)
+		}
+	})
+}
+
+func (m *model) pick() int {
+	first := 0
+	if !m.sticky {
+		first = m.rnd.IntN(modelTargets)
+	}
+	for k := range modelTargets {
+		target := (first + k) % modelTargets
+		if m.now >= m.down[target] {
+			return target
+		}
+	}
+	return -1
+}
+
+// learn has an instance note an end and tell all others.
+func (m *model) learn(i, target int, generation time.Duration, trial bool) {
+	id := TargetOf(fmt.Sprint(target, "#", generation))
+	if !m.tables[i].Ended(m.clock(), m.digest, "", id, trial) || m.silent {
+		return
+	}
+	news := m.tables[i].About(m.clock(), m.digest)
+	raw, err := news.MarshalBinary()
+	if err != nil {
+		panic(err)
+	}
+	for j := range m.tables {
+		if j == i {
+			continue
+		}
+		m.newsBytes += len(raw)
+		m.at(m.delay(), func() { m.tables[j].Merge(m.clock(), news) })
+	}
+}
+
+// TestModel plays a minute of one caller's repeats at fleets of several sizes, and checks that
+// few targets end and that nothing is sent late, where news take as long as between regions.
+// Each way is switched off in turn, for what it is worth.
+func TestModel(t *testing.T) {
+	const far = 60 * time.Millisecond
+	cases := []struct {
+		name string
+		modelCase
+		most int
+	}{
+		{"12 instances", modelCase{instances: 12, news: far, perSecond: 20, sticky: true}, mostEnds},
+		{"300 instances", modelCase{instances: 300, news: 2 * far, perSecond: 20, sticky: true}, mostEnds},
+		{"730 instances", modelCase{instances: 730, news: 2 * far, perSecond: 20, sticky: true}, mostEnds},
+		{"12, without an object", modelCase{instances: 12, news: far, perSecond: 20}, mostEnds + 2},
+		{"730, without an object", modelCase{instances: 730, news: 2 * far, perSecond: 20}, mostEnds + 4},
+		{"12, 200 a second", modelCase{instances: 12, news: far, perSecond: 200, sticky: true}, mostEnds + 2},
+		{"12, gossip alone", modelCase{instances: 12, news: 700 * time.Millisecond, perSecond: 20, sticky: true}, 0},
+		{"12, told nothing", modelCase{instances: 12, news: far, perSecond: 20, sticky: true, silent: true}, 0},
+		{"12, no warden", modelCase{instances: 12, news: far, perSecond: 20, sticky: true, free: true}, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			ends, worst, late, bytes := 0, 0, 0, 0
+			const seeds = 10
+			for seed := range uint64(seeds) {
+				m := &model{modelCase: c.modelCase, rnd: rand.New(rand.NewPCG(seed, 9)), digest: digest("/ends/")}
+				m.play()
+				ends += m.ends
+				worst, late, bytes = max(worst, m.ends), max(late, m.lateSends), max(bytes, m.newsBytes/c.instances)
+			}
+			t.Logf("%.1f targets ended, %d at worst; %d sends late at worst; %d bytes of news an instance", float64(ends)/seeds, worst, late, bytes)
+			if c.most > 0 {
+				require.LessOrEqual(t, worst, c.most)
+				require.LessOrEqual(t, late, mostTrials)
+			}
+		})
+	}
+}
+
+// BenchmarkDigest measures what a request costs while anything is known of any, by the length
+// of its body.
+func BenchmarkDigest(b *testing.B) {
+	for _, size := range []int{0, 4 << 10, 64 << 10} {
+		b.Run(fmt.Sprint(size), func(b *testing.B) {
+			c := Content{Account: "ada", Method: "POST", Host: "h.example", URI: "/listings/17/photos?size=2", Body: make([]byte, size)}
+			for b.Loop() {
+				_ = c.Digest()
+			}
+		})
+	}
+}
--- a/quarantine/table_test.go
+++ b/quarantine/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -284,3 +285,27 @@
 		require.LessOrEqual(t, table.Len(), len(news))
 	})
 }
+
+// TestFullTableIsSmall checks that a table that is full, each record with all its ends, takes
+// less than 1 MB.
+func TestFullTableIsSmall(t *testing.T) {
+	held := func() uint64 {
+		runtime.GC()
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
+		return stats.HeapAlloc
+	}
+	before := held()
+	var table Table
+	for i := range maxRecords {
+		d := digest(fmt.Sprint(i))
+		for n := range mostEnds {
+			table.Ended(begin, d, "", Target(n), false)
+		}
+	}
+	require.Equal(t, maxRecords, table.Len())
+	taken := held() - before
+	t.Logf("%d bytes", taken)
+	require.Less(t, taken, uint64(1<<20))
+	runtime.KeepAlive(&table)
+}
