--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -1,14 +1,17 @@
 package gateway
 
 import (
+	"cmp"
 	"encoding/json"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/rainford/rainford/catalog"
 	"github.com/rainford/rainford/config"
 	"github.com/rainford/rainford/feed"
 	"github.com/rainford/rainford/fleet"
+	"github.com/rainford/rainford/quarantine"
 	"github.com/rainford/rainford/table"
 )
 
@@ -84,6 +87,9 @@
 		}
 		g.pools.setTargets(now, g.listed.specs, g.evacuated)
 	case KindTable:
+		// What releases held requests comes last: it counts for all that is told of them
+		// before.
+		slices.SortStableFunc(changes, func(a, b feed.Change) int { return cmp.Compare(releases(a), releases(b)) })
 		for _, c := range changes {
 			g.applyTable(c, source, revision)
 		}
@@ -125,6 +131,10 @@
 // computed from slots, and their drains. Other objects of the kind are not for
 // instances.
 func (g *Gateway) applyTable(c feed.Change, source string, revision int64) {
+	if strings.HasPrefix(c.Name, quarantine.KeptPrefix) {
+		g.applyKept(c, source, revision)
+		return
+	}
 	if c.Name != config.Key {
 		return
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -233,6 +233,7 @@
 			g.holds.expire(now)
 			g.expireListed(now)
 			g.forgetLost(ctx, now)
+			g.forgetKept(ctx, now)
 		}
 	}
 }
--- /dev/null
+++ b/gateway/kept.go
@@ -0,0 +1,133 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/rainford/rainford/feed"
+	"github.com/rainford/rainford/internal/pause"
+	"github.com/rainford/rainford/quarantine"
+)
+
+const (
+	// keepTries and keepPause bound how long a held request is tried to be kept in the
+	// store: a minute, over most outages. Until then the instances know it.
+	keepTries = 20
+	keepPause = 3 * time.Second
+	// maxKeeping bounds the writes under way, for a caller that has many such requests.
+	maxKeeping = 8
+)
+
+// keep has the store keep what is known of requests of which a trial has failed, so that they
+// are still held when all instances have ended at once: three sends may follow the third end
+// of a target, whoever has forgotten it.
+func (g *Gateway) keep(now time.Time, digests []quarantine.Digest) {
+	for _, d := range digests {
+		g.holds.mu.Lock()
+		kept, ok := g.holds.table.Keep(now, time.Now(), d)
+		g.holds.mu.Unlock()
+		if ok {
+			g.write(kept)
+		}
+	}
+}
+
+// keepRelease has the store keep that a request was answered.
+func (g *Gateway) keepRelease(d quarantine.Digest) {
+	g.write(quarantine.Kept{Digest: d, Released: time.Now().UnixMilli(), Who: g.config.Name})
+}
+
+// write creates an object in the store, unless too many writes are under way.
+func (g *Gateway) write(kept quarantine.Kept) {
+	if g.holds.keeping.Add(1) > maxKeeping {
+		g.holds.keeping.Add(-1)
+		g.log.Warn(logNotKept, "content", kept.Digest.String(), "error", "too many writes under way")
+		return
+	}
+	g.start(func() {
+		defer g.holds.keeping.Add(-1)
+		g.create(kept)
+	})
+}
+
+func (g *Gateway) create(kept quarantine.Kept) {
+	ctx, cancel := context.WithTimeout(context.Background(), keepTries*keepPause)
+	defer cancel()
+	var err error
+	for !g.leaving.Load() && ctx.Err() == nil {
+		err = g.store.Create(ctx, KindTable, kept.Key(), kept)
+		if err == nil {
+			return
+		}
+		pause.For(ctx, keepPause)
+	}
+	if err != nil {
+		g.log.Warn(logNotKept, "content", kept.Digest.String(), "error", err.Error())
+	}
+}
+
+// applyKept takes in what the store keeps of a held request. The caller holds mu.
+func (g *Gateway) applyKept(c feed.Change, source string, revision int64) {
+	if c.Gone {
+		return
+	}
+	kept, err := quarantine.ParseKept(c.Name, c.Value)
+	if err != nil {
+		g.metrics.refused.Add(1, string(KindTable), "entry")
+		g.log.Error(logKeptRefused, "name", c.Name, "error", err.Error(), "source", source, "revision", revision)
+		return
+	}
+	facts, ok := kept.Facts(time.Now())
+	if !ok {
+		return
+	}
+	now := g.clock.Now()
+	g.holds.mu.Lock()
+	learned := g.holds.table.Merge(now, quarantine.News{facts})
+	g.holds.note()
+	g.holds.mu.Unlock()
+	if kept.Released > 0 {
+		g.log.Info(logRequestFreed, "content", kept.Digest.String(), "who", kept.Who)
+		return
+	}
+	g.reportHolds(now, learned, sourceStore)
+}
+
+// forgetKept removes an object of the store that says nothing any more, one at a time. The
+// first watcher of a region does it.
+func (g *Gateway) forgetKept(ctx context.Context, now time.Time) {
+	name, ok := g.overKept(now)
+	if !ok {
+		return
+	}
+	err := g.store.Remove(ctx, KindTable, name)
+	if err != nil {
+		g.log.Warn(logNotKept, "name", name, "error", err.Error())
+	}
+}
+
+// overKept returns the name of such an object.
+func (g *Gateway) overKept(now time.Time) (string, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.watch.isWatching() || !g.view.WatchesFirst(now) {
+		return "", false
+	}
+	over := ""
+	g.replicas[KindTable].Objects(func(o feed.Object) {
+		kept, err := quarantine.ParseKept(o.Name, o.Value)
+		if err == nil && kept.IsOver(time.Now()) {
+			over = o.Name
+		}
+	})
+	return over, over != ""
+}
+
+// releases returns 1 for an object that releases a held request, else 0.
+func releases(c feed.Change) int {
+	kept, err := quarantine.ParseKept(c.Name, c.Value)
+	if err != nil || kept.Released == 0 {
+		return 0
+	}
+	return 1
+}
--- a/gateway/logs.go
+++ b/gateway/logs.go
@@ -48,6 +48,8 @@
 	logTargetEnded    = "target ended"
 	logRequestHeld    = "request held"
 	logRequestFreed   = "request freed"
+	logNotKept        = "held request not kept"
+	logKeptRefused    = "held request refused"
 
 	logInstanceRefused = "instance refused"
 	logForgotten       = "instance forgotten"
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -32,6 +32,8 @@
 	trials  map[quarantine.Digest]chan trialAnswer
 	// silent are the wardens that have not answered, until when they are passed over.
 	silent map[string]time.Time
+	// keeping is the number of writes to the store under way.
+	keeping atomic.Int64
 }
 
 func newHolds() *holds {
@@ -160,11 +162,16 @@
 	g.lives(now.Add(-a.Target.Took), target.ID)
 	d := ex.digestOf()
 	g.holds.mu.Lock()
+	kept := g.holds.table.Standing(now, d).Failed > 0
 	freed := g.holds.table.Answered(now, d)
 	g.holds.mu.Unlock()
-	if freed {
-		g.log.Info(logRequestFreed, "content", d.String(), "target", target.ID)
-		g.tell(now, d)
+	if !freed {
+		return
+	}
+	g.log.Info(logRequestFreed, "content", d.String(), "target", target.ID)
+	g.tell(now, d)
+	if kept {
+		g.keepRelease(d)
 	}
 }
 
@@ -259,6 +266,7 @@
 	g.log.Warn(logTargetEnded, "target", target, "contents", contents[:min(len(contents), maxContents)], "requests", len(contents))
 	g.reportHolds(now, digests, "own")
 	g.tell(now, digests...)
+	g.keep(now, digests)
 }
 
 // maxContents bounds the requests that a line on a target's end names.
--- a/quarantine/model_test.go
+++ b/quarantine/model_test.go
@@ -59,7 +59,6 @@
 	tables []Table
 	warden Warden
 	down   map[int]time.Duration
-	next   int
 	digest Digest
 	ends   int
 	// lateSends are those later than four seconds after the third end.
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -37,6 +38,18 @@
 // Target stands for one incarnation of a target: the hash of its ID.
 type Target uint64
 
+// MarshalText implements encoding.TextMarshaler. JSON numbers have no room for all targets.
+func (t Target) MarshalText() ([]byte, error) {
+	return []byte(strconv.FormatUint(uint64(t), 16)), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (t *Target) UnmarshalText(text []byte) error {
+	n, err := strconv.ParseUint(string(text), 16, 64)
+	*t = Target(n)
+	return err
+}
+
 // end is the end of a target under a request.
 type end struct {
 	target Target
--- a/quarantine/wire.go
+++ b/quarantine/wire.go
@@ -101,6 +101,10 @@
 	var learned []Digest
 	for _, f := range news {
 		fresh := false
+		if f.Answered >= 0 && f.Answered < clearedLife && t.records[f.Digest] == nil && t.makeRoom(now, f.Account) {
+			// Its ends may come later than the news that they do not count.
+			t.put(f.Digest, &record{account: f.Account})
+		}
 		if f.Answered >= 0 && t.records[f.Digest] != nil {
 			r := t.records[f.Digest]
 			t.change(r, func() { fresh = r.answer(now.Add(-f.Answered)) })
