After a failed trial only the warden of the whole list grants another one

Cause: an instance that does not reach the warden of a request took the next one, so that each part of a fleet that is cut in two or three would send a held request again when its pause is over; three sends are all that may follow the third end. Change: those that are away are passed over for the first trial alone, which frees an innocent request. A planned stop tells the others by the instance's clock, not the runtime's.

--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -56,7 +56,7 @@
 	began := time.Now()
 	g.leaving.Store(true)
 	g.log.Info(logLeaving, "grace_ms", g.config.Grace.Milliseconds(), "in_flight", g.inFlight.Load())
-	g.gossip(began, true)
+	g.gossip(g.clock.Now(), true)
 	linger := time.Duration(lingerShare * float64(g.config.Grace))
 	time.Sleep(linger)
 	g.refusing.Store(true)
--- a/gateway/trial.go
+++ b/gateway/trial.go
@@ -28,7 +28,8 @@
 func (g *Gateway) askTrial(ex *exchange) (granted bool, next time.Time) {
 	now := g.clock.Now()
 	d := ex.digestOf()
-	warden := g.wardenOf(now, d)
+	standing, _ := g.holds.standing(now, d)
+	warden := g.wardenOf(now, d, standing.Failed > 0)
 	ex.warden = warden
 	until := ex.deadline.Add(lateMargin)
 	if warden.Name == g.config.Name {
@@ -70,21 +71,20 @@
 }
 
 // wardenOf returns the instance that grants the trials of a request: one of those that the
-// store lists and that are not known to be away, this one if there are none.
-func (g *Gateway) wardenOf(now time.Time, d quarantine.Digest) fleet.Member {
+// store lists, this one if there are none. Those that are known to be away are passed over
+// for the first trial, which most often frees an innocent request. After a failed one they are
+// not: parts of the fleet that are cut off from each other would each send the request again,
+// and three sends are all that may follow the third end.
+func (g *Gateway) wardenOf(now time.Time, d quarantine.Digest, hasFailed bool) fleet.Member {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.holds.mu.Lock()
-	defer g.holds.mu.Unlock()
 	away := make(map[string]bool)
-	for _, s := range g.view.Others(now) {
-		if s.State == fleet.Suspect || s.State == fleet.Gone {
-			away[s.Name] = true
-		}
+	if !hasFailed {
+		away = g.away(now)
 	}
 	names := []string{g.config.Name}
 	for name := range g.registered {
-		if name != g.config.Name && !away[name] && now.After(g.holds.silent[name]) {
+		if name != g.config.Name && !away[name] {
 			names = append(names, name)
 		}
 	}
@@ -95,6 +95,25 @@
 	return g.registered[name]
 }
 
+// away returns the instances that are not alive, or did not answer as wardens of late. The
+// caller holds mu.
+func (g *Gateway) away(now time.Time) map[string]bool {
+	out := make(map[string]bool)
+	for _, s := range g.view.Others(now) {
+		if s.State == fleet.Suspect || s.State == fleet.Gone {
+			out[s.Name] = true
+		}
+	}
+	g.holds.mu.Lock()
+	defer g.holds.mu.Unlock()
+	for name, until := range g.holds.silent {
+		if now.Before(until) {
+			out[name] = true
+		}
+	}
+	return out
+}
+
 // endTrial tells the warden of a trial that it has ended. One that was broken off goes on for
 // the warden until the end of its target is known, or its time is over: what another trial
 // may cost depends on it.
