--- a/internal/demo/gateway.go
+++ b/internal/demo/gateway.go
@@ -62,8 +62,8 @@
 
 // RunGateways starts an estate of gateways with stand-ins of the store and of targets
 // in this process, sends requests while a configuration changes, a hall is emptied, a
-// target leaves and an instance stops, keys are taken away and an account sends three times
-// what it may, and reports what held.
+// target leaves and an instance stops, keys are taken away, a request ends each target that
+// runs it, and an account sends three times what it may, and reports what held.
 func RunGateways(ctx context.Context, options GatewayOptions) (*GatewayReport, error) {
 	e := &gatewayEstate{options: options, store: objects.New(), seen: newObserver()}
 	defer e.close()
@@ -201,7 +201,7 @@
 
 // steps makes the changes of the run, each after a part of its length.
 func (e *gatewayEstate) steps(ctx context.Context, report *GatewayReport) error {
-	const parts = 7
+	const parts = 8
 	part := e.options.Duration / parts
 	say := func(format string, args ...any) { fmt.Fprintf(e.options.Progress, format+"\n", args...) }
 	pause.For(ctx, part)
@@ -231,6 +231,12 @@
 	e.store.Return("kumasi-a")
 	say("kumasi-a is back")
 	pause.For(ctx, part)
+	report.Ended, err = e.sendEnding(ctx)
+	if err != nil {
+		return err
+	}
+	say("%d targets ended under a request that ends each that runs it, sent %d times", report.Ended, endingSends)
+	pause.For(ctx, part)
 	leaving := e.targets[0]
 	e.record(leaving, objects.Draining)
 	say("%s leaves", leaving.ID)
--- a/internal/demo/gateway_test.go
+++ b/internal/demo/gateway_test.go
@@ -18,5 +18,6 @@
 	require.Greater(t, report.Served, report.Requests/2)
 	require.Positive(t, report.TurnedAway)
 	require.Positive(t, report.KeyGone)
+	require.Positive(t, report.Ended)
 	require.Len(t, report.ByHall, len(gatewayHalls))
 }
--- a/internal/demo/gatewayreport.go
+++ b/internal/demo/gatewayreport.go
@@ -31,6 +31,9 @@
 	Stop    time.Duration `json:"stop_ns"`
 	// KeyGone is the time until a key that was taken away opened nothing at any instance.
 	KeyGone time.Duration `json:"key_gone_ns"`
+	// Ended is the number of targets that ended under a request that ends each that runs
+	// it.
+	Ended int `json:"ended"`
 	// ByHall counts the arrivals at the targets of each hall.
 	ByHall map[string]int `json:"by_hall"`
 	// Broken lists the invariants that did not hold.
@@ -90,6 +93,9 @@
 		r.Broken = append(r.Broken, fmt.Sprintf("%d requests reached targets that were to get nothing", o.late))
 	}
 	o.reportAccounts(r, limit)
+	if r.Ended > mostEnded {
+		r.Broken = append(r.Broken, fmt.Sprintf("%d targets ended under one request", r.Ended))
+	}
 	if r.Served == 0 {
 		r.Broken = append(r.Broken, "nothing was served")
 	}
@@ -98,9 +104,9 @@
 // Print writes the report as a table.
 func (r *GatewayReport) Print(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "requests\tserved\trefused\tturned away\tfailed\tunreached\tp50\tp99\tin force\tkey gone\tstop")
-	fmt.Fprintf(t, "%d\t%d\t%d\t%d\t%d\t%d\t%v\t%v\t%v\t%v\t%v\n", r.Requests, r.Served, r.Refused, r.TurnedAway, r.Failed, r.Unreached,
-		r.P50.Round(time.Millisecond), r.P99.Round(time.Millisecond), r.InForce.Round(time.Millisecond), r.KeyGone.Round(time.Millisecond), r.Stop.Round(time.Millisecond))
+	fmt.Fprintln(t, "requests\tserved\trefused\tturned away\tfailed\tunreached\tp50\tp99\tin force\tkey gone\tstop\tended")
+	fmt.Fprintf(t, "%d\t%d\t%d\t%d\t%d\t%d\t%v\t%v\t%v\t%v\t%v\t%d\n", r.Requests, r.Served, r.Refused, r.TurnedAway, r.Failed, r.Unreached,
+		r.P50.Round(time.Millisecond), r.P99.Round(time.Millisecond), r.InForce.Round(time.Millisecond), r.KeyGone.Round(time.Millisecond), r.Stop.Round(time.Millisecond), r.Ended)
 	fmt.Fprintln(t, "\nhall\tarrivals")
 	halls := make([]string, 0, len(r.ByHall))
 	for hall := range r.ByHall {
