Model test of incarnations: watches, lists and deltas in any order against a naive reference

Three instances, late writes of earlier starts, foreign writes and removals. No change of the program.

--- /dev/null
+++ b/gateway/incarnation_model_test.go
@@ -0,0 +1,179 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/rainford/rainford/catalog"
+	"github.com/rainford/rainford/feed"
+)
+
+// bornEntry is the entry of a target as bornCodec reads it.
+type bornEntry struct {
+	Born    int64
+	Leaves  bool
+	Foreign bool
+}
+
+// bornCodec decodes entries that tell when a target started.
+type bornCodec struct{ plainCodec }
+
+func (bornCodec) Target(name string, raw []byte) (catalog.Target, error) {
+	var e bornEntry
+	err := json.Unmarshal(raw, &e)
+	if err != nil || e.Foreign {
+		return catalog.Target{}, &catalog.EntryError{Field: "state", Problem: "says nothing known"}
+	}
+	return catalog.Target{ID: catalog.IncarnationID(name, e.Born), Name: name, Born: e.Born, Service: "s", Addr: "x", Hall: "a1", Slots: 3, Leaves: e.Leaves}, nil
+}
+
+// modelStore is a store that keeps one entry, with its whole history.
+type modelStore struct {
+	changes []feed.Change
+}
+
+func (s *modelStore) write(e *bornEntry) {
+	c := feed.Change{Object: feed.Object{Name: "i-1"}, Gone: e == nil}
+	if e != nil {
+		raw, err := json.Marshal(e)
+		if err != nil {
+			panic(err)
+		}
+		c.Value = raw
+	}
+	s.changes = append(s.changes, c)
+}
+
+// at is the revision of the store.
+func (s *modelStore) at() int64 { return int64(len(s.changes)) }
+
+// since is what a watch from a revision brings.
+func (s *modelStore) since(revision int64) feed.Delta {
+	return feed.Delta{Kind: KindTargets, From: revision, To: s.at(), Changes: s.changes[revision:]}
+}
+
+// list is what a list brings.
+func (s *modelStore) list() feed.Delta {
+	d := feed.Delta{Kind: KindTargets, To: s.at(), Full: true}
+	if last := s.changes[len(s.changes)-1]; !last.Gone {
+		d.Changes = append(d.Changes, last)
+	}
+	return d
+}
+
+// reference is what an instance should use, by the changes that it was brought, one by one.
+type reference struct {
+	// latest is the latest start seen, and used what is used, nil for nothing.
+	latest int64
+	used   *bornEntry
+}
+
+// bring takes in a delta as the naive rule has it: an entry counts unless it is of an earlier
+// start than one seen.
+func (r *reference) bring(d feed.Delta) {
+	if d.Full && len(d.Changes) == 0 {
+		r.used = nil
+	}
+	for _, c := range d.Changes {
+		var e bornEntry
+		switch {
+		case c.Gone:
+			r.used = nil
+			continue
+		case json.Unmarshal(c.Value, &e) != nil || e.Foreign:
+			r.used = nil
+			continue
+		}
+		if e.Born >= r.latest {
+			r.latest, r.used = e.Born, &e
+		}
+	}
+}
+
+// modelInstance is an instance with its reference.
+type modelInstance struct {
+	*Gateway
+	reference
+}
+
+// bring has the instance take in a delta, and its reference if it was news.
+func (in *modelInstance) bring(d feed.Delta, source string) {
+	before := in.replicas[KindTargets].At()
+	if in.take(d, source) && in.replicas[KindTargets].At() > before {
+		in.reference.bring(d)
+	}
+}
+
+func (in *modelInstance) closeListeners() {
+	l := in.listeners
+	for _, open := range []net.Listener{l.front, l.lookup, l.ready, l.peer, l.admin} {
+		_ = open.Close()
+	}
+}
+
+func (in *modelInstance) check(t *rapid.T) {
+	spec, listed := in.listed.specs["i-1"]
+	require.Equal(t, in.used != nil, listed)
+	if listed {
+		require.Equal(t, *in.used, bornEntry{Born: spec.Born, Leaves: spec.Leaves})
+	}
+}
+
+// TestIncarnationsInAnyOrder has a target start again under its ID, with late writes of earlier
+// starts, foreign writes and removals between, and three instances learn of it by watches,
+// lists and each other's deltas. It checks each against a naive reference, that no instance
+// goes back to an earlier start, and that all agree once the latest start has written last.
+func TestIncarnationsInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		store := &modelStore{}
+		store.write(&bornEntry{Born: 1})
+		var instances []*modelInstance
+		for range 3 {
+			in := &modelInstance{Gateway: newPlain(t)}
+			defer in.closeListeners()
+			in.codec = bornCodec{}
+			in.bring(store.list(), sourceStore)
+			instances = append(instances, in)
+		}
+		any := func(label string) *modelInstance { return instances[rapid.IntRange(0, 2).Draw(rt, label)] }
+		newest := int64(1)
+		for range rapid.IntRange(1, 25).Draw(rt, "steps") {
+			switch rapid.SampledFrom([]string{"start", "late", "leave", "gone", "foreign", "watch", "watch", "list", "delta"}).Draw(rt, "step") {
+			case "start":
+				newest++
+				store.write(&bornEntry{Born: newest})
+			case "late":
+				store.write(&bornEntry{Born: rapid.Int64Range(1, newest).Draw(rt, "born"), Leaves: rapid.Bool().Draw(rt, "leaves")})
+			case "leave":
+				store.write(&bornEntry{Born: newest, Leaves: true})
+			case "gone":
+				store.write(nil)
+			case "foreign":
+				store.write(&bornEntry{Foreign: true})
+			case "watch":
+				in := any("instance")
+				in.bring(store.since(in.replicas[KindTargets].At()), sourceStore)
+			case "list":
+				any("instance").bring(store.list(), sourceStore)
+			case "delta":
+				from, to := any("from"), any("to")
+				replica := to.replicas[KindTargets]
+				to.bring(from.replicas[KindTargets].Since(replica.At(), replica.Digest()), "other")
+			}
+			for _, in := range instances {
+				in.check(rt)
+			}
+		}
+		newest++
+		store.write(&bornEntry{Born: newest})
+		for _, in := range instances {
+			in.bring(store.since(in.replicas[KindTargets].At()), sourceStore)
+			in.check(rt)
+			require.Equal(rt, newest, in.listed.specs["i-1"].Born)
+		}
+	})
+}
