Soak: entries of other writers, and servers that start again under their ID

Drawn by themselves, so that the other faults of a seed stay as they are; entries tell when their server started. Tests alone; no change of the gateway.

--- a/gateway/incarnation_model_test.go
+++ b/gateway/incarnation_model_test.go
@@ -139,7 +139,7 @@
 			in.bring(store.list(), sourceStore)
 			instances = append(instances, in)
 		}
-		any := func(label string) *modelInstance { return instances[rapid.IntRange(0, 2).Draw(rt, label)] }
+		pick := func(label string) *modelInstance { return instances[rapid.IntRange(0, 2).Draw(rt, label)] }
 		newest := int64(1)
 		for range rapid.IntRange(1, 25).Draw(rt, "steps") {
 			switch rapid.SampledFrom([]string{"start", "late", "leave", "gone", "foreign", "watch", "watch", "list", "delta"}).Draw(rt, "step") {
@@ -155,12 +155,12 @@
 			case "foreign":
 				store.write(&bornEntry{Foreign: true})
 			case "watch":
-				in := any("instance")
+				in := pick("instance")
 				in.bring(store.since(in.replicas[KindTargets].At()), sourceStore)
 			case "list":
-				any("instance").bring(store.list(), sourceStore)
+				pick("instance").bring(store.list(), sourceStore)
 			case "delta":
-				from, to := any("from"), any("to")
+				from, to := pick("from"), pick("to")
 				replica := to.replicas[KindTargets]
 				to.bring(from.replicas[KindTargets].Since(replica.At(), replica.Digest()), "other")
 			}
--- /dev/null
+++ b/internal/soak/entries.go
@@ -0,0 +1,61 @@
+package soak
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/rainford/rainford/internal/standin/objects"
+	"github.com/rainford/rainford/internal/standin/origin"
+)
+
+// foreignEntries are what another writer may leave where servers' entries are.
+var foreignEntries = []any{
+	"bytes that say nothing",
+	nil,
+	map[string]any{"service": "read"},
+	map[string]any{"service": "read", "address": 7, "zone": "a1", "version": "v1", "slots": 3, "state": "ready", "warmupRemaining": "0ms", "sequence": 1},
+	map[string]any{"service": "pay", "address": "127.0.0.1:1", "zone": "b1", "version": "v1", "slots": 3, "state": "resting", "warmupRemaining": "0ms", "sequence": 1},
+	map[string]any{"service": "pay", "address": "127.0.0.1:1", "zone": "elsewhere", "version": "v1", "slots": 3, "state": "ready", "warmupRemaining": "0ms", "sequence": 1},
+}
+
+// writeForeign has another writer make an entry of its own, and write over that of a server,
+// which is to get nothing from then on, as if it left.
+func (r *runner) writeForeign(f Fault) {
+	s := r.site
+	entry := foreignEntries[f.How%len(foreignEntries)]
+	s.store.Set(objects.KindServers, fmt.Sprint("foreign-", f.Which), entry)
+	if f.How%2 == 0 {
+		return
+	}
+	srv := s.pick(f.Which)
+	if srv == nil || !s.markGone(srv) {
+		return
+	}
+	_, _ = s.addServer(srv.Service, srv.place, true)
+	s.oracle.mu.Lock()
+	s.oracle.draining[srv.ID] = time.Now()
+	s.oracle.mu.Unlock()
+	s.store.Set(objects.KindServers, srv.ID, entry)
+	r.later(drainTimeout+2*time.Second, func() {
+		s.store.Remove(objects.KindServers, srv.ID)
+		srv.Close()
+	})
+}
+
+// startAgain ends a server and starts it again under its ID, at another address.
+func (r *runner) startAgain(f Fault) {
+	s := r.site
+	srv := s.pick(f.Which)
+	if srv == nil || !s.markGone(srv) {
+		return
+	}
+	srv.proxy.close()
+	srv.Close()
+	r.later(f.For, func() {
+		o, err := origin.Start(srv.ID, srv.Service, srv.place.hall, serverSlots)
+		if err != nil {
+			return
+		}
+		_, _ = s.serve(o, srv.place, true)
+	})
+}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -53,6 +53,10 @@
 		if srv := s.pick(f.Which); srv != nil {
 			srv.proxy.silence()
 		}
+	case ForeignEntry:
+		r.writeForeign(f)
+	case SameID:
+		r.startAgain(f)
 	case EndingRequests:
 		r.sendEnding(f)
 	case ConfigChange:
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -39,12 +39,17 @@
 	LinkSilence    FaultKind = "link-silence"
 	ServerSilence  FaultKind = "server-silence"
 	EndingRequests FaultKind = "ending-requests"
+	ForeignEntry   FaultKind = "foreign-entry"
+	SameID         FaultKind = "server-starts-under-its-id"
 )
 
 // laterKinds came after seeds were kept. They are drawn by themselves, so that the other
 // faults of a seed stay as they are.
 var laterKinds = []FaultKind{KeyChange, LinkSilence, ServerSilence}
 
+// entryKinds came later still, and are drawn by themselves too.
+var entryKinds = []FaultKind{ForeignEntry, SameID}
+
 // kindsOfFaults are all kinds, with how often they come.
 var kindsOfFaults = []struct {
 	kind   FaultKind
@@ -106,6 +111,11 @@
 	ending := rand.New(rand.NewPCG(seed, 4))
 	at := 700*time.Millisecond + time.Duration(ending.Int64N(int64(duration/10)))
 	out = append(out, Fault{At: at, For: last - at, Kind: EndingRequests, Which: ending.IntN(1 << 16), How: ending.IntN(1 << 16)})
+	entries := rand.New(rand.NewPCG(seed, 6))
+	for at := 900 * time.Millisecond; at < last; at += 2*gap + time.Duration(entries.Int64N(int64(3*gap))) {
+		out = append(out, Fault{At: at, For: time.Duration(300+entries.IntN(2000)) * time.Millisecond, Kind: entryKinds[entries.IntN(len(entryKinds))],
+			Which: entries.IntN(1 << 16), How: entries.IntN(1 << 16)})
+	}
 	sort.SliceStable(out, func(i, j int) bool { return out[i].At < out[j].At })
 	return out
 }
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -71,6 +71,8 @@
 	*origin.Server
 	proxy *proxy
 	place place
+	// born is when it started.
+	born time.Time
 	// coldUntil is when it stops being cold, zero if it never was.
 	coldUntil time.Time
 	gone      bool
@@ -149,12 +151,17 @@
 	if err != nil {
 		return nil, err
 	}
+	return s.serve(o, p, cold)
+}
+
+// serve puts a proxy before a server and lists it.
+func (s *site) serve(o *origin.Server, p place, cold bool) (*server, error) {
 	o.SetWork(serverWork)
 	px, err := newProxy(o.Addr())
 	if err != nil {
 		return nil, err
 	}
-	srv := &server{Server: o, proxy: px, place: p}
+	srv := &server{Server: o, proxy: px, place: p, born: time.Now()}
 	o.SetEnding(func(r *http.Request) bool { return isEnding(r.RequestURI) }, func(r origin.Run) {
 		s.oracle.endedUnder(r.URI)
 		s.endUnder(srv)
@@ -174,7 +181,7 @@
 func (s *site) record(srv *server, state string) {
 	cold := max(0, time.Until(srv.coldUntil))
 	s.store.Record(srv.ID, objects.Server{Service: srv.Service, Address: srv.proxy.addr(), Zone: srv.place.hall, Slots: srv.Slots,
-		State: state, WarmupRemaining: fmt.Sprintf("%dms", cold.Milliseconds()), Sequence: 1})
+		State: state, WarmupRemaining: fmt.Sprintf("%dms", cold.Milliseconds()), Sequence: 1, Version: "v1", Born: srv.born.UnixMilli()})
 }
 
 // configure writes the next configuration: the fixed routes, and one route for
