--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -186,8 +186,8 @@
 
 // renewFor opens another connection to an instance that says that it does not hear this one.
 // The open one may be silent for good without a sign of it on this side: something on the way
-// still acknowledges what is sent. Only the instance that does not hear can tell; before it
-// did, one whose connections from others fell silent heard nobody for as long as it ran
+// still acknowledges what is sent. Only the instance that does not hear can tell; where it
+// does not, one whose connections from others fall silent hears nobody for as long as it runs
 // (TestHeardAgain). The caller holds mu.
 func (g *Gateway) renewFor(now time.Time, addr string) {
 	if now.Sub(g.renewedAt[addr]) < renewPause {
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -91,9 +91,9 @@
 // maxDoubtful is the number of targets that end under a request, or may have, from which on
 // it is not sent to another one within its exchange. The first end is repeated: most requests
 // that it hits are innocent, and it is what crashes of targets cost callers. After a second
-// one another attempt gains little, and each costs a target if the request is to blame: 76
-// targets ended under 100 such requests where two were repeated, 3 now
-// (TestEndingRequestIsHeld).
+// one another attempt gains little, and each costs a target if the request is to blame. With
+// what instances tell each other it keeps the targets that end under 100 such requests to 3,
+// of 76 without either (TestEndingRequestIsHeld).
 const maxDoubtful = 2
 
 // pass tells whether a request may be sent now, or what it is answered. A suspect one is sent
