--- a/ratelimit/model_test.go
+++ b/ratelimit/model_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -144,3 +145,50 @@
 		}
 	}
 }
+
+// TestManyAccounts prints what many accounts cost at once, a hundredfold different in size and
+// each sending six tenths of its limit through all instances, from two seconds after the start
+// of all on, when no account had any permits.
+func TestManyAccounts(t *testing.T) {
+	if !*figures {
+		t.Skip("run with -figures")
+	}
+	const smallest, largest, demand = 2.0, 200.0, 0.6
+	const settle, length = 2 * time.Second, 6 * time.Second
+	for _, c := range []struct{ instances, accounts int }{{74, 79}, {295, 1000}, {730, 10_000}} {
+		limits := make(map[string]ratelimit.Limit)
+		for i := range c.accounts {
+			// Few are large: the rates fall with the square root of the rank.
+			rate := max(smallest, largest/math.Sqrt(float64(i+1)))
+			limits[fmt.Sprint("a", i)] = ratelimit.Limit{Rate: rate, Burst: rate}
+		}
+		w := newWorld(1, ratelimit.ByHall, 6, c.instances, limits)
+		for account, limit := range limits {
+			w.demand(account, limit.Rate*demand, epoch.Add(length), w.any)
+		}
+		total := func() (asked, refused, unknown, beyond int) {
+			for account := range limits {
+				asked += w.asked[account]
+				refused += w.refused[account]
+				unknown += w.unknown[account]
+				beyond += w.beyond[account]
+			}
+			return asked, refused, unknown, beyond
+		}
+		w.run(epoch.Add(settle))
+		asked0, refused0, unknown0, beyond0 := total()
+		bytes0 := w.bytes
+		w.run(epoch.Add(length))
+		asked, refused, unknown, beyond := total()
+		asked, refused, unknown, beyond = asked-asked0, refused-refused0, unknown-unknown0, beyond-beyond0
+		worst := 0.0
+		for account, limit := range limits {
+			worst = max(worst, w.worst(account, w.bound.Window, w.bound.Of(limit)))
+		}
+		bytes := w.bytes - bytes0
+		perNode := float64(bytes) / (length - settle).Seconds() / float64(c.instances)
+		t.Logf("%d instances, %d accounts: %d requests, refused %.4f, no owner %.4f, one bucket for all %.4f; %.1f bytes a request; %.1f KB/s sent by an instance; worst window %.2f of the bound",
+			c.instances, c.accounts, asked, float64(refused)/float64(asked), float64(unknown)/float64(asked), float64(beyond)/float64(asked),
+			float64(bytes)/float64(asked), perNode/1000, worst)
+	}
+}
