Who does not answer is asked to open another connection

Cause: whether a connection between instances carries anything was judged by whether its instance is heard of, by whomever; heartbeats are passed on, answers are not. Ruled out: probing each instance directly (two messages a second for each of 730); more time for answers. Change: an owner of limits and a warden that did not answer are told so, and open another connection, at most once a second.

--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -96,12 +96,12 @@
 func (g *Gateway) probe(doubtful []fleet.Member) {
 	probed := make(map[string]bool, len(doubtful))
 	for _, m := range doubtful {
-		again := g.probed[m.Name]
-		if again {
-			g.mesh.Renew(m.PeerAddr)
-		}
 		probed[m.Name] = true
-		g.mesh.Send(m.PeerAddr, &peer.Probe{ReplyTo: g.view.Self().PeerAddr, Again: again})
+		if g.probed[m.Name] {
+			g.mesh.RenewBoth(m.PeerAddr)
+			continue
+		}
+		g.mesh.Send(m.PeerAddr, &peer.Probe{ReplyTo: g.view.Self().PeerAddr})
 	}
 	g.probed = probed
 }
--- a/gateway/permits.go
+++ b/gateway/permits.go
@@ -269,7 +269,7 @@
 	now := p.clock.Now()
 	answers, asks, silent := p.holder.Tick(now)
 	for _, owner := range silent {
-		p.mesh.Renew(p.addrs[owner])
+		p.mesh.RenewBoth(p.addrs[owner])
 	}
 	p.wake(answers)
 	p.send(now, asks)
--- a/gateway/trial.go
+++ b/gateway/trial.go
@@ -54,6 +54,7 @@
 	case <-ex.ctx.Done():
 	case <-time.After(trialPatience):
 		g.passOver(warden.Name)
+		g.mesh.RenewBoth(warden.PeerAddr)
 	}
 	return false, now.Add(defaultRetryAfter)
 }
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -203,6 +203,14 @@
 	}
 }
 
+// RenewBoth ends the connection to a peer that has not answered, and asks the peer to open
+// another one too: its answers may go over one that carries nothing, of which only this side
+// can know. That the peer is heard of says nothing of it, as others pass on what it says.
+func (m *Mesh) RenewBoth(addr string) {
+	m.Renew(addr)
+	m.Send(addr, &Probe{ReplyTo: m.self, Again: true})
+}
+
 // Close ends all connections and waits for their goroutines.
 func (m *Mesh) Close() {
 	m.mu.Lock()
