--- /dev/null
+++ b/gateway/news_test.go
@@ -0,0 +1,80 @@
+package gateway
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rainford/rainford/feed"
+	"github.com/rainford/rainford/fleet"
+	"github.com/rainford/rainford/peer"
+	"github.com/rainford/rainford/quarantine"
+)
+
+// TestNewsForOneThatMissedThem checks that an instance that knows less of held requests is told
+// at its first word, and that one that knows the same is not.
+func TestNewsForOneThatMissedThem(t *testing.T) {
+	g := newPlain(t)
+	now := g.clock.Now()
+	d := quarantine.Content{URI: "/ends/"}.Digest()
+	for i := range 3 {
+		g.holds.table.Ended(now, d, "", quarantine.Target(i), i == 2)
+	}
+	g.holds.note()
+	late := newNeighbour(t, "n0")
+	word := func(sum uint32) {
+		late.beat.Number++
+		g.Receive(late.addr, &peer.Gossip{Beats: fleet.Beats{late.beat}, Member: &late.member, NewsSum: sum})
+	}
+	word(0)
+	reply, ok := late.next(t).(*peer.Gossip)
+	require.True(t, ok)
+	require.True(t, reply.Reply)
+	var table quarantine.Table
+	table.Merge(now, reply.News)
+	require.Equal(t, quarantine.Held, table.Standing(now, d).Verdict)
+	require.Equal(t, reply.NewsSum, table.Sum())
+	word(table.Sum())
+	select {
+	case m := <-late.messages:
+		require.Fail(t, "told what it knows", "%+v", m)
+	case <-time.After(50 * time.Millisecond):
+	}
+}
+
+// TestReleaseCountsInAnyOrder checks that a release that is read before the ends that it
+// releases counts all the same, and not for an end after it.
+func TestReleaseCountsInAnyOrder(t *testing.T) {
+	d := quarantine.Content{URI: "/ends/"}.Digest()
+	day := time.Now().Add(-time.Minute)
+	held := quarantine.Kept{Digest: d}
+	for i := range 3 {
+		held.Ends = append(held.Ends, quarantine.KeptEnd{Target: quarantine.Target(i), At: day.UnixMilli(), Trial: i == 2})
+	}
+	release := quarantine.Kept{Digest: d, Released: day.Add(time.Second).UnixMilli(), Who: "ama"}
+	later := held
+	later.Ends = []quarantine.KeptEnd{{Target: 7, At: day.Add(2 * time.Second).UnixMilli()}, {Target: 8, At: day.Add(2 * time.Second).UnixMilli()}, {Target: 9, At: day.Add(2 * time.Second).UnixMilli(), Trial: true}}
+	for name, c := range map[string]struct {
+		kept []quarantine.Kept
+		want int
+	}{
+		"released first": {[]quarantine.Kept{release, held}, 0},
+		"held first":     {[]quarantine.Kept{held, release}, 0},
+		"held again":     {[]quarantine.Kept{later, release}, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newPlain(t)
+			delta := feed.Delta{Kind: KindTable, To: 5, Full: true}
+			for _, k := range c.kept {
+				raw, err := json.Marshal(k)
+				require.NoError(t, err)
+				delta.Changes = append(delta.Changes, feed.Change{Object: feed.Object{Name: k.Key(), Value: raw}})
+			}
+			require.True(t, g.take(delta, sourceStore))
+			standing, _ := g.holds.standing(g.clock.Now(), d)
+			require.Equal(t, c.want, standing.Ends)
+		})
+	}
+}
