A table can be checked without a platform

rainford table check -offline: all findings together, each with line and column. The operators' command alone; no change of the gateway.

--- a/cmd/rainford/table.go
+++ b/cmd/rainford/table.go
@@ -89,11 +89,31 @@
 	return append(findings, table.Check(next, s.Sheet)...).Err()
 }
 
+// namedIn returns a table with the regions and services that rows name, and no rows.
+func namedIn(rows []table.Row) *table.Table {
+	t := &table.Table{}
+	regions, services := make(map[string]bool), make(map[string]bool)
+	for _, row := range rows {
+		if !services[row.Service] {
+			services[row.Service] = true
+			t.Services = append(t.Services, table.Service{Name: row.Service})
+		}
+		for _, region := range []string{row.From, row.To} {
+			if !regions[region] {
+				regions[region] = true
+				t.Regions = append(t.Regions, table.Region{Name: region, Halls: []string{region}})
+			}
+		}
+	}
+	return t
+}
+
 func (a *app) tableCheck() *ffcli.Command {
 	fs := newFlags("rainford table check")
 	c := &common{}
 	c.register(fs)
-	return a.command("check", "rainford table check [-json] FILE", "check a table without changing anything; FILE may be -", fs, func(ctx context.Context, args []string) error {
+	offline := fs.Bool("offline", false, "ask no platform: take the regions and services to be those that the rows name")
+	return a.command("check", "rainford table check [-json] [-offline] FILE", "check a table without changing anything; FILE may be -", fs, func(ctx context.Context, args []string) error {
 		if len(args) != 1 {
 			return usagef("table check takes one file")
 		}
@@ -103,11 +123,15 @@
 		if s == nil {
 			return formErr
 		}
-		doc, err := document(ctx, c.client())
-		if err != nil {
-			return err
+		against := namedIn(s.Rows)
+		if !*offline {
+			doc, err := document(ctx, c.client())
+			if err != nil {
+				return err
+			}
+			against = &doc.Table
 		}
-		err = check(s, formErr, &doc.Table)
+		err := check(s, formErr, against)
 		if c.json {
 			findings, _ := err.(table.Findings)
 			if findings == nil {
