--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -8,7 +8,9 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"sync"
 	"time"
@@ -40,8 +42,33 @@
 }
 
 func newClient(s *site, p place, owner account, seed uint64) *client {
-	return &client{site: s, place: p, account: owner, rnd: rand.New(rand.NewPCG(seed, 7)), bad: make(map[string]bool),
-		http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true}}}
+	c := &client{site: s, place: p, account: owner, rnd: rand.New(rand.NewPCG(seed, 7)), bad: make(map[string]bool)}
+	c.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, DisableCompression: true, DialContext: c.dial}}
+	return c
+}
+
+// dial opens a connection and notes when.
+func (c *client) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
+	if err != nil {
+		return nil, err
+	}
+	return openedConn{Conn: conn, at: time.Now()}, nil
+}
+
+// openedConn is a connection with the time at which it was opened.
+type openedConn struct {
+	net.Conn
+	at time.Time
+}
+
+// noteConn notes on an attempt when its connection was opened.
+func (c *client) noteConn(ctx context.Context, a *attempt) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if opened, ok := info.Conn.(openedConn); ok {
+			c.site.oracle.sentOver(a, opened.at)
+		}
+	}})
 }
 
 func (c *client) run(ctx context.Context, group *sync.WaitGroup) {
@@ -148,7 +175,7 @@
 		})
 		defer timer.Stop()
 	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+uri, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(c.noteConn(ctx, a), method, "http://"+addr+uri, bytes.NewReader(body))
 	if err != nil {
 		return false, 0
 	}
--- a/internal/soak/ending.go
+++ b/internal/soak/ending.go
@@ -68,7 +68,7 @@
 	a.account, a.key, a.hot = c.account.name, c.site.keys.use(c.account.name), true
 	ctx, cancel := context.WithTimeout(context.Background(), clientTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+in.front.addr()+uri, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(c.noteConn(ctx, a), method, "http://"+in.front.addr()+uri, bytes.NewReader(body))
 	if err != nil {
 		return
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -45,7 +45,11 @@
 		r.changeKeys(f)
 	case LinkSilence:
 		s.oracle.disturbed(in.name, time.Now())
-		[]*proxy{in.front, in.peer, in.store}[f.How%3].silence()
+		silenced := []*proxy{in.front, in.peer, in.store}[f.How%3]
+		if silenced == in.front {
+			s.oracle.silenced(in.name)
+		}
+		silenced.silence()
 	case ServerSilence:
 		for _, in := range s.instances {
 			s.oracle.disturbed(in.name, time.Now())
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -31,6 +31,8 @@
 	account, key string
 	hot          bool
 
+	// connAt is when the connection was opened over which it was sent.
+	connAt         time.Time
 	leftAt, doneAt time.Time
 	result         result
 	arrivals       []arrival
@@ -84,6 +86,8 @@
 	evacuated map[string]time.Time
 	coldSends map[string][]time.Time
 	servers   map[string]*server
+	// silencedAt is when the connections of clients to an instance were last silenced.
+	silencedAt map[string]time.Time
 	// endings are the servers that ended under a request, by its path.
 	endings map[string]*endings
 }
@@ -93,7 +97,7 @@
 		keys: keys, start: time.Now(), attempts: make(map[string]*attempt), checks: make(map[string]int),
 		quietSince: make(map[string]time.Time), stopping: make(map[string]time.Time), runs: make(map[string]int),
 		versionAt: make(map[int]time.Time), seen: make(map[string]int), draining: make(map[string]time.Time),
-		evacuated: make(map[string]time.Time), coldSends: make(map[string][]time.Time), servers: make(map[string]*server), endings: make(map[string]*endings),
+		evacuated: make(map[string]time.Time), coldSends: make(map[string][]time.Time), servers: make(map[string]*server), endings: make(map[string]*endings), silencedAt: make(map[string]time.Time),
 	}
 }
 
@@ -166,6 +170,27 @@
 	return a
 }
 
+// silenced notes that the connections of clients to an instance carry nothing any more.
+func (o *oracle) silenced(name string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.silencedAt[name] = time.Now()
+}
+
+// sentOver notes when the connection of an attempt was opened.
+func (o *oracle) sentOver(a *attempt, opened time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	a.connAt = opened
+}
+
+// carries tells whether an attempt was sent over a connection that can have carried it. A
+// client that did not use one for long finds out late that it was silenced. The caller holds
+// mu.
+func (o *oracle) carries(a *attempt) bool {
+	return a.connAt.IsZero() || a.connAt.After(o.silencedAt[a.instance])
+}
+
 func (o *oracle) left(a *attempt) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -328,7 +353,7 @@
 // judgeEnd checks time-outs and planned stops. The caller holds mu.
 func (o *oracle) judgeEnd(a *attempt, r result, ran int) {
 	took := a.doneAt.Sub(a.at)
-	if a.touched && o.inTouch(a.instance, a.doneAt) && a.leftAt.IsZero() {
+	if a.touched && o.inTouch(a.instance, a.doneAt) && a.leftAt.IsZero() && o.carries(a) {
 		o.checks["TIMEOUT"]++
 		if took > routeTimeout+500*time.Millisecond {
 			o.broken("TIMEOUT", "%s %s took %.2f s at %s", a.id, a.uri, took.Seconds(), a.instance)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -274,3 +274,24 @@
 		})
 	}
 }
+
+// TestTimeoutOverSilencedConnection checks that a request that a client sent over a connection
+// that was silenced before is not held against the instance, which never got it, and that one
+// over a connection of its own is.
+func TestTimeoutOverSilencedConnection(t *testing.T) {
+	for _, c := range []struct {
+		opened time.Duration
+		broken int
+	}{{-time.Second, 0}, {time.Second, 1}} {
+		o := newOracle(newKeyring())
+		in := &instance{name: "n0"}
+		silenced := time.Now().Add(-time.Minute)
+		o.silencedAt["n0"] = silenced
+		a := o.begin(in, http.MethodGet, "/read/1", nil)
+		require.True(t, a.touched)
+		a.at = time.Now().Add(-routeTimeout - time.Second)
+		o.sentOver(a, silenced.Add(c.opened))
+		o.finish(a, result{err: context.DeadlineExceeded})
+		require.Len(t, o.violations, c.broken)
+	}
+}
