What targets say of themselves in answers is read, and told in lines and a counter

Attempts in request lines now say 'leaves' and 'rest_ms', and rainford_target_words_total counts them, with values that can't be read. Nothing decides by it yet.

Whose word counts: whole heads of answers to the request, also if the answer breaks off or the client leaves. The stand-in of a target can say more lines, and stall within an answer.

--- a/forward/answer_fuzz_test.go
+++ b/forward/answer_fuzz_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/rainford/rainford/availability"
 	"github.com/rainford/rainford/retry"
 	"github.com/rainford/rainford/upstream"
 )
@@ -30,6 +31,8 @@
 func (plainCodec) Load(string) *upstream.Report { return nil }
 func (plainCodec) Replaced(status int) bool     { return status == http.StatusMisdirectedRequest }
 
+func (plainCodec) Word(int, http.Header) availability.Word { return availability.Word{} }
+
 // FuzzAnswer has a target answer with any bytes and close, and checks that a request counts
 // as not run only if a head says so, and that an answer is taken only if it carries the
 // request's ID, and as a success only with the target's signature.
--- a/forward/arrived_test.go
+++ b/forward/arrived_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/rainford/rainford/availability"
 	"github.com/rainford/rainford/upstream"
 )
 
@@ -20,6 +21,8 @@
 func (noCodec) Load(string) *upstream.Report { return nil }
 func (noCodec) Replaced(int) bool            { return false }
 
+func (noCodec) Word(int, http.Header) availability.Word { return availability.Word{} }
+
 // pair returns a connection to a target and the target's side of it.
 func pair(t *testing.T) (*conn, net.Conn) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/forward/client.go
+++ b/forward/client.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/rainford/rainford/availability"
 	"github.com/rainford/rainford/internal/clock"
 	"github.com/rainford/rainford/retry"
 	"github.com/rainford/rainford/upstream"
@@ -44,6 +45,8 @@
 	// Replaced tells whether a status says that another incarnation or
 	// service has the address.
 	Replaced(status int) bool
+	// Word reads what the target says of itself.
+	Word(status int, header http.Header) availability.Word
 }
 
 // Client sends requests to targets. It is safe for concurrent use.
@@ -313,10 +316,22 @@
 	return nil
 }
 
+// word returns what the head of an answer to the request says of its target. It counts whatever
+// became of the rest of the answer, and whether or not the client is still there. What another
+// incarnation says does not, nor what a success says that no target has signed.
+func (c *Client) word(resp *http.Response) availability.Word {
+	unsigned := resp.StatusCode/100 == 2 && resp.Header.Get(c.headers.Signature) == ""
+	if unsigned || c.codec.Replaced(resp.StatusCode) {
+		return availability.Word{}
+	}
+	return c.codec.Word(resp.StatusCode, resp.Header)
+}
+
 // judge turns a whole answer into an attempt.
 func (c *Client) judge(resp *answer) Attempt {
 	a := Attempt{Outcome: retry.Ran}
 	a.Target.Report = c.codec.Load(resp.Header.Get(c.headers.Load))
+	a.Target.Word = c.word(resp.Response)
 	switch {
 	case c.codec.Replaced(resp.StatusCode):
 		a.Outcome, a.Target.Outcome = retry.NotRun, upstream.Replaced
@@ -331,6 +346,9 @@
 // failure turns a missing or broken answer into an attempt.
 func (c *Client) failure(ctx context.Context, r *Request, resp *answer, err error) Attempt {
 	a := Attempt{Outcome: retry.Unknown, Err: err}
+	if resp != nil {
+		a.Target.Word = c.word(resp.Response)
+	}
 	switch {
 	case ctx.Err() != nil:
 		a.Target.Outcome = upstream.Abandoned
--- /dev/null
+++ b/forward/word_test.go
@@ -0,0 +1,79 @@
+package forward_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rainford/rainford/availability"
+	"github.com/rainford/rainford/internal/standin/origin"
+	"github.com/rainford/rainford/upstream"
+)
+
+// TestWordOfAnswer checks which answers count for what a target says of itself: whole heads of
+// answers to the request, and none of another request, another incarnation, or nobody known.
+func TestWordOfAnswer(t *testing.T) {
+	leaves := availability.Word{Leaves: true}
+	rests := availability.Word{Leaves: true, Rest: 3 * time.Second}
+	for _, c := range []struct {
+		name  string
+		fault origin.Fault
+		want  availability.Word
+	}{
+		{"success", origin.None, leaves},
+		{"failure", origin.Failed, leaves},
+		{"rejection", origin.Shed, rests},
+		{"with a surplus answer", origin.Surplus, leaves},
+		{"answer before the body is in", origin.Early, leaves},
+		{"without a length", origin.Unframed, leaves},
+		{"reset within the body", origin.UnframedReset, leaves},
+		{"cut within the body", origin.Cut, leaves},
+		{"silent within the body", origin.Stalled, leaves},
+		{"in the answer to another request", origin.Foreign, availability.Word{}},
+		{"success without a signature", origin.Unsigned, availability.Word{}},
+		{"garbage", origin.Garbage, availability.Word{}},
+		{"no answer", origin.Lost, availability.Word{}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s, client := start(t, c.fault)
+			s.SetSays(func(*http.Request) string { return "Server-Leaving: 1\r\nRetry-After: 3\r\n" })
+			a := client.Do(context.Background(), request(s))
+			require.Equal(t, c.want, a.Target.Word)
+		})
+	}
+}
+
+// TestWordOfAnotherIncarnation checks that what the server says that has a target's address
+// now is not taken for the target's word.
+func TestWordOfAnotherIncarnation(t *testing.T) {
+	s, client := start(t, origin.None)
+	s.SetSays(func(*http.Request) string { return "Server-Leaving: 1\r\n" })
+	r := request(s)
+	r.Target, r.Name = "i-0", "i-0"
+	a := client.Do(context.Background(), r)
+	require.Equal(t, upstream.Replaced, a.Target.Outcome)
+	require.Zero(t, a.Target.Word)
+}
+
+// TestWordToClientThatLeft checks that the head of an answer counts although its client leaves
+// before the rest has come. A client that leaves before the head has arrived is tried again
+// with more time.
+func TestWordToClientThatLeft(t *testing.T) {
+	s, client := start(t, origin.Stalled)
+	s.SetSays(func(*http.Request) string { return "Server-Leaving: 1\r\n" })
+	for stay := 20 * time.Millisecond; stay < 10*time.Second; stay *= 2 {
+		ctx, leave := context.WithCancel(context.Background())
+		time.AfterFunc(stay, leave)
+		r := request(s)
+		r.Deadline = time.Now().Add(time.Minute)
+		a := client.Do(ctx, r)
+		require.Equal(t, upstream.Abandoned, a.Target.Outcome)
+		if a.Target.Word.Leaves {
+			return
+		}
+	}
+	t.Fatal("no head of an answer counted")
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -198,6 +198,8 @@
 		Outcome: a.Outcome.String(),
 		Reused:  a.Reused,
 		TookMs:  a.Target.Took.Milliseconds(),
+		Leaves:  a.Target.Word.Leaves,
+		RestMs:  a.Target.Word.Rest.Milliseconds(),
 	}
 	if a.Err != nil {
 		h.Error = a.Err.Error()
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/rainford/rainford/availability"
 	"github.com/rainford/rainford/catalog"
 	"github.com/rainford/rainford/feed"
 	"github.com/rainford/rainford/telemetry"
@@ -20,6 +21,7 @@
 	attempts  *telemetry.Counter
 	repeats   *telemetry.Counter
 	cold      *telemetry.Counter
+	words     *telemetry.Counter
 	permits   *telemetry.Counter
 	calls     *telemetry.Counter
 	questions *telemetry.Counter
@@ -64,6 +66,7 @@
 	counter(&m.attempts, "rainford.attempts", "Attempts at targets, by what became of them.", "service", "region", "outcome")
 	counter(&m.repeats, "rainford.repeats", "Attempts after the first one of a request.", "service")
 	counter(&m.cold, "rainford.cold.attempts", "Attempts at targets that are cold.", "service")
+	counter(&m.words, "rainford.target.words", "Answers in which a target spoke of itself, by what it said.", "service", "word")
 	counter(&m.permits, "rainford.permits", "Requests of accounts with a limit, by what became of their permit.", "result")
 	counter(&m.calls, "rainford.store.reads", "Reads of the store, by what became of them.", "kind", "result")
 	counter(&m.questions, "rainford.questions", "Questions to other instances for changes that this one lacks, by what became of them.", "kind", "result")
@@ -205,6 +208,27 @@
 	if target.Cold {
 		m.cold.Add(1, service)
 	}
+	m.word(service, r.Word)
+}
+
+// What targets say of themselves, as the metrics name it.
+const (
+	wordLeaves     = "leaves"
+	wordRests      = "rests"
+	wordUnreadable = "unreadable"
+)
+
+// word counts what a target said of itself in an answer.
+func (m *metrics) word(service string, w availability.Word) {
+	if w.Leaves {
+		m.words.Add(1, service, wordLeaves)
+	}
+	if w.Rest > 0 {
+		m.words.Add(1, service, wordRests)
+	}
+	if len(w.Unreadable) > 0 {
+		m.words.Add(1, service, wordUnreadable)
+	}
 }
 
 // read counts a read of the store.
--- a/internal/standin/origin/server.go
+++ b/internal/standin/origin/server.go
@@ -23,7 +23,8 @@
 	// Surplus runs the request and sends a second answer to it behind the
 	// first.
 	Surplus
-	// Foreign sends an answer to another request first.
+	// Foreign sends an answer to another request first. What the server says of itself is
+	// in that one alone.
 	Foreign
 	// Unframed answers without a length and ends the connection.
 	Unframed
@@ -31,6 +32,8 @@
 	UnframedReset
 	// Cut ends the connection in the middle of the answer.
 	Cut
+	// Stalled sends the head and half of the answer, and then nothing more.
+	Stalled
 	// Garbage sends bytes that are no answer.
 	Garbage
 	// Lost runs the request and ends the connection without an answer.
@@ -77,8 +80,10 @@
 	runs     []Run
 	observe  func(Arrival)
 	// ends tells which requests end the server, and ended is told of the first.
-	ends     func(*http.Request) bool
-	ended    func(Run)
+	ends  func(*http.Request) bool
+	ended func(Run)
+	// says returns more header lines of the answer to a request.
+	says     func(*http.Request) string
 	once     sync.Once
 	conns    map[net.Conn]bool
 	accepted int
@@ -114,6 +119,25 @@
 	s.ends, s.ended = ends, ended
 }
 
+// SetSays sets what returns more header lines of the answer to a request, whatever the answer
+// is. Each line ends with "\r\n".
+func (s *Server) SetSays(says func(*http.Request) string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.says = says
+}
+
+// lines returns the header lines that every answer to a request has.
+func (s *Server) lines(req *http.Request) string {
+	s.mu.Lock()
+	says := s.says
+	s.mu.Unlock()
+	if says == nil {
+		return ""
+	}
+	return says(req)
+}
+
 // SetObserver sets what is told of each request that arrives, before it is
 // answered.
 func (s *Server) SetObserver(observe func(Arrival)) {
@@ -227,18 +251,19 @@
 // one serves one request. It reports whether the connection goes on.
 func (s *Server) one(c net.Conn, req *http.Request) bool {
 	id := req.Header.Get("Request-Id")
+	lines := s.lines(req)
 	if expected := req.Header.Get("Expected-Instance"); expected != "" && expected != s.ID {
 		_, _ = io.Copy(io.Discard, req.Body)
-		return send(c, "421 Misdirected Request", "Instance-Id: "+s.ID+"\r\n", "") == nil
+		return send(c, "421 Misdirected Request", "Instance-Id: "+s.ID+"\r\n"+lines, "") == nil
 	}
 	fault := s.fault(req)
 	switch fault {
 	case Shed:
 		_, _ = io.Copy(io.Discard, req.Body)
 		s.arrived(id, req, nil, false)
-		return send(c, "503 Service Unavailable", "Not-Executed: 1\r\nRequest-Id: "+id+"\r\n", "") == nil
+		return send(c, "503 Service Unavailable", "Not-Executed: 1\r\nRequest-Id: "+id+"\r\n"+lines, "") == nil
 	case Early:
-		_ = send(c, "413 Request Entity Too Large", s.headers(id), "no")
+		_ = send(c, "413 Request Entity Too Large", s.headers(id)+lines, "no")
 		time.Sleep(50 * time.Millisecond)
 		_, err := io.Copy(io.Discard, req.Body)
 		return err == nil
@@ -247,7 +272,8 @@
 		_, _ = c.Write([]byte("@@ not http @@\r\n\r\n"))
 		return false
 	case Foreign:
-		_ = send(c, "200 OK", s.headers("other"), "other's")
+		_ = send(c, "200 OK", s.headers("other")+lines, "other's")
+		lines = ""
 	default:
 	}
 	body, err := io.ReadAll(req.Body)
@@ -261,7 +287,7 @@
 		s.end(r)
 		return false
 	}
-	return s.answer(c, fault, id)
+	return s.answer(c, fault, id, lines)
 }
 
 func (s *Server) run(r Run) {
@@ -290,20 +316,24 @@
 }
 
 // answer sends the answer to a request that was run.
-func (s *Server) answer(c net.Conn, fault Fault, id string) bool {
+func (s *Server) answer(c net.Conn, fault Fault, id, lines string) bool {
 	text := "answer of " + s.ID + " to " + id
+	headers := s.headers(id) + lines
 	switch fault {
 	case Lost:
 		return false
 	case Silent:
 		s.untilClosed(c)
 		return false
-	case Cut:
-		head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n", s.headers(id), len(text))
+	case Cut, Stalled:
+		head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%sContent-Length: %d\r\n\r\n", headers, len(text))
 		_, _ = c.Write([]byte(head + text[:len(text)/2]))
+		if fault == Stalled {
+			s.untilClosed(c)
+		}
 		return false
 	case Unframed, UnframedReset:
-		head := "HTTP/1.1 200 OK\r\n" + s.headers(id) + "Connection: close\r\n\r\n"
+		head := "HTTP/1.1 200 OK\r\n" + headers + "Connection: close\r\n\r\n"
 		_, _ = c.Write([]byte(head + text))
 		if fault == UnframedReset {
 			time.Sleep(20 * time.Millisecond)
@@ -312,16 +342,16 @@
 		return false
 	case Surplus:
 		var buf bytes.Buffer
-		_ = send(&buf, "200 OK", s.headers(id), text)
-		_ = send(&buf, "200 OK", s.headers(id), "again")
+		_ = send(&buf, "200 OK", headers, text)
+		_ = send(&buf, "200 OK", headers, "again")
 		_, err := c.Write(buf.Bytes())
 		return err == nil
 	case Unsigned:
-		return send(c, "200 OK", "Request-Id: "+id+"\r\n", text) == nil
+		return send(c, "200 OK", "Request-Id: "+id+"\r\n"+lines, text) == nil
 	case Failed:
-		return send(c, "500 Internal Server Error", s.headers(id), "failed") == nil
+		return send(c, "500 Internal Server Error", headers, "failed") == nil
 	default:
-		return send(c, "200 OK", s.headers(id), text) == nil
+		return send(c, "200 OK", headers, text) == nil
 	}
 }
 
--- a/upstream/request.go
+++ b/upstream/request.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/rainford/rainford/availability"
 )
 
 // Request is a request that needs a target.
@@ -141,6 +143,8 @@
 	Outcome Outcome
 	// Report is nil if the answer carried none.
 	Report *Report
+	// Word is what the target said of itself.
+	Word availability.Word
 	// Took is the time from the send to the whole answer.
 	Took time.Duration
 	// Sent is that of the decision.
