--- a/forward/client_test.go
+++ b/forward/client_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,13 +29,14 @@
 	return s, forward.NewClient(platform.Headers(), platform.Codec{}, nil)
 }
 
-var lastID int
+var lastID atomic.Int64
 
+// request returns a request with an ID of its own. It may be called by many at a time.
 func request(s *origin.Server) *forward.Request {
-	lastID++
+	id := fmt.Sprint(lastID.Add(1))
 	return &forward.Request{
-		Method: "POST", URI: "/a//b/%2f?q=1", Host: "h.example", Header: http.Header{"Request-Id": {fmt.Sprint(lastID)}},
-		ID: fmt.Sprint(lastID), Target: "i-1", Name: "i-1", Addr: s.Addr(), Body: []byte("body"),
+		Method: "POST", URI: "/a//b/%2f?q=1", Host: "h.example", Header: http.Header{"Request-Id": {id}},
+		ID: id, Target: "i-1", Name: "i-1", Addr: s.Addr(), Body: []byte("body"),
 		Timeout: time.Second, Deadline: time.Now().Add(time.Second),
 	}
 }
