What targets say of themselves keeps requests from them: departures and rests

Ruled out: that it was read and undone (nothing read it), and that a way to the target passed it by (each was a first choice over all that serve).

Package availability holds all that keeps requests from an incarnation, each fact with its cause, source and time: by the list, by its own word, by operators, by what requests met. Every choice asks it, and the request once more when its connection stands. A target's own word that it leaves holds as long as the incarnation; instances tell each other (pushed at once, made up by gossip). Requests none of whose targets is back within their patience are refused at once, told when the first one is.

--- a/catalog/target.go
+++ b/catalog/target.go
@@ -19,10 +19,12 @@
 	Service string
 	// Addr is IP:PORT. After the target's end another service's server may
 	// have it.
-	Addr   string
-	Hall   string
-	Slots  int
-	Leaves bool
+	Addr  string
+	Hall  string
+	Slots int
+	// Leaves says that the list says that the target leaves, and Drained that operators
+	// drain it.
+	Leaves, Drained bool
 	// ColdFor is how much longer the target stays cold, as it said itself.
 	ColdFor time.Duration
 }
--- a/forward/client.go
+++ b/forward/client.go
@@ -37,6 +37,7 @@
 	ErrUnsigned = errors.New("forward: success without a signature")
 	ErrForeign  = errors.New("forward: answers to other requests only")
 	ErrEncoded  = errors.New("forward: body is encoded")
+	ErrWithheld = errors.New("forward: the target is no longer to be sent to")
 )
 
 // Codec reads what answers say in the target's format.
@@ -84,6 +85,12 @@
 		}
 		return a
 	}
+	if r.May != nil && !r.May() {
+		c.idle.keep(r.place(), cn)
+		a := Attempt{Outcome: retry.NotRun, Err: ErrWithheld}
+		a.Target.Outcome = upstream.Abandoned
+		return a
+	}
 	// Once the exchange is over the connection may be another request's.
 	reused := cn.reused
 	a := c.exchange(ctx, cn, r)
--- a/forward/message.go
+++ b/forward/message.go
@@ -53,6 +53,10 @@
 	Timeout time.Duration
 	// Deadline is when the attempt is given up here.
 	Deadline time.Time
+	// May tells whether the request may still be sent, nil for always. It is asked last, when
+	// the connection stands: opening one takes up to maxDialTime, and the target may speak
+	// of itself to others meanwhile.
+	May func() bool
 	// Once marks a request that must not run twice, for which a connection
 	// that the target may have closed meanwhile is not good enough.
 	Once bool
--- a/forward/word_test.go
+++ b/forward/word_test.go
@@ -9,7 +9,9 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rainford/rainford/availability"
+	"github.com/rainford/rainford/forward"
 	"github.com/rainford/rainford/internal/standin/origin"
+	"github.com/rainford/rainford/retry"
 	"github.com/rainford/rainford/upstream"
 )
 
@@ -77,3 +79,25 @@
 	}
 	t.Fatal("no head of an answer counted")
 }
+
+// TestWithheldRequest checks that a request that may no longer be sent when its connection stands
+// is not, and that the connection is used by the next one.
+func TestWithheldRequest(t *testing.T) {
+	s, client := start(t, origin.None)
+	r := request(s)
+	accepted := 0
+	r.May = func() bool {
+		accepted++
+		return false
+	}
+	a := client.Do(context.Background(), r)
+	require.ErrorIs(t, a.Err, forward.ErrWithheld)
+	require.Equal(t, retry.NotRun, a.Outcome)
+	require.False(t, a.Sent)
+	require.Equal(t, 1, accepted)
+	require.Empty(t, s.Runs())
+	next := client.Do(context.Background(), request(s))
+	require.Equal(t, retry.Ran, next.Outcome)
+	require.True(t, next.Reused)
+	require.Equal(t, 1, s.Accepted())
+}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -75,12 +75,15 @@
 			p.release(decision.Target.ID, upstream.Result{Outcome: upstream.Abandoned})
 			continue
 		}
-		a := g.attempt(ex, header, decision)
+		a := g.attempt(ex, header, p, decision)
 		a.Target.Sent = decision.Sent
 		p.release(decision.Target.ID, a.Target)
 		g.metrics.attempt(ex.service, decision.Target, a.Target)
 		ex.note(decision, a)
 		g.witness(ex, decision.Target, a)
+		if a.Target.Word.Leaves {
+			g.heardLeaving(decision.Target.ID)
+		}
 		if a.Response != nil {
 			g.sizes.note(ex.route.Name, len(ex.body)+len(a.Response.Body))
 			return verdict{reason: reasonAnswered}, a.Response
@@ -94,17 +97,26 @@
 		if stop, v := g.after(ex, a); stop {
 			return v, nil
 		}
-		if a.Target.Outcome == upstream.Rejected && decision.Sent.Load < 1 {
+		if a.Target.Outcome == upstream.Rejected && decision.Sent.Load < 1 && !a.Target.Word.Says() {
 			// The target was not full and is the one that knows the object.
 			backoff = soonRetryAfter
 			continue
 		}
-		backoff = defaultRetryAfter
+		backoff = backoffAfter(a)
 		want.Avoid = append(want.Avoid, decision.Target.ID)
 	}
 	return given(unknown, "no-attempt-left", backoff), nil
 }
 
+// backoffAfter is when the caller should come back if an attempt was the last one. Where the
+// target has just said that it wants nothing, the next choice is another one, so at once.
+func backoffAfter(a forward.Attempt) time.Duration {
+	if a.Target.Outcome == upstream.Rejected && a.Target.Word.Says() {
+		return soonRetryAfter
+	}
+	return defaultRetryAfter
+}
+
 // attemptsAllowed is the number of targets that a request may be sent to.
 func (ex *exchange) attemptsAllowed() int {
 	if ex.trial {
@@ -137,7 +149,7 @@
 	return want
 }
 
-func (g *Gateway) attempt(ex *exchange, header http.Header, d upstream.Decision) forward.Attempt {
+func (g *Gateway) attempt(ex *exchange, header http.Header, p *pool, d upstream.Decision) forward.Attempt {
 	left := g.clock.Until(ex.deadline)
 	return g.targets.Do(ex.ctx, &forward.Request{
 		Method:   ex.r.Method,
@@ -153,6 +165,7 @@
 		Timeout:  left - targetMargin,
 		Deadline: ex.deadline.Add(lateMargin),
 		Once:     ex.route.Kind != catalog.Idempotent,
+		May:      func() bool { return p.may(d.Target.ID) },
 	})
 }
 
--- a/gateway/delta_test.go
+++ b/gateway/delta_test.go
@@ -61,7 +61,7 @@
 
 		registered: make(map[string]fleet.Member),
 	}
-	g.pools = newPools(g.config)
+	g.pools = newPools(g.config, g.departures.all)
 	for _, kind := range kinds {
 		g.replicas[kind] = feed.NewReplica(kind)
 	}
--- /dev/null
+++ b/gateway/departures.go
@@ -0,0 +1,145 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rainford/rainford/availability"
+	"github.com/rainford/rainford/peer"
+)
+
+const (
+	// departuresPause is the longest time for which departures are collected before all
+	// instances are told. Several instances hear of one in the same moment; each waits for
+	// a drawn time, and what it is told meanwhile it need not tell. It is a tenth of the
+	// time within which all are to know.
+	departuresPause = 100 * time.Millisecond
+	// maxDepartures bounds the departures in a message: less than 700 bytes.
+	maxDepartures = 64
+)
+
+// departures keep which targets have said themselves that they leave. It is safe for concurrent
+// use.
+type departures struct {
+	mu    sync.Mutex
+	known availability.Departures
+	// untold are those heard from targets here of which the others are not told yet.
+	untold availability.DepartureList
+}
+
+func (d *departures) expire(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.known.Expire(now)
+}
+
+// has tells whether a target has said that it leaves.
+func (d *departures) has(target string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_, ok := d.known.Has(availability.IDOf(target))
+	return ok
+}
+
+// add takes in that a target has said to this instance that it leaves. It reports whether that
+// is new, and whether it is the first of which the others have to be told.
+func (d *departures) add(now time.Time, target string) (fresh, first bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	id := availability.IDOf(target)
+	if !d.known.Add(now, id) {
+		return false, false
+	}
+	d.untold = append(d.untold, availability.Departure{ID: id})
+	return true, len(d.untold) == 1
+}
+
+// merge takes in what another instance has told, which is known to the others too, and returns
+// what is new.
+func (d *departures) merge(now time.Time, told availability.DepartureList) availability.DepartureList {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.untold = slices.DeleteFunc(d.untold, func(own availability.Departure) bool {
+		return slices.ContainsFunc(told, func(other availability.Departure) bool { return other.ID == own.ID })
+	})
+	return d.known.Merge(now, told)
+}
+
+// takeUntold returns what the others are to be told.
+func (d *departures) takeUntold() availability.DepartureList {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	untold := d.untold
+	d.untold = nil
+	return untold
+}
+
+// sum returns a number by which instances see that they do not know the same.
+func (d *departures) sum(now time.Time) uint32 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.known.Sum(now)
+}
+
+// missing returns what to tell an instance that does not know the same.
+func (d *departures) missing(now time.Time, sum uint32, salt uint64) availability.DepartureList {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.known.Sum(now) == sum {
+		return nil
+	}
+	return d.known.Some(now, maxDepartures, salt)
+}
+
+// all returns all departures that are told to others.
+func (d *departures) all(now time.Time) availability.DepartureList {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.known.Some(now, d.known.Len(), 0)
+}
+
+// heardLeaving takes in that a target has said to this instance that it leaves, and has all
+// instances know: the store may be away, or know of it late.
+func (g *Gateway) heardLeaving(target string) {
+	now := g.clock.Now()
+	fresh, first := g.departures.add(now, target)
+	if !fresh {
+		return
+	}
+	g.endsAsPlanned(target)
+	if first {
+		time.AfterFunc(rand.N(departuresPause), g.tellDepartures)
+	}
+}
+
+// tellDepartures tells all instances of the targets that said here that they leave.
+func (g *Gateway) tellDepartures() {
+	now := g.clock.Now()
+	for told := range slices.Chunk(g.departures.takeUntold(), maxDepartures) {
+		g.broadcast(now, peer.Gossip{Departures: told})
+	}
+}
+
+// hearDepartures takes in which targets have said to other instances that they leave.
+func (g *Gateway) hearDepartures(now time.Time, told availability.DepartureList) {
+	if len(told) == 0 {
+		return
+	}
+	fresh := g.departures.merge(now, told)
+	for _, target := range g.pools.hearDepartures(now, fresh, availability.SourcePeer) {
+		g.endsAsPlanned(target)
+	}
+}
+
+// endsAsPlanned takes in that a target leaves: what it breaks off is no sign that requests end
+// targets.
+func (g *Gateway) endsAsPlanned(target string) {
+	if !g.holds.known.Load() {
+		return
+	}
+	g.holds.mu.Lock()
+	defer g.holds.mu.Unlock()
+	g.holds.witness.Leaves(target)
+}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -34,10 +34,12 @@
 	pools   *pools
 	permits *permits
 	holds   *holds
-	router  atomic.Pointer[catalog.Router]
-	lookups lookupCache
-	sizes   sizes
-	metrics *metrics
+	// departures are the targets that have said themselves that they leave.
+	departures departures
+	router     atomic.Pointer[catalog.Router]
+	lookups    lookupCache
+	sizes      sizes
+	metrics    *metrics
 
 	listeners listeners
 	front     *http.Server
@@ -141,7 +143,7 @@
 	}
 	g.view = fleet.NewView(self, fleet.NumberAt(g.clock.Now()), fleet.DefaultSettings)
 	g.mesh = peer.NewMesh(self.PeerAddr, "", g, g.log)
-	g.pools = newPools(config)
+	g.pools = newPools(config, g.departures.all)
 	g.permits = newPermits(config, g.mesh, g.startedAt, g.limitOf)
 	g.holds = newHolds()
 	g.watch = newWatchState()
@@ -231,6 +233,7 @@
 			g.targets.Expire(now)
 			g.permits.forget(now)
 			g.holds.expire(now)
+			g.departures.expire(now)
 			g.expireListed(now)
 			g.forgetLost(ctx, now)
 			g.forgetKept(ctx, now)
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/rainford/rainford/availability"
 	"github.com/rainford/rainford/feed"
 	"github.com/rainford/rainford/fleet"
 	"github.com/rainford/rainford/peer"
@@ -108,7 +109,7 @@
 
 // message returns what this instance tells one of a region. The caller holds mu.
 func (g *Gateway) message(now time.Time, region string) *peer.Gossip {
-	m := &peer.Gossip{Beats: g.view.Beats(now, region), Revisions: make([]int64, 0, len(kinds)), NewsSum: g.newsSum()}
+	m := &peer.Gossip{Beats: g.view.Beats(now, region), Revisions: make([]int64, 0, len(kinds)), NewsSum: g.newsSum(), DeparturesSum: g.departures.sum(now)}
 	for _, kind := range kinds {
 		m.Revisions = append(m.Revisions, g.replicas[kind].At())
 	}
@@ -228,6 +229,7 @@
 	g.pools.hear(now, m.Busy)
 	g.relayNews(now, m)
 	g.hearNews(now, m.News)
+	g.hearDepartures(now, m.Departures)
 	if g.view.Len() != known {
 		g.shareOut(now)
 	}
@@ -242,13 +244,15 @@
 	ahead := g.compare(now, sender, m.Revisions)
 	outlived, behindItself := g.view.Outlived(m.Beats)
 	var missed quarantine.News
+	var left availability.DepartureList
 	if !m.Reply {
 		missed = g.newsFor(now, m.NewsSum)
+		left = g.departures.missing(now, m.DeparturesSum, g.rand.Uint64())
 	}
-	if (ahead || behindItself || m.Unheard || len(missed) > 0) && !m.Reply {
+	if (ahead || behindItself || m.Unheard || len(missed)+len(left) > 0) && !m.Reply {
 		reply := g.message(now, sender.Region)
 		reply.Reply = true
-		reply.News = missed
+		reply.News, reply.Departures = missed, left
 		if behindItself {
 			reply.Beats = append(reply.Beats, outlived)
 		}
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -26,9 +26,14 @@
 	if len(news) == 0 {
 		return
 	}
+	g.broadcast(now, peer.Gossip{News: news})
+}
+
+// broadcast sends news to all instances.
+func (g *Gateway) broadcast(now time.Time, message peer.Gossip) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	message := peer.Gossip{Beats: fleet.Beats{g.view.OwnBeat()}, News: news, Reply: true}
+	message.Beats, message.Reply = fleet.Beats{g.view.OwnBeat()}, true
 	if g.view.Len() <= directMembers {
 		for _, m := range g.partners(now, true) {
 			g.mesh.Send(m.PeerAddr, &message)
@@ -53,7 +58,7 @@
 // relayNews passes news on to those that the sender has left to this instance. The caller
 // holds mu.
 func (g *Gateway) relayNews(now time.Time, m *peer.Gossip) {
-	message := peer.Gossip{Beats: m.Beats, News: m.News, Reply: true}
+	message := peer.Gossip{Beats: m.Beats, News: m.News, Departures: m.Departures, Reply: true}
 	switch {
 	case m.Enter:
 		g.spreadNews(now, message)
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/rainford/rainford/availability"
 	"github.com/rainford/rainford/catalog"
 	"github.com/rainford/rainford/internal/clock"
 	"github.com/rainford/rainford/retry"
@@ -23,6 +24,8 @@
 // pools holds the targets of each service. It is safe for concurrent use.
 type pools struct {
 	config Config
+	// departed returns the targets that are known to have said themselves that they leave.
+	departed func(now time.Time) availability.DepartureList
 
 	mu       sync.RWMutex
 	pools    map[string]*pool
@@ -35,8 +38,8 @@
 	plan *table.Plan
 }
 
-func newPools(config Config) *pools {
-	return &pools{config: config, pools: make(map[string]*pool), count: 1}
+func newPools(config Config, departed func(time.Time) availability.DepartureList) *pools {
+	return &pools{config: config, departed: departed, pools: make(map[string]*pool), count: 1}
 }
 
 // get returns the pool of a service, or nil if it never had a target.
@@ -51,7 +54,7 @@
 	defer ps.mu.Unlock()
 	byService := make(map[string][]catalog.Target)
 	for _, spec := range specs {
-		spec.Leaves = spec.Leaves || ps.drained(spec)
+		spec.Drained = ps.drained(spec)
 		byService[spec.Service] = append(byService[spec.Service], spec)
 	}
 	for service := range byService {
@@ -72,7 +75,7 @@
 	defer ps.mu.Unlock()
 	byService := make(map[string][]catalog.Target)
 	for _, spec := range changed {
-		spec.Leaves = spec.Leaves || ps.drained(spec)
+		spec.Drained = ps.drained(spec)
 		byService[spec.Service] = append(byService[spec.Service], spec)
 		if ps.pools[spec.Service] == nil {
 			ps.pools[spec.Service] = ps.newPool(spec.Service)
@@ -125,6 +128,8 @@
 	if ps.plan != nil {
 		u.SetRows(ps.plan.Rows(service, ps.config.Region))
 	}
+	now := ps.config.Clock.Now()
+	u.HearDepartures(now, ps.departed(now), availability.SourcePeer)
 	p.tokens.Share(ps.config.RetrySlack, ps.count)
 	return p
 }
@@ -183,6 +188,18 @@
 	return out
 }
 
+// hearDepartures takes in that targets said that they leave, and returns the IDs of those of
+// which it was not known.
+func (ps *pools) hearDepartures(now time.Time, departures availability.DepartureList, source availability.Source) []string {
+	ps.mu.RLock()
+	defer ps.mu.RUnlock()
+	var fresh []string
+	for _, p := range ps.pools {
+		fresh = append(fresh, p.hearDepartures(now, departures, source)...)
+	}
+	return fresh
+}
+
 // hear takes in the loads of targets that another instance has told of.
 func (ps *pools) hear(now time.Time, seen upstream.Sightings) {
 	if len(seen) == 0 {
@@ -233,7 +250,7 @@
 		if !e.Until.IsZero() {
 			attrs = append(attrs, slog.Int64("for_ms", p.clock.Until(e.Until).Milliseconds()))
 		}
-		p.log.LogAttrs(context.Background(), beliefLevel(e.Kind), logTargetBelief, attrs...)
+		p.log.LogAttrs(context.Background(), p.beliefLevel(e), logTargetBelief, attrs...)
 	}
 }
 
@@ -243,14 +260,23 @@
 	level := slog.LevelInfo
 	for _, e := range events {
 		counts[e.Kind]++
-		level = max(level, beliefLevel(e.Kind))
+		level = max(level, p.beliefLevel(e))
 	}
 	p.log.LogAttrs(context.Background(), level, logTargetBeliefs, slog.Int("changes", len(events)), slog.Any("beliefs", counts))
 }
 
-func beliefLevel(kind upstream.EventKind) slog.Level {
-	if kind == upstream.Suspected || kind == upstream.Taken {
+// longRest is the rest from which on operators should look: a target that is only full asks for
+// seconds.
+const longRest = time.Minute
+
+func (p *pool) beliefLevel(e upstream.Event) slog.Level {
+	switch e.Kind {
+	case upstream.Suspected, upstream.Taken:
 		return slog.LevelWarn
+	case upstream.Resting:
+		if p.clock.Until(e.Until) > longRest {
+			return slog.LevelWarn
+		}
 	}
 	return slog.LevelInfo
 }
@@ -331,6 +357,20 @@
 	p.tell()
 }
 
+// may tells whether a request that was granted a target may still be sent there.
+func (p *pool) may(target string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.upstream.May(p.clock.Now(), target)
+}
+
+func (p *pool) hearDepartures(now time.Time, departures availability.DepartureList, source availability.Source) []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	defer p.tell()
+	return p.upstream.HearDepartures(now, departures, source)
+}
+
 func (p *pool) sightings(now time.Time) upstream.Sightings {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -193,9 +193,12 @@
 	}
 }
 
-// hasLeft tells whether a target has said that it leaves, or is no longer listed: what it
-// breaks off then is its planned end.
+// hasLeft tells whether a target has said that it leaves, in the list or by its own word, or is
+// no longer listed: what it breaks off then is its planned end.
 func (g *Gateway) hasLeft(target upstream.Choice) bool {
+	if g.departures.has(target.ID) {
+		return true
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	spec, ok := g.listed.specs[target.Name]
--- a/gateway/targets.go
+++ b/gateway/targets.go
@@ -95,7 +95,7 @@
 		if _, ok := before[c.Name]; !ok {
 			before[c.Name] = g.listed.specs[c.Name]
 		}
-		if c.Gone && !g.listed.specs[c.Name].Leaves && g.lapse.Hold(now, c.Name) {
+		if c.Gone && !g.leaves(c.Name) && g.lapse.Hold(now, c.Name) {
 			g.log.Log(ctx, level, logTargetLapsed, "target", c.Name, "for_ms", g.lapse.Remaining(now).Milliseconds(), "source", source, "revision", revision)
 			continue
 		}
@@ -126,6 +126,13 @@
 	g.awaitLapsed(now)
 }
 
+// leaves tells whether the target of a name has said that it leaves, in the list or by its own
+// word. The caller holds mu.
+func (g *Gateway) leaves(name string) bool {
+	spec, ok := g.listed.specs[name]
+	return ok && (spec.Leaves || g.departures.has(spec.ID))
+}
+
 // targetOf returns the target that an entry names. It has to be in a hall of the settings.
 func (g *Gateway) targetOf(c feed.Change) (catalog.Target, error) {
 	spec, err := g.codec.Target(c.Name, c.Value)
--- a/peer/message.go
+++ b/peer/message.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rainford/rainford/availability"
 	"github.com/rainford/rainford/claim"
 	"github.com/rainford/rainford/feed"
 	"github.com/rainford/rainford/fleet"
@@ -112,8 +113,12 @@
 	// instances that know the same of those that are held back.
 	News    quarantine.News `msgpack:"e,omitempty"`
 	NewsSum uint32          `msgpack:"s,omitempty"`
-	// Until is the last member of the region that the receiver has to pass the news on
-	// to, 0 for none, and Enter has it pass them on to its whole region.
+	// Departures are targets that have said themselves that they leave, and DeparturesSum
+	// is the same for instances that know of the same ones.
+	Departures    availability.DepartureList `msgpack:"d,omitempty"`
+	DeparturesSum uint32                     `msgpack:"c,omitempty"`
+	// Until is the last member of the region that the receiver has to pass News and
+	// Departures on to, 0 for none, and Enter has it pass them on to its whole region.
 	Until fleet.ID `msgpack:"u,omitempty"`
 	Enter bool     `msgpack:"w,omitempty"`
 }
--- a/upstream/census.go
+++ b/upstream/census.go
@@ -1,6 +1,10 @@
 package upstream
 
-import "time"
+import (
+	"time"
+
+	"github.com/rainford/rainford/availability"
+)
 
 // State is whether a target may get requests, and why not.
 type State string
@@ -13,7 +17,9 @@
 	StateCold State = "cold"
 	// StateSuspect targets get nothing for a while, or single requests.
 	StateSuspect State = "suspect"
-	// StateLeaving targets state that they leave, or are gone from the list.
+	// StateResting targets have asked to get nothing for a while.
+	StateResting State = "resting"
+	// StateLeaving targets state that they leave, are drained, or are gone from the list.
 	StateLeaving State = "leaving"
 	// StateEvacuated targets are in a hall that is to get nothing.
 	StateEvacuated State = "evacuated"
@@ -37,7 +43,7 @@
 func (p *Pool) Census(now time.Time) map[Group]Count {
 	census := make(map[Group]Count)
 	for _, t := range p.targets {
-		group := Group{Hall: t.spec.Hall, State: t.state(now)}
+		group := Group{Hall: t.spec.Hall, State: t.standing(now)}
 		n := census[group]
 		n.Targets++
 		n.InFlight += t.inFlight
@@ -46,16 +52,22 @@
 	return census
 }
 
-// state returns what keeps requests from the target, the most lasting first.
-func (t *target) state(now time.Time) State {
-	switch {
-	case t.replaced:
+// standing returns what keeps requests from the target, the most lasting first.
+func (t *target) standing(now time.Time) State {
+	switch t.state.Judge(now).Cause {
+	case availability.CauseReplaced:
 		return StateReplaced
-	case t.spec.Leaves || t.unlisted:
+	case availability.CauseGone, availability.CauseLeaving:
 		return StateLeaving
-	case t.evacuated:
+	case availability.CauseEvacuated:
 		return StateEvacuated
-	case t.suspicion > 0 || now.Before(t.pausedUntil):
+	case availability.CauseResting:
+		return StateResting
+	case availability.CauseSuspected, availability.CausePaused:
+		return StateSuspect
+	}
+	switch {
+	case t.suspicion > 0:
 		return StateSuspect
 	case t.cold(now):
 		return StateCold
--- a/upstream/event.go
+++ b/upstream/event.go
@@ -18,6 +18,10 @@
 	Chilled EventKind = "cold"
 	// Paused targets have rejected a request and get none for a moment.
 	Paused EventKind = "paused"
+	// Resting targets have asked to get nothing until a time.
+	Resting EventKind = "resting"
+	// Leaving targets have said themselves that they leave.
+	Leaving EventKind = "leaving"
 )
 
 // Event is a change in what a pool believes of a target, with what decided it.
@@ -49,6 +53,10 @@
 	switch {
 	case after.replaced && !before.replaced:
 		event.Kind = Taken
+	case after.leaves && !before.leaves:
+		event.Kind = Leaving
+	case after.restUntil.After(before.restUntil):
+		event.Kind, event.Until = Resting, after.restUntil
 	case after.suspectUntil.After(before.suspectUntil):
 		event.Kind, event.Until = Suspected, after.suspectUntil
 	case before.suspected && !after.suspected:
@@ -67,17 +75,19 @@
 
 // belief is the part of a target's state that events tell of.
 type belief struct {
-	replaced, suspected                  bool
-	suspectUntil, coldUntil, pausedUntil time.Time
+	replaced, leaves, suspected                     bool
+	restUntil, suspectUntil, coldUntil, pausedUntil time.Time
 }
 
 func (t *target) belief() belief {
 	return belief{
-		replaced:     t.replaced,
+		replaced:     t.state.Replaced(),
+		leaves:       t.state.Leaves(),
 		suspected:    t.suspicion > 0,
-		suspectUntil: t.suspectUntil,
+		restUntil:    t.state.RestsUntil(),
+		suspectUntil: t.state.SuspectedUntil(),
 		coldUntil:    t.coldUntil,
-		pausedUntil:  t.pausedUntil,
+		pausedUntil:  t.state.PausedUntil(),
 	}
 }
 
--- a/upstream/plan.go
+++ b/upstream/plan.go
@@ -130,11 +130,11 @@
 }
 
 // regionSlots returns the slots of each region whose targets are meant to serve:
-// suspicion and coldness pass, so that they do not move shares.
+// suspicions, rests and coldness pass, so that they do not move shares.
 func (p *Pool) regionSlots(r *Request) map[string]float64 {
 	slots := make(map[string]float64, p.regions)
 	for _, t := range p.targets {
-		if t.spec.Leaves || t.evacuated || t.replaced || t.unlisted || !r.allows(t.region) {
+		if !t.serves() || !r.allows(t.region) {
 			continue
 		}
 		slots[t.region] += float64(t.spec.Slots)
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rainford/rainford/affinity"
+	"github.com/rainford/rainford/availability"
 	"github.com/rainford/rainford/catalog"
 	"github.com/rainford/rainford/internal/mix"
 	"github.com/rainford/rainford/table"
@@ -35,6 +36,8 @@
 	homeShares map[string]float64
 
 	byID map[string]*target
+	// byHash holds the same targets by the hash of their IDs.
+	byHash map[availability.ID]*target
 	// byShortID holds the same targets by the form of their IDs in sightings.
 	byShortID map[uint32]*target
 	targets   []*target
@@ -45,9 +48,12 @@
 	// groups number the halls of each region.
 	groups map[string]int
 	// plans hold what was computed for each set of home regions.
-	plans  map[string]*plan
-	queue  queue
-	events []Event
+	plans map[string]*plan
+	queue queue
+	// departures are the targets that have said themselves that they leave, those too that
+	// the pool does not have: what the list says of them, later or not, does not undo that.
+	departures availability.Departures
+	events     []Event
 	// typical is the usual time of an answer from a target that is not full.
 	typical time.Duration
 	warmth  warmth
@@ -69,6 +75,7 @@
 		regions:   len(regions),
 		quotas:    &quotas{self: config.Self, version: 1},
 		byID:      make(map[string]*target),
+		byHash:    make(map[availability.ID]*target),
 		byShortID: make(map[uint32]*target),
 		byRegion:  make(map[string][]*target),
 		usages:    make(map[string]*usage),
@@ -132,13 +139,13 @@
 // the grants that this makes possible.
 func (p *Pool) SetTargets(now time.Time, specs []catalog.Target, evacuated map[string]bool) []Grant {
 	for _, t := range p.byID {
-		t.unlisted = true
+		t.state.Unlist(now)
 	}
 	for _, spec := range specs {
 		p.setTarget(now, spec, evacuated[spec.Hall])
 	}
 	for id, t := range p.byID {
-		if t.unlisted && t.inFlight == 0 {
+		if t.state.Gone() && t.inFlight == 0 {
 			delete(p.byID, id)
 		}
 	}
@@ -160,7 +167,7 @@
 			continue
 		}
 		touched = true
-		t.unlisted = true
+		t.state.Unlist(now)
 		if t.inFlight == 0 {
 			delete(p.byID, id)
 		}
@@ -177,9 +184,11 @@
 func (p *Pool) arrange() {
 	p.targets = p.targets[:0]
 	clear(p.byRegion)
+	clear(p.byHash)
 	clear(p.byShortID)
 	for _, t := range p.byID {
 		p.targets = append(p.targets, t)
+		p.byHash[availability.ID(t.hash)] = t
 		p.byShortID[shortID(t.hash)] = t
 	}
 	sort.Slice(p.targets, func(i, j int) bool { return p.targets[i].spec.ID < p.targets[j].spec.ID })
@@ -199,14 +208,19 @@
 	if spec.ColdFor > t.spec.ColdFor {
 		t.chill(now, spec.ColdFor)
 	}
-	if t.evacuated && !evacuated {
+	if t.state.Evacuated() && !evacuated {
 		// Servers may have turned cold while nothing was sent to them.
 		t.chill(now, p.warmup)
 	}
 	t.group = p.groups[spec.Hall]
 	t.spec, t.region = spec, p.config.RegionOf[spec.Hall]
 	t.peers = p.usageOf(t.region)
-	t.evacuated, t.unlisted = evacuated, false
+	t.state.List(now, spec.Leaves)
+	t.state.Drain(now, spec.Drained)
+	t.state.Evacuate(now, evacuated)
+	if at, ok := p.departures.Has(availability.ID(t.hash)); ok {
+		t.state.Leave(at, availability.SourcePeer)
+	}
 	p.note(t, before, Answered)
 }
 
@@ -239,6 +253,12 @@
 	if c.found {
 		return p.send(now, &r, c)
 	}
+	if c.reason == ReasonNoTarget {
+		refusal, refused := p.refuseAway(now, &r)
+		if refused {
+			return refusal
+		}
+	}
 	if now.Add(p.typical).After(r.Deadline) {
 		return Decision{Verdict: Refuse, Reason: ReasonLate, RetryAfter: p.retryAfter(r.ID)}
 	}
@@ -289,6 +309,10 @@
 	}
 	full := t.load(now) > float64(t.spec.Slots)
 	before := t.belief()
+	served := t.serves()
+	if r.Word.Leaves {
+		p.departures.Add(now, availability.ID(t.hash))
+	}
 	p.learn(t, r)
 	t.end(now, r)
 	p.note(t, before, r.Outcome)
@@ -296,14 +320,44 @@
 		p.observe(r.Took)
 	}
 	switch {
-	case t.unlisted && t.inFlight == 0:
+	case t.state.Gone() && t.inFlight == 0:
 		p.drop(t)
-	case r.Outcome == Replaced:
+	case served && !t.serves():
 		p.replan()
 	}
 	return p.dispatch(now)
 }
 
+// May tells whether a request that was granted a target may still be sent there. Between the
+// grant and the sending, a connection has to be opened, and the target may have spoken.
+func (p *Pool) May(now time.Time, id string) bool {
+	t := p.byID[id]
+	return t != nil && t.state.May(now)
+}
+
+// HearDepartures takes in that targets said, to this or to another instance, that they leave.
+// It returns the IDs of those that the pool has and that were not known to leave.
+func (p *Pool) HearDepartures(now time.Time, departures availability.DepartureList, source availability.Source) []string {
+	p.departures.Expire(now)
+	p.departures.Merge(now, departures)
+	var fresh []string
+	for _, d := range departures {
+		t := p.byHash[d.ID]
+		if t == nil {
+			continue
+		}
+		before := t.belief()
+		if t.state.Leave(now.Add(-d.Age), source) {
+			fresh = append(fresh, t.spec.ID)
+			p.note(t, before, Answered)
+		}
+	}
+	if len(fresh) > 0 {
+		p.replan()
+	}
+	return fresh
+}
+
 // learn takes in the time of an answer for what it says of objects and of the target.
 func (p *Pool) learn(t *target, r Result) {
 	if r.Outcome != Answered {
--- a/upstream/request.go
+++ b/upstream/request.go
@@ -79,6 +79,7 @@
 	ReasonFirst     Reason = "first-choice"
 	ReasonLoad      Reason = "by-load"
 	ReasonNoTarget  Reason = "no-target"
+	ReasonResting   Reason = "targets-rest"
 	ReasonFull      Reason = "targets-full"
 	ReasonLate      Reason = "too-late"
 	ReasonQueueFull Reason = "queue-full"
--- a/upstream/sighting.go
+++ b/upstream/sighting.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/rainford/rainford/availability"
 )
 
 const (
@@ -172,9 +174,7 @@
 		return
 	}
 	before := t.belief()
-	if until := at.Add(downPause); until.After(t.pausedUntil) {
-		t.pausedUntil = until
-	}
+	t.state.Pause(at, at.Add(downPause), availability.SourcePeer)
 	p.note(t, before, Unreachable)
 }
 
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rainford/rainford/availability"
 	"github.com/rainford/rainford/catalog"
 	"github.com/rainford/rainford/warmup"
 )
@@ -57,12 +58,9 @@
 	quota     quota
 	window    warmup.Window
 
-	evacuated bool
-	// replaced is set when another server has answered at the address.
-	replaced bool
-	// unlisted is set when the target has gone from the list and still has
-	// requests in flight.
-	unlisted bool
+	// state is what keeps requests from the target. A target that is gone and still has
+	// requests in flight is kept for these.
+	state availability.State
 
 	// answeredAt is when the target last answered here, and downAt when it last could
 	// not be reached.
@@ -70,30 +68,25 @@
 
 	failures int
 	// rejections is the number of rejections in a row.
-	rejections   int
-	suspicion    time.Duration
-	suspectUntil time.Time
+	rejections int
+	// suspicion is the length of the last suspicion, 0 since an answer.
+	suspicion time.Duration
 	// probing is set while one request tries a target after a suspicion.
-	probing     bool
-	pausedUntil time.Time
+	probing bool
 
 	known map[string]time.Time
 }
 
 func (t *target) cold(now time.Time) bool { return now.Before(t.coldUntil) }
 
-// serves tells whether the target is meant to serve. Suspicions, pauses and a cold
+// serves tells whether the target is meant to serve. Suspicions, pauses, rests and a cold
 // target's quota pass.
-func (t *target) serves() bool {
-	return !t.spec.Leaves && !t.evacuated && !t.replaced && !t.unlisted
-}
+func (t *target) serves() bool { return t.state.Serves() }
 
 // usable tells whether a request may be sent now, its load aside.
 func (t *target) usable(now time.Time) bool {
 	switch {
-	case !t.serves():
-		return false
-	case now.Before(t.suspectUntil) || now.Before(t.pausedUntil):
+	case !t.state.May(now):
 		return false
 	case t.suspicion > 0 && t.probing:
 		return false
@@ -104,6 +97,20 @@
 	}
 }
 
+// judge tells whether a request may be sent now, its load aside, and what is in the way.
+func (t *target) judge(now time.Time) availability.Verdict {
+	switch verdict := t.state.Judge(now); {
+	case !verdict.OK():
+		return verdict
+	case t.usable(now):
+		return verdict
+	case t.suspicion > 0 && t.probing:
+		return availability.Verdict{Cause: availability.CauseTrying, Source: availability.SourceOwn}
+	default:
+		return availability.Verdict{Cause: availability.CauseCold, Source: availability.SourceList, Until: t.coldUntil}
+	}
+}
+
 // load is the number of requests expected at the target. Where it has not reported of
 // late the load of its region's targets stands in: in a large fleet an instance hears
 // of each single one seldom.
@@ -168,6 +175,7 @@
 		t.report(now, *r.Report)
 		t.peers.hear(now, *r.Report)
 	}
+	t.take(now, r.Word)
 	switch r.Outcome {
 	case Answered:
 		t.failures, t.suspicion, t.rejections = 0, 0, 0
@@ -177,10 +185,10 @@
 		t.answeredAt = now
 		t.rejections++
 		if full || t.rejections >= rejectionsToPause {
-			t.pausedUntil = now.Add(rejectedPause)
+			t.state.Pause(now, now.Add(rejectedPause), availability.SourceOwn)
 		}
 	case Replaced:
-		t.replaced = true
+		t.state.Replace(now)
 	case Unreachable:
 		t.downAt = now
 		t.suspect(now)
@@ -196,11 +204,21 @@
 }
 
 func (t *target) suspect(now time.Time) {
-	if now.Before(t.suspectUntil) {
+	if now.Before(t.state.SuspectedUntil()) {
 		return
 	}
 	t.suspicion = min(max(2*t.suspicion, firstSuspicion), maxSuspicion)
-	t.suspectUntil = now.Add(t.suspicion)
+	t.state.Suspect(now, now.Add(t.suspicion))
+}
+
+// take takes in what the target said of itself in an answer to this instance.
+func (t *target) take(now time.Time, w availability.Word) {
+	if w.Leaves {
+		t.state.Leave(now, availability.SourceWord)
+	}
+	if w.Rest > 0 {
+		t.state.Rest(now, w.Rest)
+	}
 }
 
 // report takes in what the target told of its load with an answer. Requests at a slow
--- /dev/null
+++ b/upstream/word_test.go
@@ -0,0 +1,222 @@
+package upstream_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rainford/rainford/availability"
+	"github.com/rainford/rainford/catalog"
+	"github.com/rainford/rainford/upstream"
+)
+
+var (
+	leaves = availability.Word{Leaves: true}
+	rests  = availability.Word{Rest: 3 * time.Second}
+)
+
+// spoken returns the result of an attempt whose answer holds a target's word.
+func spoken(outcome upstream.Outcome, w availability.Word) upstream.Result {
+	return upstream.Result{Outcome: outcome, Word: w, Took: time.Millisecond}
+}
+
+// firstOf returns the target of a key, which is free again.
+func firstOf(p *upstream.Pool, now time.Time, key string) string {
+	d := p.Acquire(now, request(key))
+	if d.Verdict != upstream.Send {
+		return ""
+	}
+	p.Release(now, d.Target.ID, upstream.Result{Outcome: upstream.Abandoned})
+	return d.Target.ID
+}
+
+// TestWordCountsWhateverBecameOfTheRequest checks that a target's word keeps requests from it
+// however the attempt ended that brought it.
+func TestWordCountsWhateverBecameOfTheRequest(t *testing.T) {
+	for _, outcome := range []upstream.Outcome{upstream.Answered, upstream.Rejected, upstream.Broken, upstream.Abandoned} {
+		for name, word := range map[string]availability.Word{"leaves": leaves, "rests": rests} {
+			t.Run(outcome.String()+" "+name, func(t *testing.T) {
+				p := newPool()
+				p.SetTargets(start, spread(3), nil)
+				first := p.Acquire(start, request("k")).Target.ID
+				require.True(t, p.May(start, first))
+				p.Release(start, first, spoken(outcome, word))
+				require.False(t, p.May(start, first), "a request that was granted it before")
+				second := firstOf(p, start, "k")
+				require.NotEqual(t, first, second)
+				require.NotEmpty(t, second)
+			})
+		}
+	}
+}
+
+// TestKeysReturnAfterRest checks that the keys of a target that rests go to one other target
+// meanwhile, and back as soon as the rest is over.
+func TestKeysReturnAfterRest(t *testing.T) {
+	p := newPool()
+	p.SetTargets(start, spread(3), nil)
+	first := p.Acquire(start, request("k")).Target.ID
+	p.Release(start, first, spoken(upstream.Rejected, rests))
+	second := firstOf(p, start, "k")
+	for at := start; at.Before(start.Add(rests.Rest)); at = at.Add(50 * time.Millisecond) {
+		require.Equal(t, second, firstOf(p, at, "k"))
+	}
+	require.Equal(t, first, firstOf(p, start.Add(rests.Rest), "k"))
+}
+
+// TestAnswerDoesNotEndRest checks that the answer to a request that was on its way does not
+// bring the next ones to a target that rests.
+func TestAnswerDoesNotEndRest(t *testing.T) {
+	p := newPool()
+	p.SetTargets(start, spread(3), nil)
+	first := p.Acquire(start, request("k")).Target.ID
+	require.Equal(t, first, p.Acquire(start, request("k")).Target.ID)
+	p.Release(start, first, spoken(upstream.Rejected, rests))
+	p.Release(start, first, spoken(upstream.Answered, availability.Word{}))
+	require.NotEqual(t, first, firstOf(p, start.Add(time.Second), "k"))
+}
+
+// TestOwnWordAndTheList checks that a list that says that a target serves, before or after its
+// own word, does not bring it back, and that its next incarnation is used.
+func TestOwnWordAndTheList(t *testing.T) {
+	specs := spread(1)[:1]
+	departed := availability.DepartureList{{ID: availability.IDOf(specs[0].ID)}}
+	again := specs[0]
+	again.ID += "#2"
+	for name, tell := range map[string]func(p *upstream.Pool){
+		"before the list": func(p *upstream.Pool) {
+			p.HearDepartures(start, departed, availability.SourcePeer)
+			p.SetTargets(start, specs, nil)
+		},
+		"after the list": func(p *upstream.Pool) {
+			p.SetTargets(start, specs, nil)
+			require.Equal(t, []string{specs[0].ID}, p.HearDepartures(start, departed, availability.SourcePeer))
+			require.Empty(t, p.HearDepartures(start, departed, availability.SourcePeer), "known")
+		},
+		"by an answer": func(p *upstream.Pool) {
+			p.SetTargets(start, specs, nil)
+			p.Release(start, p.Acquire(start, request("k")).Target.ID, spoken(upstream.Answered, leaves))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPool()
+			tell(p)
+			require.Empty(t, firstOf(p, start, "k"))
+			p.ChangeTargets(start, specs, nil, nil)
+			require.Empty(t, firstOf(p, start, "k"), "a change that says that it serves")
+			p.SetTargets(start, nil, nil)
+			p.SetTargets(start, specs, nil)
+			require.Empty(t, firstOf(p, start, "k"), "an entry that lapsed and is back")
+			p.ChangeTargets(start, []catalog.Target{again}, []string{specs[0].ID}, nil)
+			require.Equal(t, again.ID, firstOf(p, start, "k"))
+		})
+	}
+}
+
+// TestRegionWithoutTargets checks that requests leave a region all of whose targets have said
+// that they leave, and that its slots do not count any more.
+func TestRegionWithoutTargets(t *testing.T) {
+	p := newPool()
+	specs := spread(2)
+	p.SetTargets(start, specs, nil)
+	var departed availability.DepartureList
+	for _, spec := range specs {
+		if halls[spec.Hall] == "a" {
+			departed = append(departed, availability.Departure{ID: availability.IDOf(spec.ID)})
+		}
+	}
+	p.HearDepartures(start, departed, availability.SourcePeer)
+	for _, key := range []string{"k1", "k2", "k3", "k4"} {
+		d := p.Acquire(start, request(key))
+		require.Equal(t, upstream.Send, d.Verdict)
+		require.NotEqual(t, "a", d.Target.Region)
+	}
+}
+
+// TestRefusedWhileAllRest checks that a request is refused at once while all its targets rest,
+// that its caller is told when the first one is back, and others other times; and that one
+// waits whose targets are back soon enough for it.
+func TestRefusedWhileAllRest(t *testing.T) {
+	p := newPool()
+	specs := spread(1)[:2]
+	p.SetTargets(start, specs, nil)
+	for i, spec := range specs {
+		rest := time.Duration(2+i) * time.Second
+		for p.May(start, spec.ID) {
+			d := p.Acquire(start, request("k"))
+			p.Release(start, d.Target.ID, spoken(upstream.Rejected, availability.Word{Rest: rest}))
+		}
+	}
+	told := make(map[time.Duration]bool)
+	for id := range uint64(50) {
+		r := request("k")
+		r.ID = id
+		d := p.Acquire(start, r)
+		require.Equal(t, upstream.Refuse, d.Verdict)
+		require.Equal(t, upstream.ReasonResting, d.Reason)
+		require.Greater(t, d.RetryAfter, 2*time.Second)
+		require.Less(t, d.RetryAfter, 3*time.Second)
+		told[d.RetryAfter] = true
+	}
+	require.Greater(t, len(told), 25)
+	require.Zero(t, p.Waiting())
+	almost := start.Add(2*time.Second - 50*time.Millisecond)
+	require.Equal(t, upstream.Wait, p.Acquire(almost, request("k")).Verdict)
+	grants := p.Tick(start.Add(2 * time.Second))
+	require.Len(t, grants, 1)
+	require.Equal(t, upstream.Send, grants[0].Decision.Verdict)
+}
+
+// TestRefusedWhileAllLeave checks that a request is refused at once when all its targets leave.
+func TestRefusedWhileAllLeave(t *testing.T) {
+	p := newPool()
+	specs := spread(1)[:2]
+	p.SetTargets(start, specs, nil)
+	for _, spec := range specs {
+		p.HearDepartures(start, availability.DepartureList{{ID: availability.IDOf(spec.ID)}}, availability.SourcePeer)
+	}
+	d := p.Acquire(start, request("k"))
+	require.Equal(t, upstream.Refuse, d.Verdict)
+	require.Equal(t, upstream.ReasonNoTarget, d.Reason)
+	require.NotZero(t, d.RetryAfter)
+}
+
+// TestEveryChoicePassesTheWord checks that no way to a target passes by what it said: the first
+// place of a key, the second, the least loaded target, a request sent alone, the queue.
+func TestEveryChoicePassesTheWord(t *testing.T) {
+	for name, word := range map[string]availability.Word{"leaves": leaves, "rests": rests} {
+		t.Run(name, func(t *testing.T) {
+			p := newPool()
+			specs := spread(3)[:3]
+			p.SetTargets(start, specs, nil)
+			open := specs[0].ID
+			queued := request("full")
+			queued.ID, queued.Patience = 1, time.Minute
+			for p.Acquire(start, queued).Verdict != upstream.Wait {
+			}
+			// Fill each target, and let each of the others speak with its last request.
+			for _, spec := range specs[1:] {
+				p.Release(start, spec.ID, spoken(upstream.Abandoned, word))
+			}
+			alone := request("alone")
+			alone.Alone = true
+			plain := request("plain")
+			plain.Sticky = false
+			for _, r := range []upstream.Request{request("k1"), request("k2"), alone, plain} {
+				for {
+					d := p.Acquire(start, r)
+					if d.Verdict != upstream.Send {
+						break
+					}
+					require.Equal(t, open, d.Target.ID)
+				}
+			}
+			for _, spec := range specs {
+				for _, g := range p.Release(start, spec.ID, upstream.Result{Outcome: upstream.Abandoned}) {
+					require.Equal(t, open, g.Decision.Target.ID)
+				}
+			}
+		})
+	}
+}
