A target's 503 without a word that it did not run is no promise to the caller

By 408, 421, 429 and 503 this system says that a request has not run and never will. A target's own 503 was passed on as it came, also for operations that may run once, whose client would then send them again. Such an answer is 502 now (reason false-promise); for requests that may run again it goes through as before. TestExcuseIsNoPromise, red before (503).

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -86,7 +86,7 @@
 		}
 		if a.Response != nil {
 			g.sizes.note(ex.route.Name, len(ex.body)+len(a.Response.Body))
-			return verdict{reason: reasonAnswered}, a.Response
+			return ex.deliver(a.Response)
 		}
 		if a.Sent {
 			sent++
@@ -108,6 +108,26 @@
 	return given(unknown, "no-attempt-left", backoff), nil
 }
 
+// deliver returns a target's answer to a request, or what the client is told in its place. A status
+// by which this system says that a request has not run must not be passed on for an operation
+// that may run once: the target has not said so, and the client would send it again.
+func (ex *exchange) deliver(answer *forward.Response) (verdict, *forward.Response) {
+	if ex.route.Kind != catalog.Idempotent && promisesNotRun(answer.Status) {
+		return verdict{status: http.StatusBadGateway, reason: "false-promise"}, nil
+	}
+	return verdict{reason: reasonAnswered}, answer
+}
+
+// promisesNotRun tells whether a status says to clients that the request has not run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	default:
+		return false
+	}
+}
+
 // backoffAfter is when the caller should come back if an attempt was the last one. Where the
 // target has just said that it wants nothing, the next choice is another one, so at once.
 func backoffAfter(a forward.Attempt) time.Duration {
--- a/gateway/refusal_test.go
+++ b/gateway/refusal_test.go
@@ -56,3 +56,19 @@
 	require.NoError(t, err)
 	require.LessOrEqual(t, after, 0.05)
 }
+
+// TestExcuseIsNoPromise checks that a target's 503 without its word that the request did not
+// run is passed on for requests that may run again, and that a client whose operation may run
+// once is not told by it that it did not.
+func TestExcuseIsNoPromise(t *testing.T) {
+	s := newSite(t)
+	s.configure(1, safeRoute, route{prefix: "/once/", service: "s", kind: "non_idempotent"})
+	server := s.server("i-1", "s", "a1")
+	in := s.instance("n1", "a1")
+	in.awaitStatus("/x/", 200)
+	server.SetScript(func(*http.Request) origin.Fault { return origin.Excused })
+	runs := len(server.Runs())
+	require.Equal(t, 503, in.send("GET", "/x/", "").status)
+	require.Equal(t, 502, in.send("POST", "/once/", "pay").status)
+	require.Len(t, server.Runs(), runs+2)
+}
--- a/internal/standin/origin/server.go
+++ b/internal/standin/origin/server.go
@@ -46,6 +46,9 @@
 	Unsigned
 	// Failed runs the request and answers 500.
 	Failed
+	// Excused runs the request and answers 503 all the same, without a word that it did
+	// not run.
+	Excused
 	// End runs the request and ends the server with all that it has, as a crash does.
 	End
 )
@@ -348,6 +351,8 @@
 		return err == nil
 	case Unsigned:
 		return send(c, "200 OK", "Request-Id: "+id+"\r\n"+lines, text) == nil
+	case Excused:
+		return send(c, "503 Service Unavailable", headers, "sorry") == nil
 	case Failed:
 		return send(c, "500 Internal Server Error", headers, "failed") == nil
 	default:
