--- a/balance/doc.go
+++ b/balance/doc.go
@@ -12,5 +12,6 @@
 // target that stays at its limit gets one more each growEvery. When
 // the target refuses work the limit is halved, once per cooldown however many
 // refusals arrive. A target that can't be reached is left out for a while that
-// doubles with each failure.
+// doubles with each failure. What a target says of itself keeps new work from it whatever
+// the list says: see package availability.
 package balance
--- a/balance/pool.go
+++ b/balance/pool.go
@@ -4,6 +4,8 @@
 	"math/rand/v2"
 	"sort"
 	"time"
+
+	"github.com/rainford/rainford/availability"
 )
 
 // Verdict is the kind of a decision.
@@ -128,13 +130,13 @@
 			p.targets[spec.ID] = t
 		}
 		t.spec = spec
-		t.leaving = false
+		t.state.List(now, false)
 	}
 	for id, t := range p.targets {
 		if named[id] {
 			continue
 		}
-		t.leaving = true
+		t.state.Unlist(now)
 		if t.inFlight == 0 {
 			delete(p.targets, id)
 		}
@@ -151,11 +153,11 @@
 	sort.Strings(p.order)
 }
 
-// MarkLeaving stops new work for a target that said itself that it drains,
-// until SetTargets names it again.
-func (p *Pool) MarkLeaving(id string) {
+// Hear takes in what a target said of itself. What the list says of it, later or not, does not
+// undo that, unless it names the target at another address.
+func (p *Pool) Hear(now time.Time, id string, w availability.Word) {
 	if t := p.targets[id]; t != nil {
-		t.leaving = true
+		t.hear(now, w)
 	}
 }
 
@@ -219,7 +221,7 @@
 		t.breaks(now)
 	case Abandoned:
 	}
-	if t.leaving && t.inFlight == 0 {
+	if t.state.Gone() && t.inFlight == 0 {
 		delete(p.targets, id)
 		p.sortOrder()
 	}
--- a/balance/target.go
+++ b/balance/target.go
@@ -1,6 +1,10 @@
 package balance
 
-import "time"
+import (
+	"time"
+
+	"github.com/rainford/rainford/availability"
+)
 
 // Spec is what the pool is told of a target.
 type Spec struct {
@@ -46,7 +50,11 @@
 	// latencyWeight is the weight of a new latency in the average.
 	latencyWeight = 0.2
 	firstBackoff  = 500 * time.Millisecond
-	maxBackoff    = 10 * time.Second
+	// wordLife is how long a target that said that it drains gets nothing. The list does not
+	// tell when a target has started again, so after that it is asked by one request, which
+	// it refuses if it still drains.
+	wordLife   = time.Minute
+	maxBackoff = 10 * time.Second
 	// brokenLimit is the number of exchanges in a row that break before a
 	// target is left out. Below that a part of good answers is better than
 	// none.
@@ -55,8 +63,10 @@
 
 // target is one target's state.
 type target struct {
-	spec     Spec
-	leaving  bool
+	spec Spec
+	// state is what keeps requests from the target. One that can't be reached is
+	// suspected until it is tried again.
+	state    availability.State
 	inFlight int
 	limit    int
 	// slowStart is true until the first cut.
@@ -66,9 +76,7 @@
 	// fullSince is when the target reached its limit, or the zero time.
 	fullSince time.Time
 	latency   time.Duration
-	// retryAt is when an unreachable target is tried again.
-	retryAt time.Time
-	backoff time.Duration
+	backoff   time.Duration
 	// broken counts the exchanges in a row that broke.
 	broken int
 }
@@ -83,7 +91,18 @@
 }
 
 func (t *target) usable(now time.Time) bool {
-	return !t.leaving && !now.Before(t.retryAt)
+	return t.state.May(now)
+}
+
+// hear takes in what the target said of itself.
+func (t *target) hear(now time.Time, w availability.Word) {
+	if w.Leaves {
+		t.state.Rest(now, wordLife)
+		t.beginAnew()
+	}
+	if w.Rest > 0 {
+		t.state.Rest(now, w.Rest)
+	}
 }
 
 func (t *target) free(now time.Time) int {
@@ -156,11 +175,16 @@
 // setAside leaves the target out for a while. Failures of requests that were
 // in flight together count once.
 func (t *target) setAside(now time.Time) {
-	if now.Before(t.retryAt) {
+	if now.Before(t.state.SuspectedUntil()) {
 		return
 	}
 	t.backoff = min(max(2*t.backoff, firstBackoff), maxBackoff)
-	t.retryAt = now.Add(t.backoff)
+	t.state.Suspect(now, now.Add(t.backoff))
+	t.beginAnew()
+}
+
+// beginAnew has the target begin with one request, as a new one does.
+func (t *target) beginAnew() {
 	t.limit = firstLimit
 	t.slowStart = true
 	t.successes = 0
--- a/balance/wait.go
+++ b/balance/wait.go
@@ -27,13 +27,13 @@
 	return next + time.Duration(before)*interval
 }
 
-// untilRetry returns the time until the first target that was set aside is
-// tried again.
+// untilRetry returns the time until the first target that gets nothing for a while
+// may be sent to again.
 func (p *Pool) untilRetry(now time.Time) time.Duration {
 	wait := maxRetryAfter
 	for _, t := range p.targets {
-		if !t.leaving && t.spec.Slots > 0 {
-			wait = min(wait, max(t.retryAt.Sub(now), 0)+p.serviceTime())
+		if t.state.Serves() && t.spec.Slots > 0 {
+			wait = min(wait, max(t.state.Judge(now).Until.Sub(now), 0)+p.serviceTime())
 		}
 	}
 	return wait
--- /dev/null
+++ b/balance/word_test.go
@@ -0,0 +1,77 @@
+package balance_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rainford/rainford/availability"
+	"github.com/rainford/rainford/balance"
+)
+
+// wordPool returns a pool of two targets, each with four slots, and its targets.
+func wordPool(now time.Time) (*balance.Pool, []balance.Spec) {
+	p := balance.NewPool(balance.Config{Rand: rand.New(rand.NewPCG(1, 2))})
+	specs := []balance.Spec{{ID: "t-1", Addr: "a", Slots: 4}, {ID: "t-2", Addr: "b", Slots: 4}}
+	p.SetTargets(now, specs)
+	return p, specs
+}
+
+// runOn returns the target of a request that is over at once, "" if it was not sent.
+func runOn(p *balance.Pool, now time.Time) string {
+	d := p.Acquire(now, balance.Request{Deadline: now.Add(time.Minute)})
+	if d.Verdict != balance.Run {
+		return ""
+	}
+	p.Release(now, d.Target.ID, balance.Answered, time.Millisecond)
+	return d.Target.ID
+}
+
+// TestWordOutlivesTheList checks that a target that said that it drains gets no new work,
+// although the list goes on naming it and is taken in each time that anything changes; that it
+// does as soon as the list names it at another address; and that it is asked again, by one
+// request, after a minute, since the list does not tell when it started again.
+func TestWordOutlivesTheList(t *testing.T) {
+	start := time.Unix(1000, 0)
+	p, specs := wordPool(start)
+	p.Hear(start, "t-1", availability.Word{Leaves: true})
+	now := start
+	for ; now.Before(start.Add(time.Minute)); now = now.Add(500 * time.Millisecond) {
+		require.Equal(t, "t-2", runOn(p, now))
+		p.SetTargets(now, specs)
+		require.Equal(t, "t-2", runOn(p, now))
+	}
+	var tries int
+	for range 4 {
+		d := p.Acquire(now, balance.Request{Deadline: now.Add(time.Minute)})
+		if d.Target.ID == "t-1" {
+			tries++
+		}
+	}
+	require.Equal(t, 1, tries, "requests that ask a target again that said that it drains")
+
+	p, specs = wordPool(start)
+	p.Hear(start, "t-1", availability.Word{Leaves: true})
+	specs[0].Addr = "c"
+	p.SetTargets(start, specs[:1])
+	require.Equal(t, "t-1", runOn(p, start), "another address")
+}
+
+// TestRefusalIsKept checks that a target that refused a request and asked for some time gets
+// nothing until then, and that requests are refused with that time if both have.
+func TestRefusalIsKept(t *testing.T) {
+	start := time.Unix(1000, 0)
+	p, specs := wordPool(start)
+	p.Hear(start, "t-1", availability.Word{Rest: 3 * time.Second})
+	for now := start; now.Before(start.Add(3 * time.Second)); now = now.Add(100 * time.Millisecond) {
+		require.Equal(t, "t-2", runOn(p, now))
+		p.SetTargets(now, specs)
+	}
+	p.Hear(start, "t-2", availability.Word{Rest: 5 * time.Second})
+	d := p.Acquire(start, balance.Request{Deadline: start.Add(time.Minute), Patience: time.Second})
+	require.Equal(t, balance.Refuse, d.Verdict)
+	require.GreaterOrEqual(t, d.RetryAfter, 3*time.Second)
+	require.Equal(t, "t-1", runOn(p, start.Add(3*time.Second)))
+}
--- a/entry/hall.go
+++ b/entry/hall.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/rainford/rainford/availability"
 	"github.com/rainford/rainford/balance"
 	"github.com/rainford/rainford/member"
 )
@@ -106,11 +107,11 @@
 	s.hall.deliver(pool.Release(time.Now(), s.Target.ID, result, latency))
 }
 
-// Drains stops new work for the slot's target, which said that it drains.
-func (s *Slot) Drains() {
+// Hear takes in what the slot's target said of itself.
+func (s *Slot) Hear(w availability.Word) {
 	s.hall.mu.Lock()
 	defer s.hall.mu.Unlock()
-	s.hall.pools[s.service].MarkLeaving(s.Target.ID)
+	s.hall.pools[s.service].Hear(time.Now(), s.Target.ID, w)
 }
 
 // Tick gives up queued requests whose time is over.
--- a/entry/region.go
+++ b/entry/region.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/rainford/rainford/availability"
 	"github.com/rainford/rainford/balance"
 	"github.com/rainford/rainford/protocol"
 	"github.com/rainford/rainford/retry"
@@ -219,9 +220,7 @@
 	a := e.transports.send(ex, slot.Target.Addr, ex.Path, stripOwn, e.config.Stall)
 	defer a.close()
 	outcome := retry.Judge(a.evidence)
-	if a.resp != nil && a.resp.Header.Get(protocol.HeaderDraining) == protocol.HeaderSet {
-		slot.Drains()
-	}
+	slot.Hear(a.word(outcome))
 	switch outcome {
 	case retry.Ran:
 		res := e.pass(ex, a, func(h http.Header) {
@@ -246,6 +245,19 @@
 	}
 }
 
+// word returns what a target said of itself in its answer. The time after which to come back
+// counts for the target only in a refusal: else it is for the caller.
+func (a *attempt) word(outcome retry.Outcome) availability.Word {
+	if a.resp == nil {
+		return availability.Word{}
+	}
+	word := availability.Word{Leaves: a.resp.Header.Get(protocol.HeaderDraining) == protocol.HeaderSet}
+	if outcome == retry.NotRun {
+		word.Rest = protocol.RetryAfter(a.resp.Header)
+	}
+	return word
+}
+
 // releaseBroken gives back the slot of an exchange that broke. When the
 // caller's side broke it the target is not to blame.
 func (e *Entry) releaseBroken(ex *Exchange, slot *Slot) {
--- /dev/null
+++ b/forward/contract_test.go
@@ -0,0 +1,57 @@
+package forward_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rainford/rainford/internal/standin/origin"
+	"github.com/rainford/rainford/retry"
+	"github.com/rainford/rainford/upstream"
+)
+
+// TestTurnedAway checks that a request counts as not run, whatever the status, if the target
+// says so, and that the time that it asks for counts with the statuses that speak of it.
+func TestTurnedAway(t *testing.T) {
+	for status, rests := range map[string]bool{
+		"503 Service Unavailable": true, "429 Too Many Requests": true, "400 Bad Request": false, "408 Request Timeout": false,
+	} {
+		t.Run(status, func(t *testing.T) {
+			s, c := start(t, origin.Shed)
+			s.SetShedStatus(status)
+			s.SetSays(func(*http.Request) string { return "Retry-After: 3\r\n" })
+			a := c.Do(context.Background(), request(s))
+			require.Equal(t, retry.NotRun, a.Outcome)
+			require.Equal(t, upstream.Rejected, a.Target.Outcome)
+			require.Equal(t, rests, a.Target.Word.Rest == 3*time.Second)
+			require.Empty(t, s.Runs())
+		})
+	}
+}
+
+// TestConnectionEndsAsTold checks that a connection is not used again after an answer that says
+// that it ends, and not after the time that the target keeps it, and is where neither is said in
+// a way that can be read.
+func TestConnectionEndsAsTold(t *testing.T) {
+	for _, c := range []struct {
+		name, line string
+		reused     bool
+	}{
+		{"nothing", "", true},
+		{"it ends", "Connection: close\r\n", false},
+		{"kept for long", "Keep-Alive: timeout=60\r\n", true},
+		{"kept for a second, less than the margin", "Keep-Alive: max=5, timeout=1\r\n", false},
+		{"kept for no number", "Keep-Alive: timeout=soon\r\n", true},
+		{"kept for less than nothing", "Keep-Alive: timeout=-4\r\n", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s, client := start(t, origin.None)
+			s.SetSays(func(*http.Request) string { return c.line })
+			require.Equal(t, retry.Ran, client.Do(context.Background(), request(s)).Outcome)
+			require.Equal(t, c.reused, client.Do(context.Background(), request(s)).Reused)
+		})
+	}
+}
--- a/internal/standin/origin/server.go
+++ b/internal/standin/origin/server.go
@@ -85,6 +85,8 @@
 	// ends tells which requests end the server, and ended is told of the first.
 	ends  func(*http.Request) bool
 	ended func(Run)
+	// shedStatus is the status line's end of answers to requests that are turned away.
+	shedStatus string
 	// says returns more header lines of the answer to a request.
 	says     func(*http.Request) string
 	once     sync.Once
@@ -99,7 +101,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("origin: %w", err)
 	}
-	s := &Server{ID: id, Service: service, Zone: zone, Slots: slots, listener: ln, conns: make(map[net.Conn]bool)}
+	s := &Server{ID: id, Service: service, Zone: zone, Slots: slots, listener: ln, shedStatus: "503 Service Unavailable", conns: make(map[net.Conn]bool)}
 	go s.accept()
 	return s, nil
 }
@@ -122,6 +124,20 @@
 	s.ends, s.ended = ends, ended
 }
 
+// SetShedStatus sets the status, such as "429 Too Many Requests", of answers to requests that
+// are turned away.
+func (s *Server) SetShedStatus(status string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.shedStatus = status
+}
+
+func (s *Server) statusOfShed() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.shedStatus
+}
+
 // SetSays sets what returns more header lines of the answer to a request, whatever the answer
 // is. Each line ends with "\r\n".
 func (s *Server) SetSays(says func(*http.Request) string) {
@@ -264,7 +280,7 @@
 	case Shed:
 		_, _ = io.Copy(io.Discard, req.Body)
 		s.arrived(id, req, nil, false)
-		return send(c, "503 Service Unavailable", "Not-Executed: 1\r\nRequest-Id: "+id+"\r\n"+lines, "") == nil
+		return send(c, s.statusOfShed(), "Not-Executed: 1\r\nRequest-Id: "+id+"\r\n"+lines, "") == nil
 	case Early:
 		_ = send(c, "413 Request Entity Too Large", s.headers(id)+lines, "no")
 		time.Sleep(50 * time.Millisecond)
