The keys of a target that rests have two other places meanwhile

A rest takes seconds, unlike the moments for which a target is suspected or paused: with the second place alone a key whose second target is full is refused.

--- a/upstream/choose.go
+++ b/upstream/choose.go
@@ -57,15 +57,14 @@
 	return candidate{reason: ReasonNoTarget}
 }
 
-// chooseIn picks a target in one region. The ranking is over all targets that are to
-// serve, so that a key whose first target can't be used for a moment goes to its
-// second one, which knows the object. Only if neither can be used is the ranking made
-// anew over those that can.
+// chooseIn picks a target in one region. The ranking is over all targets that hold their keys,
+// so that a key whose first target can't be used for a moment goes to its second one, which
+// knows the object. Only if neither can be used is the ranking made anew over those that can.
 func (p *Pool) chooseIn(now time.Time, r *Request, region string) candidate {
 	if r.Alone {
 		return p.chooseAlone(now, r, region)
 	}
-	c := p.cheapest(now, r, region, p.rank(r, region, (*target).serves))
+	c := p.cheapest(now, r, region, p.rank(r, region, func(t *target) bool { return t.holds(now) }))
 	if c.reason != ReasonNoTarget {
 		return c
 	}
