--- a/availability/state.go
+++ b/availability/state.go
@@ -94,16 +94,17 @@
 // State is what is known of one incarnation of a target. The zero value keeps nothing from
 // it. It is not safe for concurrent use.
 type State struct {
-	replaced, gone, evacuated mark
-	// The three ways to know that a target leaves.
-	listed, word, drained mark
-
-	rest, suspicion, pause span
-
 	// lasting says that one of the marks is set, and until is the latest end of the
-	// spans: most targets are judged by these two alone.
+	// spans: most targets are judged by these two alone, which come first to lie in one
+	// cache line with what comes before them.
 	lasting bool
 	until   time.Time
+
+	rest, suspicion, pause span
+
+	replaced, gone, evacuated mark
+	// The three ways to know that a target leaves.
+	listed, word, drained mark
 }
 
 func (s *State) review() {
--- a/gateway/missed_departures_test.go
+++ b/gateway/missed_departures_test.go
@@ -1,14 +1,21 @@
 package gateway
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/rainford/rainford/availability"
+	"github.com/rainford/rainford/catalog"
+	"github.com/rainford/rainford/feed"
 	"github.com/rainford/rainford/fleet"
+	"github.com/rainford/rainford/forward"
+	"github.com/rainford/rainford/internal/standin/origin"
 	"github.com/rainford/rainford/peer"
+	"github.com/rainford/rainford/upstream"
 )
 
 // TestDeparturesForOneThatMissedThem checks that an instance that does not know of a departure
@@ -55,3 +62,39 @@
 	require.Equal(t, availability.DepartureList{{ID: availability.IDOf("i-2")}}, d.takeUntold())
 	require.Empty(t, d.takeUntold())
 }
+
+// TestLapsedEntryOfDeparture checks that a target that has said itself that it leaves is gone with
+// its entry, also while entries that have gone are held to be back soon.
+func TestLapsedEntryOfDeparture(t *testing.T) {
+	for _, said := range []bool{true, false} {
+		g := newPlain(t)
+		g.take(feed.Delta{Kind: KindTargets, To: 1, Full: true, Changes: []feed.Change{change("i-1", false)}}, sourceStore)
+		if said {
+			g.heardLeaving("i-1")
+		}
+		g.lapse.Learned(g.clock.Now(), time.Minute)
+		g.take(feed.Delta{Kind: KindTargets, From: 1, To: 2, Changes: []feed.Change{change("i-1", true)}}, sourceStore)
+		_, listed := g.listed.specs["i-1"]
+		require.Equal(t, !said, listed)
+	}
+}
+
+// TestGrantedBeforeTheWord checks that a request that was granted a target is not sent there if the
+// target has said meanwhile that it leaves.
+func TestGrantedBeforeTheWord(t *testing.T) {
+	server, err := origin.Start("i-1", "s", "a1", 3)
+	require.NoError(t, err)
+	t.Cleanup(server.Close)
+	g := newPlain(t)
+	g.take(feed.Delta{Kind: KindTargets, To: 1, Full: true, Changes: []feed.Change{change("i-1", false)}}, sourceStore)
+	p := g.pools.get("s")
+	ex := &exchange{r: httptest.NewRequest("GET", "/", nil), ctx: t.Context(), route: &catalog.Route{}, deadline: g.clock.Now().Add(time.Minute)}
+	d := p.acquire(t.Context(), upstream.Request{Deadline: ex.deadline})
+	require.Equal(t, upstream.Send, d.Verdict)
+	d.Target.Addr = server.Addr()
+	g.pools.hearDepartures(g.clock.Now(), availability.DepartureList{{ID: availability.IDOf("i-1")}}, availability.SourcePeer)
+	a := g.attempt(ex, http.Header{}, p, d)
+	require.ErrorIs(t, a.Err, forward.ErrWithheld)
+	require.False(t, a.Sent)
+	require.Empty(t, server.Runs())
+}
--- a/upstream/choose.go
+++ b/upstream/choose.go
@@ -64,7 +64,7 @@
 	if r.Alone {
 		return p.chooseAlone(now, r, region)
 	}
-	c := p.cheapest(now, r, region, p.rank(r, region, func(t *target) bool { return t.holds(now) }))
+	c := p.cheapest(now, r, region, p.rank(r, region, p.holding(now)))
 	if c.reason != ReasonNoTarget {
 		return c
 	}
@@ -72,6 +72,15 @@
 	return p.cheapest(now, r, region, p.rank(r, region, usable))
 }
 
+// holding returns what tells whether a target holds its keys. Most of the time none rests, and
+// those that serve do.
+func (p *Pool) holding(now time.Time) func(*target) bool {
+	if !now.Before(p.restsUntil) {
+		return (*target).serves
+	}
+	return func(t *target) bool { return t.holds(now) }
+}
+
 // chooseAlone picks the target of a request that may end it: the one with the fewest requests,
 // which would be lost with it.
 func (p *Pool) chooseAlone(now time.Time, r *Request, region string) candidate {
@@ -88,7 +97,7 @@
 	ranker := affinity.NewRanker(r.Key)
 	for i, t := range p.byRegion[region] {
 		if !r.avoids(t.spec.ID) && eligible(t) {
-			ranker.Offer(i, t.group, t.hash, float64(max(t.spec.Slots, 1)))
+			ranker.Offer(i, t.group, t.hash, t.weight)
 		}
 	}
 	return ranker.Ranking(p.preferred(r, region))
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -53,6 +53,8 @@
 	// departures are the targets that have said themselves that they leave, those too that
 	// the pool does not have: what the list says of them, later or not, does not undo that.
 	departures availability.Departures
+	// restsUntil is when the last of the targets that rest is back.
+	restsUntil time.Time
 	events     []Event
 	// typical is the usual time of an answer from a target that is not full.
 	typical time.Duration
@@ -212,7 +214,7 @@
 		// Servers may have turned cold while nothing was sent to them.
 		t.chill(now, p.warmup)
 	}
-	t.group = p.groups[spec.Hall]
+	t.group, t.weight = p.groups[spec.Hall], float64(max(spec.Slots, 1))
 	t.spec, t.region = spec, p.config.RegionOf[spec.Hall]
 	t.peers = p.usageOf(t.region)
 	t.state.List(now, spec.Leaves)
@@ -315,6 +317,9 @@
 	}
 	p.learn(t, r)
 	t.end(now, r)
+	if until := t.state.RestsUntil(); until.After(p.restsUntil) {
+		p.restsUntil = until
+	}
 	p.note(t, before, r.Outcome)
 	if r.Outcome == Answered && !full {
 		p.observe(r.Took)
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -36,12 +36,21 @@
 
 // target is what the pool knows of one target.
 type target struct {
-	spec   catalog.Target
-	region string
+	// What a ranking looks at comes first, to lie in one cache line: each request ranks all
+	// targets of a region.
+
 	// hash is that of the target's ID.
 	hash uint64
 	// group is the number of the target's hall in its region.
 	group int
+	// weight is the number of slots, 1 at least.
+	weight float64
+	// state is what keeps requests from the target. A target that is gone and still has
+	// requests in flight is kept for these.
+	state availability.State
+
+	spec   catalog.Target
+	region string
 
 	inFlight int
 	// others is the number of requests of other instances at the target.
@@ -58,10 +67,6 @@
 	quota     quota
 	window    warmup.Window
 
-	// state is what keeps requests from the target. A target that is gone and still has
-	// requests in flight is kept for these.
-	state availability.State
-
 	// answeredAt is when the target last answered here, and downAt when it last could
 	// not be reached.
 	answeredAt, downAt time.Time
