Soak: servers that leave by their word alone, that ask for rest, and that say wrong words

Beside a store that is silent or not; one server, those of a hall or all of a service rest. Judged: DRAIN (who passed on the word sends nothing 2.5 s later, in touch or not), NEWS (others in touch know within a second), BUDGET (two at most in a rest).

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -26,6 +26,7 @@
 		in.signal(syscall.SIGKILL, true)
 	case InstancePause:
 		s.oracle.disturbed(in.name, end)
+		s.oracle.frozen(in.name, end)
 		in.signal(syscall.SIGSTOP, false)
 		r.later(f.For, func() { in.signal(syscall.SIGCONT, false) })
 	case InstanceReload:
@@ -186,6 +187,12 @@
 		r.drain(srv, f)
 	case ServerReuse:
 		r.reuse(srv, f)
+	case ServerLeaves:
+		r.sayLeaving(srv, f)
+	case ServerRests:
+		r.askForRest(srv, f)
+	case ServerSays:
+		r.sayWrongly(srv, f)
 	case NewServer:
 		_, _ = s.addServer(srv.Service, srv.place, true)
 	}
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -90,6 +90,9 @@
 	silencedAt map[string]time.Time
 	// endings are the servers that ended under a request, by its path.
 	endings map[string]*endings
+	words   words
+	// frozenAt is until when an instance last stood still.
+	frozenAt map[string]time.Time
 }
 
 func newOracle(keys *keyring) *oracle {
@@ -98,6 +101,7 @@
 		quietSince: make(map[string]time.Time), stopping: make(map[string]time.Time), runs: make(map[string]int),
 		versionAt: make(map[int]time.Time), seen: make(map[string]int), draining: make(map[string]time.Time),
 		evacuated: make(map[string]time.Time), coldSends: make(map[string][]time.Time), servers: make(map[string]*server), endings: make(map[string]*endings), silencedAt: make(map[string]time.Time),
+		words: newWords(), frozenAt: make(map[string]time.Time),
 	}
 }
 
@@ -115,6 +119,15 @@
 	}
 }
 
+// frozen notes that an instance stands still until a time.
+func (o *oracle) frozen(name string, until time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if until.After(o.frozenAt[name]) {
+		o.frozenAt[name] = until
+	}
+}
+
 // killed notes that an instance is killed. If it was stopping as planned, it no
 // longer is.
 func (o *oracle) killed(name string, until time.Time) {
@@ -145,6 +158,7 @@
 func (o *oracle) watchServer(s *server) {
 	o.mu.Lock()
 	o.servers[s.ID] = s
+	o.words.forget(s.ID)
 	o.mu.Unlock()
 	s.SetObserver(o.arrived)
 }
@@ -216,6 +230,7 @@
 	o.judgeTimes(a, v)
 	o.judgeCold(v)
 	o.judgeEnding(a, v)
+	o.judgeWords(a, v)
 }
 
 // judgePlace checks service, home region and at most once. The caller holds mu.
@@ -306,6 +321,7 @@
 		}
 	}
 	o.judgeAnswer(a, r, ran)
+	o.hearWord(a, r)
 	o.judgeConfig(a, r)
 	o.judgeEnd(a, r, ran)
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -41,6 +41,9 @@
 	EndingRequests FaultKind = "ending-requests"
 	ForeignEntry   FaultKind = "foreign-entry"
 	SameID         FaultKind = "server-starts-under-its-id"
+	ServerLeaves   FaultKind = "server-leaves-by-word"
+	ServerRests    FaultKind = "server-asks-for-rest"
+	ServerSays     FaultKind = "server-says-wrong-words"
 )
 
 // laterKinds came after seeds were kept. They are drawn by themselves, so that the other
@@ -50,6 +53,9 @@
 // entryKinds came later still, and are drawn by themselves too.
 var entryKinds = []FaultKind{ForeignEntry, SameID}
 
+// wordKinds came last, and are drawn by themselves too.
+var wordKinds = []FaultKind{ServerLeaves, ServerRests, ServerRests, ServerSays}
+
 // kindsOfFaults are all kinds, with how often they come.
 var kindsOfFaults = []struct {
 	kind   FaultKind
@@ -116,6 +122,11 @@
 		out = append(out, Fault{At: at, For: time.Duration(300+entries.IntN(2000)) * time.Millisecond, Kind: entryKinds[entries.IntN(len(entryKinds))],
 			Which: entries.IntN(1 << 16), How: entries.IntN(1 << 16)})
 	}
+	words := rand.New(rand.NewPCG(seed, 8))
+	for at := 1100 * time.Millisecond; at < last; at += 2*gap + time.Duration(words.Int64N(int64(3*gap))) {
+		out = append(out, Fault{At: at, For: time.Duration(1000+words.IntN(4000)) * time.Millisecond, Kind: wordKinds[words.IntN(len(wordKinds))],
+			Which: words.IntN(1 << 16), How: words.IntN(1 << 16)})
+	}
 	sort.SliceStable(out, func(i, j int) bool { return out[i].At < out[j].At })
 	return out
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -88,7 +88,7 @@
 			require.Less(t, f.At, time.Minute)
 		}
 	}
-	require.Len(t, kinds, len(kindsOfFaults)+len(laterKinds)+len(entryKinds)+1, "every kind comes")
+	require.Len(t, kinds, len(kindsOfFaults)+len(laterKinds)+len(entryKinds)+3+1, "every kind comes")
 }
 
 // TestProxyModes checks that bytes pass unchanged in each mode that lets them, and
@@ -144,6 +144,9 @@
 		}
 		o.arrived(v)
 	}
+	leaving := func(id string) result {
+		return result{status: 200, header: http.Header{"Server-Signature": {"sig.i-1"}, "Server-Leaving": {"1"}}, body: "answer of i-1 to " + id}
+	}
 	refused := result{status: 503, header: http.Header{}}
 	cases := map[string]func(o *oracle){
 		"": func(o *oracle) {
@@ -226,6 +229,30 @@
 			}
 			o.budget()
 		},
+		"DRAIN by word": func(o *oracle) {
+			a := o.begin(in, "GET", "/read/1", nil)
+			arrive(o, a, nil)
+			o.finish(a, leaving(a.id))
+			o.quietSince["n1"] = time.Now().Add(time.Minute)
+			next := o.begin(in, "GET", "/read/1", nil)
+			next.at = a.doneAt.Add(drainTimeout + time.Millisecond)
+			arrive(o, next, nil)
+		},
+		"NEWS": func(o *oracle) {
+			a := o.begin(in, "GET", "/read/1", nil)
+			arrive(o, a, nil)
+			o.finish(a, leaving(a.id))
+			next := o.begin(&instance{name: "n2"}, "GET", "/read/1", nil)
+			next.at = a.doneAt.Add(newsTime + time.Millisecond)
+			arrive(o, next, nil)
+		},
+		"BUDGET by rest": func(o *oracle) {
+			asked := time.Now()
+			arrive(o, o.begin(in, "GET", "/read/1", nil), func(v *origin.Arrival) { v.Ran, v.Asks = false, time.Minute })
+			for i := range mostInRest + 1 {
+				arrive(o, o.begin(in, "GET", "/read/1", nil), func(v *origin.Arrival) { v.At = asked.Add(restGrace + time.Duration(i+1)*time.Second) })
+			}
+		},
 		"KEY": func(o *oracle) {
 			a := o.begin(in, "GET", "/read/1", nil)
 			arrive(o, a, func(v *origin.Arrival) { v.Header = http.Header{"Credential": {"k"}} })
@@ -275,6 +302,40 @@
 	}
 }
 
+// TestWordsAreExcused checks what the oracle does not hold against an instance: requests sent soon
+// after a word, and those of one that was restarted, stood still, or was cut off since.
+func TestWordsAreExcused(t *testing.T) {
+	in := &instance{name: "n1"}
+	server := &origin.Server{ID: "i-1", Service: "read", Zone: "a1"}
+	for name, excuse := range map[string]func(o *oracle, asked time.Time, late *attempt){
+		"soon":      func(_ *oracle, _ time.Time, late *attempt) { late.at = time.Now() },
+		"restarted": func(o *oracle, _ time.Time, late *attempt) { o.runs["n1"], late.run = 1, 1 },
+		"frozen": func(o *oracle, asked time.Time, _ *attempt) {
+			o.frozenAt["n1"] = asked.Add(time.Second)
+			o.quietSince["n1"] = asked.Add(time.Second)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := newOracle(newKeyring())
+			a := o.begin(in, "GET", "/read/1", nil)
+			asked := time.Now()
+			o.arrived(origin.Arrival{Server: server, At: asked, Run: origin.Run{ID: a.id}, Asks: time.Minute})
+			o.finish(a, result{status: 200, header: http.Header{"Server-Signature": {"sig.i-1"}, leavingHeader: {"1"}}, body: " to " + a.id})
+			for range mostInRest + 1 {
+				late := o.begin(in, "GET", "/read/1", nil)
+				late.at = asked.Add(2 * drainTimeout)
+				excuse(o, asked, late)
+				at := asked.Add(2 * drainTimeout)
+				if name == "soon" {
+					at = asked.Add(restGrace)
+				}
+				o.arrived(origin.Arrival{Server: server, At: at, Ran: true, Run: origin.Run{ID: late.id, Method: "GET", URI: "/read/1"}})
+			}
+			require.Empty(t, o.violations)
+		})
+	}
+}
+
 // TestTimeoutOverSilencedConnection checks that a request that a client sent over a connection
 // that was silenced before is not held against the instance, which never got it, and that one
 // over a connection of its own is.
--- /dev/null
+++ b/internal/soak/words.go
@@ -0,0 +1,221 @@
+package soak
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/rainford/rainford/internal/standin/objects"
+	"github.com/rainford/rainford/internal/standin/origin"
+)
+
+const (
+	// newsTime is within how long all instances in touch are to know what a server has told
+	// one of them.
+	newsTime = time.Second
+	// restGrace is for requests that are on their way when a server asks for rest, and
+	// mostInRest the number of those that may come later.
+	restGrace  = 500 * time.Millisecond
+	mostInRest = 2
+)
+
+// leavingHeader is by which a server says that it leaves.
+const leavingHeader = "Server-Leaving"
+
+// rests are what servers that turn requests away ask for.
+var rests = []time.Duration{time.Second, 2 * time.Second, 1500 * time.Millisecond, 3 * time.Second}
+
+// wrongWords are header lines that say nothing that a server may say.
+var wrongWords = []string{
+	"Server-Leaving: soon\r\n",
+	"Server-Leaving: \r\n",
+	"Server-Leaving: 0\r\n",
+	"Retry-After: 60\r\n",
+	"Retry-After: -3\r\nServer-Leaving: true\r\n",
+	"Retry-After: Fri, 31 Dec 2999 23:59:59 GMT\r\n",
+}
+
+// words are what servers have said of themselves to instances.
+type words struct {
+	// passedOn is when an instance passed on the first answer of a server that says that it
+	// leaves, by server and instance, with the run of the instance.
+	passedOn map[string]map[string]said
+	// rests are those that servers have asked instances for, by server and instance.
+	rests map[string]map[string][]*askedRest
+}
+
+// said is a word to one run of an instance.
+type said struct {
+	at  time.Time
+	run int
+	// touched says that the instance was in touch at the time.
+	touched bool
+}
+
+// askedRest is a rest that was asked of an instance, with the requests that came all the same.
+type askedRest struct {
+	said
+	until    time.Time
+	arrivals int
+}
+
+func newWords() words {
+	return words{passedOn: make(map[string]map[string]said), rests: make(map[string]map[string][]*askedRest)}
+}
+
+// forget forgets what a server has said: another one has its ID.
+func (w *words) forget(server string) {
+	delete(w.passedOn, server)
+	delete(w.rests, server)
+}
+
+// sayLeaving has a server leave by its own word alone, its entry saying that it serves, beside a
+// store that is silent or not. It serves on, and ends.
+func (r *runner) sayLeaving(srv *server, f Fault) {
+	s := r.site
+	if !s.markGone(srv) {
+		return
+	}
+	_, _ = s.addServer(srv.Service, srv.place, true)
+	srv.SetSays(func(*http.Request) string { return leavingHeader + ": 1\r\n" })
+	if f.How%2 == 0 {
+		r.storeFault(Fault{Kind: StoreDown, How: 1, For: f.For}, time.Now().Add(f.For))
+	}
+	if f.How%3 == 0 {
+		// Its entry changes, and says again that it serves.
+		r.later(f.For/2, func() { s.record(srv, objects.Ready) })
+	}
+	r.later(drainTimeout+2*time.Second, func() {
+		s.store.Remove(objects.KindServers, srv.ID)
+		srv.Close()
+	})
+}
+
+// askForRest has one server, those of a hall, or all of a service turn away everything for a
+// while, and ask for rest.
+func (r *runner) askForRest(srv *server, f Fault) {
+	asks := rests[f.How%len(rests)]
+	until := time.Now().Add(f.For)
+	for _, other := range r.site.there() {
+		sameHall := other.Zone == srv.Zone
+		sameService := other.Service == srv.Service
+		switch f.How / len(rests) % 3 {
+		case 0:
+			if other != srv {
+				continue
+			}
+		case 1:
+			if !sameHall || !sameService {
+				continue
+			}
+		default:
+			if !sameService {
+				continue
+			}
+		}
+		other.SetRest(until, asks)
+	}
+}
+
+// sayWrongly has a server say things of itself that it may not, or that mean nothing.
+func (r *runner) sayWrongly(srv *server, f Fault) {
+	if !r.site.isThere(srv) {
+		return
+	}
+	lines := wrongWords[f.How%len(wrongWords)]
+	srv.SetSays(func(*http.Request) string { return lines })
+	r.later(f.For, func() {
+		if r.site.isThere(srv) {
+			srv.SetSays(nil)
+		}
+	})
+}
+
+// there returns the servers that are there.
+func (s *site) there() []*server {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []*server
+	for _, srv := range s.servers {
+		if !srv.gone {
+			out = append(out, srv)
+		}
+	}
+	return out
+}
+
+func (s *site) isThere(srv *server) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !srv.gone
+}
+
+// hearWord notes that an instance has passed on an answer in which its server says that it
+// leaves. The caller holds mu.
+func (o *oracle) hearWord(a *attempt, r result) {
+	server, signed := strings.CutPrefix(r.header.Get("Server-Signature"), "sig.")
+	if r.err != nil || !signed || r.header.Get(leavingHeader) != "1" || a.run != o.runs[a.instance] {
+		return
+	}
+	by := o.words.passedOn[server]
+	if by == nil {
+		by = make(map[string]said)
+		o.words.passedOn[server] = by
+	}
+	first, known := by[a.instance]
+	if !known || first.run != a.run {
+		by[a.instance] = said{at: a.doneAt, run: a.run, touched: o.inTouch(a.instance, a.doneAt)}
+	}
+}
+
+// judgeWords checks an arrival by what its server has said of itself. The caller holds mu.
+func (o *oracle) judgeWords(a *attempt, v origin.Arrival) {
+	o.judgeDeparture(a, v)
+	o.judgeRests(a, v)
+	if v.Asks == 0 {
+		return
+	}
+	by := o.words.rests[v.Server.ID]
+	if by == nil {
+		by = make(map[string][]*askedRest)
+		o.words.rests[v.Server.ID] = by
+	}
+	by[a.instance] = append(by[a.instance], &askedRest{said: said{at: v.At, run: a.run}, until: v.At.Add(v.Asks)})
+}
+
+// judgeDeparture checks that a server that has said that it leaves gets nothing from who has
+// passed that on, in touch or not, and nothing from others in touch once they can know it.
+func (o *oracle) judgeDeparture(a *attempt, v origin.Arrival) {
+	for instance, word := range o.words.passedOn[v.Server.ID] {
+		own := instance == a.instance && word.run == a.run && !o.frozenAt[instance].After(word.at)
+		both := word.touched && o.quietSince[instance].Before(word.at) && o.inTouch(a.instance, v.At)
+		switch {
+		case own:
+			o.checks["WORD"]++
+			if a.at.Sub(word.at) > drainTimeout {
+				o.broken("DRAIN", "%s from %s reached %s, sent %.2f s after %s had passed on that it leaves", a.id, a.instance, v.Server.ID, a.at.Sub(word.at).Seconds(), instance)
+			}
+		case instance != a.instance && both:
+			o.checks["NEWS"]++
+			if a.at.Sub(word.at) > newsTime {
+				o.broken("NEWS", "%s from %s reached %s, sent %.2f s after %s had passed on that it leaves", a.id, a.instance, v.Server.ID, a.at.Sub(word.at).Seconds(), instance)
+			}
+		}
+	}
+}
+
+// judgeRests checks that a server that has asked an instance for rest gets it.
+func (o *oracle) judgeRests(a *attempt, v origin.Arrival) {
+	for _, rest := range o.words.rests[v.Server.ID][a.instance] {
+		since := v.At.Sub(rest.at)
+		if since <= restGrace || !v.At.Before(rest.until) || rest.run != a.run || !o.quietSince[a.instance].Before(rest.at) {
+			continue
+		}
+		o.checks["REST"]++
+		rest.arrivals++
+		if rest.arrivals == mostInRest+1 {
+			o.broken("BUDGET", "%s got %d requests from %s within a rest of %.1f s, %s %.2f s after it asked for it", v.Server.ID, rest.arrivals, a.instance,
+				rest.until.Sub(rest.at).Seconds(), a.id, since.Seconds())
+		}
+	}
+}
--- a/internal/standin/origin/server.go
+++ b/internal/standin/origin/server.go
@@ -32,8 +32,6 @@
 	UnframedReset
 	// Cut ends the connection in the middle of the answer.
 	Cut
-	// Stalled sends the head and half of the answer, and then nothing more.
-	Stalled
 	// Garbage sends bytes that are no answer.
 	Garbage
 	// Lost runs the request and ends the connection without an answer.
@@ -46,11 +44,13 @@
 	Unsigned
 	// Failed runs the request and answers 500.
 	Failed
+	// End runs the request and ends the server with all that it has, as a crash does.
+	End
+	// Stalled sends the head and half of the answer, and then nothing more.
+	Stalled
 	// Excused runs the request and answers 503 all the same, without a word that it did
 	// not run.
 	Excused
-	// End runs the request and ends the server with all that it has, as a crash does.
-	End
 )
 
 // Run is a request that was run.
@@ -65,8 +65,10 @@
 	At     time.Time
 	Run
 	Header http.Header
-	// Ran is false if the server turned the request away.
-	Ran bool
+	// Ran is false if the server turned the request away, and Asks the rest that it then
+	// asked for, 0 for none.
+	Ran  bool
+	Asks time.Duration
 }
 
 // Server is one incarnation. It is safe for concurrent use.
@@ -87,6 +89,9 @@
 	ended func(Run)
 	// shedStatus is the status line's end of answers to requests that are turned away.
 	shedStatus string
+	// restUntil is until when everything is turned away, and asks the rest asked for.
+	restUntil time.Time
+	asks      time.Duration
 	// says returns more header lines of the answer to a request.
 	says     func(*http.Request) string
 	once     sync.Once
@@ -138,6 +143,24 @@
 	return s.shedStatus
 }
 
+// SetRest has the server turn away everything until a time, and ask for a rest of some length
+// each time.
+func (s *Server) SetRest(until time.Time, asks time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.restUntil, s.asks = until, asks
+}
+
+// rest returns the rest that the server asks for now, 0 for none.
+func (s *Server) rest() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !time.Now().Before(s.restUntil) {
+		return 0
+	}
+	return s.asks
+}
+
 // SetSays sets what returns more header lines of the answer to a request, whatever the answer
 // is. Each line ends with "\r\n".
 func (s *Server) SetSays(says func(*http.Request) string) {
@@ -172,13 +195,16 @@
 	s.Work = work
 }
 
-func (s *Server) arrived(id string, req *http.Request, body []byte, ran bool) {
+func (s *Server) arrived(req *http.Request, a Arrival) {
 	s.mu.Lock()
 	observe := s.observe
 	s.mu.Unlock()
-	if observe != nil {
-		observe(Arrival{Server: s, At: time.Now(), Run: Run{ID: id, Method: req.Method, URI: req.RequestURI, Body: body}, Header: req.Header, Ran: ran})
+	if observe == nil {
+		return
 	}
+	a.Server, a.At, a.Header = s, time.Now(), req.Header
+	a.ID, a.Method, a.URI = req.Header.Get("Request-Id"), req.Method, req.RequestURI
+	observe(a)
 }
 
 // Runs returns the requests run so far.
@@ -275,11 +301,15 @@
 		_, _ = io.Copy(io.Discard, req.Body)
 		return send(c, "421 Misdirected Request", "Instance-Id: "+s.ID+"\r\n"+lines, "") == nil
 	}
-	fault := s.fault(req)
+	fault, asks := s.fault(req), s.rest()
+	if asks > 0 {
+		fault = Shed
+		lines += fmt.Sprintf("Retry-After: %g\r\n", asks.Seconds())
+	}
 	switch fault {
 	case Shed:
 		_, _ = io.Copy(io.Discard, req.Body)
-		s.arrived(id, req, nil, false)
+		s.arrived(req, Arrival{Asks: asks})
 		return send(c, s.statusOfShed(), "Not-Executed: 1\r\nRequest-Id: "+id+"\r\n"+lines, "") == nil
 	case Early:
 		_ = send(c, "413 Request Entity Too Large", s.headers(id)+lines, "no")
@@ -299,7 +329,7 @@
 	if err != nil {
 		return false
 	}
-	s.arrived(id, req, body, true)
+	s.arrived(req, Arrival{Run: Run{Body: body}, Ran: true})
 	r := Run{ID: id, Method: req.Method, URI: req.RequestURI, Body: body}
 	s.run(r)
 	if fault == End {
