--- a/gateway/ending_test.go
+++ b/gateway/ending_test.go
@@ -30,6 +30,8 @@
 	site *site
 	// ends tells whether a request ends a target that runs it.
 	ends func(*http.Request) bool
+	// after is how long after its end a target starts again.
+	after time.Duration
 
 	mu    sync.Mutex
 	next  int
@@ -38,7 +40,7 @@
 }
 
 func newReviving(s *site, count int, ends func(*http.Request) bool) *reviving {
-	v := &reviving{site: s, ends: ends, live: make(map[*origin.Server]bool)}
+	v := &reviving{site: s, ends: ends, after: revivedAfter, live: make(map[*origin.Server]bool)}
 	for i := range count {
 		v.start([]string{"a1", "a2", "b1"}[i%3])
 	}
@@ -79,7 +81,7 @@
 	}
 	delete(v.live, server)
 	v.ended++
-	time.AfterFunc(revivedAfter, func() {
+	time.AfterFunc(v.after, func() {
 		v.site.store.Remove(objects.KindServers, server.ID)
 		v.start(server.Zone)
 	})
