An account under whose different requests targets end has its unknown requests tried one at a time

Cause: ends of targets were counted by the content of a request alone, so that ten requests a second that are all different ended one or two targets each, for as long as they came. Now the facts that are there already are looked through by account; who explains the ended targets, at several moments, is flagged, told to all like a request; its requests that were not answered before are trials, with pauses after failed ones, and three answered ones free it.

A look at a full table takes 1.6 ms (BenchmarkFlag), at most each 250 ms and only when a target has ended.

Also: who is given up after its targets have asked for rest is told when one is back, and explain leads from a refused request to the rest, the word or the account that caused it.

--- a/cmd/rainford/explain.go
+++ b/cmd/rainford/explain.go
@@ -47,9 +47,13 @@
 	NewsAgeMs   int64        `json:"news_age_ms"`
 	Attempts    []logAttempt `json:"attempts"`
 	Target      string       `json:"target"`
-	// Content is the same for requests that are alike; Contents are those of several.
+	// Content is the same for requests that are alike; Contents are those of several, and
+	// HeldAs stands for the account for which a request was held back.
 	Content  string   `json:"content"`
 	Contents []string `json:"contents"`
+	HeldAs   string   `json:"held_as"`
+	// Belief is what an instance came to believe of a target.
+	Belief string `json:"belief"`
 
 	// What follows is on lines of accounts with a limit. PermitMs is how long the
 	// request waited for a permit; the others are on those that got none.
@@ -73,6 +77,9 @@
 	TookMs  int64   `json:"took_ms"`
 	// Reused says that the connection was open before the request came.
 	Reused bool `json:"reused"`
+	// Leaves and RestMs are what the target said of itself.
+	Leaves bool  `json:"leaves"`
+	RestMs int64 `json:"rest_ms"`
 }
 
 // story is what is known of one request.
@@ -250,7 +257,7 @@
 		if l.Instance != r.Instance || l.Time.After(r.Time) || r.Time.Sub(l.Time) > explainWindow {
 			continue
 		}
-		if l.Target == "" {
+		if l.Target == "" || l.keepsAway(r) {
 			return true
 		}
 		for _, attempt := range r.Attempts {
@@ -264,9 +271,25 @@
 
 // isAlike tells whether a line is about requests of the content of another line's.
 func (l logLine) isAlike(r logLine) bool {
+	if r.HeldAs != "" && l.Content == r.HeldAs {
+		return true
+	}
 	return r.Content != "" && (l.Content == r.Content || slices.Contains(l.Contents, r.Content))
 }
 
+// keepsAway tells whether a line is about what a target said of itself that may have kept a
+// request from it, which found no target.
+func (l logLine) keepsAway(r logLine) bool {
+	found := r.Reason != reasonNoTarget && r.Reason != reasonTargetsRest
+	return !found && (l.Belief == "resting" || l.Belief == "leaving")
+}
+
+// Reasons of requests that found no target.
+const (
+	reasonNoTarget    = "no-target"
+	reasonTargetsRest = "targets-rest"
+)
+
 func (s *story) print(w io.Writer) {
 	fmt.Fprintf(w, "request %s: %s\n", s.RequestID, s.Verdict)
 	for _, r := range s.requests {
@@ -275,6 +298,7 @@
 		for i, t := range r.Attempts {
 			fmt.Fprintf(w, "  attempt %d: target %s in %s (%s, load %.2f): %s after %d ms %s\n",
 				i+1, t.Target, t.Region, t.Reason, t.Load, t.Outcome, t.TookMs, t.Error)
+			t.printWord(w)
 		}
 		r.printAccount(w)
 		fmt.Fprintf(w, "  answer %d: %s\n", r.Status, r.Reason)
@@ -290,6 +314,16 @@
 	}
 }
 
+// printWord tells what the target said of itself.
+func (t *logAttempt) printWord(w io.Writer) {
+	if t.Leaves {
+		fmt.Fprintln(w, "    the target said that it leaves")
+	}
+	if t.RestMs > 0 {
+		fmt.Fprintf(w, "    the target asked for %d ms of rest\n", t.RestMs)
+	}
+}
+
 // printAccount tells of the client account and of its limit, as far as they decided.
 func (l *logLine) printAccount(w io.Writer) {
 	if l.Account != "" {
@@ -307,31 +341,34 @@
 
 // reasons explains the reasons of final answers.
 var reasons = map[string]string{
-	"answered":         "a target answered",
-	"client-left":      "the client left before there was an answer",
-	"no-route":         "no route of the configuration has the host and path",
-	"no-configuration": "the instance had no configuration yet; it did not run",
-	"stopping":         "the instance was stopping; it did not run",
-	"no-target":        "no target could be used; it did not run",
-	"targets-full":     "the targets of its key were full for as long as it could wait; it did not run",
-	"queue-full":       "too many requests were waiting; it did not run",
-	"too-late":         "too little time was left to run it; it did not run",
-	"late-not-run":     "a target did not run it in time",
-	"no-budget":        "the budget of repeats was used up",
-	"no-attempt-left":  "every attempt that the route allows was made",
-	"timeout":          "its time ended while a target had it; it may have run",
-	"unknown-outcome":  "the connection or the answer broke after it was sent; it may have run and must not be repeated",
-	"head-too-large":   "its head is larger than the limits allow",
-	"body-too-large":   "its body is larger than the limits allow",
-	"body-late":        "its body did not arrive in time; it did not run",
-	"body-broken":      "its body broke off; it did not run",
-	"no-key":           "it carried no key, or several, and its route needs one; it did not run",
-	"unknown-key":      "no account of the configuration has its key; it did not run",
-	"key-taken":        "its key was taken away while it waited; it was not sent from then on",
-	"no-common-home":   "its route and its account have no home region in common; it did not run",
-	"over-limit":       "its account was beyond its limit; it did not run",
-	"ends-targets":     "targets end under this request wherever it runs: it was held back, or not sent to another one",
-	"no-limit-owner":   "no instance that keeps its account's limit could be asked; it did not run",
+	"answered":             "a target answered",
+	"client-left":          "the client left before there was an answer",
+	"no-route":             "no route of the configuration has the host and path",
+	"no-configuration":     "the instance had no configuration yet; it did not run",
+	"stopping":             "the instance was stopping; it did not run",
+	reasonNoTarget:         "no target could be used; it did not run",
+	reasonTargetsRest:      "all its targets have asked for rest; it did not run",
+	"false-promise":        "the target's refusal did not say that it has not run; it may have run and must not be repeated",
+	"targets-full":         "the targets of its key were full for as long as it could wait; it did not run",
+	"queue-full":           "too many requests were waiting; it did not run",
+	"too-late":             "too little time was left to run it; it did not run",
+	"late-not-run":         "a target did not run it in time",
+	"no-budget":            "the budget of repeats was used up",
+	"no-attempt-left":      "every attempt that the route allows was made",
+	"timeout":              "its time ended while a target had it; it may have run",
+	"unknown-outcome":      "the connection or the answer broke after it was sent; it may have run and must not be repeated",
+	"head-too-large":       "its head is larger than the limits allow",
+	"body-too-large":       "its body is larger than the limits allow",
+	"body-late":            "its body did not arrive in time; it did not run",
+	"body-broken":          "its body broke off; it did not run",
+	"no-key":               "it carried no key, or several, and its route needs one; it did not run",
+	"unknown-key":          "no account of the configuration has its key; it did not run",
+	"key-taken":            "its key was taken away while it waited; it was not sent from then on",
+	"no-common-home":       "its route and its account have no home region in common; it did not run",
+	"over-limit":           "its account was beyond its limit; it did not run",
+	"ends-targets":         "targets end under this request wherever it runs: it was held back, or not sent to another one",
+	"account-ends-targets": "targets end under different requests of its account, and it was not answered before: it was held back",
+	"no-limit-owner":       "no instance that keeps its account's limit could be asked; it did not run",
 }
 
 func verdictOf(requests []logLine) string {
--- a/cmd/rainford/hold.go
+++ b/cmd/rainford/hold.go
@@ -32,7 +32,7 @@
 	list := newFlags("rainford hold list")
 	lc := &common{}
 	lc.register(list)
-	listCmd := a.command("list", "rainford hold list [-json]", "list the requests that are held back because targets ended under them", list, func(ctx context.Context, args []string) error {
+	listCmd := a.command("list", "rainford hold list [-json]", "list the requests, and the accounts, that are held back because targets ended under them", list, func(ctx context.Context, args []string) error {
 		if len(args) > 0 {
 			return usagef("hold list takes no arguments")
 		}
@@ -132,7 +132,7 @@
 	}
 	var found []held
 	for _, h := range all {
-		if strings.HasPrefix(h.Digest, content) && h.Released.IsZero() {
+		if (strings.HasPrefix(h.Digest, content) || h.Content == content) && h.Released.IsZero() {
 			found = append(found, h)
 		}
 	}
--- a/cmd/rainford/walks_account_test.go
+++ b/cmd/rainford/walks_account_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -9,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rainford/rainford/internal/standin/objects"
+	"github.com/rainford/rainford/internal/standin/origin"
 )
 
 // accounts writes a configuration of two accounts and two routes, one of which has a home.
@@ -89,3 +91,26 @@
 	require.Contains(t, text, "account abroad")
 	require.Len(t, w.server.Runs(), runs)
 }
+
+// TestWalkAccountEndsTargets follows a request that is held back because targets end under
+// different ones of its account to what was said of the account.
+func TestWalkAccountEndsTargets(t *testing.T) {
+	w := newWalk(t)
+	w.accounts(4, "ada-key")
+	w.await("ada-key", 200)
+	sent := 0
+	held := func() bool {
+		sent++
+		w.script(origin.End)
+		status := w.sendAs(fmt.Sprint("end", sent), "ada-key", fmt.Sprint("/", sent))
+		if status == 502 {
+			w.replace(fmt.Sprint("i-next", sent))
+		}
+		return status == 503 && strings.Contains(w.explain(fmt.Sprint("end", sent)), "account-ends-targets")
+	}
+	require.Eventually(t, held, 20*time.Second, 300*time.Millisecond)
+	text := w.explain(fmt.Sprint("end", sent))
+	require.Contains(t, text, "503, targets end under different requests of its account, and it was not answered before")
+	require.Contains(t, text, `"msg":"account held"`)
+	require.Contains(t, text, "account ada")
+}
--- a/cmd/rainford/walks_test.go
+++ b/cmd/rainford/walks_test.go
@@ -185,3 +185,28 @@
 	}
 	require.Empty(t, w.server.Runs())
 }
+
+// TestWalkRest follows a request that was refused as its target rests to what the target asked for.
+func TestWalkRest(t *testing.T) {
+	w := newWalk(t)
+	require.Eventually(t, func() bool { return w.send("warm") == 200 }, 10*time.Second, 5*time.Millisecond)
+	w.server.SetRest(time.Now().Add(time.Minute), 30*time.Second)
+	require.Equal(t, 503, w.send("asks"))
+	require.Equal(t, 503, w.send("rests"))
+	require.Contains(t, w.explain("asks"), "the target asked for 30000 ms of rest")
+	text := w.explain("rests")
+	require.Contains(t, text, "request rests: 503, all its targets have asked for rest; it did not run")
+	require.Contains(t, text, `"target":"i-1","belief":"resting"`)
+}
+
+// TestWalkLeaving follows a request that found no target, as that had said that it leaves.
+func TestWalkLeaving(t *testing.T) {
+	w := newWalk(t)
+	require.Eventually(t, func() bool { return w.send("warm") == 200 }, 10*time.Second, 5*time.Millisecond)
+	w.server.SetSays(func(*http.Request) string { return "Server-Leaving: 1\r\n" })
+	require.Equal(t, 200, w.send("told"))
+	require.Equal(t, 503, w.send("none"))
+	text := w.explain("none")
+	require.Contains(t, text, "request none: 503, no target could be used; it did not run")
+	require.Contains(t, text, `"target":"i-1","belief":"leaving"`)
+}
--- a/gateway/account_test.go
+++ b/gateway/account_test.go
@@ -38,19 +38,20 @@
 	}
 }
 
-// configureAccounts writes a configuration with accounts: of the routes, /open/ is
-// anonymous and /home/ has region a as its home.
+// configureAccounts writes a configuration with accounts: of the routes, /open/ is anonymous,
+// /home/ has region a as its home, and what is sent to /once/ may run once.
 func (s *site) configureAccounts(version int, accounts map[string]objects.Tenant) {
 	route := func(prefix string) objects.Route {
 		return objects.Route{Host: "h.example", PathPrefix: prefix, RouteType: "idempotent", Timeout: "2s", TargetLatency: "500ms",
 			Priority: 1, Service: "s", MaxAttempts: 2, StickySessions: true}
 	}
-	open, home := route("/open/"), route("/home/")
+	open, home, once := route("/open/"), route("/home/"), route("/once/")
+	once.RouteType = "non_idempotent"
 	open.AllowAnonymous = true
 	home.AllowedRegions = []string{"a"}
 	s.store.Configure(objects.Configuration{
 		Version:  objects.VersionText(version),
-		Routes:   map[string]objects.Route{"closed": route("/x/"), "open": open, "home": home},
+		Routes:   map[string]objects.Route{"closed": route("/x/"), "open": open, "home": home, "once": once},
 		Services: map[string]objects.Service{"s": {Warmup: "3s", WarmupPerS: 11}},
 		Limits:   objects.Limits{MaxBodyBytes: 1 << 20},
 		Tenants:  accounts,
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -55,9 +55,9 @@
 			return v, nil
 		}
 		if sent > 0 && !p.spend() {
-			return given(unknown, "no-budget", backoff), nil
+			return p.giveUp(want, unknown, "no-budget", backoff), nil
 		}
-		want.Alone = ex.trial
+		want.Alone = ex.isTrial()
 		queuedAt := g.clock.Now()
 		decision := p.acquire(ex.ctx, want)
 		g.metrics.queued.Record(g.clock.Since(queuedAt).Seconds(), ex.service)
@@ -85,6 +85,7 @@
 			g.heardLeaving(decision.Target.ID)
 		}
 		if a.Response != nil {
+			ex.answered = true
 			g.sizes.note(ex.route.Name, len(ex.body)+len(a.Response.Body))
 			return ex.deliver(a.Response)
 		}
@@ -105,7 +106,17 @@
 		backoff = backoffAfter(a)
 		want.Avoid = append(want.Avoid, decision.Target.ID)
 	}
-	return given(unknown, "no-attempt-left", backoff), nil
+	return p.giveUp(want, unknown, "no-attempt-left", backoff), nil
+}
+
+// giveUp is the answer to a request that is not sent to another target, for a reason. If none may
+// be sent to for a while, that is the reason, and the caller is told when one may.
+func (p *pool) giveUp(want upstream.Request, unknown bool, reason string, retryAfter time.Duration) verdict {
+	refusal, away := p.away(want)
+	if away {
+		return given(unknown, string(refusal.Reason), refusal.RetryAfter)
+	}
+	return given(unknown, reason, retryAfter)
 }
 
 // deliver returns a target's answer to a request, or what the client is told in its place. A status
@@ -139,7 +150,7 @@
 
 // attemptsAllowed is the number of targets that a request may be sent to.
 func (ex *exchange) attemptsAllowed() int {
-	if ex.trial {
+	if ex.isTrial() {
 		return 1
 	}
 	return ex.route.MaxAttempts
--- a/gateway/ending_test.go
+++ b/gateway/ending_test.go
@@ -211,6 +211,17 @@
 	return l
 }
 
+// count returns the number of reads that are over.
+func (l *load) count() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, answers := range l.answers {
+		n += answers
+	}
+	return n
+}
+
 // stop ends the load and returns the number of reads that were served and of all.
 func (l *load) stop() (served, all int) {
 	close(l.done)
--- a/gateway/flood_test.go
+++ b/gateway/flood_test.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -18,6 +21,8 @@
 	floodEvery = 100 * time.Millisecond
 	// floodRevived is how long after its end a target starts again.
 	floodRevived = 3 * time.Second
+	// floodObjects is the number of objects that are read beside it.
+	floodObjects = 50
 	// mostFloodEnds is the largest number of targets that may end under them.
 	mostFloodEnds = 30
 )
@@ -40,12 +45,13 @@
 	}
 	get := func(key string) func(in *instance, n int) reply {
 		return func(in *instance, n int) reply {
-			object := fmt.Sprint(n * 37 % 50)
+			object := fmt.Sprint(n * 37 % floodObjects)
 			return in.sendHeaders("/x/"+object+"/", http.Header{"Credential": {key}, "Affinity-Key": {object}})
 		}
 	}
 	own, other := startLoadOf(instances, 4, get(adaKey)), startLoadOf(instances, 4, get(benKey))
-	time.Sleep(time.Second)
+	// All objects have been answered before the flood.
+	require.Eventually(t, func() bool { return own.count() >= 6*floodObjects && other.count() >= 6*floodObjects }, wait, poll)
 	var sent int
 	for end := time.Now().Add(floodTime); time.Now().Before(end); sent++ {
 		n := sent
@@ -59,3 +65,56 @@
 	require.GreaterOrEqual(t, float64(otherServed), 0.97*float64(otherAll))
 	require.GreaterOrEqual(t, float64(ownServed), 0.9*float64(ownAll))
 }
+
+// TestAccountsBesideCrashes ends targets in waves for reasons of their own, while two accounts send
+// operations that are all different, one ten times as many as the other, and checks that next to
+// none are refused because targets ended under others of their account.
+func TestAccountsBesideCrashes(t *testing.T) {
+	s := newSite(t)
+	s.configureAccounts(1, map[string]objects.Tenant{"ada": {APIKeys: []string{adaKey}}, "ben": {APIKeys: []string{benKey}}})
+	v := newReviving(s, 20, func(*http.Request) bool { return false })
+	var instances []*instance
+	for i, hall := range []string{"a1", "a1", "a2", "b1"} {
+		instances = append(instances, s.instance(fmt.Sprint("n", i), hall))
+	}
+	for _, in := range instances {
+		in.awaitReady()
+		in.awaitKey(adaKey, "/x/", 200)
+	}
+	var next atomic.Int64
+	post := func(key string) func(in *instance, _ int) reply {
+		return func(in *instance, _ int) reply {
+			n := fmt.Sprint(next.Add(1))
+			return in.sendWith(t.Context(), s.newID(), "POST", "/once/", n, http.Header{"Credential": {key}, "Affinity-Key": {n}})
+		}
+	}
+	busy, rare := startLoadOf(instances, 10, post(adaKey)), startLoadOf(instances, 1, post(benKey))
+	for range 8 {
+		time.Sleep(500 * time.Millisecond)
+		v.endOne()
+		v.endOne()
+		v.endOne()
+	}
+	busyServed, busyAll := busy.stop()
+	rareServed, rareAll := rare.stop()
+	refused := 0
+	for _, in := range instances {
+		refused += in.counted("rainford_refusals_total", `reason="account-ends-targets"`)
+	}
+	t.Logf("%d targets ended; %d of %d and %d of %d served, %d refused for their account", v.endedSoFar(), busyServed, busyAll, rareServed, rareAll, refused)
+	require.LessOrEqual(t, float64(refused), 0.01*float64(busyAll+rareAll))
+}
+
+// counted returns the sum of a counter's series that have a label.
+func (in *instance) counted(name, label string) int {
+	sum := 0
+	for _, line := range strings.Split(in.scrape(), "\n") {
+		if !strings.HasPrefix(line, name+"{") || !strings.Contains(line, label) {
+			continue
+		}
+		n, err := strconv.ParseFloat(line[strings.LastIndex(line, " ")+1:], 64)
+		require.NoError(in.site.t, err)
+		sum += int(n)
+	}
+	return sum
+}
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -170,6 +170,8 @@
 		g.receiveTrialAsk(m)
 	case *peer.TrialAnswer:
 		g.receiveTrialAnswer(m)
+	case *peer.Answers:
+		g.receiveAnswers(m)
 	}
 }
 
--- a/gateway/logs.go
+++ b/gateway/logs.go
@@ -48,6 +48,8 @@
 	logTargetEnded    = "target ended"
 	logRequestHeld    = "request held"
 	logRequestFreed   = "request freed"
+	logAccountHeld    = "account held"
+	logAccountFreed   = "account freed"
 	logNotKept        = "held request not kept"
 	logKeptRefused    = "held request refused"
 
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -364,6 +364,13 @@
 	return p.upstream.May(p.clock.Now(), target)
 }
 
+// away returns the refusal of a request if none of its targets may be sent to for a while.
+func (p *pool) away(r upstream.Request) (upstream.Decision, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.upstream.Away(p.clock.Now(), r)
+}
+
 func (p *pool) hearDepartures(now time.Time, departures availability.DepartureList, source availability.Source) []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -18,6 +18,10 @@
 // under them.
 const reasonEndsTargets = "ends-targets"
 
+// reasonAccountEndsTargets is the reason of requests that were not answered before, of an account
+// under whose different requests targets have ended.
+const reasonAccountEndsTargets = "account-ends-targets"
+
 // holds keeps which requests are held back because targets end under them. It is safe for
 // concurrent use.
 type holds struct {
@@ -30,10 +34,27 @@
 	witness quarantine.Witness
 	warden  quarantine.Warden
 	trials  map[quarantine.Digest]chan trialAnswer
+	// answers are the requests of accounts that were answered here of late.
+	answers answeredRequests
 	// silent are the wardens that have not answered, until when they are passed over.
 	silent map[string]time.Time
 	// keeping is the number of writes to the store under way.
 	keeping atomic.Int64
+	// flaggedAt is when it was last looked whether accounts are to be flagged.
+	flaggedAt time.Time
+}
+
+// flagEvery is the least time between two looks: one at a full table of a hundred accounts takes
+// 1.6 ms (BenchmarkFlag).
+const flagEvery = 250 * time.Millisecond
+
+// flag returns the digests of accounts that are newly flagged. The caller holds mu.
+func (h *holds) flag(now time.Time) []quarantine.Digest {
+	if now.Sub(h.flaggedAt) < flagEvery {
+		return nil
+	}
+	h.flaggedAt = now
+	return h.table.Flag(now, func(account uint32) bool { return h.answers.isSound(now, account) })
 }
 
 func newHolds() *holds {
@@ -50,6 +71,7 @@
 	h.table.Expire(now)
 	h.witness.Expire(now)
 	h.warden.Expire(now)
+	h.answers.expire(now)
 	for name, until := range h.silent {
 		if !now.Before(until) {
 			delete(h.silent, name)
@@ -99,34 +121,59 @@
 // pass tells whether a request may be sent now, or what it is answered. A suspect one is sent
 // as a trial if its warden grants that. Unknown says that an attempt of it was broken off.
 func (g *Gateway) pass(ex *exchange, unknown bool) (verdict, bool) {
-	if ex.trial || !g.holds.known.Load() {
+	if ex.isTrial() || !g.holds.known.Load() {
 		return verdict{}, true
 	}
 	now := g.clock.Now()
 	standing, doubts := g.holds.standing(now, ex.digestOf())
-	switch {
-	case unknown && standing.Ends+doubts >= maxDoubtful:
+	if unknown && standing.Ends+doubts >= maxDoubtful {
 		return given(true, reasonEndsTargets, 0), false
-	case standing.Verdict == quarantine.Free:
+	}
+	if standing.Verdict != quarantine.Free {
+		return g.try(ex, ex.digestOf(), standing, reasonEndsTargets)
+	}
+	if ex.account == nil || g.holds.answers.has(answeredOf(ex.account.Name, ex.digestOf())) {
+		return verdict{}, true
+	}
+	account := quarantine.AccountDigest(ex.account.Name)
+	standing, _ = g.holds.standing(now, account)
+	if standing.Verdict == quarantine.Free || g.holds.answers.isSound(now, quarantine.AccountHash(ex.account.Name)) {
 		return verdict{}, true
-	case standing.Verdict == quarantine.Held:
-		return notRun(reasonEndsTargets, standing.Until.Sub(now)), false
 	}
-	granted, next := g.askTrial(ex)
+	ex.heldAsAccount = true
+	if unknown {
+		return given(true, reasonAccountEndsTargets, 0), false
+	}
+	v, ok := g.try(ex, account, standing, reasonAccountEndsTargets)
+	ex.heldAsAccount = !ok
+	return v, ok
+}
+
+// try has a request sent as a trial of what a digest stands for if that may be tried now.
+func (g *Gateway) try(ex *exchange, d quarantine.Digest, standing quarantine.Standing, reason string) (verdict, bool) {
+	if standing.Verdict == quarantine.Held {
+		return notRun(reason, g.clock.Until(standing.Until)), false
+	}
+	granted, next := g.askTrial(ex, d)
 	if !granted {
-		return notRun(reasonEndsTargets, max(g.clock.Until(next), defaultRetryAfter)), false
+		return notRun(reason, max(g.clock.Until(next), defaultRetryAfter)), false
 	}
-	ex.trial = true
+	ex.trial = d
 	return verdict{}, true
 }
 
 // stillPasses tells whether a request that had to wait for its target may still be sent.
 func (g *Gateway) stillPasses(ex *exchange) bool {
-	if ex.trial || !g.holds.known.Load() {
+	if ex.isTrial() || !g.holds.known.Load() {
 		return true
 	}
-	standing, _ := g.holds.standing(g.clock.Now(), ex.digestOf())
-	return standing.Verdict == quarantine.Free
+	now := g.clock.Now()
+	standing, _ := g.holds.standing(now, ex.digestOf())
+	if standing.Verdict != quarantine.Free || ex.account == nil || g.holds.answers.has(answeredOf(ex.account.Name, ex.digestOf())) {
+		return standing.Verdict == quarantine.Free
+	}
+	standing, _ = g.holds.standing(now, quarantine.AccountDigest(ex.account.Name))
+	return standing.Verdict == quarantine.Free || g.holds.answers.isSound(now, quarantine.AccountHash(ex.account.Name))
 }
 
 // witness takes in what an attempt says of its target's life.
@@ -156,6 +203,7 @@
 
 // answered takes in that a request was answered: targets do not end under it.
 func (g *Gateway) answered(now time.Time, ex *exchange, target upstream.Choice, a forward.Attempt) {
+	g.noteAnswer(now, ex)
 	if !g.holds.known.Load() {
 		return
 	}
@@ -175,6 +223,24 @@
 	}
 }
 
+// noteAnswer remembers that a request of an account was answered.
+func (g *Gateway) noteAnswer(now time.Time, ex *exchange) {
+	if ex.account == nil {
+		return
+	}
+	if len(ex.body) > maxAnsweredBody {
+		if g.holds.known.Load() {
+			g.holds.answers.answered(now, quarantine.AccountHash(ex.account.Name))
+		}
+		return
+	}
+	r := answeredOf(ex.account.Name, ex.digestOf())
+	if g.holds.known.Load() && !g.holds.answers.has(r) {
+		g.holds.answers.answered(now, r.account)
+	}
+	g.holds.answers.add(r)
+}
+
 // broke takes in that a request was broken off at a target, and finds out whether the target
 // has ended.
 func (g *Gateway) broke(now time.Time, ex *exchange, target upstream.Choice) {
@@ -182,7 +248,8 @@
 	if g.hasLeft(target) {
 		return
 	}
-	broken := quarantine.Broken{Digest: ex.digestOf(), Account: accountName(ex.account), Trial: ex.trial}
+	ofAccount := ex.trial.IsAccount()
+	broken := quarantine.Broken{Digest: ex.digestOf(), Account: accountName(ex.account), Trial: ex.isTrial() && !ofAccount, OfAccount: ofAccount}
 	g.holds.mu.Lock()
 	ended, ask := g.holds.witness.Broke(now, target.ID, broken)
 	g.holds.note()
@@ -259,7 +326,13 @@
 			digests = append(digests, b.Digest)
 			contents = append(contents, b.Digest.String())
 		}
+		g.holds.answers.ended(now, quarantine.AccountHash(b.Account))
+		account := quarantine.AccountDigest(b.Account)
+		if b.OfAccount && g.holds.table.Ended(now, account, b.Account, quarantine.TargetOf(target), true) {
+			digests = append(digests, account)
+		}
 	}
+	digests = append(digests, g.holds.flag(now)...)
 	g.holds.note()
 	g.holds.mu.Unlock()
 	if len(digests) == 0 {
@@ -282,10 +355,16 @@
 		if standing.Verdict == quarantine.Free {
 			continue
 		}
+		message := logRequestHeld
+		if d.IsAccount() {
+			message = logAccountHeld
+			// What this locks is held by some callers.
+			g.start(func() { g.tellAnswers(now, d) })
+		}
 		attrs := []any{"content", d.String(), "ends", standing.Ends, "failed_trials", standing.Failed, "source", source}
 		if standing.Verdict == quarantine.Held {
 			attrs = append(attrs, slog.Int64("for_ms", standing.Until.Sub(now).Milliseconds()))
 		}
-		g.log.Warn(logRequestHeld, attrs...)
+		g.log.Warn(message, attrs...)
 	}
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -55,14 +55,18 @@
 	body       []byte
 	uri        string
 	trail      []hop
-	// digest is that of the content, zero until it is needed, and trial says that the
-	// request is sent to find out whether targets end under it.
+	// digest is that of the content, zero until it is needed. Trial is what the request is
+	// sent to find out about, if targets end under it: its content, or the unknown requests
+	// of its account; zero if it is sent like any other.
 	digest quarantine.Digest
-	trial  bool
+	trial  quarantine.Digest
 	// warden is the instance that granted the trial, and broken says that the trial was
 	// broken off.
 	warden fleet.Member
 	broken bool
+	// answered says that a target has answered the request, and heldAsAccount that it was
+	// held back for others of its account.
+	answered, heldAsAccount bool
 }
 
 // hop is what became of one attempt, for the log.
@@ -322,10 +326,14 @@
 // was looked up among those that end targets: these come again under another ID.
 func (ex *exchange) contentAttrs() []slog.Attr {
 	broken := slices.ContainsFunc(ex.trail, func(h hop) bool { return h.Outcome == retry.Unknown.String() })
-	if !broken && ex.digest == (quarantine.Digest{}) {
+	if !broken && !ex.heldAsAccount && ex.digest == (quarantine.Digest{}) {
 		return nil
 	}
-	return []slog.Attr{slog.String("content", ex.digestOf().String())}
+	attrs := []slog.Attr{slog.String("content", ex.digestOf().String())}
+	if ex.heldAsAccount {
+		attrs = append(attrs, slog.String("held_as", quarantine.AccountDigest(ex.account.Name).String()))
+	}
+	return attrs
 }
 
 // content is what a target is given to work on.
--- a/gateway/trial.go
+++ b/gateway/trial.go
@@ -23,11 +23,10 @@
 	wait time.Duration
 }
 
-// askTrial asks the warden of a suspect request whether it may be sent now. If not, it returns
-// when to come back. One question of each request is open at a time.
-func (g *Gateway) askTrial(ex *exchange) (granted bool, next time.Time) {
+// askTrial asks the warden of a suspect request, or of a flagged account, whether a request may be
+// sent now. If not, it returns when to come back. One question of each is open at a time.
+func (g *Gateway) askTrial(ex *exchange, d quarantine.Digest) (granted bool, next time.Time) {
 	now := g.clock.Now()
-	d := ex.digestOf()
 	standing, _ := g.holds.standing(now, d)
 	warden := g.wardenOf(now, d, standing.Failed > 0)
 	ex.warden = warden
@@ -119,28 +118,43 @@
 // the warden until the end of its target is known, or its time is over: what another trial
 // may cost depends on it.
 func (g *Gateway) endTrial(ex *exchange) {
-	if !ex.trial || ex.broken {
+	if !ex.isTrial() || ex.broken {
 		return
 	}
-	d := ex.digestOf()
 	if ex.warden.Name != g.config.Name {
-		g.mesh.Send(ex.warden.PeerAddr, &peer.TrialAsk{Digest: d, From: g.config.Name, Done: true})
+		g.mesh.Send(ex.warden.PeerAddr, &peer.TrialAsk{Digest: ex.trial, From: g.config.Name, Done: true, Answered: ex.answered})
 		return
 	}
+	g.trialDone(ex.trial, g.config.Name, ex.answered)
+}
+
+// isTrial tells whether the request is a trial.
+func (ex *exchange) isTrial() bool { return ex.trial != quarantine.Digest{} }
+
+// trialDone takes in, as the warden, that a trial has ended that did not end its target. An
+// account is free after some that were answered one after the other.
+func (g *Gateway) trialDone(d quarantine.Digest, from string, answered bool) {
+	now := g.clock.Now()
 	g.holds.mu.Lock()
-	defer g.holds.mu.Unlock()
-	g.holds.warden.Done(d, g.config.Name)
+	acquitted := g.holds.warden.Done(&g.holds.table, now, d, from, answered)
+	g.holds.mu.Unlock()
+	if !acquitted {
+		return
+	}
+	g.log.Info(logAccountFreed, "content", d.String())
+	g.tell(now, d)
+	g.keepRelease(d)
 }
 
 // receiveTrialAsk answers another instance as the warden of a request.
 func (g *Gateway) receiveTrialAsk(m *peer.TrialAsk) {
-	now := g.clock.Now()
-	g.holds.mu.Lock()
-	defer g.holds.mu.Unlock()
 	if m.Done {
-		g.holds.warden.Done(m.Digest, m.From)
+		g.trialDone(m.Digest, m.From, m.Answered)
 		return
 	}
+	now := g.clock.Now()
+	g.holds.mu.Lock()
+	defer g.holds.mu.Unlock()
 	g.holds.table.Merge(now, m.News)
 	g.holds.note()
 	granted, next := g.holds.warden.Ask(now, &g.holds.table, m.Digest, m.From, now.Add(m.For))
--- a/gateway/unanswered_test.go
+++ b/gateway/unanswered_test.go
@@ -70,7 +70,7 @@
 			continue
 		}
 		ex := &exchange{ctx: t.Context(), digest: c.Digest(), deadline: now.Add(time.Second)}
-		granted, _ := g.askTrial(ex)
+		granted, _ := g.askTrial(ex, c.Digest())
 		require.False(t, granted)
 		silent.awaitAgain(t)
 		return
--- a/peer/message.go
+++ b/peer/message.go
@@ -36,6 +36,7 @@
 	kindPermitIssue
 	kindTrialAsk
 	kindTrialAnswer
+	kindAnswers
 )
 
 // Message is a message between instances.
@@ -134,8 +135,9 @@
 	For time.Duration `msgpack:"t"`
 	// News are what the asker knows of the request.
 	News quarantine.News `msgpack:"e,omitempty"`
-	// Done says that the asker's trial has ended.
-	Done bool `msgpack:"o,omitempty"`
+	// Done says that the asker's trial has ended, and Answered that a target has answered.
+	Done     bool `msgpack:"o,omitempty"`
+	Answered bool `msgpack:"w,omitempty"`
 }
 
 // TrialAnswer answers a TrialAsk.
@@ -146,6 +148,14 @@
 	Wait time.Duration `msgpack:"t"`
 }
 
+// Answers tells which requests of an account the sender has had answered, by the first parts of
+// their digests.
+type Answers struct {
+	// Account is the hash of the account's name.
+	Account uint32   `msgpack:"c"`
+	Digests []uint64 `msgpack:"d"`
+}
+
 // Since asks for the changes of a kind after a revision.
 type Since struct {
 	Kind     feed.Kind `msgpack:"k"`
@@ -207,6 +217,7 @@
 func (*PermitIssue) kind() kind { return kindPermitIssue }
 func (*TrialAsk) kind() kind    { return kindTrialAsk }
 func (*TrialAnswer) kind() kind { return kindTrialAnswer }
+func (*Answers) kind() kind     { return kindAnswers }
 
 // empty returns a new message of a kind, or nil for an unknown one.
 func empty(k kind) Message {
@@ -243,6 +254,8 @@
 		return &TrialAsk{}
 	case kindTrialAnswer:
 		return &TrialAnswer{}
+	case kindAnswers:
+		return &Answers{}
 	default:
 		return nil
 	}
--- a/quarantine/digest.go
+++ b/quarantine/digest.go
@@ -43,4 +43,12 @@
 const shownBytes = 4
 
 // String returns the form of the digest in logs.
-func (d Digest) String() string { return hex.EncodeToString(d[:shownBytes]) }
+func (d Digest) String() string {
+	if d.IsAccount() {
+		return accountPrefix + hex.EncodeToString(d[len(floodMark):][:shownBytes])
+	}
+	return hex.EncodeToString(d[:shownBytes])
+}
+
+// accountPrefix begins the form of digests that stand for accounts.
+const accountPrefix = "account-"
--- a/quarantine/doc.go
+++ b/quarantine/doc.go
@@ -17,5 +17,9 @@
 // request are granted by one instance, its warden; where instances are cut off from each
 // other there may be one on each side, and the number of ends bounds them all.
 //
+// Accounts are judged by the same facts: one under whose different requests targets end, again
+// and again, is flagged, and those of its requests that were not answered before are trials. See
+// Table.Flag.
+//
 // Table and Warden are pure: time comes in as an argument.
 package quarantine
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -58,16 +58,30 @@
 	trial bool
 }
 
-// record is what is known of the requests with one digest.
+// record is what is known of the requests with one digest, or of an account.
 type record struct {
-	// account is the hash of the client account's name.
+	// account is the hash of the client account's name, and whole says that the record is of
+	// all its unknown requests.
 	account uint32
+	whole   bool
 	// ends are those after answeredAt, the oldest first, of different targets.
 	ends []end
 	// answeredAt is when such a request was last answered, zero if it was not.
 	answeredAt time.Time
 }
 
+func newRecord(d Digest, account uint32) *record {
+	return &record{account: account, whole: d.IsAccount()}
+}
+
+// suspects tells whether what it is of is sent as trials only.
+func (r *record) suspects() bool {
+	if r.whole {
+		return len(r.ends) >= floodEnds
+	}
+	return len(r.ends) >= suspectEnds
+}
+
 // add takes in an end. It reports whether it is new.
 func (r *record) add(e end) bool {
 	if !e.at.After(r.answeredAt) {
@@ -85,15 +99,30 @@
 		}
 		return fresh
 	}
-	if len(r.ends) >= mostEnds && e.at.After(r.ends[len(r.ends)-1].at) {
+	if r.isFull(e) {
 		return false
 	}
 	r.ends = append(r.ends, e)
 	r.sort()
+	if r.whole {
+		r.ends = r.ends[max(0, len(r.ends)-mostEnds):]
+	}
 	r.ends = r.ends[:min(len(r.ends), mostEnds)]
 	return true
 }
 
+// isFull tells whether an end says nothing more: of a request the first ones count, of an account
+// the last ones.
+func (r *record) isFull(e end) bool {
+	if len(r.ends) < mostEnds {
+		return false
+	}
+	if r.whole {
+		return e.at.Before(r.ends[0].at)
+	}
+	return e.at.After(r.ends[len(r.ends)-1].at)
+}
+
 func (r *record) sort() {
 	slices.SortFunc(r.ends, func(a, b end) int { return a.at.Compare(b.at) })
 }
@@ -123,6 +152,8 @@
 	switch n := len(r.ends); {
 	case n == 0:
 		return r.answeredAt.Add(clearedLife)
+	case r.whole:
+		return r.lastEnd().Add(floodLife)
 	case n < suspectEnds:
 		return r.lastEnd().Add(loneLife)
 	default:
@@ -134,6 +165,8 @@
 func (r *record) nextTrial() (time.Time, bool) {
 	failed := r.failed()
 	switch {
+	case r.whole:
+		return r.nextOfAccount(), true
 	case len(r.ends) >= mostEnds || failed >= mostTrials:
 		return time.Time{}, false
 	case failed == 0:
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -58,7 +58,7 @@
 		return Standing{}
 	}
 	s := Standing{Ends: len(r.ends), Failed: r.failed()}
-	if s.Ends < suspectEnds {
+	if !r.suspects() {
 		return s
 	}
 	next, more := r.nextTrial()
@@ -76,13 +76,13 @@
 // Ended notes that a target has ended under a request of an account. Trial says that the
 // request was a trial. It reports whether that is new.
 func (t *Table) Ended(now time.Time, d Digest, account string, target Target, trial bool) bool {
-	return t.add(now, d, accountHash(account), end{target: target, at: now, trial: trial})
+	return t.add(now, d, AccountHash(account), end{target: target, at: now, trial: trial})
 }
 
 func (t *Table) add(now time.Time, d Digest, account uint32, e end) bool {
 	r := t.records[d]
 	if r == nil {
-		r = &record{account: account}
+		r = newRecord(d, account)
 		if !t.makeRoom(now, account) {
 			return false
 		}
@@ -99,16 +99,16 @@
 	if r == nil {
 		return false
 	}
-	before := len(r.ends)
+	before := r.suspects()
 	t.change(r, func() { r.answer(now) })
-	return before >= suspectEnds && len(r.ends) < suspectEnds
+	return before && !r.suspects()
 }
 
 // change changes a record and counts the suspects anew.
 func (t *Table) change(r *record, f func()) {
-	before := len(r.ends) >= suspectEnds
+	before := r.suspects()
 	f()
-	after := len(r.ends) >= suspectEnds
+	after := r.suspects()
 	switch {
 	case after && !before:
 		t.suspects++
--- a/quarantine/warden.go
+++ b/quarantine/warden.go
@@ -10,6 +10,15 @@
 // each. It is not safe for concurrent use.
 type Warden struct {
 	grants map[Digest]grant
+	// answers are the trials of accounts that were answered one after the other.
+	answers map[Digest]answers
+}
+
+// answers are answered trials since the last failed one.
+type answers struct {
+	count  int
+	failed int
+	last   time.Time
 }
 
 // grant is a trial that is under way.
@@ -42,11 +51,31 @@
 	return true, time.Time{}
 }
 
-// Done ends a trial of which nothing was learned.
-func (w *Warden) Done(d Digest, from string) {
-	if w.grants[d].to == from {
-		delete(w.grants, d)
+// Done ends a trial that did not end its target, and tells whether it was answered. It reports
+// whether that frees an account.
+func (w *Warden) Done(t *Table, now time.Time, d Digest, from string, answered bool) bool {
+	if w.grants[d].to != from {
+		return false
+	}
+	failed := w.grants[d].failed
+	delete(w.grants, d)
+	if !answered || !d.IsAccount() {
+		return false
+	}
+	if w.answers == nil {
+		w.answers = make(map[Digest]answers)
 	}
+	a := w.answers[d]
+	if a.failed != failed {
+		a = answers{failed: failed}
+	}
+	a.count, a.last = a.count+1, now
+	w.answers[d] = a
+	if a.count < acquittal {
+		return false
+	}
+	delete(w.answers, d)
+	return t.Answered(now, d)
 }
 
 // Expire forgets trials that have ended.
@@ -56,6 +85,11 @@
 			delete(w.grants, d)
 		}
 	}
+	for d, a := range w.answers {
+		if now.Sub(a.last) >= floodLife {
+			delete(w.answers, d)
+		}
+	}
 }
 
 // Choose returns the warden of a request among the instances that can be asked, "" if there
--- a/quarantine/wire.go
+++ b/quarantine/wire.go
@@ -35,8 +35,8 @@
 // ErrNews is returned for news that are cut short.
 var ErrNews = errors.New("quarantine: news cut short")
 
-// accountHash is the form of the name of a client account in facts.
-func accountHash(name string) uint32 { return uint32(mix.Hash(name) >> 32) }
+// AccountHash is the form of the name of a client account in facts.
+func AccountHash(name string) uint32 { return uint32(mix.Hash(name) >> 32) }
 
 // TargetOf returns what stands for the target with an ID.
 func TargetOf(id string) Target { return Target(mix.Hash(id)) }
@@ -68,7 +68,7 @@
 func (t *Table) Most(now time.Time, n int) News {
 	var digests []Digest
 	for d, r := range t.records {
-		if len(r.ends) >= suspectEnds {
+		if r.suspects() {
 			digests = append(digests, d)
 		}
 	}
@@ -83,7 +83,7 @@
 func (t *Table) Sum() uint32 {
 	sum := uint64(0)
 	for d, r := range t.records {
-		if len(r.ends) < suspectEnds {
+		if !r.suspects() {
 			continue
 		}
 		one := binary.BigEndian.Uint64(d[:])
@@ -103,7 +103,7 @@
 		fresh := false
 		if f.Answered >= 0 && f.Answered < clearedLife && t.records[f.Digest] == nil && t.makeRoom(now, f.Account) {
 			// Its ends may come later than the news that they do not count.
-			t.put(f.Digest, &record{account: f.Account})
+			t.put(f.Digest, newRecord(f.Digest, f.Account))
 		}
 		if f.Answered >= 0 && t.records[f.Digest] != nil {
 			r := t.records[f.Digest]
--- a/quarantine/witness.go
+++ b/quarantine/witness.go
@@ -9,8 +9,9 @@
 type Broken struct {
 	Digest  Digest
 	Account string
-	// Trial says that it was a trial.
-	Trial bool
+	// Trial says that it was a trial of its content, and OfAccount that it was one of the
+	// unknown requests of its account.
+	Trial, OfAccount bool
 }
 
 const (
--- a/upstream/away.go
+++ b/upstream/away.go
@@ -68,11 +68,11 @@
 	return time.Duration(restSpread * float64(left))
 }
 
-// refuseAway refuses a request none of whose targets will be back before its patience is over,
-// and tells its caller when the first of them will be. To hold the request until then would
-// only keep the caller from trying elsewhere.
-func (p *Pool) refuseAway(now time.Time, r *Request) (Decision, bool) {
-	first, known := p.awayFor(now, r)
+// Away refuses a request none of whose targets will be back before its patience is over, and
+// tells its caller when the first of them will be. To hold the request until then would only keep
+// the caller from trying elsewhere.
+func (p *Pool) Away(now time.Time, r Request) (Decision, bool) {
+	first, known := p.awayFor(now, &r)
 	if !known {
 		return Decision{}, false
 	}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -256,7 +256,7 @@
 		return p.send(now, &r, c)
 	}
 	if c.reason == ReasonNoTarget {
-		refusal, refused := p.refuseAway(now, &r)
+		refusal, refused := p.Away(now, r)
 		if refused {
 			return refusal
 		}
