Operators see which targets get nothing and why, and what is held: rainford status -gateways

Each instance answers /status on its admin address: targets that leave, rest, are suspected and so on, by whose word, since and until, and the requests and accounts that are not sent like others. TestGatewayStatus.

--- /dev/null
+++ b/cmd/rainford/gateways.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"github.com/rainford/rainford/gateway"
+)
+
+// gatewayAnswer is the status of a gateway, or why there is none.
+type gatewayAnswer struct {
+	Addr   string          `json:"addr"`
+	Status *gateway.Status `json:"status,omitempty"`
+	Error  string          `json:"error,omitempty"`
+}
+
+// askGateways asks the gateways at some admin addresses for their status.
+func askGateways(ctx context.Context, addrs []string) []gatewayAnswer {
+	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
+	defer cancel()
+	out := make([]gatewayAnswer, len(addrs))
+	var wg sync.WaitGroup
+	for i, addr := range addrs {
+		out[i].Addr = addr
+		wg.Go(func() {
+			var status gateway.Status
+			err := getJSON(ctx, "http://"+addr+gateway.StatusPath, &status)
+			if err != nil {
+				out[i].Error = err.Error()
+				return
+			}
+			out[i].Status = &status
+		})
+	}
+	wg.Wait()
+	return out
+}
+
+// gatewayStatus prints the status of gateways. It fails if none answers.
+func (a *app) gatewayStatus(ctx context.Context, c *common, addrs []string) error {
+	answers := askGateways(ctx, addrs)
+	answered := 0
+	for _, answer := range answers {
+		if answer.Status != nil {
+			answered++
+		}
+	}
+	if c.json {
+		err := a.printJSON(answers)
+		if err != nil {
+			return err
+		}
+	} else {
+		a.printGateways(answers)
+	}
+	if answered == 0 {
+		return fmt.Errorf("no gateway answered")
+	}
+	return nil
+}
+
+func (a *app) printGateways(answers []gatewayAnswer) {
+	tw := tabwriter.NewWriter(a.stdout, 2, 8, 2, ' ', 0)
+	for _, answer := range answers {
+		s := answer.Status
+		if s == nil {
+			fmt.Fprintf(tw, "%s\tno answer: %s\n", answer.Addr, answer.Error)
+			continue
+		}
+		fmt.Fprintf(tw, "%s\t%s\tconfiguration %d\t%s\t%d targets, %d of them get nothing\n", s.Instance, s.Hall, s.Version, gatewayState(s), s.Targets, len(s.Unavailable))
+		for _, t := range s.Unavailable {
+			fmt.Fprintf(tw, "  %s\t%s\t%s\t%s by %s\t%s\n", t.Target, t.Hall, t.Service, t.Cause, t.Source, lasting(t.ForMs, t.LeftMs))
+		}
+		for _, h := range s.Held {
+			fmt.Fprintf(tw, "  %s\theld\t%d targets ended\t%d trials failed\t%s\n", h.Content, h.Ends, h.Failed, lasting(0, h.LeftMs))
+		}
+	}
+	_ = tw.Flush()
+}
+
+func gatewayState(s *gateway.Status) string {
+	switch {
+	case s.Leaving:
+		return "leaving"
+	case s.Ready:
+		return "ready"
+	default:
+		return "not ready"
+	}
+}
+
+// lasting says for how long something has been so, and for how much longer it will be, in
+// milliseconds, as far as either is known.
+func lasting(forMs, leftMs int64) string {
+	text := ""
+	if forMs > 0 {
+		text = "for " + (time.Duration(forMs) * time.Millisecond).String()
+	}
+	if leftMs > 0 {
+		text += " until in " + (time.Duration(leftMs) * time.Millisecond).String()
+	}
+	return text
+}
--- /dev/null
+++ b/cmd/rainford/gateways_test.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"bytes"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// runCommand runs the command and returns what it prints.
+func runCommand(t *testing.T, args ...string) (string, int) {
+	t.Helper()
+	var out, errs bytes.Buffer
+	code := run(t.Context(), args, strings.NewReader(""), &out, &errs)
+	return out.String() + errs.String(), code
+}
+
+// TestGatewayStatus checks what operators see of targets that get nothing, and by whose word, and
+// that an address that nobody answers at is told beside those that answer.
+func TestGatewayStatus(t *testing.T) {
+	w := newWalk(t)
+	require.Eventually(t, func() bool { return w.send("warm") == 200 }, 10*time.Second, 5*time.Millisecond)
+	status := func() string {
+		text, code := runCommand(t, "status", "-gateways", w.admin+",127.0.0.1:1")
+		require.Zero(t, code)
+		return text
+	}
+	require.Contains(t, status(), "1 targets, 0 of them get nothing")
+	w.server.SetRest(time.Now().Add(time.Minute), 30*time.Second)
+	w.send("asks")
+	text := status()
+	require.Regexp(t, `i-1 +a1 +s +resting by word`, text)
+	require.Regexp(t, `until in 29\.\d+s`, text)
+	require.Contains(t, text, "127.0.0.1:1  no answer")
+	w.server.SetRest(time.Now(), 0)
+
+	left := newWalk(t)
+	require.Eventually(t, func() bool { return left.send("warm") == 200 }, 10*time.Second, 5*time.Millisecond)
+	left.server.SetSays(func(*http.Request) string { return "Server-Leaving: 1\r\n" })
+	left.send("told")
+	text, code := runCommand(t, "status", "-gateways", left.admin, "-json")
+	require.Zero(t, code)
+	require.Contains(t, text, `"cause": "leaving"`)
+	require.Contains(t, text, `"source": "word"`)
+	_, code = runCommand(t, "status", "-gateways", "127.0.0.1:1")
+	require.Equal(t, 1, code)
+}
--- a/cmd/rainford/status.go
+++ b/cmd/rainford/status.go
@@ -112,12 +112,16 @@
 	fs := newFlags("rainford status")
 	c := &common{}
 	c.register(fs)
-	return a.command("status", "rainford status [-json]", "show every instance with the version that it has in force", fs, func(ctx context.Context, args []string) error {
+	gateways := fs.String("gateways", "", "admin addresses of gateways, with commas between: show these, and which targets they send nothing to")
+	return a.command("status", "rainford status [-gateways IP:PORT,…] [-json]", "show every instance with the version that it has in force", fs, func(ctx context.Context, args []string) error {
 		if len(args) > 0 {
 			return usagef("status takes no arguments")
 		}
 		ctx, cancel := context.WithTimeout(ctx, c.timeout)
 		defer cancel()
+		if *gateways != "" {
+			return a.gatewayStatus(ctx, c, strings.Split(*gateways, ","))
+		}
 		o, err := gather(ctx, c.client())
 		if err != nil {
 			return err
--- a/cmd/rainford/walks_test.go
+++ b/cmd/rainford/walks_test.go
@@ -43,6 +43,7 @@
 	t      *testing.T
 	log    logBuffer
 	addr   string
+	admin  string
 	server *origin.Server
 	store  *objects.Store
 }
@@ -73,7 +74,7 @@
 		*addr = ln.Addr().String()
 		require.NoError(t, ln.Close())
 	}
-	w.addr = c.Listen
+	w.addr, w.admin = c.Listen, c.AdminListen
 	g, err := gateway.New(c, platform.NewStore(store.Listener.Addr().String()), platform.Codec{}, platform.Headers())
 	require.NoError(t, err)
 	ctx, stop := context.WithCancel(context.Background())
--- a/gateway/logs.go
+++ b/gateway/logs.go
@@ -53,6 +53,7 @@
 	logNotKept        = "held request not kept"
 	logKeptRefused    = "held request refused"
 
+	logStatusNotSent   = "status not sent"
 	logInstanceRefused = "instance refused"
 	logForgotten       = "instance forgotten"
 	logNotForgotten    = "instance not forgotten"
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -37,7 +37,7 @@
 	}
 	g.open(small(http.HandlerFunc(g.serveLookup)), g.listeners.lookup)
 	g.open(small(http.HandlerFunc(g.serveReady)), g.listeners.ready)
-	g.open(small(g.metrics.handler()), g.listeners.admin)
+	g.open(small(g.adminHandler()), g.listeners.admin)
 }
 
 func (g *Gateway) open(server *http.Server, ln net.Listener) {
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -73,6 +73,16 @@
 	return s
 }
 
+// Suspected calls f with all that is not free.
+func (t *Table) Suspected(now time.Time, f func(Digest, Standing)) {
+	for d := range t.records {
+		s := t.Standing(now, d)
+		if s.Verdict != Free {
+			f(d, s)
+		}
+	}
+}
+
 // Ended notes that a target has ended under a request of an account. Trial says that the
 // request was a trial. It reports whether that is new.
 func (t *Table) Ended(now time.Time, d Digest, account string, target Target, trial bool) bool {
