Accounts that are at targets that crash in waves are not flagged

The largest accounts are at a quarter of all targets that crash at a moment, and instances of 74 see too few of their answers to tell. An account now has to explain a quarter of all ended targets, and a third in each span that counts; three answers an end are enough to be let alone (five before).

--- a/gateway/answered.go
+++ b/gateway/answered.go
@@ -50,7 +50,7 @@
 	// answersPerEnd is the number of answered unknown requests for each target that ended from
 	// which on an account is let alone here: it was there when targets ended for another
 	// reason. A flood of requests that end their targets has next to none.
-	answersPerEnd = 5
+	answersPerEnd = 3
 )
 
 // answeredRequests are the requests of accounts that targets have answered of late. They go on as
--- a/quarantine/flood.go
+++ b/quarantine/flood.go
@@ -14,11 +14,19 @@
 	// one; those that the other one explains do not count.
 	floodEnds     = 4
 	floodRequests = 3
+	// floodShare is the least part of all targets that ended in that time that has to do so
+	// under them. An account that was at some of many targets that crashed for another reason
+	// is not flagged; three that flood at the same time are. Without it and momentShare 1,645
+	// requests were refused in 90 s of targets that crash in waves, at 74 instances, and 7 with
+	// both.
+	floodShare = 0.25
 	// floodWindow is the time within which they have to end, and floodMoments the number of
-	// spans of floodMoment in which they do: targets that are lost together are no flood.
+	// spans of floodMoment in which they do. A span counts if a third of the targets that ended
+	// in it did so under the account's requests: targets that are lost together are no flood.
 	floodWindow  = time.Minute
 	floodMoments = 4
 	floodMoment  = 250 * time.Millisecond
+	momentShare  = 1.0 / 3
 	// floodLife is how long an account stays flagged after the last end.
 	floodLife = 10 * time.Minute
 	// floodPause is the time after the first failed trial until the next one, twice as long
@@ -101,13 +109,22 @@
 	// of each target, and requests the number of these requests.
 	ends     map[uint32]map[Target]end
 	requests map[uint32]int
-	flagged  []uint32
+	// ended is the number of all targets that ended, and endedIn those that ended in a span.
+	ended   int
+	endedIn map[int64]int
+	flagged []uint32
 	// cleared is until when what was said against an account does not count.
 	cleared map[uint32]time.Time
 }
 
 func (t *Table) evidence(now time.Time, isSound func(uint32) bool) *evidence {
-	seen := &evidence{ends: make(map[uint32]map[Target]end), requests: make(map[uint32]int), cleared: make(map[uint32]time.Time)}
+	seen := &evidence{ends: make(map[uint32]map[Target]end), requests: make(map[uint32]int), cleared: make(map[uint32]time.Time), endedIn: make(map[int64]int)}
+	for _, at := range t.ended {
+		if now.Sub(at) < floodWindow {
+			seen.ended++
+			seen.endedIn[momentOf(at)]++
+		}
+	}
 	for d, r := range t.records {
 		if !d.IsAccount() {
 			continue
@@ -153,7 +170,8 @@
 	var best uint32
 	found := false
 	for account, ends := range s.ends {
-		if len(ends) < floodEnds || s.requests[account] < floodRequests || moments(ends) < floodMoments {
+		few := len(ends) < floodEnds || float64(len(ends)) < floodShare*float64(s.ended)
+		if few || s.requests[account] < floodRequests || s.moments(account) < floodMoments {
 			continue
 		}
 		if !found || s.stronger(account, best) {
@@ -163,19 +181,23 @@
 	return best, found
 }
 
-// moments returns the number of spans in which targets ended.
-func moments(ends map[Target]end) int {
-	first := time.Time{}
-	for _, e := range ends {
-		if first.IsZero() || e.at.Before(first) {
-			first = e.at
-		}
+// momentOf returns the number of the span that a time lies in.
+func momentOf(at time.Time) int64 { return at.UnixNano() / int64(floodMoment) }
+
+// moments returns the number of spans in which an account explains enough of the targets that
+// ended.
+func (s *evidence) moments(account uint32) int {
+	explained := make(map[int64]int)
+	for _, e := range s.ends[account] {
+		explained[momentOf(e.at)]++
 	}
-	spans := make(map[time.Duration]bool)
-	for _, e := range ends {
-		spans[e.at.Sub(first)/floodMoment] = true
+	n := 0
+	for moment, count := range explained {
+		if float64(count) >= momentShare*float64(s.endedIn[moment]) {
+			n++
+		}
 	}
-	return len(spans)
+	return n
 }
 
 // stronger orders accounts by the targets that ended under their requests, then by the
--- a/quarantine/flood_test.go
+++ b/quarantine/flood_test.go
@@ -80,6 +80,15 @@
 				floodEvent(t, after(time.Duration(i)*300*time.Millisecond), i, accounts...)
 			}
 		}, []string{"ada"}},
+		{"crashes in waves", func(t *Table) {
+			for i := range 48 {
+				var accounts []string
+				if i%6 == 0 {
+					accounts = append(accounts, "ada")
+				}
+				floodEvent(t, after(time.Duration(i/16)*1500*time.Millisecond+time.Duration(i%16)*40*time.Millisecond), i, append(accounts, fmt.Sprint("account-", i))...)
+			}
+		}, nil},
 		{"two floods", func(t *Table) {
 			for i := range 8 {
 				floodEvent(t, after(time.Duration(i)*300*time.Millisecond), i, []string{"ada", "cem"}[i%2])
--- a/quarantine/table.go
+++ b/quarantine/table.go
@@ -43,6 +43,8 @@
 	records map[Digest]*record
 	// suspects is the number of records with suspectEnds and more.
 	suspects int
+	// ended is when targets ended, also under requests that were answered since.
+	ended map[Target]time.Time
 }
 
 // Len returns the number of digests of which anything is known.
@@ -98,11 +100,27 @@
 		}
 		t.put(d, r)
 	}
+	t.noteEnded(e)
 	var fresh bool
 	t.change(r, func() { fresh = r.add(e) })
 	return fresh
 }
 
+// maxEnded bounds the ended targets that are remembered for a minute.
+const maxEnded = 4096
+
+// noteEnded remembers when a target ended.
+func (t *Table) noteEnded(e end) {
+	known, ok := t.ended[e.target]
+	if (ok && !e.at.Before(known)) || (!ok && len(t.ended) >= maxEnded) {
+		return
+	}
+	if t.ended == nil {
+		t.ended = make(map[Target]time.Time)
+	}
+	t.ended[e.target] = e.at
+}
+
 // Answered notes that a request was answered. It reports whether that frees a suspect one.
 func (t *Table) Answered(now time.Time, d Digest) bool {
 	r := t.records[d]
@@ -148,6 +166,11 @@
 			t.drop(d)
 		}
 	}
+	for target, at := range t.ended {
+		if now.Sub(at) >= floodWindow {
+			delete(t.ended, target)
+		}
+	}
 }
 
 // makeRoom drops a record if the table is full, of the account or in all: one with the
