--- /dev/null
+++ b/internal/soak/attempt.go
@@ -0,0 +1,54 @@
+package soak
+
+import (
+	"crypto/sha256"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// attempt is one client attempt.
+type attempt struct {
+	id, method, uri string
+	digest          [sha256.Size]byte
+	instance        string
+	run             int
+	at              time.Time
+	touched         bool
+	probe           int
+	// account and key are those of the client, empty for none.
+	account, key string
+	hot          bool
+
+	// connAt is when the connection was opened over which it was sent.
+	connAt         time.Time
+	leftAt, doneAt time.Time
+	result         result
+	arrivals       []arrival
+}
+
+type result struct {
+	status int
+	header http.Header
+	body   string
+	err    error
+}
+
+// arrival is an arrival of a request at a server.
+type arrival struct {
+	server string
+	hall   string
+	at     time.Time
+	ran    bool
+}
+
+func (a *attempt) repeatable() bool {
+	return strings.HasPrefix(a.uri, "/read/") || strings.HasPrefix(a.uri, "/home/") || a.probe > 0
+}
+
+func (a *attempt) service() string {
+	if strings.HasPrefix(a.uri, "/pay/") || strings.HasPrefix(a.uri, "/up/") {
+		return "pay"
+	}
+	return "read"
+}
