What targets name as their limit is read, and told in lines and a counter

Attempts have limit_per_s, explain tells it, and rainford_target_words_total counts the word limited. Nothing acts on it yet.

--- a/availability/word.go
+++ b/availability/word.go
@@ -1,6 +1,9 @@
 package availability
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Word is what a target says of itself in an answer. The zero value says nothing.
 type Word struct {
@@ -9,6 +12,10 @@
 	// Rest is how long the target wants no requests from this instance, 0 if it does not
 	// ask for that.
 	Rest time.Duration
+	// Limited says that the target names how much it takes, and Limit is the number of
+	// requests a second that it takes from all instances together.
+	Limited bool
+	Limit   float64
 	// Unreadable are the parts of the word whose value is none that they may have.
 	Unreadable []Part
 }
@@ -20,7 +27,11 @@
 const (
 	PartLeaving Part = "leaving"
 	PartRest    Part = "rest"
+	PartLimit   Part = "limit"
 )
 
-// Says tells whether the word says anything that can be taken.
+// CantRead tells whether a part of the word can't be read.
+func (w Word) CantRead(part Part) bool { return slices.Contains(w.Unreadable, part) }
+
+// Says tells whether the word keeps further requests of this instance from the target.
 func (w Word) Says() bool { return w.Leaves || w.Rest > 0 }
--- a/cmd/rainford/explain.go
+++ b/cmd/rainford/explain.go
@@ -77,9 +77,11 @@
 	TookMs  int64   `json:"took_ms"`
 	// Reused says that the connection was open before the request came.
 	Reused bool `json:"reused"`
-	// Leaves and RestMs are what the target said of itself.
+	// Leaves, RestMs and Limit, nil for none, are what the target said of itself.
 	Leaves bool  `json:"leaves"`
 	RestMs int64 `json:"rest_ms"`
+	// Limit is in requests a second.
+	Limit *float64 `json:"limit_per_s"`
 }
 
 // story is what is known of one request.
@@ -322,6 +324,9 @@
 	if t.RestMs > 0 {
 		fmt.Fprintf(w, "    the target asked for %d ms of rest\n", t.RestMs)
 	}
+	if t.Limit != nil {
+		fmt.Fprintf(w, "    the target takes %g requests a second from all instances together\n", *t.Limit)
+	}
 }
 
 // printAccount tells of the client account and of its limit, as far as they decided.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -245,6 +245,9 @@
 		Leaves:  a.Target.Word.Leaves,
 		RestMs:  a.Target.Word.Rest.Milliseconds(),
 	}
+	if a.Target.Word.Limited {
+		h.Limit = &a.Target.Word.Limit
+	}
 	if a.Err != nil {
 		h.Error = a.Err.Error()
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -215,6 +215,7 @@
 const (
 	wordLeaves     = "leaves"
 	wordRests      = "rests"
+	wordLimited    = "limited"
 	wordUnreadable = "unreadable"
 )
 
@@ -226,6 +227,9 @@
 	if w.Rest > 0 {
 		m.words.Add(1, service, wordRests)
 	}
+	if w.Limited {
+		m.words.Add(1, service, wordLimited)
+	}
 	if len(w.Unreadable) > 0 {
 		m.words.Add(1, service, wordUnreadable)
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -80,9 +80,11 @@
 	Reused  bool    `json:"reused,omitempty"`
 	Error   string  `json:"error,omitempty"`
 	TookMs  int64   `json:"took_ms"`
-	// Leaves and RestMs are what the target said of itself.
+	// Leaves, RestMs and Limit, nil for none, are what the target said of itself.
 	Leaves bool  `json:"leaves,omitempty"`
 	RestMs int64 `json:"rest_ms,omitempty"`
+	// Limit is in requests a second.
+	Limit *float64 `json:"limit_per_s,omitempty"`
 }
 
 // verdict is the final answer of a request that no target has answered.
