--- a/availability/state.go
+++ b/availability/state.go
@@ -5,9 +5,9 @@
 // Cause is what keeps requests from a target.
 type Cause string
 
-// The causes, the most lasting first. CauseTrying and CauseCold are set by who counts the
-// requests at the target: one request is finding out whether a target that was suspected is
-// back, and a cold target has had what it bears.
+// The causes, the most lasting first. The last three are set by who counts the requests at the
+// target: one request is finding out whether a target that was suspected is back, a cold target
+// has had what it bears, and one that names a limit what it takes.
 const (
 	CauseNone      Cause = ""
 	CauseReplaced  Cause = "replaced"
@@ -19,6 +19,7 @@
 	CausePaused    Cause = "paused"
 	CauseTrying    Cause = "trying"
 	CauseCold      Cause = "cold"
+	CauseLimited   Cause = "limited"
 )
 
 // Source is who has said what keeps requests from a target.
--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -180,6 +180,7 @@
 	}
 	g.view.Add(named...)
 	g.permits.setMembers(now, g.config, g.registered)
+	g.reviewOwners(now)
 	g.readiness.knowsInstances.Store(true)
 }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -65,18 +65,19 @@
 			return given(unknown, string(decision.Reason), decision.RetryAfter), nil
 		}
 		if v, ok := g.checkAgain(ex); !ok {
-			p.release(decision.Target.ID, upstream.Result{Outcome: upstream.Abandoned})
+			p.unsent(decision)
 			if unknown {
 				v = given(unknown, v.reason, 0)
 			}
 			return v, nil
 		}
 		if !g.stillPasses(ex) {
-			p.release(decision.Target.ID, upstream.Result{Outcome: upstream.Abandoned})
+			p.unsent(decision)
 			continue
 		}
 		a := g.attempt(ex, header, p, decision)
-		a.Target.Sent = decision.Sent
+		a.Target.Sent, a.Target.NotSent = decision.Sent, !a.Sent
+		g.hearLimit(decision, a)
 		p.release(decision.Target.ID, a.Target)
 		g.metrics.attempt(ex.service, decision.Target, a.Target)
 		ex.note(decision, a)
@@ -196,7 +197,7 @@
 		Timeout:  left - targetMargin,
 		Deadline: ex.deadline.Add(lateMargin),
 		Once:     ex.route.Kind != catalog.Idempotent,
-		May:      func() bool { return p.may(d.Target.ID) },
+		May:      func() bool { return p.may(d) },
 	})
 }
 
--- a/gateway/delta_test.go
+++ b/gateway/delta_test.go
@@ -61,7 +61,8 @@
 
 		registered: make(map[string]fleet.Member),
 	}
-	g.pools = newPools(g.config, g.departures.all)
+	g.limitOwner = newLimitOwner(g.config, g.mesh, g.startedAt, &g.targetLimits)
+	g.pools = newPools(g.config, g.departures.all, g.targetLimits.all, g.askForPermits)
 	for _, kind := range kinds {
 		g.replicas[kind] = feed.NewReplica(kind)
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -36,10 +36,14 @@
 	holds   *holds
 	// departures are the targets that have said themselves that they leave.
 	departures departures
-	router     atomic.Pointer[catalog.Router]
-	lookups    lookupCache
-	sizes      sizes
-	metrics    *metrics
+	// targetLimits are how much targets take from all instances together, and limitOwner issues the
+	// permits of some of them.
+	targetLimits targetLimits
+	limitOwner   *limitOwner
+	router       atomic.Pointer[catalog.Router]
+	lookups      lookupCache
+	sizes        sizes
+	metrics      *metrics
 
 	listeners listeners
 	front     *http.Server
@@ -143,7 +147,9 @@
 	}
 	g.view = fleet.NewView(self, fleet.NumberAt(g.clock.Now()), fleet.DefaultSettings)
 	g.mesh = peer.NewMesh(self.PeerAddr, "", g, g.log)
-	g.pools = newPools(config, g.departures.all)
+	g.limitOwner = newLimitOwner(config, g.mesh, g.startedAt, &g.targetLimits)
+	g.limitOwner.hear = g.receiveLimitIssue
+	g.pools = newPools(config, g.departures.all, g.targetLimits.all, g.askForPermits)
 	g.permits = newPermits(config, g.mesh, g.startedAt, g.limitOf)
 	g.holds = newHolds()
 	g.watch = newWatchState()
@@ -218,6 +224,16 @@
 	}
 }
 
+// reviewLimits has who issues permits follow the states of the instances, and forgets permits
+// that nobody asks for.
+func (g *Gateway) reviewLimits(now time.Time) {
+	g.mu.Lock()
+	g.reviewOwners(now)
+	g.mu.Unlock()
+	g.limitOwner.forget(now)
+	g.pools.forgetPermits(now)
+}
+
 // upkeepEvery is the time between rounds of upkeep.
 const upkeepEvery = time.Second
 
@@ -234,6 +250,8 @@
 			g.permits.forget(now)
 			g.holds.expire(now)
 			g.departures.expire(now)
+			g.expireLimits(now)
+			g.reviewLimits(now)
 			g.expireListed(now)
 			g.forgetLost(ctx, now)
 			g.forgetKept(ctx, now)
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -109,7 +109,7 @@
 
 // message returns what this instance tells one of a region. The caller holds mu.
 func (g *Gateway) message(now time.Time, region string) *peer.Gossip {
-	m := &peer.Gossip{Beats: g.view.Beats(now, region), Revisions: make([]int64, 0, len(kinds)), NewsSum: g.newsSum(), DeparturesSum: g.departures.sum(now)}
+	m := &peer.Gossip{Beats: g.view.Beats(now, region), Revisions: make([]int64, 0, len(kinds)), NewsSum: g.newsSum(), DeparturesSum: g.departures.sum(now), LimitsSum: g.targetLimits.sum(now)}
 	for _, kind := range kinds {
 		m.Revisions = append(m.Revisions, g.replicas[kind].At())
 	}
@@ -163,9 +163,9 @@
 	case *peer.Probe:
 		g.answerProbe(m)
 	case *peer.PermitAsk:
-		g.permits.receiveAsk(m)
+		g.receivePermitAsk(m)
 	case *peer.PermitIssue:
-		g.permits.receiveIssue(m)
+		g.receivePermitIssue(m)
 	case *peer.TrialAsk:
 		g.receiveTrialAsk(m)
 	case *peer.TrialAnswer:
@@ -205,6 +205,25 @@
 func (g *Gateway) Unreachable(addr string) {
 	g.refused(addr)
 	g.permits.unreachable(addr)
+	g.pools.ownerUnreachable(g.clock.Now(), g.limitOwner.nameOf(addr))
+}
+
+// receivePermitAsk answers a question for permits of an account's or a target's limit.
+func (g *Gateway) receivePermitAsk(m *peer.PermitAsk) {
+	if m.Target {
+		g.receiveLimitAsk(m)
+		return
+	}
+	g.permits.receiveAsk(m)
+}
+
+// receivePermitIssue takes in the answer to such a question.
+func (g *Gateway) receivePermitIssue(m *peer.PermitIssue) {
+	if m.Target {
+		g.receiveLimitIssue(m)
+		return
+	}
+	g.permits.receiveIssue(m)
 }
 
 func (g *Gateway) refused(addr string) {
@@ -232,6 +251,7 @@
 	g.relayNews(now, m)
 	g.hearNews(now, m.News)
 	g.hearDepartures(now, m.Departures)
+	g.hearLimits(now, m.Limits)
 	if g.view.Len() != known {
 		g.shareOut(now)
 	}
@@ -247,14 +267,16 @@
 	outlived, behindItself := g.view.Outlived(m.Beats)
 	var missed quarantine.News
 	var left availability.DepartureList
+	var limits availability.LimitList
 	if !m.Reply {
 		missed = g.newsFor(now, m.NewsSum)
 		left = g.departures.missing(now, m.DeparturesSum, g.rand.Uint64())
+		limits = g.targetLimits.missing(now, m.LimitsSum, g.rand.Uint64())
 	}
-	if (ahead || behindItself || m.Unheard || len(missed)+len(left) > 0) && !m.Reply {
+	if (ahead || behindItself || m.Unheard || len(missed)+len(left)+len(limits) > 0) && !m.Reply {
 		reply := g.message(now, sender.Region)
 		reply.Reply = true
-		reply.News, reply.Departures = missed, left
+		reply.News, reply.Departures, reply.Limits = missed, left, limits
 		if behindItself {
 			reply.Beats = append(reply.Beats, outlived)
 		}
--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -69,6 +69,7 @@
 // instance to that target, as the first choice of their keys, at the spaces of before; the
 // number of requests that the target gets a second does not change when it begins to speak.
 func TestLimitIsKeptByAll(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name      string
 		perSecond float64
@@ -106,6 +107,7 @@
 // TestAllTargetsLimited checks that what all targets together take is used where they get more
 // than that, and no more than that is sent.
 func TestAllTargetsLimited(t *testing.T) {
+	t.Parallel()
 	const perSecond = 20
 	instances, servers := readSite(t, 4, "a1", "a1", "a2", "b1")
 	l := startLoadOf(instances, 8, (*instance).get)
@@ -128,6 +130,7 @@
 
 // TestLimitFalls checks that a lower limit holds two seconds after it is first named.
 func TestLimitFalls(t *testing.T) {
+	t.Parallel()
 	instances, servers := readSite(t, 4, "a1", "a1", "a2", "b1")
 	l := startLoadOf(instances, 8, (*instance).get)
 	defer l.stop()
@@ -144,6 +147,7 @@
 // TestLimitEnds checks that a target that no longer names a limit has its usual part again within
 // three seconds.
 func TestLimitEnds(t *testing.T) {
+	t.Parallel()
 	const usualTime = 3 * time.Second
 	instances, servers := readSite(t, 4, "a1", "a1", "a2", "b1")
 	l := startLoadOf(instances, 8, (*instance).get)
@@ -182,6 +186,7 @@
 // TestLimitIsKeptByThoseTold checks that the limit holds for the requests of an instance too that
 // was only told of it by others, and of one that starts later.
 func TestLimitIsKeptByThoseTold(t *testing.T) {
+	t.Parallel()
 	const perSecond = 2
 	instances, servers := readSite(t, 1, "a1", "a2", "b1")
 	namesLimit(servers[0], perSecond)
--- a/gateway/logs.go
+++ b/gateway/logs.go
@@ -45,6 +45,7 @@
 	logUnanswered     = "question not answered"
 	logWasAway        = "was away"
 	logNotHeard       = "not heard by another instance"
+	logTargetLimit    = "target limit"
 	logTargetEnded    = "target ended"
 	logRequestHeld    = "request held"
 	logRequestFreed   = "request freed"
--- a/gateway/logs_test.go
+++ b/gateway/logs_test.go
@@ -65,7 +65,7 @@
 func TestBeliefLines(t *testing.T) {
 	var out bytes.Buffer
 	config := Config{Name: "n0", Hall: "a1", Region: "a", RegionOf: map[string]string{"a1": "a"}, Log: slog.New(slog.NewJSONHandler(&out, nil))}
-	ps := newPools(config, new(departures).all)
+	ps := newPools(config, new(departures).all, new(targetLimits).all, nil)
 	specs := make(map[string]catalog.Target)
 	for i := range 300 {
 		name := fmt.Sprint("t", i)
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -9,6 +9,8 @@
 	"github.com/rainford/rainford/availability"
 	"github.com/rainford/rainford/catalog"
 	"github.com/rainford/rainford/internal/clock"
+	"github.com/rainford/rainford/peer"
+	"github.com/rainford/rainford/ratelimit"
 	"github.com/rainford/rainford/retry"
 	"github.com/rainford/rainford/table"
 	"github.com/rainford/rainford/upstream"
@@ -26,6 +28,11 @@
 	config Config
 	// departed returns the targets that are known to have said themselves that they leave.
 	departed func(now time.Time) availability.DepartureList
+	// limits returns the limits that targets have named.
+	limits func(now time.Time) availability.LimitList
+	// ask sends questions for permits of targets' limits, and is told the owners that do not
+	// answer.
+	ask func(asks []ratelimit.Ask, silent []string)
 
 	mu       sync.RWMutex
 	pools    map[string]*pool
@@ -36,10 +43,13 @@
 	count      int
 	// plan is the operators' table, nil if there is none.
 	plan *table.Plan
+	// owners are those of targets' limits, nil before any are known.
+	owners *ratelimit.Owners
 }
 
-func newPools(config Config, departed func(time.Time) availability.DepartureList) *pools {
-	return &pools{config: config, departed: departed, pools: make(map[string]*pool), count: 1}
+func newPools(config Config, departed func(time.Time) availability.DepartureList, limits func(time.Time) availability.LimitList,
+	ask func([]ratelimit.Ask, []string)) *pools {
+	return &pools{config: config, departed: departed, limits: limits, ask: ask, pools: make(map[string]*pool), count: 1}
 }
 
 // get returns the pool of a service, or nil if it never had a target.
@@ -121,7 +131,7 @@
 		ShiftStep:   shiftStepShare * ps.config.ShiftMost,
 		ShiftWindow: shiftWindow,
 	})
-	p := &pool{upstream: u, tokens: retry.NewTokens(ps.config.RetryRatio), waits: make(map[uint64]chan upstream.Decision), log: ps.config.Log, clock: ps.config.Clock}
+	p := &pool{upstream: u, tokens: retry.NewTokens(ps.config.RetryRatio), waits: make(map[uint64]chan upstream.Decision), ask: ps.ask, log: ps.config.Log, clock: ps.config.Clock}
 	u.SetService(ps.services[service])
 	u.SetMembers(ps.members)
 	u.SetHomeShares(ps.homeShares)
@@ -130,6 +140,10 @@
 	}
 	now := ps.config.Clock.Now()
 	u.HearDepartures(now, ps.departed(now), availability.SourcePeer)
+	u.HearLimits(now, ps.limits(now), availability.SourcePeer)
+	if ps.owners != nil {
+		u.SetLimitOwners(ps.owners)
+	}
 	p.tokens.Share(ps.config.RetrySlack, ps.count)
 	return p
 }
@@ -200,6 +214,70 @@
 	return fresh
 }
 
+// hearLimits takes in the limits that targets have named, and returns the IDs of those whose limits
+// changed.
+func (ps *pools) hearLimits(now time.Time, limits availability.LimitList, source availability.Source) []string {
+	ps.mu.RLock()
+	defer ps.mu.RUnlock()
+	var changed []string
+	for _, p := range ps.pools {
+		p.update(func(u *upstream.Pool) []upstream.Grant {
+			ids, grants := u.HearLimits(now, limits, source)
+			changed = append(changed, ids...)
+			return grants
+		})
+	}
+	return changed
+}
+
+// setLimitOwners takes in who issues the permits of targets' limits.
+func (ps *pools) setLimitOwners(owners *ratelimit.Owners) {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	ps.owners = owners
+	for _, p := range ps.pools {
+		p.update(func(u *upstream.Pool) []upstream.Grant {
+			u.SetLimitOwners(owners)
+			return nil
+		})
+	}
+}
+
+// hearPermits takes in the answer of an owner to a question for permits that was asked at a time.
+func (ps *pools) hearPermits(now, askedAt time.Time, m *peer.PermitIssue) {
+	ps.mu.RLock()
+	defer ps.mu.RUnlock()
+	for _, p := range ps.pools {
+		p.update(func(u *upstream.Pool) []upstream.Grant {
+			return u.HearPermits(now, askedAt, m.Account, m.From, m.Issue)
+		})
+	}
+}
+
+// ownerUnreachable takes in that no connection to an instance could be had.
+func (ps *pools) ownerUnreachable(now time.Time, owner string) {
+	ps.mu.RLock()
+	defer ps.mu.RUnlock()
+	for _, p := range ps.pools {
+		p.update(func(u *upstream.Pool) []upstream.Grant {
+			u.OwnerUnreachable(now, owner)
+			return nil
+		})
+	}
+}
+
+// forgetPermits drops what is known of permits that nobody asks for.
+func (ps *pools) forgetPermits(now time.Time) {
+	ps.mu.RLock()
+	defer ps.mu.RUnlock()
+	for _, p := range ps.pools {
+		p.update(func(u *upstream.Pool) []upstream.Grant {
+			u.ForgetPermits(now)
+			return nil
+		})
+	}
+}
+
 // hear takes in the loads of targets that another instance has told of.
 func (ps *pools) hear(now time.Time, seen upstream.Sightings) {
 	if len(seen) == 0 {
@@ -220,6 +298,7 @@
 	waits    map[uint64]chan upstream.Decision
 	lastID   uint64
 	ticking  bool
+	ask      func(asks []ratelimit.Ask, silent []string)
 	log      *slog.Logger
 	clock    *clock.Clock
 }
@@ -227,11 +306,23 @@
 // update changes the pool and wakes the requests that this grants.
 func (p *pool) update(change func(*upstream.Pool) []upstream.Grant) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlock()
 	p.wake(change(p.upstream))
 	p.tell()
 }
 
+// unlock releases mu and sends the questions for permits that came up meanwhile.
+func (p *pool) unlock() {
+	asks, silent := p.upstream.TakeAsks(), p.upstream.TakeSilent()
+	if p.upstream.AwaitsOwners() {
+		p.tick()
+	}
+	p.mu.Unlock()
+	if len(asks)+len(silent) > 0 {
+		p.ask(asks, silent)
+	}
+}
+
 // maxBeliefLines is the number of changes in the beliefs on targets that one cause brings
 // and that are told in a line each. New targets and halls that are taken back bring
 // hundreds at a time, at every instance.
@@ -299,13 +390,13 @@
 	r.ID = p.lastID
 	decision := p.upstream.Acquire(p.clock.Now(), r)
 	if decision.Verdict != upstream.Wait {
-		p.mu.Unlock()
+		p.unlock()
 		return decision
 	}
 	wait := make(chan upstream.Decision, 1)
 	p.waits[r.ID] = wait
 	p.tick()
-	p.mu.Unlock()
+	p.unlock()
 	select {
 	case decision = <-wait:
 		return decision
@@ -317,13 +408,13 @@
 // abandon ends the wait of a request whose client has left.
 func (p *pool) abandon(id uint64, wait chan upstream.Decision) upstream.Decision {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlock()
 	delete(p.waits, id)
 	p.upstream.Cancel(id)
 	select {
 	case granted := <-wait:
 		if granted.Verdict == upstream.Send {
-			p.wake(p.upstream.Release(p.clock.Now(), granted.Target.ID, upstream.Result{Outcome: upstream.Abandoned}))
+			p.wake(p.upstream.Release(p.clock.Now(), granted.Target.ID, notSent(granted)))
 		}
 	default:
 	}
@@ -342,7 +433,7 @@
 
 func (p *pool) onTick() {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlock()
 	p.ticking = false
 	p.wake(p.upstream.Tick(p.clock.Now()))
 	if p.upstream.Waiting() > 0 {
@@ -350,18 +441,26 @@
 	}
 }
 
+// notSent is the result of a decision that nothing was sent by.
+func notSent(d upstream.Decision) upstream.Result {
+	return upstream.Result{Outcome: upstream.Abandoned, NotSent: true, Sent: d.Sent}
+}
+
+// unsent ends a decision that nothing was sent by.
+func (p *pool) unsent(d upstream.Decision) { p.release(d.Target.ID, notSent(d)) }
+
 func (p *pool) release(target string, r upstream.Result) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
+	defer p.unlock()
 	p.wake(p.upstream.Release(p.clock.Now(), target, r))
 	p.tell()
 }
 
 // may tells whether a request that was granted a target may still be sent there.
-func (p *pool) may(target string) bool {
+func (p *pool) may(d upstream.Decision) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.upstream.May(p.clock.Now(), target)
+	return p.upstream.May(p.clock.Now(), d.Target.ID, d.Sent)
 }
 
 // away returns the refusal of a request if none of its targets may be sent to for a while.
--- /dev/null
+++ b/gateway/target_limits.go
@@ -0,0 +1,194 @@
+package gateway
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rainford/rainford/availability"
+	"github.com/rainford/rainford/forward"
+	"github.com/rainford/rainford/peer"
+	"github.com/rainford/rainford/upstream"
+)
+
+const (
+	// limitsPause is the longest time for which limits that targets name are collected before
+	// all instances are told: a twentieth of the time within which all are to keep them.
+	limitsPause = 100 * time.Millisecond
+	// maxLimits bounds the limits in a message: less than 1.2 kB.
+	maxLimits = 64
+)
+
+// targetLimits keep how much targets take from all instances together, by their own words. It is safe
+// for concurrent use.
+type targetLimits struct {
+	// any says that a limit is known, or one that ended a moment ago.
+	any atomic.Bool
+
+	mu    sync.Mutex
+	known availability.Limits
+	// untold are the targets of which the others are to be told.
+	untold []availability.ID
+}
+
+// note notes that something may have changed. The caller holds mu.
+func (l *targetLimits) note() { l.any.Store(l.known.Len() > 0) }
+
+// hear takes in what a target said in an answer to a request that was sent at a time. It returns
+// what is new, and whether that is the first of which the others have to be told.
+func (l *targetLimits) hear(now, sentAt time.Time, id availability.ID, r upstream.Result) (fresh availability.LimitList, first bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	defer l.note()
+	var changed bool
+	switch {
+	case r.Word.Limited:
+		changed = l.known.Name(now, sentAt, id, r.Word.Limit)
+	case saysNoLimit(r):
+		changed = l.known.NameNone(now, sentAt, id)
+	}
+	if !changed {
+		return nil, false
+	}
+	first = len(l.untold) == 0
+	if !slices.Contains(l.untold, id) {
+		l.untold = append(l.untold, id)
+	}
+	return l.known.About(now, id), first
+}
+
+// saysNoLimit tells whether an answer shows that its target names no limit: a whole one without a
+// word of it. A value that can't be read is neither a limit nor its end.
+func saysNoLimit(r upstream.Result) bool {
+	whole := r.Outcome == upstream.Answered || r.Outcome == upstream.Rejected
+	return whole && !r.Word.CantRead(availability.PartLimit)
+}
+
+// merge takes in what another instance has told, and returns what is new.
+func (l *targetLimits) merge(now time.Time, told availability.LimitList) availability.LimitList {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	defer l.note()
+	return l.known.Merge(now, told)
+}
+
+// takeUntold returns what the others are to be told.
+func (l *targetLimits) takeUntold(now time.Time) availability.LimitList {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out availability.LimitList
+	for _, id := range l.untold {
+		out = append(out, l.known.About(now, id)...)
+	}
+	l.untold = nil
+	return out
+}
+
+// of returns the limit of a target in requests a second, false if it has none.
+func (l *targetLimits) of(id availability.ID) (float64, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	limit, ok := l.known.Of(id)
+	return limit.PerSecond, ok
+}
+
+// about returns what is known of a target's limit for others.
+func (l *targetLimits) about(now time.Time, id availability.ID) availability.LimitList {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.known.About(now, id)
+}
+
+// sum returns a number by which instances see that they do not know the same.
+func (l *targetLimits) sum(now time.Time) uint32 {
+	if !l.any.Load() {
+		return 0
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.known.Sum(now)
+}
+
+// missing returns what to tell an instance that does not know the same.
+func (l *targetLimits) missing(now time.Time, sum uint32, salt uint64) availability.LimitList {
+	if !l.any.Load() || l.sum(now) == sum {
+		return nil
+	}
+	return l.some(now, maxLimits, salt)
+}
+
+// all returns all limits that are told to others.
+func (l *targetLimits) all(now time.Time) availability.LimitList {
+	return l.some(now, maxLimitsKnown, 0)
+}
+
+// maxLimitsKnown is more than a fleet has targets.
+const maxLimitsKnown = 1 << 16
+
+func (l *targetLimits) some(now time.Time, n int, salt uint64) availability.LimitList {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.known.Some(now, n, salt)
+}
+
+// expire forgets what is no longer remembered, and returns the limits that ended by that.
+func (l *targetLimits) expire(now time.Time) availability.LimitList {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	defer l.note()
+	var ended availability.LimitList
+	for _, id := range l.known.Expire(now) {
+		ended = append(ended, availability.Limit{ID: id, Ended: true})
+	}
+	return ended
+}
+
+// hearLimit takes in what a target said in an answer of how much it takes, and has all instances
+// know.
+func (g *Gateway) hearLimit(d upstream.Decision, a forward.Attempt) {
+	if !a.Target.Word.Limited && !g.targetLimits.any.Load() {
+		return
+	}
+	now := g.clock.Now()
+	fresh, first := g.targetLimits.hear(now, d.Sent.At, availability.IDOf(d.Target.ID), a.Target)
+	g.putLimits(now, fresh, availability.SourceWord)
+	if first {
+		time.AfterFunc(rand.N(limitsPause), g.tellLimits)
+	}
+}
+
+// tellLimits tells all instances what was found out here of targets' limits.
+func (g *Gateway) tellLimits() {
+	now := g.clock.Now()
+	for told := range slices.Chunk(g.targetLimits.takeUntold(now), maxLimits) {
+		g.broadcast(now, peer.Gossip{Limits: told})
+	}
+}
+
+// hearLimits takes in what other instances have found out.
+func (g *Gateway) hearLimits(now time.Time, told availability.LimitList) {
+	if len(told) == 0 {
+		return
+	}
+	g.putLimits(now, g.targetLimits.merge(now, told), availability.SourcePeer)
+}
+
+// putLimits puts limits in force.
+func (g *Gateway) putLimits(now time.Time, fresh availability.LimitList, source availability.Source) {
+	if len(fresh) == 0 {
+		return
+	}
+	for _, target := range g.pools.hearLimits(now, fresh, source) {
+		limit, limited := g.targetLimits.of(availability.IDOf(target))
+		g.log.Info(logTargetLimit, "target", target, "limited", limited, "limit_per_s", limit, "source", source)
+	}
+}
+
+// expireLimits forgets limits that nobody has heard of for long.
+func (g *Gateway) expireLimits(now time.Time) {
+	if g.targetLimits.any.Load() {
+		g.putLimits(now, g.targetLimits.expire(now), availability.SourceOwn)
+	}
+}
--- a/peer/message.go
+++ b/peer/message.go
@@ -118,8 +118,12 @@
 	// is the same for instances that know of the same ones.
 	Departures    availability.DepartureList `msgpack:"d,omitempty"`
 	DeparturesSum uint32                     `msgpack:"c,omitempty"`
-	// Until is the last member of the region that the receiver has to pass News and
-	// Departures on to, 0 for none, and Enter has it pass them on to its whole region.
+	// Limits are what targets have named of how much they take, and LimitsSum is the same for
+	// instances that know the same.
+	Limits    availability.LimitList `msgpack:"t,omitempty"`
+	LimitsSum uint32                 `msgpack:"q,omitempty"`
+	// Until is the last member of the region that the receiver has to pass News, Departures and
+	// Limits on to, 0 for none, and Enter has it pass them on to its whole region.
 	Until fleet.ID `msgpack:"u,omitempty"`
 	Enter bool     `msgpack:"w,omitempty"`
 }
@@ -175,9 +179,10 @@
 	Again bool `msgpack:"g,omitempty"`
 }
 
-// PermitAsk asks the owner of a part of an account's limit for permits.
+// PermitAsk asks the owner of a part of an account's limit, or of a target's limit, for permits.
 type PermitAsk struct {
-	// Account and From are the names of the account and of the asker.
+	// Account and From are the names of the account, or of the target's permits, and of the
+	// asker.
 	Account string `msgpack:"c"`
 	From    string `msgpack:"f"`
 	// At is the asker's own time, which the answer brings back.
@@ -185,6 +190,9 @@
 	N  int   `msgpack:"n"`
 	// Lend says that the asker owns the part of another domain.
 	Lend bool `msgpack:"l,omitempty"`
+	// Target says that it is about a target's limit, and Limits is what the asker knows of it.
+	Target bool                   `msgpack:"g,omitempty"`
+	Limits availability.LimitList `msgpack:"v,omitempty"`
 }
 
 // PermitIssue answers a PermitAsk.
@@ -194,6 +202,9 @@
 	At      int64           `msgpack:"t"`
 	Issue   ratelimit.Issue `msgpack:"i"`
 	Lend    bool            `msgpack:"l,omitempty"`
+	// Target says that it is about a target's limit, and Limits is what the owner knows of it.
+	Target bool                   `msgpack:"g,omitempty"`
+	Limits availability.LimitList `msgpack:"v,omitempty"`
 }
 
 // NewObject returns the message that passes obj on.
--- a/ratelimit/doc.go
+++ b/ratelimit/doc.go
@@ -19,6 +19,10 @@
 // whatever is cut off, paused, killed or late; what can't reach an owner goes without. An
 // instance that has just started begins with empty buckets.
 //
+// Placed limits are those of something in a hall, such as how much a target takes. They are not
+// cut: all belongs to one instance of the hall, and after it, should it be away, to the next one
+// by hash, once the permits of the last one have ended. Nothing is lent.
+//
 // Everything here is pure: time and randomness come in as arguments, and messages are
 // returned.
 package ratelimit
--- a/ratelimit/holder.go
+++ b/ratelimit/holder.go
@@ -76,6 +76,8 @@
 	Account string
 	To      Owner
 	N       int
+	// At is when it is asked. The answer is told by it.
+	At time.Time
 }
 
 // Holder holds the permits of an instance. It is not safe for concurrent use.
@@ -88,6 +90,8 @@
 	silences map[string]silence
 	// salt tells the instances' drawn times apart.
 	salt uint64
+	// mostDenial bounds the time for which an instance that got none refuses without asking.
+	mostDenial time.Duration
 }
 
 // held is what an instance knows of one account.
@@ -118,7 +122,7 @@
 
 // NewHolder returns a holder without permits for the instance of a name.
 func NewHolder(name string) *Holder {
-	return &Holder{held: make(map[string]*held), silences: make(map[string]silence), salt: mix.Hash(name)}
+	return &Holder{held: make(map[string]*held), silences: make(map[string]silence), salt: mix.Hash(name), mostDenial: mostDenial}
 }
 
 // SetOwners puts owners in force.
@@ -226,7 +230,7 @@
 	if owner.Near {
 		a.dueAt = now.Add(nearTimeout)
 	}
-	a.ask = Ask{Account: account, To: owner, N: h.wanted(now, a)}
+	a.ask = Ask{Account: account, To: owner, N: h.wanted(now, a), At: now}
 	return nil, []Ask{a.ask}
 }
 
@@ -290,7 +294,7 @@
 	}
 	h.setAsking(a, false)
 	if issue.N < a.ask.N {
-		a.deniedUntil = now.Add(min(max(issue.Wait, leastDenial), mostDenial))
+		a.deniedUntil = now.Add(min(max(issue.Wait, leastDenial), h.mostDenial))
 	}
 	if len(a.waiting) == 0 {
 		return answers, nil
--- a/ratelimit/issuer.go
+++ b/ratelimit/issuer.go
@@ -81,6 +81,8 @@
 	parts      map[string]*part
 	// queued is the number of claims that wait for loans.
 	queued int
+	// crowds says that those who ask in vain are denied the longer the more there are.
+	crowds bool
 }
 
 // part is what an owner knows of one account.
@@ -128,13 +130,13 @@
 // NewIssuer returns the issuer of a process that started at a time, maybe with the whole
 // system for the first time.
 func NewIssuer(bound Bound, startedAt time.Time, firstStart bool) *Issuer {
-	return &Issuer{bound: bound, startedAt: startedAt, firstStart: firstStart, parts: make(map[string]*part)}
+	return &Issuer{bound: bound, startedAt: startedAt, firstStart: firstStart, tenure: tenure{time: tenureTime}, parts: make(map[string]*part)}
 }
 
 // SetOwners puts owners in force.
 func (i *Issuer) SetOwners(now time.Time, owners *Owners) {
 	if i.firstStart && now.Sub(i.startedAt) < gatherTime {
-		i.tenure = tenure{}
+		i.tenure = tenure{time: i.tenure.time}
 	}
 	i.tenure.set(now, owners)
 }
@@ -189,7 +191,11 @@
 	own := min(n-borrowed, int(p.tokens))
 	p.tokens -= float64(own)
 	issue.N = borrowed + own
-	if issue.N < n {
+	switch {
+	case issue.N >= n:
+	case i.crowds:
+		issue.Wait = p.crowdWait(now)
+	default:
 		issue.Wait = p.wait(1)
 	}
 	return issue
@@ -354,7 +360,7 @@
 	if current := i.tenure.current(); p.owners != current {
 		p.owners = current
 		p.lenders = p.lenders[:0]
-		for _, owner := range current.Of(account)[1:] {
+		for _, owner := range current.lenders(account) {
 			p.lenders = append(p.lenders, lender{Owner: owner})
 		}
 	}
--- a/ratelimit/owners.go
+++ b/ratelimit/owners.go
@@ -49,6 +49,8 @@
 	domains []domain
 	// near are the instances of the own region.
 	near map[string]bool
+	// placed is set for the owners of placed limits, and all else but self and parts is not.
+	placed *placement
 }
 
 // domain is a set of instances that share the parts of one cut of the limits.
@@ -136,6 +138,9 @@
 // Of returns the owners of an account's parts: that of the own domain first, then those
 // of the own region.
 func (o *Owners) Of(account string) []Owner {
+	if o.placed != nil {
+		return o.placed.of(account)
+	}
 	out := make([]Owner, 0, len(o.domains))
 	for _, d := range o.domains {
 		name := ownerAmong(account, d.names)
@@ -144,8 +149,19 @@
 	return out
 }
 
+// lenders returns the owners of the other parts of an account.
+func (o *Owners) lenders(account string) []Owner {
+	if o.placed != nil {
+		return nil
+	}
+	return o.Of(account)[1:]
+}
+
 // owns tells whether this instance owns the account's part in its domain.
 func (o *Owners) owns(account string) bool {
+	if o.placed != nil {
+		return o.placed.owns(account)
+	}
 	if len(o.domains) == 0 {
 		return false
 	}
@@ -173,7 +189,9 @@
 
 // tenure tells which parts an instance may issue from.
 type tenure struct {
-	// held are the owners in force and those that were within tenureTime.
+	// time is how long a new owner leaves a part to the last one.
+	time time.Duration
+	// held are the owners in force and those that were a moment ago.
 	held []heldOwners
 	// changedAt is when owners were last put in force that this instance had not from
 	// its start on.
@@ -198,7 +216,7 @@
 
 func (t *tenure) forget(now time.Time) {
 	ended := 0
-	for ended < len(t.held)-1 && now.Sub(t.held[ended].until) >= tenureTime {
+	for ended < len(t.held)-1 && now.Sub(t.held[ended].until) >= t.time {
 		ended++
 	}
 	t.held = append(t.held[:0], t.held[ended:]...)
@@ -212,7 +230,7 @@
 	return t.held[len(t.held)-1].owners
 }
 
-// owns tells whether the instance owns the account's part and has for tenureTime, as far
+// owns tells whether the instance owns the account's part and has for t.time, as far
 // back as it knows.
 func (t *tenure) owns(now time.Time, account string) bool {
 	t.forget(now)
--- /dev/null
+++ b/ratelimit/placed.go
@@ -0,0 +1,200 @@
+package ratelimit
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rainford/rainford/internal/mix"
+)
+
+// PlaceMark divides the hall from the rest of the name of a placed limit. It is in no name.
+const PlaceMark = "\x00"
+
+// PlacedName returns the name of the limit of something in a hall, as holders and issuers of
+// placed limits take it.
+func PlacedName(hall, name string) string { return hall + PlaceMark + name }
+
+// PlacedBound is what is promised of placed limits: in any four seconds a tenth and two requests
+// more than the limit.
+var PlacedBound = Bound{Window: 4 * time.Second, Over: 0.1, Slack: 2}
+
+const (
+	// placedTenure is how long after a change of the instances a new owner of a placed limit
+	// issues nothing: the permits of the last one have ended by then, and all instances that
+	// reach each other have heard what it has heard.
+	placedTenure = 2 * time.Second
+	// mostPlacedDenial bounds the time for which an instance that got no permit of a placed
+	// limit refuses without asking again.
+	mostPlacedDenial = time.Second
+	// mostCrowd bounds how many times longer than a permit takes to come those are denied that
+	// ask for one in vain.
+	mostCrowd = 20
+	// deputies is the number of owners that are asked one after the other. All but one say that
+	// they are not, unless they know of fewer instances than the asker.
+	deputies = maxTries
+)
+
+// placement knows who may own a placed limit.
+type placement struct {
+	self     string
+	region   string
+	regionOf map[string]string
+	// byHall, byRegion and all are the instances of each hall, of each region, and all.
+	byHall, byRegion map[string][]Place
+	all              []Place
+}
+
+// NewPlacedOwners returns the owners of placed limits: one of the instances of the hall, by hash,
+// or if that has none one of its region, or of all. Places are those that are not known to be
+// away.
+func NewPlacedOwners(self Place, regionOf map[string]string, places []Place) *Owners {
+	p := &placement{self: self.Name, region: self.Region, regionOf: regionOf, byHall: make(map[string][]Place), byRegion: make(map[string][]Place), all: places}
+	for _, place := range places {
+		p.byHall[place.Hall] = append(p.byHall[place.Hall], place)
+		p.byRegion[place.Region] = append(p.byRegion[place.Region], place)
+	}
+	return &Owners{self: self, parts: 1, placed: p}
+}
+
+// among returns the instances one of which owns a limit.
+func (p *placement) among(name string) []Place {
+	hall, _, _ := strings.Cut(name, PlaceMark)
+	if in := p.byHall[hall]; len(in) > 0 {
+		return in
+	}
+	if in := p.byRegion[p.regionOf[hall]]; len(in) > 0 {
+		return in
+	}
+	return p.all
+}
+
+// of returns the owner of a limit, and those who would own it if it were away.
+func (p *placement) of(name string) []Owner {
+	places := slices.Clone(p.among(name))
+	slices.SortFunc(places, func(a, b Place) int {
+		x, y := mix.Pair(name, a.Name), mix.Pair(name, b.Name)
+		switch {
+		case x > y:
+			return -1
+		case x < y:
+			return 1
+		default:
+			return strings.Compare(a.Name, b.Name)
+		}
+	})
+	owners := make([]Owner, 0, deputies)
+	for _, place := range places[:min(deputies, len(places))] {
+		owners = append(owners, Owner{Name: place.Name, Near: place.Region == p.region})
+	}
+	return owners
+}
+
+// owns tells whether this instance owns a limit.
+func (p *placement) owns(name string) bool {
+	owners := p.of(name)
+	return len(owners) > 0 && owners[0].Name == p.self
+}
+
+// NewPlacedHolder returns a holder of permits of placed limits for the instance of a name.
+func NewPlacedHolder(name string) *Holder {
+	h := NewHolder(name)
+	h.mostDenial = mostPlacedDenial
+	return h
+}
+
+// NewPlacedIssuer returns the issuer of placed limits of a process that started at a time, maybe
+// with the whole system for the first time.
+func NewPlacedIssuer(startedAt time.Time, firstStart bool) *Issuer {
+	i := NewIssuer(PlacedBound, startedAt, firstStart)
+	i.tenure.time = placedTenure
+	i.crowds = true
+	return i
+}
+
+// crowdWait is how long an instance is denied that asked for a permit in vain: longer than the
+// next one takes to come if many ask, so that the questions stay in proportion to the permits.
+func (p *part) crowdWait(now time.Time) time.Duration {
+	if p.limit.Rate <= 0 {
+		return maxWait
+	}
+	crowd := math.Max(1, math.Min(mostCrowd, p.asked.now(now)/p.limit.Rate))
+	return min(maxWait, time.Duration(crowd*float64(p.wait(1))))
+}
+
+// Free returns the number of permits of a limit that the holder has.
+func (h *Holder) Free(now time.Time, name string) int {
+	a := h.held[name]
+	if a == nil {
+		return 0
+	}
+	return a.permits.count(now)
+}
+
+// leftAfter is the age from which on a permit is left over: the request that it was asked for has
+// gone elsewhere.
+const leftAfter = 100 * time.Millisecond
+
+// Spare tells whether the holder has a permit of a limit that nobody waits for: more than one, or
+// one that is left over.
+func (h *Holder) Spare(now time.Time, name string) bool {
+	a := h.held[name]
+	if a == nil {
+		return false
+	}
+	n := a.permits.count(now)
+	return n > 1 || n == 1 && a.permits[0].until.Sub(now) <= a.life-leftAfter
+}
+
+// Spend takes a permit that the holder has, and returns until when it may be used and what to ask
+// owners. It returns false if there is none.
+func (h *Holder) Spend(now time.Time, name string) (until time.Time, asks []Ask, ok bool) {
+	a := h.account(name)
+	a.usedAt = now
+	n, until := a.permits.take(now, 1)
+	if n == 0 {
+		return time.Time{}, nil, false
+	}
+	a.used.add(now, 1)
+	return until, h.ahead(now, name, a), true
+}
+
+// Want asks for a permit of a limit, unless there is one, an owner has been asked, or one has
+// denied it a moment ago.
+func (h *Holder) Want(now time.Time, name string) []Ask {
+	a := h.account(name)
+	a.usedAt = now
+	if a.asking || now.Before(a.deniedUntil) || a.permits.count(now) > 0 {
+		return nil
+	}
+	a.tries = 0
+	_, asks := h.next(now, name, a)
+	return asks
+}
+
+// AsksNear tells whether an owner of the own region has been asked for permits of a limit and has
+// not answered.
+func (h *Holder) AsksNear(name string) bool {
+	a := h.held[name]
+	return a != nil && a.asking && a.ask.To.Near
+}
+
+// DeniedUntil returns until when no permit of a limit is asked for, as one was denied.
+func (h *Holder) DeniedUntil(name string) time.Time {
+	a := h.held[name]
+	if a == nil {
+		return time.Time{}
+	}
+	return a.deniedUntil
+}
+
+// Use returns the rates at which permits of a limit were got and spent here, in 1/s, and the owner
+// that was asked last.
+func (h *Holder) Use(now time.Time, name string) (got, used float64, owner string) {
+	a := h.held[name]
+	if a == nil {
+		return 0, 0, ""
+	}
+	return a.got.now(now), a.used.now(now), a.ask.To.Name
+}
--- a/upstream/away.go
+++ b/upstream/away.go
@@ -40,6 +40,9 @@
 // it is cold and has had what it bears.
 func (t *target) back(now time.Time) (availability.Cause, time.Time) {
 	verdict := t.judge(now)
+	if verdict.OK() && !t.permitted(now) {
+		return availability.CauseLimited, later(now, t.permits.DeniedUntil(t.limited.name))
+	}
 	switch verdict.Cause {
 	case availability.CauseNone, availability.CauseTrying, availability.CauseCold:
 		return verdict.Cause, now
@@ -48,6 +51,14 @@
 	}
 }
 
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // The callers of requests that are refused while all targets rest are told when the first of
 // these is back, and a drawn time more, so that they do not all come at once: a part of the rest
 // that is left, less for the most urgent ones. In a model of 24 targets that all rest for 3 s,
@@ -81,6 +92,9 @@
 		return refusal, true
 	}
 	left := first.until.Sub(now)
+	if first.cause == availability.CauseLimited {
+		return p.refuse(now, &r, ReasonLimited), true
+	}
 	if first.cause != availability.CauseResting {
 		refusal.RetryAfter = max(refusal.RetryAfter, left)
 		return refusal, true
--- a/upstream/choose.go
+++ b/upstream/choose.go
@@ -42,7 +42,7 @@
 	pl := p.planFor(now, r)
 	drawn := p.draw(pl, r)
 	c := p.chooseIn(now, r, drawn)
-	if c.found || c.reason == ReasonFull {
+	if c.found || c.reason == ReasonFull || c.reason == ReasonLimited {
 		return c
 	}
 	for _, region := range pl.regions {
@@ -50,7 +50,7 @@
 			continue
 		}
 		c = p.chooseIn(now, r, region)
-		if c.found || c.reason == ReasonFull {
+		if c.found || c.reason == ReasonFull || c.reason == ReasonLimited {
 			return c
 		}
 	}
@@ -64,11 +64,12 @@
 	if r.Alone {
 		return p.chooseAlone(now, r, region)
 	}
-	c := p.cheapest(now, r, region, p.rank(r, region, p.holding(now)))
+	ranking := p.rank(r, region, p.holding(now))
+	c := p.cheapest(now, r, region, ranking)
 	if c.reason != ReasonNoTarget {
 		return c
 	}
-	usable := func(t *target) bool { return t.usable(now) }
+	usable := func(t *target) bool { return t.otherwiseUsable(now) && t.spares(now) }
 	return p.cheapest(now, r, region, p.rank(r, region, usable))
 }
 
@@ -81,11 +82,15 @@
 	return func(t *target) bool { return t.holds(now) }
 }
 
+// aloneWants bounds the targets for which a request that is sent alone asks for permits.
+const aloneWants = 3
+
 // chooseAlone picks the target of a request that may end it: the one with the fewest requests,
 // which would be lost with it.
 func (p *Pool) chooseAlone(now time.Time, r *Request, region string) candidate {
 	usable := func(t *target) bool { return !r.avoids(t.spec.ID) && t.usable(now) }
 	if !slices.ContainsFunc(p.byRegion[region], usable) {
+		p.wantAny(now, p.byRegion[region][:min(aloneWants, len(p.byRegion[region]))])
 		return candidate{reason: ReasonNoTarget}
 	}
 	return p.leastLoaded(now, r, region)
@@ -109,10 +114,20 @@
 	best := candidate{reason: ReasonNoTarget}
 	bestCost := 0.0
 	for place, index := range ranking {
-		if index < 0 || !p.byRegion[region][index].usable(now) {
+		if index < 0 || !p.byRegion[region][index].otherwiseUsable(now) {
 			continue
 		}
 		t := p.byRegion[region][index]
+		if !t.permitted(now) {
+			if best.found {
+				continue
+			}
+			p.want(now, t)
+			if p.awaits(now, r, t) {
+				return candidate{reason: ReasonLimited}
+			}
+			continue
+		}
 		warm := p.warm(now, r, t, place == 0)
 		if full(now, r, t, warm) {
 			if !best.found {
--- /dev/null
+++ b/upstream/limit_model_test.go
@@ -0,0 +1,193 @@
+package upstream_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rainford/rainford/availability"
+	"github.com/rainford/rainford/ratelimit"
+)
+
+const (
+	// modelToldAfter is how long it takes until all instances know of a limit.
+	modelToldAfter = 100 * time.Millisecond
+	// limitWindow is the span in which arrivals are counted, and limitFrom the time from the
+	// first word of a limit on from which it is kept.
+	limitWindow = 4 * time.Second
+	limitFrom   = 2 * time.Second
+)
+
+// limitModel plays targets that name how much they take, and the instances that issue permits.
+type limitModel struct {
+	*restModel
+	issuers []*ratelimit.Issuer
+	names   map[string]int
+	limits  map[availability.ID]float64
+	// named are the limits that targets name now, by target.
+	named map[string]float64
+	// came are the times of arrivals by target.
+	came map[string][]time.Time
+	// messages are the questions and answers between instances.
+	messages int
+}
+
+func newLimitModel(seed uint64, instances, targets int) *limitModel {
+	m := &limitModel{restModel: newRestModel(seed, instances, targets), names: make(map[string]int), limits: make(map[availability.ID]float64),
+		named: make(map[string]float64), came: make(map[string][]time.Time)}
+	var places []ratelimit.Place
+	for i := range instances {
+		name := fmt.Sprint("n-", i)
+		m.names[name] = i
+		places = append(places, ratelimit.Place{Name: name, Hall: []string{"a1", "a2"}[i%2], Region: "a"})
+	}
+	for i := range instances {
+		owners := ratelimit.NewPlacedOwners(places[i], map[string]string{"a1": "a", "a2": "a"}, places)
+		m.pools[i].SetLimitOwners(owners)
+		issuer := ratelimit.NewPlacedIssuer(start.Add(-time.Minute), false)
+		issuer.SetOwners(start.Add(-time.Minute), owners)
+		m.issuers = append(m.issuers, issuer)
+		m.issue(i)
+	}
+	m.flush = m.ask
+	m.word = m.says
+	m.onArrival = func(t *modelTarget) { m.came[t.id] = append(m.came[t.id], m.now) }
+	return m
+}
+
+// issue has an instance answer claims that wait, again and again.
+func (m *limitModel) issue(i int) {
+	for _, r := range m.issuers[i].Tick(m.now) {
+		m.reply(i, r)
+	}
+	m.after(10*time.Millisecond, func() { m.issue(i) })
+}
+
+// says has all instances know of a target's limit, or of its end, a moment after it is said.
+func (m *limitModel) says(t *modelTarget) availability.Word {
+	perSecond, limited := m.named[t.id]
+	id := availability.IDOf(t.id)
+	known, had := m.limits[id]
+	if had != limited || known != perSecond {
+		m.limits[id] = perSecond
+		if !limited {
+			delete(m.limits, id)
+		}
+		told := availability.LimitList{{ID: id, PerSecond: perSecond, Ended: !limited}}
+		for i := range m.pools {
+			m.after(modelToldAfter, func() {
+				_, grants := m.pools[i].HearLimits(m.now, told, availability.SourcePeer)
+				m.grant(i, grants)
+			})
+		}
+	}
+	return availability.Word{Limited: limited, Limit: perSecond}
+}
+
+// ask sends the questions of an instance.
+func (m *limitModel) ask(i int) {
+	for _, ask := range m.pools[i].TakeAsks() {
+		to := m.names[ask.To.Name]
+		claim := ratelimit.Claim{From: fmt.Sprint("n-", i), At: m.now.UnixNano(), N: ask.N}
+		m.messages++
+		m.after(modelWay, func() {
+			limit, ok := m.limitOf(ask.Account)
+			if !ok {
+				return
+			}
+			reply, _ := m.issuers[to].Issue(m.now, ask.Account, limit, claim)
+			m.reply(to, reply)
+		})
+	}
+}
+
+func (m *limitModel) limitOf(name string) (ratelimit.Limit, bool) {
+	for id := range m.targets {
+		hall := m.hallOf[id]
+		if ratelimit.PlacedName(hall, id) == name {
+			perSecond, ok := m.limits[availability.IDOf(id)]
+			return ratelimit.Limit{Rate: perSecond, Burst: perSecond / 4}, ok
+		}
+	}
+	return ratelimit.Limit{}, false
+}
+
+func (m *limitModel) reply(from int, r ratelimit.Reply) {
+	m.messages++
+	to := m.names[r.To]
+	m.after(modelWay, func() {
+		m.grant(to, m.pools[to].HearPermits(m.now, time.Unix(0, r.At), r.Account, fmt.Sprint("n-", from), r.Issue))
+	})
+}
+
+// limitOutcome is what became of requests while targets named limits, from limitFrom on.
+type limitOutcome struct {
+	// most is the largest part of what a target may get in limitWindow that it got, and used
+	// the part of the sum of the limits that was sent.
+	most, used float64
+	// served and inTime are parts of the requests; messages are those of a second and instance.
+	served, inTime, messages float64
+}
+
+// playLimits has the first targets name a limit each for ten seconds, a share of their usual part.
+func playLimits(seed uint64, instances, targets, limited int, share float64) limitOutcome {
+	const settle, lasts = 10 * time.Second, 12 * time.Second
+	m := newLimitModel(seed, instances, targets)
+	usual := modelUse * modelSlots / modelWarm.Seconds()
+	from := start.Add(settle)
+	m.load(usual*float64(targets), from.Add(lasts))
+	m.run(from)
+	for i := range limited {
+		m.named[fmt.Sprint("t-", i)] = share * usual
+	}
+	m.run(from.Add(limitFrom))
+	m.came = make(map[string][]time.Time)
+	sent, refused, inTime, messages := m.sent, m.refused, m.inTime, m.messages
+	m.run(from.Add(lasts))
+	all := float64(m.sent - sent)
+	seconds := (lasts - limitFrom).Seconds()
+	out := limitOutcome{served: 1 - float64(m.refused-refused)/all, inTime: float64(m.inTime-inTime) / all,
+		messages: float64(m.messages-messages) / seconds / float64(instances)}
+	sum := 0
+	for i := range limited {
+		came := m.came[fmt.Sprint("t-", i)]
+		sum += len(came)
+		out.most = max(out.most, float64(mostIn(came, limitWindow))/(1.5*share*usual*limitWindow.Seconds()+5))
+	}
+	out.used = float64(sum) / (share * usual * float64(limited) * seconds)
+	return out
+}
+
+// mostIn returns the largest number of times in a span of a length.
+func mostIn(at []time.Time, length time.Duration) int {
+	most, first := 0, 0
+	for i := range at {
+		for at[i].Sub(at[first]) >= length {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// TestLimitsModel has one, seven and all of 24 targets name limits of a tenth, a half and nine
+// tenths of their usual part, at several numbers of instances, and checks that no target gets
+// more than it may, and what all take is used.
+func TestLimitsModel(t *testing.T) {
+	for _, instances := range []int{4, 12, 74} {
+		for _, limited := range []int{1, 7, 24} {
+			for _, share := range []float64{0.1, 0.5, 0.9} {
+				got := playLimits(1, instances, 24, limited, share)
+				t.Logf("%d instances, %d targets limited to %.1f: %+v", instances, limited, share, got)
+				require.LessOrEqual(t, got.most, 1.0)
+				if limited == 24 {
+					require.GreaterOrEqual(t, got.used, 0.9)
+					continue
+				}
+				require.GreaterOrEqual(t, got.served, 0.99, "the others have room")
+			}
+		}
+	}
+}
--- /dev/null
+++ b/upstream/limited.go
@@ -0,0 +1,265 @@
+package upstream
+
+import (
+	"time"
+
+	"github.com/rainford/rainford/availability"
+	"github.com/rainford/rainford/ratelimit"
+)
+
+const (
+	// permitPatience is how long a request waits for a permit of its key's first target while
+	// an owner of the own region is asked, before it goes to the second: the answer comes
+	// within milliseconds, and a run without the object costs hundreds.
+	permitPatience = 60 * time.Millisecond
+	// sendsTime is the time over which the rate of sends is averaged, for forecasts, and
+	// leastSends bounds that rate from below, in 1/s.
+	sendsTime  = 2 * time.Second
+	leastSends = 0.5
+	// longestReturn bounds what a refused caller is told to wait for room.
+	longestReturn = 5 * time.Second
+)
+
+// limited is that a target has named how many requests a second it takes from all instances
+// together. Each request to it takes a permit, which one instance issues for all.
+type limited struct {
+	perSecond float64
+	// name is that of its permits.
+	name   string
+	source availability.Source
+	since  time.Time
+}
+
+// Limited is a target that has named a limit.
+type Limited struct {
+	ID, Hall string
+	// PerSecond is the number of requests a second that it takes from all instances together.
+	PerSecond float64
+	Source    availability.Source
+	Since     time.Time
+	// Owner is the instance that was last asked for permits, Got the rate at which they came
+	// here, and Used that at which they were spent, in 1/s.
+	Owner     string
+	Got, Used float64
+}
+
+// permitted tells whether a request may be sent as far as the target's limit is concerned.
+func (t *target) permitted(now time.Time) bool {
+	return t.limited == nil || t.permits.Free(now, t.limited.name) > 0
+}
+
+// spares tells whether a request that any other target could serve as well may be sent: one that
+// takes the permit of a request whose object the target has would run without its own.
+func (t *target) spares(now time.Time) bool {
+	return t.limited == nil || t.permits.Spare(now, t.limited.name)
+}
+
+// capacity is the number of slots that the target's limit lets it use, at the usual time of an
+// answer.
+func (t *target) capacity(typical time.Duration) float64 {
+	slots := float64(t.spec.Slots)
+	if t.limited == nil {
+		return slots
+	}
+	return min(slots, t.limited.perSecond*typical.Seconds())
+}
+
+// SetLimitOwners takes in who issues the permits of targets' limits.
+func (p *Pool) SetLimitOwners(owners *ratelimit.Owners) { p.permits.SetOwners(owners) }
+
+// HearLimits takes in the limits that targets have named, to this or to another instance, and
+// which of them have ended. It returns the IDs of the targets of the pool whose limits changed,
+// and the grants that this makes possible.
+func (p *Pool) HearLimits(now time.Time, limits availability.LimitList, source availability.Source) ([]string, []Grant) {
+	var changed []string
+	for _, limit := range limits {
+		if limit.Ended {
+			delete(p.limits, limit.ID)
+		} else {
+			p.limits[limit.ID] = limit
+		}
+		t := p.byHash[limit.ID]
+		if t != nil && p.limit(now, t, source) {
+			changed = append(changed, t.spec.ID)
+		}
+	}
+	if len(changed) == 0 {
+		return nil, nil
+	}
+	p.replan()
+	return changed, p.dispatch(now)
+}
+
+// limit puts in force what is known of a target's limit. It reports whether that is a change.
+func (p *Pool) limit(now time.Time, t *target, source availability.Source) bool {
+	known, ok := p.limits[availability.ID(t.hash)]
+	switch {
+	case !ok:
+		had := t.limited != nil
+		t.limited = nil
+		return had
+	case t.limited == nil:
+		name := ratelimit.PlacedName(t.spec.Hall, t.spec.ID)
+		t.limited = &limited{perSecond: known.PerSecond, name: name, source: source, since: now.Add(-known.Age)}
+		return true
+	case t.limited.perSecond == known.PerSecond:
+		return false
+	default:
+		t.limited.perSecond, t.limited.source = known.PerSecond, source
+		return true
+	}
+}
+
+// Limited returns the targets that have named a limit, in the order of their IDs.
+func (p *Pool) Limited(now time.Time) []Limited {
+	var out []Limited
+	for _, t := range p.targets {
+		if t.limited == nil {
+			continue
+		}
+		got, used, owner := p.permits.Use(now, t.limited.name)
+		out = append(out, Limited{ID: t.spec.ID, Hall: t.spec.Hall, PerSecond: t.limited.perSecond, Source: t.limited.source,
+			Since: t.limited.since, Owner: owner, Got: got, Used: used})
+	}
+	return out
+}
+
+// want asks for a permit of a target that a request would be sent to if there were one.
+func (p *Pool) want(now time.Time, t *target) {
+	p.asks = append(p.asks, p.permits.Want(now, t.limited.name)...)
+}
+
+// wantAny asks for permits of the targets of a ranking none of which can be used.
+func (p *Pool) wantAny(now time.Time, targets []*target) {
+	for _, t := range targets {
+		if t.limited != nil && t.otherwiseUsable(now) && !t.permitted(now) {
+			p.want(now, t)
+		}
+	}
+}
+
+// awaits tells whether a request waits for a permit of its key's first target in place of going to
+// another one.
+func (p *Pool) awaits(now time.Time, r *Request, t *target) bool {
+	return now.Sub(r.since) < min(permitPatience, r.Patience) && p.permits.AsksNear(t.limited.name)
+}
+
+// spend takes the permit of a request that is sent to a target, and returns until when it may be
+// used, zero if the target has no limit.
+func (p *Pool) spend(now time.Time, t *target) time.Time {
+	if t.limited == nil {
+		return time.Time{}
+	}
+	until, asks, _ := p.permits.Spend(now, t.limited.name)
+	p.asks = append(p.asks, asks...)
+	return until
+}
+
+// returnPermit gives back the permit of a request that was not sent.
+func (p *Pool) returnPermit(now time.Time, t *target, r Result) {
+	if r.NotSent && t.limited != nil {
+		p.permits.Return(now, t.limited.name, r.Sent.PermitUntil)
+	}
+}
+
+// HearPermits takes in the answer of an owner to a question for permits that was asked at a time,
+// and returns the grants that this makes possible.
+func (p *Pool) HearPermits(now, askedAt time.Time, name, from string, issue ratelimit.Issue) []Grant {
+	_, asks := p.permits.Hear(now, askedAt, name, from, issue)
+	p.asks = append(p.asks, asks...)
+	return p.dispatch(now)
+}
+
+// OwnerUnreachable takes in that no connection to an instance could be had.
+func (p *Pool) OwnerUnreachable(now time.Time, owner string) {
+	_, asks := p.permits.Unreachable(now, owner)
+	p.asks = append(p.asks, asks...)
+}
+
+// TakeAsks returns the questions for permits since the last call.
+func (p *Pool) TakeAsks() []ratelimit.Ask {
+	asks := p.asks
+	p.asks = nil
+	return asks
+}
+
+// TakeSilent returns the owners that have been found not to answer since the last call.
+func (p *Pool) TakeSilent() []string {
+	silent := p.silent
+	p.silent = nil
+	return silent
+}
+
+// AwaitsOwners tells whether an answer of an owner is due.
+func (p *Pool) AwaitsOwners() bool { return p.permits.Due() }
+
+// tickPermits asks others in place of owners that have not answered in time.
+func (p *Pool) tickPermits(now time.Time) {
+	if !p.permits.Due() {
+		return
+	}
+	_, asks, silent := p.permits.Tick(now)
+	p.asks = append(p.asks, asks...)
+	p.silent = append(p.silent, silent...)
+}
+
+// ForgetPermits drops what is known of permits that nobody asks for.
+func (p *Pool) ForgetPermits(now time.Time) { p.permits.Forget(now) }
+
+// returns forecasts when refused callers find room: those told before come first, as fast as
+// requests are sent.
+type returns struct {
+	// owed is the number of refused callers that have not found room.
+	owed float64
+	// sends counts those sent of late.
+	sends float64
+	at    time.Time
+}
+
+// pass has time pass.
+func (f *returns) pass(now time.Time) {
+	elapsed := now.Sub(f.at).Seconds()
+	if f.at.IsZero() || elapsed < 0 {
+		elapsed = 0
+	}
+	f.owed = max(0, f.owed-elapsed*f.rate())
+	f.sends = max(0, f.sends*(1-min(1, elapsed/sendsTime.Seconds())))
+	f.at = now
+}
+
+// rate is the number of requests sent a second.
+func (f *returns) rate() float64 { return max(leastSends, f.sends/sendsTime.Seconds()) }
+
+// sent counts a request that is sent.
+func (f *returns) sent(now time.Time) {
+	f.pass(now)
+	f.sends++
+}
+
+// refuse returns when a caller that is refused now finds room.
+func (f *returns) refuse(now time.Time) time.Duration {
+	f.pass(now)
+	f.owed++
+	return min(longestReturn, time.Duration(f.owed/f.rate()*float64(time.Second)))
+}
+
+// limitsBind tells whether a target of a request is kept from it by its limit alone.
+func (p *Pool) limitsBind(now time.Time, r *Request) bool {
+	for _, t := range p.targets {
+		if t.limited != nil && r.allows(t.region) && t.otherwiseUsable(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// refuse is the refusal of a request that has no target.
+func (p *Pool) refuse(now time.Time, r *Request, reason Reason) Decision {
+	d := Decision{Verdict: Refuse, Reason: reason, RetryAfter: p.retryAfter(r.ID)}
+	if reason != ReasonNoTarget && reason != ReasonLimited || len(p.limits) == 0 || !p.limitsBind(now, r) {
+		return d
+	}
+	d.Reason = ReasonLimited
+	d.RetryAfter = max(d.RetryAfter, p.returns.refuse(now))
+	return d
+}
--- a/upstream/plan.go
+++ b/upstream/plan.go
@@ -130,14 +130,15 @@
 }
 
 // regionSlots returns the slots of each region whose targets are meant to serve:
-// suspicions, rests and coldness pass, so that they do not move shares.
+// suspicions, rests and coldness pass, so that they do not move shares. Targets that name a
+// limit count for what that lets them use.
 func (p *Pool) regionSlots(r *Request) map[string]float64 {
 	slots := make(map[string]float64, p.regions)
 	for _, t := range p.targets {
 		if !t.serves() || !r.allows(t.region) {
 			continue
 		}
-		slots[t.region] += float64(t.spec.Slots)
+		slots[t.region] += t.capacity(p.typical)
 	}
 	return slots
 }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -9,6 +9,7 @@
 	"github.com/rainford/rainford/availability"
 	"github.com/rainford/rainford/catalog"
 	"github.com/rainford/rainford/internal/mix"
+	"github.com/rainford/rainford/ratelimit"
 	"github.com/rainford/rainford/table"
 )
 
@@ -53,6 +54,14 @@
 	// departures are the targets that have said themselves that they leave, those too that
 	// the pool does not have: what the list says of them, later or not, does not undo that.
 	departures availability.Departures
+	// limits are those that targets have named, those too that the pool does not have.
+	limits map[availability.ID]availability.Limit
+	// permits are those of targets' limits, asks the questions for more that are to be sent
+	// to their owners, and silent the owners that do not answer.
+	permits *ratelimit.Holder
+	asks    []ratelimit.Ask
+	silent  []string
+	returns returns
 	// restsUntil is when the last of the targets that rest is back.
 	restsUntil time.Time
 	events     []Event
@@ -83,6 +92,8 @@
 		usages:    make(map[string]*usage),
 		groups:    numberHalls(config.RegionOf),
 		plans:     make(map[string]*plan),
+		limits:    make(map[availability.ID]availability.Limit),
+		permits:   ratelimit.NewPlacedHolder(config.Self),
 		typical:   firstTypical,
 		salt:      mix.Hash(config.Self),
 	}
@@ -203,7 +214,7 @@
 func (p *Pool) setTarget(now time.Time, spec catalog.Target, evacuated bool) {
 	t := p.byID[spec.ID]
 	if t == nil {
-		t = &target{known: make(map[string]time.Time), hash: affinity.Hash(spec.ID), coldUntil: now, quotas: p.quotas}
+		t = &target{known: make(map[string]time.Time), hash: affinity.Hash(spec.ID), coldUntil: now, quotas: p.quotas, permits: p.permits}
 		p.byID[spec.ID] = t
 	}
 	before := t.belief()
@@ -220,6 +231,7 @@
 	t.state.List(now, spec.Leaves)
 	t.state.Drain(now, spec.Drained)
 	t.state.Evacuate(now, evacuated)
+	p.limit(now, t, availability.SourcePeer)
 	if at, ok := p.departures.Has(availability.ID(t.hash)); ok {
 		t.state.Leave(at, availability.SourcePeer)
 	}
@@ -247,6 +259,7 @@
 
 // Acquire chooses a target for a request, queues the request, or refuses it.
 func (p *Pool) Acquire(now time.Time, r Request) Decision {
+	r.since = now
 	r.point = mix.Unit(mix.Pair(r.Key, "region"))
 	if r.Sticky {
 		p.planFor(now, &r).points.Note(now, r.point)
@@ -264,7 +277,7 @@
 	if now.Add(p.typical).After(r.Deadline) {
 		return Decision{Verdict: Refuse, Reason: ReasonLate, RetryAfter: p.retryAfter(r.ID)}
 	}
-	if !p.queue.add(now, r) {
+	if !p.queue.add(r) {
 		return Decision{Verdict: Refuse, Reason: ReasonQueueFull, RetryAfter: p.retryAfter(r.ID)}
 	}
 	return Decision{Verdict: Wait, Reason: c.reason}
@@ -274,6 +287,8 @@
 	t := c.target
 	sent := Sent{Known: t.knows(now, r.Key), First: c.first, Load: t.load(now) / float64(max(t.spec.Slots, 1))}
 	cold := t.cold(now)
+	sent.At, sent.PermitUntil = now, p.spend(now, t)
+	p.returns.sent(now)
 	t.begin(now)
 	t.learn(now, r.Key)
 	return Decision{
@@ -316,6 +331,7 @@
 		p.departures.Add(now, availability.ID(t.hash))
 	}
 	p.learn(t, r)
+	p.returnPermit(now, t, r)
 	t.end(now, r)
 	if until := t.state.RestsUntil(); until.After(p.restsUntil) {
 		p.restsUntil = until
@@ -334,10 +350,14 @@
 }
 
 // May tells whether a request that was granted a target may still be sent there. Between the
-// grant and the sending, a connection has to be opened, and the target may have spoken.
-func (p *Pool) May(now time.Time, id string) bool {
+// grant and the sending, a connection has to be opened, the target may have spoken, and a permit
+// may have ended.
+func (p *Pool) May(now time.Time, id string, sent Sent) bool {
 	t := p.byID[id]
-	return t != nil && t.state.May(now)
+	if t == nil || !t.state.May(now) {
+		return false
+	}
+	return t.limited == nil || now.Before(sent.PermitUntil)
 }
 
 // HearDepartures takes in that targets said, to this or to another instance, that they leave.
@@ -391,7 +411,10 @@
 
 // Tick returns the grants and refusals that the passing of time brings. It is to
 // be called while Waiting is not 0.
-func (p *Pool) Tick(now time.Time) []Grant { return p.dispatch(now) }
+func (p *Pool) Tick(now time.Time) []Grant {
+	p.tickPermits(now)
+	return p.dispatch(now)
+}
 
 // Waiting returns the length of the queue.
 func (p *Pool) Waiting() int { return len(p.queue.waiting) }
@@ -402,13 +425,12 @@
 	var grants []Grant
 	kept := p.queue.waiting[:0]
 	for _, w := range p.queue.waiting {
-		c := p.choose(now, &w.Request)
+		c := p.choose(now, &w)
 		switch {
 		case c.found:
-			grants = append(grants, Grant{ID: w.ID, Decision: p.send(now, &w.Request, c)})
+			grants = append(grants, Grant{ID: w.ID, Decision: p.send(now, &w, c)})
 		case now.Sub(w.since) >= w.Patience || now.Add(p.typical).After(w.Deadline):
-			refusal := Decision{Verdict: Refuse, Reason: c.reason, RetryAfter: p.retryAfter(w.ID)}
-			grants = append(grants, Grant{ID: w.ID, Decision: refusal})
+			grants = append(grants, Grant{ID: w.ID, Decision: p.refuse(now, &w, c.reason)})
 		default:
 			kept = append(kept, w)
 		}
--- a/upstream/queue.go
+++ b/upstream/queue.go
@@ -1,32 +1,23 @@
 package upstream
 
-import (
-	"sort"
-	"time"
-)
+import "sort"
 
 // maxQueue bounds the requests that wait for one service.
 const maxQueue = 256
 
-// waiting is a request in the queue.
-type waiting struct {
-	Request
-	since time.Time
-}
-
 // queue holds requests in the order of priority, then of arrival.
 type queue struct {
-	waiting []waiting
+	waiting []Request
 }
 
-func (q *queue) add(now time.Time, r Request) bool {
+func (q *queue) add(r Request) bool {
 	if len(q.waiting) >= maxQueue {
 		return false
 	}
 	at := sort.Search(len(q.waiting), func(i int) bool { return q.waiting[i].Priority > r.Priority })
-	q.waiting = append(q.waiting, waiting{})
+	q.waiting = append(q.waiting, Request{})
 	copy(q.waiting[at+1:], q.waiting[at:])
-	q.waiting[at] = waiting{Request: r, since: now}
+	q.waiting[at] = r
 	return true
 }
 
--- a/upstream/request.go
+++ b/upstream/request.go
@@ -32,6 +32,8 @@
 	// Avoid are the targets that the request was sent to already.
 	Avoid []string
 
+	// since is when the request came.
+	since time.Time
 	// point is the place of the key among the shares of regions, in [0, 1).
 	point float64
 }
@@ -76,10 +78,12 @@
 
 // The reasons.
 const (
-	ReasonFirst     Reason = "first-choice"
-	ReasonLoad      Reason = "by-load"
-	ReasonNoTarget  Reason = "no-target"
-	ReasonResting   Reason = "targets-rest"
+	ReasonFirst    Reason = "first-choice"
+	ReasonLoad     Reason = "by-load"
+	ReasonNoTarget Reason = "no-target"
+	ReasonResting  Reason = "targets-rest"
+	// ReasonLimited means that the targets take no more now by the limits that they name.
+	ReasonLimited   Reason = "targets-limited"
 	ReasonFull      Reason = "targets-full"
 	ReasonLate      Reason = "too-late"
 	ReasonQueueFull Reason = "queue-full"
@@ -146,6 +150,8 @@
 	Report *Report
 	// Word is what the target said of itself.
 	Word availability.Word
+	// NotSent says that the request never left for the target.
+	NotSent bool
 	// Took is the time from the send to the whole answer.
 	Took time.Duration
 	// Sent is that of the decision.
--- a/upstream/rest_model_test.go
+++ b/upstream/rest_model_test.go
@@ -24,6 +24,7 @@
 
 	pools   []*upstream.Pool
 	targets map[string]*modelTarget
+	hallOf  map[string]string
 	waiting []map[uint64]*modelRequest
 	nextID  uint64
 
@@ -32,6 +33,13 @@
 	obedient bool
 
 	sent, inTime, refused int
+	// flush, if it is set, is called after each change of a pool.
+	flush func(pool int)
+	// word, if it is set, returns what a target says of itself in an answer.
+	word func(t *modelTarget) availability.Word
+	// onArrival, if it is set, is told of each arrival at a target.
+	onArrival func(t *modelTarget)
+
 	// arrivals are the times at which requests reach targets.
 	arrivals []time.Time
 }
@@ -100,13 +108,14 @@
 }
 
 func newRestModel(seed uint64, instances, targets int) *restModel {
-	m := &restModel{rnd: rand.New(rand.NewPCG(seed, 7)), now: start, targets: make(map[string]*modelTarget)}
+	m := &restModel{rnd: rand.New(rand.NewPCG(seed, 7)), now: start, targets: make(map[string]*modelTarget), hallOf: make(map[string]string)}
 	var specs []catalog.Target
 	hallNames := []string{"a1", "a2"}
 	for i := range targets {
 		id := fmt.Sprint("t-", i)
 		specs = append(specs, catalog.Target{ID: id, Service: "s", Addr: "x", Hall: hallNames[i%2], Slots: modelSlots})
 		m.targets[id] = &modelTarget{id: id}
+		m.hallOf[id] = hallNames[i%2]
 	}
 	for i := range instances {
 		p := upstream.NewPool(upstream.Config{Service: "s", Self: fmt.Sprint("n-", i), Hall: hallNames[i%2], Region: "a",
@@ -168,6 +177,7 @@
 	m.nextID++
 	r.request.ID = m.nextID
 	m.decide(r, m.pools[r.pool].Acquire(m.now, r.request))
+	m.flushed(r.pool)
 }
 
 func (m *restModel) decide(r *modelRequest, d upstream.Decision) {
@@ -187,6 +197,21 @@
 		delete(m.waiting[pool], g.ID)
 		m.decide(r, g.Decision)
 	}
+	m.flushed(pool)
+}
+
+func (m *restModel) flushed(pool int) {
+	if m.flush != nil {
+		m.flush(pool)
+	}
+}
+
+// says returns what a target says of itself.
+func (m *restModel) says(t *modelTarget) availability.Word {
+	if m.word == nil {
+		return availability.Word{}
+	}
+	return m.word(t)
 }
 
 // refuse has the client come back when told, or, unless it is obedient, after a third of the time
@@ -211,6 +236,9 @@
 // reach has a request reach a target.
 func (m *restModel) reach(r *modelRequest, t *modelTarget, sent upstream.Sent) {
 	m.arrivals = append(m.arrivals, m.now)
+	if m.onArrival != nil {
+		m.onArrival(t)
+	}
 	if t.asks > 0 && !m.now.Before(t.restFrom) && m.now.Before(t.restTo) {
 		m.turnAway(r, t, availability.Word{Rest: t.asks})
 		return
@@ -253,7 +281,7 @@
 			m.inTime++
 		}
 		report := &upstream.Report{Running: t.busy, Waiting: len(t.queue), Slots: modelSlots}
-		m.grant(r.pool, m.pools[r.pool].Release(m.now, t.id, upstream.Result{Outcome: upstream.Answered, Report: report, Took: m.now.Sub(began), Sent: sent}))
+		m.grant(r.pool, m.pools[r.pool].Release(m.now, t.id, upstream.Result{Outcome: upstream.Answered, Report: report, Word: m.says(t), Took: m.now.Sub(began), Sent: sent}))
 	})
 }
 
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -5,6 +5,7 @@
 
 	"github.com/rainford/rainford/availability"
 	"github.com/rainford/rainford/catalog"
+	"github.com/rainford/rainford/ratelimit"
 	"github.com/rainford/rainford/warmup"
 )
 
@@ -80,6 +81,10 @@
 	probing bool
 
 	known map[string]time.Time
+
+	// limited is nil if the target has named no limit, and permits are those of all targets.
+	limited *limited
+	permits *ratelimit.Holder
 }
 
 func (t *target) cold(now time.Time) bool { return now.Before(t.coldUntil) }
@@ -97,7 +102,10 @@
 }
 
 // usable tells whether a request may be sent now, its load aside.
-func (t *target) usable(now time.Time) bool {
+func (t *target) usable(now time.Time) bool { return t.otherwiseUsable(now) && t.permitted(now) }
+
+// otherwiseUsable tells whether a request may be sent now, the target's load and limit aside.
+func (t *target) otherwiseUsable(now time.Time) bool {
 	switch {
 	case !t.state.May(now):
 		return false
@@ -110,12 +118,12 @@
 	}
 }
 
-// judge tells whether a request may be sent now, its load aside, and what is in the way.
+// judge tells whether a request may be sent now, its load and limit aside, and what is in the way.
 func (t *target) judge(now time.Time) availability.Verdict {
 	switch verdict := t.state.Judge(now); {
 	case !verdict.OK():
 		return verdict
-	case t.usable(now):
+	case t.otherwiseUsable(now):
 		return verdict
 	case t.suspicion > 0 && t.probing:
 		return availability.Verdict{Cause: availability.CauseTrying, Source: availability.SourceOwn}
--- a/upstream/warmth.go
+++ b/upstream/warmth.go
@@ -34,6 +34,11 @@
 	First bool
 	// Load is the requests expected at the target, over its slots.
 	Load float64
+	// At is when the target was granted.
+	At time.Time
+	// PermitUntil is how long the request may be sent by the target's limit, zero if the
+	// target had none.
+	PermitUntil time.Time
 }
 
 // warmth is what a pool has learned of the times of warm and cold objects. The zero value
--- a/upstream/word_test.go
+++ b/upstream/word_test.go
@@ -44,9 +44,9 @@
 				p := newPool()
 				p.SetTargets(start, spread(3), nil)
 				first := p.Acquire(start, request("k")).Target.ID
-				require.True(t, p.May(start, first))
+				require.True(t, p.May(start, first, upstream.Sent{}))
 				p.Release(start, first, spoken(outcome, word))
-				require.False(t, p.May(start, first), "a request that was granted it before")
+				require.False(t, p.May(start, first, upstream.Sent{}), "a request that was granted it before")
 				second := firstOf(p, start, "k")
 				require.NotEqual(t, first, second)
 				require.NotEmpty(t, second)
@@ -147,7 +147,7 @@
 	p.SetTargets(start, specs, nil)
 	for i, spec := range specs {
 		rest := time.Duration(2+i) * time.Second
-		for p.May(start, spec.ID) {
+		for p.May(start, spec.ID, upstream.Sent{}) {
 			d := p.Acquire(start, request("k"))
 			p.Release(start, d.Target.ID, spoken(upstream.Rejected, availability.Word{Rest: rest}))
 		}
