--- a/cmd/rainford/gateways.go
+++ b/cmd/rainford/gateways.go
@@ -74,6 +74,9 @@
 		for _, t := range s.Unavailable {
 			fmt.Fprintf(tw, "  %s\t%s\t%s\t%s by %s\t%s\n", t.Target, t.Hall, t.Service, t.Cause, t.Source, lasting(t.ForMs, t.LeftMs))
 		}
+		for _, t := range s.Limited {
+			fmt.Fprintf(tw, "  %s\t%s\t%s\ttakes %g/s by %s\t%s, %.1f/s from here, permits by %s\n", t.Target, t.Hall, t.Service, t.PerSecond, t.Source, lasting(t.ForMs, 0), t.Used, t.Owner)
+		}
 		for _, h := range s.Held {
 			fmt.Fprintf(tw, "  %s\theld\t%d targets ended\t%d trials failed\t%s\n", h.Content, h.Ends, h.Failed, lasting(0, h.LeftMs))
 		}
--- a/gateway/logs.go
+++ b/gateway/logs.go
@@ -46,6 +46,7 @@
 	logWasAway        = "was away"
 	logNotHeard       = "not heard by another instance"
 	logTargetLimit    = "target limit"
+	logTargetLimits   = "target limits"
 	logTargetEnded    = "target ended"
 	logRequestHeld    = "request held"
 	logRequestFreed   = "request freed"
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -133,6 +133,16 @@
 					emit(float64(n.Targets), group.Hall, string(group.State))
 				}
 			})),
+		m.telemetry.Gauges("rainford.targets.limited", "Targets that name how many requests they take, by hall.", []string{"service", "hall"},
+			ps.observe(func(p *pool, emit emit) {
+				halls := make(map[string]int)
+				for _, l := range p.upstream.Limited(p.clock.Now()) {
+					halls[l.Hall]++
+				}
+				for hall, n := range halls {
+					emit(float64(n), hall)
+				}
+			})),
 		m.telemetry.Gauges("rainford.attempts.in_flight", "Attempts in flight by the target's hall.", []string{"service", "hall"},
 			ps.observe(func(p *pool, emit emit) {
 				inFlight := make(map[string]int)
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -26,6 +26,8 @@
 	// Targets is the number of targets known, and Unavailable those that get nothing now.
 	Targets     int                 `json:"targets"`
 	Unavailable []UnavailableTarget `json:"unavailable"`
+	// Limited are the targets that name how much they take.
+	Limited []LimitedTarget `json:"limited"`
 	// Held are the requests and accounts that are not sent like others.
 	Held []HeldRequest `json:"held"`
 }
@@ -43,6 +45,21 @@
 	LeftMs int64 `json:"left_ms,omitempty"`
 }
 
+// LimitedTarget is a target that names how many requests a second it takes from all instances
+// together. What is got and used is this instance's part.
+type LimitedTarget struct {
+	Service   string              `json:"service"`
+	Target    string              `json:"target"`
+	Hall      string              `json:"hall"`
+	PerSecond float64             `json:"limit_per_s"`
+	Source    availability.Source `json:"source"`
+	ForMs     int64               `json:"for_ms"`
+	// Owner is the instance that issues the permits, as far as one was asked here.
+	Owner string  `json:"owner,omitempty"`
+	Got   float64 `json:"permits_per_s"`
+	Used  float64 `json:"sent_per_s"`
+}
+
 // HeldRequest is a request, by its content, or an account that is not sent like others.
 type HeldRequest struct {
 	Content string `json:"content"`
@@ -60,6 +77,7 @@
 		s.Version = router.Config().Version
 	}
 	s.Targets, s.Unavailable = g.pools.unavailable(now)
+	s.Limited = g.pools.limited(now)
 	s.Held = g.holds.list(now)
 	return s
 }
@@ -108,6 +126,25 @@
 	return all, out
 }
 
+// limited returns the targets of all services that name how much they take.
+func (ps *pools) limited(now time.Time) []LimitedTarget {
+	ps.mu.RLock()
+	defer ps.mu.RUnlock()
+	var out []LimitedTarget
+	for service, p := range ps.pools {
+		p.mu.Lock()
+		for _, l := range p.upstream.Limited(now) {
+			out = append(out, LimitedTarget{Service: service, Target: l.ID, Hall: l.Hall, PerSecond: l.PerSecond, Source: l.Source,
+				ForMs: now.Sub(l.Since).Milliseconds(), Owner: l.Owner, Got: l.Got, Used: l.Used})
+		}
+		p.mu.Unlock()
+	}
+	slices.SortFunc(out, func(a, b LimitedTarget) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Target, b.Target))
+	})
+	return out
+}
+
 // list returns the requests and accounts that are not free.
 func (h *holds) list(now time.Time) []HeldRequest {
 	h.mu.Lock()
--- a/gateway/target_limits.go
+++ b/gateway/target_limits.go
@@ -180,9 +180,23 @@
 	if len(fresh) == 0 {
 		return
 	}
-	for _, target := range g.pools.hearLimits(now, fresh, source) {
-		limit, limited := g.targetLimits.of(availability.IDOf(target))
-		g.log.Info(logTargetLimit, "target", target, "limited", limited, "limit_per_s", limit, "source", source)
+	g.reportLimits(g.pools.hearLimits(now, fresh, source), source)
+}
+
+// reportLimits logs targets whose limits have changed, many in one line.
+func (g *Gateway) reportLimits(changed []string, source availability.Source) {
+	limited := 0
+	for _, target := range changed {
+		perSecond, is := g.targetLimits.of(availability.IDOf(target))
+		if is {
+			limited++
+		}
+		if len(changed) <= maxBeliefLines {
+			g.log.Info(logTargetLimit, "target", target, "limited", is, "limit_per_s", perSecond, "source", source)
+		}
+	}
+	if len(changed) > maxBeliefLines {
+		g.log.Info(logTargetLimits, "changes", len(changed), "limited", limited, "source", source)
 	}
 }
 
