Tests of who issues the permits of targets' limits: owners that go, come back and are suspected

TestPlacedLimitOutlivesItsOwner is red where each instance takes itself for the owner. It stays green with no time left to the last owner (placedTenure 0): what that guards against, permits of the last owner that are still out and instances that hear late, is not in its world.

--- /dev/null
+++ b/ratelimit/placed_test.go
@@ -0,0 +1,153 @@
+package ratelimit_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/rainford/rainford/ratelimit"
+)
+
+const (
+	placedHall = "a1"
+	// seesWithin is how long after an instance goes or is back all others know.
+	seesWithin = time.Second
+)
+
+var placedName = ratelimit.PlacedName(placedHall, "t")
+
+// placedWorld is instances of one hall that issue permits of one limit.
+type placedWorld struct {
+	issuers []*ratelimit.Issuer
+	places  []ratelimit.Place
+	issued  []time.Time
+}
+
+func newPlacedWorld(n int, now time.Time) *placedWorld {
+	w := &placedWorld{}
+	for i := range n {
+		w.places = append(w.places, ratelimit.Place{Name: fmt.Sprint("n", i), Hall: placedHall, Region: "a"})
+	}
+	for i := range n {
+		w.issuers = append(w.issuers, ratelimit.NewPlacedIssuer(now.Add(-time.Hour), false))
+		w.issuers[i].SetOwners(now.Add(-time.Hour), w.owners(i, nil))
+	}
+	return w
+}
+
+// owners returns the owners as an instance knows them that takes others to be away.
+func (w *placedWorld) owners(self int, away map[int]bool) *ratelimit.Owners {
+	var places []ratelimit.Place
+	for i, p := range w.places {
+		if !away[i] {
+			places = append(places, p)
+		}
+	}
+	return ratelimit.NewPlacedOwners(w.places[self], map[string]string{placedHall: "a"}, places)
+}
+
+// TestPlacedLimitOutlivesItsOwner draws which instances go and come back, when each of the others
+// knows of that, and who asks whom, also instances that are not the owner for anybody, and checks
+// that all together never issue more in any window than one and a half times the limit and five.
+func TestPlacedLimitOutlivesItsOwner(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1000, 0)
+		n := rapid.IntRange(2, 5).Draw(t, "instances")
+		perSecond := float64(rapid.IntRange(1, 80).Draw(t, "limit")) / 2
+		limit := ratelimit.Limit{Rate: perSecond, Burst: perSecond / 4}
+		w := newPlacedWorld(n, now)
+		gone := make(map[int]bool)
+		knows := make([]map[int]bool, n)
+		var changed time.Time
+		for range 400 {
+			now = now.Add(50 * time.Millisecond)
+			if now.Sub(changed) > 4*time.Second && rapid.IntRange(0, 40).Draw(t, "change") == 0 {
+				who := rapid.IntRange(0, n-1).Draw(t, "who")
+				gone[who] = !gone[who]
+				changed = now
+				if !gone[who] {
+					// It starts again, and knows whom the others know.
+					w.issuers[who] = ratelimit.NewPlacedIssuer(now, false)
+					knows[who] = nil
+				}
+			}
+			for i := range n {
+				late := time.Duration(i) * seesWithin / time.Duration(n)
+				if gone[i] || now.Sub(changed) < late {
+					continue
+				}
+				view := make(map[int]bool)
+				for k, is := range gone {
+					if is {
+						view[k] = true
+					}
+				}
+				if knows[i] == nil || fmt.Sprint(knows[i]) != fmt.Sprint(view) {
+					knows[i] = view
+					w.issuers[i].SetOwners(now, w.owners(i, view))
+				}
+			}
+			for range rapid.IntRange(0, 4).Draw(t, "asks") {
+				to := rapid.IntRange(0, n-1).Draw(t, "to")
+				if gone[to] || knows[to] == nil {
+					continue
+				}
+				reply, loans := w.issuers[to].Issue(now, placedName, limit, ratelimit.Claim{From: "x", N: rapid.IntRange(1, 20).Draw(t, "n")})
+				require.Empty(t, loans, "nothing is lent")
+				for range reply.Issue.N {
+					w.issued = append(w.issued, now)
+				}
+			}
+			for i := range n {
+				for _, reply := range w.issuers[i].Tick(now) {
+					for range reply.Issue.N {
+						w.issued = append(w.issued, now)
+					}
+				}
+			}
+		}
+		window := ratelimit.PlacedBound.Window
+		first := 0
+		for i := range w.issued {
+			for w.issued[i].Sub(w.issued[first]) >= window {
+				first++
+			}
+			require.LessOrEqual(t, float64(i-first+1), 1.5*perSecond*window.Seconds()+5)
+		}
+	})
+}
+
+// TestPlacedOwnerIsNear checks that a limit belongs to an instance of its hall, or if there is none
+// to one of the region, or of all, and that one that joins takes over few.
+func TestPlacedOwnerIsNear(t *testing.T) {
+	regionOf := map[string]string{"a1": "a", "a2": "a", "b1": "b"}
+	place := func(name, hall string) ratelimit.Place {
+		return ratelimit.Place{Name: name, Hall: hall, Region: regionOf[hall]}
+	}
+	self := place("s", "b1")
+	all := []ratelimit.Place{self, place("x", "a1"), place("y", "a2")}
+	of := func(places ...ratelimit.Place) ratelimit.Owner {
+		return ratelimit.NewPlacedOwners(self, regionOf, places).Of(placedName)[0]
+	}
+	require.Equal(t, ratelimit.Owner{Name: "x"}, of(all...))
+	require.Equal(t, ratelimit.Owner{Name: "y"}, of(all[0], all[2]))
+	require.Equal(t, ratelimit.Owner{Name: "s", Near: true}, of(all[0]))
+	moved := 0
+	var places []ratelimit.Place
+	for i := range 10 {
+		places = append(places, place(fmt.Sprint("n", i), "a1"))
+	}
+	for k := range 1000 {
+		name := ratelimit.PlacedName("a1", fmt.Sprint("t", k))
+		before := ratelimit.NewPlacedOwners(self, regionOf, places[:9]).Of(name)[0]
+		after := ratelimit.NewPlacedOwners(self, regionOf, places).Of(name)[0]
+		if before != after {
+			require.Equal(t, "n9", after.Name)
+			moved++
+		}
+	}
+	require.InDelta(t, 100, moved, 40)
+}
