--- a/availability/word.go
+++ b/availability/word.go
@@ -33,5 +33,5 @@
 // CantRead tells whether a part of the word can't be read.
 func (w Word) CantRead(part Part) bool { return slices.Contains(w.Unreadable, part) }
 
-// Says tells whether the word keeps further requests of this instance from the target.
-func (w Word) Says() bool { return w.Leaves || w.Rest > 0 }
+// Says tells whether the word keeps requests of this instance from the target, all or some.
+func (w Word) Says() bool { return w.Leaves || w.Rest > 0 || w.Limited }
