An instance that has just started has no part of what all share until it has read who there is

Found by looking for the incident's cause elsewhere: sums over all instances that are divided by the members that each one happens to know. Ruled out by reading: budgets of repeats (a new instance holds none and earns them), limits of accounts and of targets (owners by the store's list alone), trials (wardens by the list).

--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -52,6 +52,9 @@
 	if len(changes) > 0 {
 		g.putInForce(g.clock.Now(), d.Kind, changes, source, replica.At())
 	}
+	if before == 0 && d.Kind == KindInstances {
+		g.shareOut(g.clock.Now())
+	}
 	if d.Kind == KindTargets {
 		g.readiness.knowsTargets.Store(true)
 	}
@@ -199,8 +202,13 @@
 	}
 }
 
-// shareOut divides what all instances share anew. The caller holds mu.
+// shareOut divides what all instances share anew. One that has not read which instances there are
+// has no part: those that it happens to know are fewer than the others divide by, and the parts
+// would add up to more than there is. The caller holds mu.
 func (g *Gateway) shareOut(now time.Time) {
+	if g.replicas[KindInstances].At() == 0 {
+		return
+	}
 	members := make(map[string][]string)
 	all := g.view.All(now)
 	for _, s := range all {
