--- a/forward/spare.go
+++ b/forward/spare.go
@@ -12,7 +12,7 @@
 	// regions forty and more, which a request that has to wait for it adds to its time.
 	slowDial = 10 * time.Millisecond
 	// sparesAhead is the number of idle connections to a far target below which one
-	// more is opened with a request. Measured best of 0 to 3 (docs/DECIDING.md).
+	// more is opened with a request.
 	sparesAhead = 2
 	// spareWithin is how recently a target must have had the request before, for
 	// another one to be likely before the target closes an idle connection.
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -24,7 +24,6 @@
 	// patienceShare is the part of a route's objective that a request waits
 	// for a target before it is refused. With the way to the client it is told
 	// within a quarter of its objective, early enough to come back in time.
-	// Measured against a quarter and a sixteenth (docs/DECIDING.md).
 	patienceShare   = 8
 	defaultPatience = 250 * time.Millisecond
 	// targetMargin is how much less time than is left a target is given, and
--- a/gateway/sizes.go
+++ b/gateway/sizes.go
@@ -5,8 +5,7 @@
 const (
 	// heavyBytes is the mean length of a route's bodies, request and answer together,
 	// from which on its requests stay in the own hall. Below about two packets each
-	// way the bytes between halls cost less than a second cold copy of the object;
-	// measured on the sites of 400 bytes to 60 kB a request (docs/DECIDING.md).
+	// way the bytes between halls cost less than a second cold copy of the object.
 	heavyBytes = 4096
 	// sizeWeight is the weight of a request in the mean: the last 50 or so count.
 	sizeWeight = 0.02
--- a/upstream/away.go
+++ b/upstream/away.go
@@ -61,10 +61,7 @@
 
 // The callers of requests that are refused while all targets rest are told when the first of
 // these is back, and a drawn time more, so that they do not all come at once: a part of the rest
-// that is left, less for the most urgent ones. In a model of 24 targets that all rest for 3 s,
-// three seeds, it has 0.646 of the requests in time against 0.608 at 12 instances, and 0.497
-// against 0.441 at 74, if clients come back when they are told, and 0.655 against 0.648 and 0.506
-// against 0.498 if they come back after a third of their time (TestReturnFromRest).
+// that is left, less for the most urgent ones.
 const (
 	restSpread   = 1.0
 	urgentSpread = 0.5
--- a/upstream/choose.go
+++ b/upstream/choose.go
@@ -10,7 +10,7 @@
 const (
 	// missPenalty is what a target without the object costs, in usual times. A cold run
 	// takes two usual times more than a warm one; a third of that is taken, since the object
-	// is warm there afterwards. Measured against 0.3, 1.0 and 1.8 (docs/design/SHIFTED.md).
+	// is warm there afterwards.
 	missPenalty = 0.6
 	// rankPenalty is what each place in the ranking costs, in usual times. It
 	// keeps requests of one key together, and in the own hall, until the wait
@@ -19,8 +19,7 @@
 	// coldFullAt and warmFullAt are the loads, in slots, from which on a target takes no
 	// more requests for objects that it does not have and that it has: a cold run takes
 	// three times as long, seldom ends in time, and keeps those waiting that could. fullAt
-	// is that for requests without an object. Measured against 2.0 for all, and against
-	// 1.5 to 2.0 and 2.25 to 3.0 (docs/design/SHIFTED.md).
+	// is that for requests without an object.
 	coldFullAt = 1.75
 	warmFullAt = 2.5
 	fullAt     = 2.0
--- a/upstream/plan.go
+++ b/upstream/plan.go
@@ -96,10 +96,7 @@
 
 const (
 	// homeWork is the work of a request that has to run in a region, over that of one that
-	// may run anywhere: its object is seldom asked for there, and mostly cold. Where a
-	// region of a tenth of the slots is the home of 3 in 100 requests, credit is 0.729
-	// without room for them, 0.741 at 1.0 and 1.5, 0.748 at 2.0 and 0.722 at 3.0
-	// (docs/design/SHIFTED.md).
+	// may run anywhere: its object is seldom asked for there, and mostly cold.
 	homeWork = 2.0
 	// leastFree is the part of a region's slots that are free whatever has to run there.
 	leastFree = 0.02
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -302,8 +302,7 @@
 const (
 	// A refused request is told to come back after between so many usual times of an
 	// answer: by then the requests that filled its targets are done, and spread out so
-	// that those refused together do not come back together. Measured best of 1, 1.5
-	// to 3.5 and 3 to 6 (docs/DECIDING.md).
+	// that those refused together do not come back together.
 	earliestReturn = 1.5
 	latestReturn   = 3.5
 	// leastTypical bounds what is taken for the usual time here from below: a client
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -94,9 +94,8 @@
 func (t *target) serves() bool { return t.state.Serves() }
 
 // holds tells whether the target keeps its keys though it may not be used for a moment. While it
-// rests, which takes seconds, they have two other places: with the second alone seven of 24
-// targets that rest for 3 s at 0.6 of the slots leave 0.916 of the requests in time at 74
-// instances and 0.945 at 12, with two 0.928 and 0.947 (TestOthersServeWhileSomeRest).
+// rests, which takes seconds, they have two other places, as one
+// would have as many objects again to read.
 func (t *target) holds(now time.Time) bool {
 	return t.serves() && !now.Before(t.state.RestsUntil())
 }
