Soak: servers that name how much they take, and the sum over all instances judged

Steady, falling, flapping and small limits (0.5 a second on) of one server, those of a hall or all of a service, beside the other faults; LIMIT is judged from what servers see and instances pass on.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -189,6 +189,8 @@
 		r.reuse(srv, f)
 	case ServerLeaves:
 		r.sayLeaving(srv, f)
+	case ServerLimits:
+		r.nameLimits(srv, f)
 	case ServerRests:
 		r.askForRest(srv, f)
 	case ServerSays:
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -276,6 +276,7 @@
 	}
 	o.judgeAnswer(a, r, ran)
 	o.hearWord(a, r)
+	o.hearLimit(a, r)
 	o.judgeConfig(a, r)
 	o.judgeEnd(a, r, ran)
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -44,6 +44,7 @@
 	ServerLeaves   FaultKind = "server-leaves-by-word"
 	ServerRests    FaultKind = "server-asks-for-rest"
 	ServerSays     FaultKind = "server-says-wrong-words"
+	ServerLimits   FaultKind = "server-names-limit"
 )
 
 // laterKinds came after seeds were kept. They are drawn by themselves, so that the other
@@ -53,7 +54,7 @@
 // entryKinds came later still, and are drawn by themselves too.
 var entryKinds = []FaultKind{ForeignEntry, SameID}
 
-// wordKinds came last, and are drawn by themselves too.
+// wordKinds came after these, and are drawn by themselves too. ServerLimits came last.
 var wordKinds = []FaultKind{ServerLeaves, ServerRests, ServerRests, ServerSays}
 
 // kindsOfFaults are all kinds, with how often they come.
@@ -127,6 +128,11 @@
 		out = append(out, Fault{At: at, For: time.Duration(1000+words.IntN(4000)) * time.Millisecond, Kind: wordKinds[words.IntN(len(wordKinds))],
 			Which: words.IntN(1 << 16), How: words.IntN(1 << 16)})
 	}
+	limits := rand.New(rand.NewPCG(seed, 10))
+	for at := 1300 * time.Millisecond; at < last-limitLasts; at += 3*gap + time.Duration(limits.Int64N(int64(4*gap))) {
+		length := limitLasts + time.Duration(limits.Int64N(int64(last-limitLasts-at)))
+		out = append(out, Fault{At: at, For: length, Kind: ServerLimits, Which: limits.IntN(1 << 16), How: limits.IntN(1 << 16)})
+	}
 	sort.SliceStable(out, func(i, j int) bool { return out[i].At < out[j].At })
 	return out
 }
--- a/internal/soak/words.go
+++ b/internal/soak/words.go
@@ -42,6 +42,8 @@
 	passedOn map[string]map[string]said
 	// rests are those that servers have asked instances for, by server and instance.
 	rests map[string]map[string][]*askedRest
+	// limits are of the servers that have named one.
+	limits map[string]*limited
 }
 
 // said is a word to one run of an instance.
@@ -60,13 +62,14 @@
 }
 
 func newWords() words {
-	return words{passedOn: make(map[string]map[string]said), rests: make(map[string]map[string][]*askedRest)}
+	return words{passedOn: make(map[string]map[string]said), rests: make(map[string]map[string][]*askedRest), limits: make(map[string]*limited)}
 }
 
 // forget forgets what a server has said: another one has its ID.
 func (w *words) forget(server string) {
 	delete(w.passedOn, server)
 	delete(w.rests, server)
+	delete(w.limits, server)
 }
 
 // sayLeaving has a server leave by its own word alone, its entry saying that it serves, beside a
@@ -171,6 +174,7 @@
 // judgeWords checks an arrival by what its server has said of itself. The caller holds mu.
 func (o *oracle) judgeWords(a *attempt, v origin.Arrival) {
 	o.judgeDeparture(a, v)
+	o.judgeLimit(a, v)
 	o.judgeRests(a, v)
 	if v.Asks == 0 {
 		return
