--- a/internal/soak/limits.go
+++ b/internal/soak/limits.go
@@ -26,9 +26,10 @@
 	lowerWithin = 2 * time.Second
 )
 
-// limitScripts are what servers name one after the other: each value for a part of the time, or,
+// limitScripts are what servers name one after the other, less than the two or so a second that they
+// get otherwise: each value for a part of the time, or,
 // where there are many, one with each answer.
-var limitScripts = [][]float64{{6.2}, {0.5}, {2}, {15}, {20, 4}, {6.2, 6.0, 6.3, 6.1, 6.2, 6.0, 6.3, 6.1}, {1, 8}}
+var limitScripts = [][]float64{{0.5}, {0.1}, {0.25}, {1}, {4, 0.2}, {0.5, 0.45, 0.55, 0.5, 0.48, 0.52, 0.5, 0.47}, {0.2, 4}}
 
 // manyValues is the number of values of a script from which on each answer names another one.
 const manyValues = 8
@@ -154,10 +155,10 @@
 		// The window has to begin after contact.
 		return
 	}
-	o.checks["LIMIT"]++
+	o.checks["NAMED LIMIT"]++
 	allowed := namedOver*limitSpan.Seconds()*l.highest(v.At) + namedSlack
 	if float64(len(l.came)) > allowed && !l.broke {
 		l.broke = true
-		o.broken("LIMIT", "%s got %d requests in %v from instances that it had told, %.0f allowed, %.1f s after it named its limit", v.Server.ID, len(l.came), limitSpan, allowed, v.At.Sub(l.from).Seconds())
+		o.broken("NAMED LIMIT", "%s got %d requests in %v from instances that it had told, %.0f allowed, %.1f s after it named its limit", v.Server.ID, len(l.came), limitSpan, allowed, v.At.Sub(l.from).Seconds())
 	}
 }
