A request that may end its target goes to the least loaded one where its region is limited

A trial left a region whose targets' limits keep it out by its key's place, to a target with other requests that would end with it. Found by reading the change; TestAloneLeavesLimitedRegion is red without it. TestPermitIsSpentOnce: a permit is good for one request, for its life, and goes back.

--- a/upstream/choose.go
+++ b/upstream/choose.go
@@ -46,7 +46,7 @@
 		return c
 	}
 	chooseIn := p.chooseIn
-	if p.limitsBindIn(now, drawn) {
+	if !r.Alone && p.limitsBindIn(now, drawn) {
 		chooseIn = p.chooseSpare
 	}
 	for _, region := range pl.regions {
--- /dev/null
+++ b/upstream/limited_test.go
@@ -0,0 +1,101 @@
+package upstream_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rainford/rainford/availability"
+	"github.com/rainford/rainford/catalog"
+	"github.com/rainford/rainford/ratelimit"
+	"github.com/rainford/rainford/upstream"
+)
+
+// newLimitedPool returns a pool with n targets in each of two regions, of which those of region a
+// name a limit, and the instance itself as the owner of all permits.
+func newLimitedPool(n int) *upstream.Pool {
+	p := newPool()
+	var specs []catalog.Target
+	var limits availability.LimitList
+	for _, hall := range []string{"a1", "b1"} {
+		for i := range n {
+			id := fmt.Sprint("t-", hall, i)
+			specs = append(specs, catalog.Target{ID: id, Service: "s", Addr: "x", Hall: hall, Slots: 5})
+			if hall == "a1" {
+				limits = append(limits, availability.Limit{ID: availability.IDOf(id), Version: 1, PerSecond: 100})
+			}
+		}
+	}
+	p.SetTargets(start, specs, nil)
+	p.HearLimits(start, limits, availability.SourcePeer)
+	self := ratelimit.Place{Name: "i1", Hall: "a1", Region: "a"}
+	p.SetLimitOwners(ratelimit.NewPlacedOwners(self, halls, []ratelimit.Place{self}))
+	return p
+}
+
+// TestAloneLeavesLimitedRegion checks that a request that may end its target, and whose own region
+// is limited, goes to the target of another region that has the fewest requests.
+func TestAloneLeavesLimitedRegion(t *testing.T) {
+	free := newPool()
+	var specs []catalog.Target
+	for _, hall := range []string{"a1", "b1"} {
+		specs = append(specs, catalog.Target{ID: hall, Service: "s", Addr: "x", Hall: hall, Slots: 15})
+	}
+	free.SetTargets(start, specs, nil)
+	key := ""
+	for i := 0; key == ""; i++ {
+		if free.Acquire(start, request(fmt.Sprint("k", i))).Target.Region == "a" {
+			key = fmt.Sprint("k", i)
+		}
+	}
+	p := newLimitedPool(3)
+	busy := map[string]int{"t-b10": 0, "t-b11": 0, "t-b12": 0}
+	for range 40 {
+		r := request(key)
+		r.Alone = true
+		d := p.Acquire(start, r)
+		if d.Verdict != upstream.Send {
+			break
+		}
+		require.Equal(t, "b", d.Target.Region, "no permit has come")
+		for other, n := range busy {
+			require.LessOrEqual(t, busy[d.Target.ID], n, "%s has fewer", other)
+		}
+		busy[d.Target.ID]++
+	}
+	require.Positive(t, min(busy["t-b10"], busy["t-b11"], busy["t-b12"]))
+}
+
+// TestPermitIsSpentOnce checks that a permit is good for one request, that it goes back if that is
+// not sent, and that a request that was granted the target before it named a limit is withheld.
+func TestPermitIsSpentOnce(t *testing.T) {
+	p := newPool()
+	spec := catalog.Target{ID: "t", Service: "s", Addr: "x", Hall: "a1", Slots: 5}
+	p.SetTargets(start, []catalog.Target{spec}, nil)
+	before := p.Acquire(start, request("k"))
+	require.Equal(t, upstream.Send, before.Verdict)
+	require.True(t, p.May(start, "t", before.Sent))
+	p.HearLimits(start, availability.LimitList{{ID: availability.IDOf("t"), Version: 1, PerSecond: 1}}, availability.SourceWord)
+	require.False(t, p.May(start, "t", before.Sent), "granted before the limit was known")
+	p.Release(start, "t", upstream.Result{Outcome: upstream.Abandoned, NotSent: true, Sent: before.Sent})
+
+	self := ratelimit.Place{Name: "i1", Hall: "a1", Region: "a"}
+	p.SetLimitOwners(ratelimit.NewPlacedOwners(self, halls, []ratelimit.Place{self}))
+	waits := request("k")
+	waits.ID = 1
+	require.Equal(t, upstream.Wait, p.Acquire(start, waits).Verdict)
+	asks := p.TakeAsks()
+	require.Len(t, asks, 1)
+	grants := p.HearPermits(start, asks[0].At, asks[0].Account, "i1", ratelimit.Issue{N: 1, Life: time.Second})
+	require.Len(t, grants, 1)
+	granted := grants[0].Decision
+	require.True(t, p.May(start, "t", granted.Sent))
+	require.False(t, p.May(start.Add(time.Second), "t", granted.Sent), "its permit has ended")
+	p.Release(start, "t", upstream.Result{Outcome: upstream.Abandoned, NotSent: true, Sent: granted.Sent})
+	again := p.Acquire(start, request("k"))
+	require.Equal(t, upstream.Send, again.Verdict, "the permit has gone back")
+	p.Release(start, "t", upstream.Result{Outcome: upstream.Answered, Sent: again.Sent})
+	require.Equal(t, upstream.Wait, p.Acquire(start, request("k")).Verdict, "it is spent")
+}
