--- a/gateway/target_limits.go
+++ b/gateway/target_limits.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -121,12 +122,10 @@
 
 // all returns all limits that are told to others.
 func (l *targetLimits) all(now time.Time) availability.LimitList {
-	return l.some(now, maxLimitsKnown, 0)
+	return l.some(now, math.MaxInt, 0)
 }
 
-// maxLimitsKnown is more than a fleet has targets.
-const maxLimitsKnown = 1 << 16
-
+// some returns at most n of the limits that are told to others, drawn by a salt.
 func (l *targetLimits) some(now time.Time, n int, salt uint64) availability.LimitList {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/upstream/limited.go
+++ b/upstream/limited.go
@@ -130,7 +130,7 @@
 	p.asks = append(p.asks, p.permits.Want(now, t.limited.name)...)
 }
 
-// wantAny asks for permits of the targets of a ranking none of which can be used.
+// wantAny asks for permits of those of some targets that only their limits keep from a request.
 func (p *Pool) wantAny(now time.Time, targets []*target) {
 	for _, t := range targets {
 		if t.limited != nil && t.otherwiseUsable(now) && !t.permitted(now) {
