--- a/ratelimit/placed_test.go
+++ b/ratelimit/placed_test.go
@@ -151,3 +151,64 @@
 	}
 	require.InDelta(t, 100, moved, 40)
 }
+
+// TestThousandsCostFewMessages checks that a limit of thousands a second that 74 instances use is
+// kept and used, at a small part of a question for each request.
+func TestThousandsCostFewMessages(t *testing.T) {
+	const (
+		perSecond = 4000.0
+		instances = 74
+		step      = time.Millisecond
+		length    = 6 * time.Second
+	)
+	now := time.Unix(1000, 0)
+	w := newPlacedWorld(instances, now)
+	limit := ratelimit.Limit{Rate: perSecond, Burst: perSecond / 4}
+	var holders []*ratelimit.Holder
+	for i := range instances {
+		h := ratelimit.NewPlacedHolder(w.places[i].Name)
+		h.SetOwners(w.owners(i, nil))
+		holders = append(holders, h)
+	}
+	numbers := make(map[string]int)
+	for i, place := range w.places {
+		numbers[place.Name] = i
+	}
+	spent, asked, wanted := 0, 0, 0
+	var ask func(i int, asks []ratelimit.Ask)
+	hear := func(replies ...ratelimit.Reply) {
+		for _, r := range replies {
+			i := numbers[r.To]
+			_, more := holders[i].Hear(now, time.Unix(0, r.At), placedName, w.owners(0, nil).Of(placedName)[0].Name, r.Issue)
+			ask(i, more)
+		}
+	}
+	ask = func(i int, asks []ratelimit.Ask) {
+		for _, a := range asks {
+			asked++
+			reply, _ := w.issuers[numbers[a.To.Name]].Issue(now, placedName, limit, ratelimit.Claim{From: w.places[i].Name, At: a.At.UnixNano(), N: a.N})
+			hear(reply)
+		}
+	}
+	for ; now.Before(time.Unix(1000, 0).Add(length)); now = now.Add(step) {
+		// A fifth more is wanted than the limit allows, by all in turn.
+		for range int(1.2 * perSecond * step.Seconds()) {
+			i := wanted % instances
+			wanted++
+			_, asks, ok := holders[i].Spend(now, placedName)
+			ask(i, asks)
+			if ok {
+				spent++
+				continue
+			}
+			ask(i, holders[i].Want(now, placedName))
+		}
+		for i := range instances {
+			hear(w.issuers[i].Tick(now)...)
+		}
+	}
+	t.Logf("%d of %d wanted were sent, %d questions", spent, wanted, asked)
+	require.LessOrEqual(t, float64(spent), perSecond*length.Seconds()*1.1+2+perSecond/4)
+	require.GreaterOrEqual(t, float64(spent), 0.9*perSecond*length.Seconds())
+	require.LessOrEqual(t, asked, spent/4)
+}
