--- a/gateway/client_test.go
+++ b/gateway/client_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -162,20 +163,49 @@
 	s.configure(1, safeRoute)
 	server := s.server("i-1", "s", "a1")
 	var arrivals atomic.Int64
-	s.wrapFront = func(ln net.Listener) net.Listener { return lateListener{ln} }
+	read := &gate{}
+	s.wrapFront = func(ln net.Listener) net.Listener { return lateListener{ln, read} }
 	in := s.instance("n1", "a1")
 	in.awaitStatus("/x/", 200)
 	server.SetObserver(func(origin.Arrival) { arrivals.Add(1) })
+	open := read.shut()
 	for range 50 {
 		conn := in.dial()
 		conn.ask("GET", "/x/", "")
 		conn.leave(false)
 	}
+	open()
 	require.Never(t, func() bool { return arrivals.Load() > 0 }, leaveTime, poll)
 }
 
+// gate holds reads up while it is shut.
+type gate struct {
+	mu   sync.Mutex
+	open chan struct{}
+}
+
+// shut has reads wait until the function that it returns is called.
+func (g *gate) shut() func() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.open = make(chan struct{})
+	return func() { close(g.open) }
+}
+
+func (g *gate) pass() {
+	g.mu.Lock()
+	open := g.open
+	g.mu.Unlock()
+	if open != nil {
+		<-open
+	}
+}
+
 // lateListener accepts connections that are read late, as by a process that has much to do.
-type lateListener struct{ net.Listener }
+type lateListener struct {
+	net.Listener
+	read *gate
+}
 
 // Accept implements net.Listener.
 func (l lateListener) Accept() (net.Conn, error) {
@@ -183,13 +213,16 @@
 	if err != nil {
 		return nil, err
 	}
-	return lateConn{c.(*net.TCPConn)}, nil
+	return lateConn{c.(*net.TCPConn), l.read}, nil
 }
 
-type lateConn struct{ *net.TCPConn }
+type lateConn struct {
+	*net.TCPConn
+	read *gate
+}
 
 // Read implements net.Conn.
 func (c lateConn) Read(p []byte) (int, error) {
-	time.Sleep(20 * time.Millisecond)
+	c.read.pass()
 	return c.TCPConn.Read(p)
 }
