Requests that a client sends ahead run side by side, and end when it leaves

Cause: the server of net/http runs one request of a connection at a time, and one byte of the next one hides the end of the connection from it.

Package pipelining stands between listener and server: while a request is served it reads on, and hands each whole plain request that comes to the server as a connection of its own; answers go out in order. What may not run twice, has a body, or is not plainly framed waits. Why it holds: net/http still parses and answers every request; the layer splits only where a strict reader finds a bodyless request, and a fuzz test compares handlers' requests and clients' bytes with a server without it.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"github.com/rainford/rainford/internal/clock"
 	"github.com/rainford/rainford/internal/listen"
 	"github.com/rainford/rainford/peer"
+	"github.com/rainford/rainford/pipelining"
 )
 
 // Gateway is one instance.
@@ -47,6 +48,8 @@
 
 	listeners listeners
 	front     *http.Server
+	// ahead accepts the connections of clients.
+	ahead *pipelining.Listener
 
 	// clock tells all times by which something is judged.
 	clock     *clock.Clock
--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -1,8 +1,10 @@
 package gateway
 
 import (
+	"errors"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/rainford/rainford/catalog"
@@ -54,6 +56,24 @@
 	gateway *Gateway
 }
 
+// SyscallConn implements syscall.Conn.
+func (c limitedConn) SyscallConn() (syscall.RawConn, error) {
+	described, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return described.SyscallConn()
+}
+
+// CloseWrite ends what is sent to the client, and goes on receiving.
+func (c limitedConn) CloseWrite() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return half.CloseWrite()
+}
+
 // SetReadDeadline implements net.Conn.
 func (c limitedConn) SetReadDeadline(t time.Time) error {
 	return c.Conn.SetReadDeadline(c.gateway.deadlineFor(time.Now(), t))
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -107,6 +107,10 @@
 	})
 	gauge("rainford.requests.held", "Requests, by content, that are held back because targets end under them.", g.holds.suspects)
 	gauge("rainford.requests.in_flight", "Requests of clients in flight.", g.inFlight.Load)
+	gauge("rainford.requests.ahead", "Requests in flight that were read before those ahead of them on their connections were answered.",
+		func() int64 { requests, _ := g.aheadUsage(); return requests })
+	gauge("rainford.requests.ahead.held", "Bytes of answers to such requests that wait for those ahead.",
+		func() int64 { _, held := g.aheadUsage(); return held })
 	gauge("rainford.store.calls", "Calls made to the store.", g.store.Calls)
 	gauge("rainford.peer.sent", "Bytes sent to other instances.", func() int64 { sent, _, _ := g.mesh.Traffic(); return sent })
 	gauge("rainford.peer.received", "Bytes received from other instances.", func() int64 { _, received, _ := g.mesh.Traffic(); return received })
@@ -120,6 +124,13 @@
 	return errors.Join(errs...)
 }
 
+func (g *Gateway) aheadUsage() (requests, held int64) {
+	if g.ahead == nil {
+		return 0, 0
+	}
+	return g.ahead.Usage()
+}
+
 // poolGauges registers the values of each service's targets.
 func (m *metrics) poolGauges(ps *pools) error {
 	return errors.Join(
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -135,6 +135,13 @@
 	if !ok {
 		return v, nil
 	}
+	if ex.r.ContentLength == 0 {
+		// A permit would lapse while the request waits.
+		v, ok = ex.awaitTurn()
+		if !ok {
+			return v, nil
+		}
+	}
 	v, ok = g.admit(ex)
 	if !ok {
 		return v, nil
@@ -143,15 +150,13 @@
 	if !ok {
 		return v, nil
 	}
-	if hasLeft(ex.r) {
-		return verdict{reason: reasonClientLeft}, nil
+	v, ok = ex.awaitTurn()
+	if !ok {
+		return v, nil
 	}
 	return g.run(ex)
 }
 
-// reasonClientLeft is the reason of a request whose client did not wait for the answer.
-const reasonClientLeft = "client-left"
-
 // requestURI returns the path and query as the client sent them.
 func requestURI(r *http.Request) string {
 	if strings.HasPrefix(r.RequestURI, "/") {
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/rainford/rainford/pipelining"
 )
 
 const (
@@ -28,10 +30,10 @@
 		ReadHeaderTimeout: anyHeadTimeout,
 		IdleTimeout:       anyIdleTimeout,
 		MaxHeaderBytes:    maxHeadBytes,
-		ConnContext:       withClient,
 		ErrorLog:          errorLog,
 	}
-	g.open(g.front, limitedListener{g.listeners.front, g})
+	g.ahead = pipelining.NewListener(g.front, limitedListener{g.listeners.front, g}, aheadLimits)
+	g.open(g.front, g.ahead)
 	small := func(h http.Handler) *http.Server {
 		return &http.Server{Handler: h, ReadTimeout: callTimeout, WriteTimeout: callTimeout, IdleTimeout: defaultIdleTimeout, ErrorLog: errorLog}
 	}
--- a/internal/sockopt/sockopt.go
+++ b/internal/sockopt/sockopt.go
@@ -2,6 +2,7 @@
 package sockopt
 
 import (
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -45,3 +46,42 @@
 	})
 	return err == nil && quiet
 }
+
+// Closed tells whether the other side of a connection has closed or reset it. It reads nothing,
+// and may be called beside a read.
+func Closed(conn net.Conn) bool {
+	return askDescriptor(conn, func(fd int) bool {
+		var buf [1]byte
+		n, _, err := unix.Recvfrom(fd, buf[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		if err == nil && n > 0 {
+			return hungUp(fd)
+		}
+		return err == nil || !errors.Is(err, unix.EAGAIN) && !errors.Is(err, unix.EINTR)
+	})
+}
+
+// HungUp is Closed for a connection on which bytes are known to lie unread.
+func HungUp(conn net.Conn) bool { return askDescriptor(conn, hungUp) }
+
+func hungUp(fd int) bool {
+	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(fds, 0)
+	return err == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
+
+// askDescriptor returns what ask says of the descriptor of a connection: false if there is none,
+// true if this side has closed it.
+func askDescriptor(conn net.Conn, ask func(fd int) bool) bool {
+	described, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := described.SyscallConn()
+	if err != nil {
+		return true
+	}
+	said := false
+	// Control does not wait for a read that is under way, as Read would.
+	err = raw.Control(func(fd uintptr) { said = ask(int(fd)) })
+	return err != nil || said
+}
--- /dev/null
+++ b/pipelining/fuzz_test.go
@@ -0,0 +1,244 @@
+package pipelining_test
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sort"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rainford/rainford/pipelining"
+)
+
+// scripted is a connection whose client sends pieces of bytes and keeps what it gets.
+type scripted struct {
+	mu       sync.Mutex
+	changed  *sync.Cond
+	pieces   [][]byte
+	got      bytes.Buffer
+	expired  bool
+	closed   bool
+	starving bool
+	// steps counts all that happens.
+	steps int
+}
+
+func newScripted(pieces [][]byte) *scripted {
+	s := &scripted{pieces: pieces}
+	s.changed = sync.NewCond(&s.mu)
+	return s
+}
+
+func (s *scripted) Read(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for {
+		s.steps++
+		switch {
+		case s.closed:
+			return 0, io.EOF
+		case s.expired:
+			return 0, os.ErrDeadlineExceeded
+		case len(s.pieces) > 0:
+			n := copy(p, s.pieces[0])
+			s.pieces[0] = s.pieces[0][n:]
+			if len(s.pieces[0]) == 0 {
+				s.pieces = s.pieces[1:]
+			}
+			return n, nil
+		}
+		s.starving = true
+		s.changed.Wait()
+		s.starving = false
+	}
+}
+
+func (s *scripted) Write(p []byte) (int, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.steps++
+	if s.closed {
+		return 0, net.ErrClosed
+	}
+	return s.got.Write(p)
+}
+
+func (s *scripted) Close() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	s.changed.Broadcast()
+	return nil
+}
+
+func (s *scripted) SetReadDeadline(t time.Time) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.steps++
+	s.expired = !t.IsZero() && t.Before(time.Now())
+	s.changed.Broadcast()
+	return nil
+}
+
+func (s *scripted) SetDeadline(t time.Time) error      { return s.SetReadDeadline(t) }
+func (s *scripted) SetWriteDeadline(_ time.Time) error { return nil }
+func (s *scripted) LocalAddr() net.Addr                { return &net.TCPAddr{} }
+func (s *scripted) RemoteAddr() net.Addr               { return &net.TCPAddr{} }
+
+// rests tells whether all bytes are read, or the connection has ended, and how much has happened.
+func (s *scripted) rests() (bool, int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed || s.starving, s.steps
+}
+
+// oneConn is a listener of one connection.
+type oneConn struct {
+	once sync.Once
+	conn net.Conn
+	done chan struct{}
+	shut sync.Once
+}
+
+func (l *oneConn) Accept() (c net.Conn, err error) {
+	l.once.Do(func() { c = l.conn })
+	if c != nil {
+		return c, nil
+	}
+	<-l.done
+	return nil, net.ErrClosed
+}
+
+func (l *oneConn) Close() error {
+	l.shut.Do(func() { close(l.done) })
+	return nil
+}
+
+func (l *oneConn) Addr() net.Addr { return &net.TCPAddr{} }
+
+// exchangeAll has a server serve some pieces, until nothing has happened for a time. It returns what
+// the client got, and the requests that ran in the order of their texts.
+func exchangeAll(pieces [][]byte, pipelined bool, quiet time.Duration) (string, []string) {
+	conn := newScripted(pieces)
+	var mu sync.Mutex
+	var seen []string
+	handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if pipelining.Start(r, !strings.Contains(r.RequestURI, "once")) != nil {
+			panic(http.ErrAbortHandler)
+		}
+		mu.Lock()
+		seen = append(seen, fmt.Sprintf("%s %s %s %q %v", r.Method, r.Host, r.RequestURI, body, err != nil))
+		mu.Unlock()
+		w.Header()["Date"] = nil
+		_, _ = fmt.Fprint(w, r.Method, " ", r.RequestURI, " ", string(body))
+	})
+	server := &http.Server{Handler: handler}
+	var ln net.Listener = &oneConn{conn: conn, done: make(chan struct{})}
+	if pipelined {
+		ln = pipelining.NewListener(server, ln, usualLimits)
+	}
+	go func() { _ = server.Serve(ln) }()
+	for before := -1; ; {
+		rests, steps := conn.rests()
+		if rests && steps == before {
+			break
+		}
+		before = steps
+		time.Sleep(quiet)
+	}
+	_ = server.Close()
+	conn.mu.Lock()
+	defer conn.mu.Unlock()
+	mu.Lock()
+	defer mu.Unlock()
+	sort.Strings(seen)
+	return conn.got.String(), seen
+}
+
+// cutAt divides bytes at places that are drawn by a number.
+func cutAt(data []byte, draw uint16) [][]byte {
+	var pieces [][]byte
+	size := 1 + int(draw>>4)
+	for len(data) > size {
+		pieces = append(pieces, bytes.Clone(data[:size]))
+		data = data[size:]
+		size = 1 + (size*int(draw|1))%197
+	}
+	if len(data) > 0 {
+		pieces = append(pieces, bytes.Clone(data))
+	}
+	return pieces
+}
+
+// FuzzConnection has a client send any bytes in any pieces, and checks that the handlers see the same
+// requests, and the client gets the same answers, as without requests that are run ahead: a request
+// must never be found within another one, and none lost.
+func FuzzConnection(f *testing.F) {
+	for _, text := range []string{
+		get("/1") + get("/2") + get("/3"),
+		get("/1") + post("/2", get("/inside")) + get("/3") + get("/4"),
+		get("/1") + chunked("/2", get("/inside")) + get("/3") + get("/4"),
+		get("/once1") + get("/2") + get("/once3"),
+		get("/1") + "GET /2 HTTP/1.1\nHost: h\n\nGET /3 HTTP/1.1\r\nHost: h\r\n\r\n",
+		get("/1") + "GET /2 HTTP/1.1\r\nHost: h\r\nContent-Length : 4\r\n\r\nabcd" + get("/3"),
+		get("/1") + "GET /2 HTTP/1.1\r\nHost: h\r\nX: a\r\n Content-Length: 4\r\n\r\nabcd" + get("/3"),
+		get("/1") + "GET /2 HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nContent-Length: 4\r\n\r\nabcd" + get("/3"),
+		get("/1") + "GET /2 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n0\r\n\r\n" + get("/3"),
+		get("/1") + "GET /2 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip\r\n\r\n" + get("/3"),
+		get("/1") + "GET /2 HTTP/1.0\r\nHost: h\r\n\r\n" + get("/3"),
+		get("/1") + "GET /2 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n" + get("/3"),
+		get("/1") + "GET /2 HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\n\r\n" + get("/3"),
+		get("/1") + "GET /2 HTTP/1.1\r\n\r\n" + get("/3"),
+		get("/1") + "HEAD /2 HTTP/1.1\r\nHost: h\r\n\r\n" + get("/3"),
+		get("/1") + "\r\n" + get("/2") + "\r\n\r\n" + get("/3"),
+		get("/1") + "GET http://other/2 HTTP/1.1\r\nHost: h\r\n\r\n" + get("/3"),
+		get("/1") + "GET /2\x00 HTTP/1.1\r\nHost: h\r\n\r\n" + get("/3"),
+		get("/1") + "@@@",
+	} {
+		f.Add([]byte(text), uint16(0xffff))
+		f.Add([]byte(text), uint16(37))
+	}
+	f.Fuzz(func(t *testing.T, data []byte, draw uint16) {
+		// A process that waits for a processor looks as one that has nothing to do.
+		const quick, patient = 3 * time.Millisecond, 500 * time.Millisecond
+		if compare(data, draw, quick) == "" {
+			return
+		}
+		difference := compare(data, draw, patient)
+		if difference != "" {
+			t.Fatal(difference)
+		}
+	})
+}
+
+// compare says how what becomes of some bytes with requests that are run ahead differs from what
+// becomes of them without. Requests may run besides that could be repeated and were not answered,
+// since the connection ended before.
+func compare(data []byte, draw uint16, quiet time.Duration) string {
+	got, seen := exchangeAll(cutAt(data, draw), false, quiet)
+	gotAhead, seenAhead := exchangeAll(cutAt(data, draw), true, quiet)
+	if got != gotAhead {
+		return fmt.Sprintf("the client got\n%q\nand without requests ahead\n%q", gotAhead, got)
+	}
+	for _, request := range seenAhead {
+		if len(seen) > 0 && seen[0] == request {
+			seen = seen[1:]
+			continue
+		}
+		again := strings.HasPrefix(request, "GET ") || strings.HasPrefix(request, "HEAD ")
+		if !again || strings.Contains(request, "once") || !strings.HasSuffix(request, ` "" false`) {
+			return "ran with requests ahead only: " + request
+		}
+	}
+	if len(seen) > 0 {
+		return "ran without requests ahead only: " + seen[0]
+	}
+	return ""
+}
--- /dev/null
+++ b/pipelining/head.go
@@ -0,0 +1,116 @@
+package pipelining
+
+import (
+	"bytes"
+	"strconv"
+)
+
+// maxHead bounds the head of a request that is looked at, in bytes. The requests of a connection
+// with a longer one are left to the server as they come.
+const maxHead = 64 << 10
+
+var endOfHead = []byte("\r\n\r\n")
+
+// framing says where a request ends.
+type framing int
+
+const (
+	// unclear requests may end anywhere: their bodies come in chunks, or their heads are such
+	// that another reader might see them otherwise.
+	unclear framing = iota
+	// sized requests have a body of a known length, which may be 0.
+	sized
+	// plain requests have no body, and may run beside others.
+	plain
+)
+
+// headLength returns the length of the head that text begins with, 0 if it is not whole.
+func headLength(text []byte) int {
+	at := bytes.Index(text, endOfHead)
+	if at < 0 {
+		return 0
+	}
+	return at + len(endOfHead)
+}
+
+// classify tells where the request of a whole head ends, and the length of its body in bytes. It
+// is strict: what a lenient reader may take for the end of a line or for another field makes the
+// request unclear.
+func classify(head []byte) (framing, int64) {
+	head = head[:len(head)-len("\r\n")]
+	line, rest, _ := bytes.Cut(head, []byte("\r\n"))
+	isPlain, ok := classifyRequestLine(line)
+	if !ok {
+		return unclear, 0
+	}
+	length, hosts := int64(-1), 0
+	for len(rest) > 0 {
+		line, rest, _ = bytes.Cut(rest, []byte("\r\n"))
+		name, value, found := bytes.Cut(line, []byte(":"))
+		if !found || !isToken(name) || bytes.ContainsAny(value, "\r\n") {
+			return unclear, 0
+		}
+		switch {
+		case is(name, "Content-Length"):
+			n, err := strconv.ParseUint(string(bytes.TrimSpace(value)), 10, 62)
+			if err != nil || length >= 0 {
+				return unclear, 0
+			}
+			length = int64(n)
+		case is(name, "Host"):
+			hosts++
+		case is(name, "Transfer-Encoding"), is(name, "Trailer"):
+			return unclear, 0
+		case is(name, "Connection"):
+			isPlain = isPlain && is(bytes.TrimSpace(value), "keep-alive")
+		case is(name, "Upgrade"), is(name, "Expect"):
+			isPlain = false
+		}
+	}
+	if length < 0 && isPlain && hosts == 1 {
+		return plain, 0
+	}
+	return sized, max(length, 0)
+}
+
+// classifyRequestLine tells whether a request line is that of a request without a body, and
+// whether it is one of HTTP/1.1 at all.
+func classifyRequestLine(line []byte) (isPlain, ok bool) {
+	method, rest, _ := bytes.Cut(line, []byte(" "))
+	uri, protocol, _ := bytes.Cut(rest, []byte(" "))
+	if !isToken(method) || len(uri) == 0 || string(protocol) != "HTTP/1.1" {
+		return false, false
+	}
+	for _, c := range uri {
+		if c <= ' ' || c == 0x7f {
+			return false, false
+		}
+	}
+	return string(method) == "GET" || string(method) == "HEAD", true
+}
+
+func is(text []byte, word string) bool { return bytes.EqualFold(text, []byte(word)) }
+
+// isToken tells whether text is a name by RFC 9110, section 5.6.2.
+func isToken(text []byte) bool {
+	for _, c := range text {
+		letter := 'a' <= c && c <= 'z' || 'A' <= c && c <= 'Z' || '0' <= c && c <= '9'
+		if !letter && bytes.IndexByte([]byte("!#$%&'*+-.^_`|~"), c) < 0 {
+			return false
+		}
+	}
+	return len(text) > 0
+}
+
+var closeLine = []byte("\r\nConnection: close\r\n")
+
+// announcesClose tells whether the head of an answer, with which text begins, says that the
+// connection ends with it, and returns where.
+func announcesClose(text []byte) (at int, ok bool) {
+	length := headLength(text)
+	if length == 0 {
+		length = len(text)
+	}
+	at = bytes.Index(text[:length], closeLine)
+	return at, at >= 0
+}
--- /dev/null
+++ b/pipelining/listener.go
@@ -0,0 +1,188 @@
+package pipelining
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+)
+
+// Limits bound what is read and run ahead.
+type Limits struct {
+	// PerConn is the number of requests of one connection that run side by side, the first one
+	// included, and Total that of all connections, the first one of each not included.
+	PerConn, Total int
+	// Held is the number of bytes of answers that may wait for their turn, over all connections,
+	// beyond which no more requests are run ahead. Answers of requests that run already may
+	// exceed it.
+	Held int64
+}
+
+// Listener accepts connections whose clients may send requests ahead. Serve has a server use it.
+type Listener struct {
+	inner  net.Listener
+	limits Limits
+
+	// conns carries what Accept returns: connections of clients, and lanes.
+	conns chan net.Conn
+
+	// mu guards what follows.
+	mu sync.Mutex
+	// closed is closed when no more are accepted, and failed says why.
+	closed   chan struct{}
+	isClosed bool
+	failed   error
+
+	lanes atomic.Int64
+	held  atomic.Int64
+}
+
+// NewListener returns a listener that hands the connections of another one to a server. The
+// server's ConnState and ConnContext must not be set.
+func NewListener(server *http.Server, inner net.Listener, limits Limits) *Listener {
+	l := &Listener{inner: inner, limits: limits, conns: make(chan net.Conn, limits.Total), closed: make(chan struct{})}
+	server.Handler = markAnswered(server.Handler)
+	server.ConnState = connState
+	server.ConnContext = withRequestConn
+	go l.accept()
+	return l
+}
+
+// Usage returns the number of requests that run and were read ahead, and that of bytes of answers
+// that wait for their turn.
+func (l *Listener) Usage() (requests, held int64) { return l.lanes.Load(), l.held.Load() }
+
+// accept takes connections of clients until the listener is closed.
+func (l *Listener) accept() {
+	for {
+		c, err := l.inner.Accept()
+		if err != nil {
+			l.shut(err)
+			return
+		}
+		select {
+		case l.conns <- newConn(c, l):
+		case <-l.closed:
+			_ = c.Close()
+		}
+	}
+}
+
+// Accept implements net.Listener. Lanes that were handed over before the end are accepted: their
+// requests have been taken from their connections.
+func (l *Listener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+	}
+	select {
+	case c := <-l.conns:
+		return c, nil
+	default:
+		return nil, l.failed
+	}
+}
+
+// shut ends the listener.
+func (l *Listener) shut(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.isClosed {
+		return
+	}
+	l.isClosed, l.failed = true, err
+	close(l.closed)
+}
+
+// Close implements net.Listener.
+func (l *Listener) Close() error {
+	l.shut(net.ErrClosed)
+	return l.inner.Close()
+}
+
+// Addr implements net.Listener.
+func (l *Listener) Addr() net.Addr { return l.inner.Addr() }
+
+// hand gives a lane to the server. It reports false if there are too many, if answers that wait
+// for their turn take too much memory, or if the server takes no more connections.
+func (l *Listener) hand(c *lane) bool {
+	if l.held.Load() > l.limits.Held || l.lanes.Load() >= int64(l.limits.Total) {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.isClosed {
+		return false
+	}
+	select {
+	case l.conns <- c:
+		l.lanes.Add(1)
+		return true
+	default:
+		return false
+	}
+}
+
+// requestConn is a connection as the server sees it: that of a client, or a lane.
+type requestConn interface {
+	net.Conn
+	// start waits until the request that is served may run.
+	start(ctx context.Context, repeatable bool) error
+	// hasLeft tells whether the client has closed or reset its connection.
+	hasLeft() bool
+	// handled takes in that the handler of the request has returned.
+	handled()
+	// idle takes in that the answer is written.
+	idle()
+}
+
+type connKey struct{}
+
+func withRequestConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+func requestConnOf(ctx context.Context) (requestConn, bool) {
+	c, ok := ctx.Value(connKey{}).(requestConn)
+	return c, ok
+}
+
+func connState(c net.Conn, state http.ConnState) {
+	if rc, ok := c.(requestConn); ok && state == http.StateIdle {
+		rc.idle()
+	}
+}
+
+// markAnswered has connections know which requests have been answered: the handler of one that
+// has not does not return, but panics.
+func markAnswered(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.ServeHTTP(w, r)
+		if c, ok := requestConnOf(r.Context()); ok {
+			c.handled()
+		}
+	})
+}
+
+// Start waits until a request that a Handler serves may run: at once if it may be repeated and
+// all those ahead of it on its connection may be too, else when those have been answered. It has
+// to be called once the request's body is read. It fails when the request's client has left.
+func Start(r *http.Request, repeatable bool) error {
+	c, ok := requestConnOf(r.Context())
+	if !ok {
+		return nil
+	}
+	return c.start(r.Context(), repeatable)
+}
+
+// HasLeft tells whether the client of a request has closed or reset its connection, also if the
+// server has not noticed it yet.
+func HasLeft(r *http.Request) bool {
+	if r.Context().Err() != nil {
+		return true
+	}
+	c, ok := requestConnOf(r.Context())
+	return ok && c.hasLeft()
+}
