--- a/catalog/target.go
+++ b/catalog/target.go
@@ -17,6 +17,8 @@
 	// does not tell it. Of two with the same name the one born later counts.
 	Born    int64
 	Service string
+	// Version is that of the target's software.
+	Version string
 	// Addr is IP:PORT. After the target's end another service's server may
 	// have it.
 	Addr  string
--- a/cmd/rainford/gateways.go
+++ b/cmd/rainford/gateways.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rainford/rainford/gateway"
+	"github.com/rainford/rainford/rollout"
 )
 
 // gatewayAnswer is the status of a gateway, or why there is none.
@@ -77,6 +78,10 @@
 		for _, t := range s.Limited {
 			fmt.Fprintf(tw, "  %s\t%s\t%s\ttakes %g/s by %s\t%s, %.1f/s from here, permits by %s\n", t.Target, t.Hall, t.Service, t.PerSecond, t.Source, lasting(t.ForMs, 0), t.Used, t.Owner)
 		}
+		for _, r := range s.Rollouts {
+			fmt.Fprintf(tw, "  %s\tversion %s\t%s\t%s%s\t%.3g of the requests, for %s of %s%s\n", r.Service, r.Version, stateName(r.State), r.Stage, because(r.Why), r.Share,
+				time.Duration(r.ForMs)*time.Millisecond, time.Duration(r.OfMs)*time.Millisecond, ledBy(r))
+		}
 		for _, h := range s.Held {
 			fmt.Fprintf(tw, "  %s\theld\t%d targets ended\t%d trials failed\t%s\n", h.Content, h.Ends, h.Failed, lasting(0, h.LeftMs))
 		}
@@ -107,3 +112,22 @@
 	}
 	return text
 }
+
+func because(why rollout.Reason) string {
+	if why == rollout.ReasonNone {
+		return ""
+	}
+	return " because of " + string(why)
+}
+
+// ledBy says who decides on a rollout, and what the one that does has seen.
+func ledBy(r gateway.RolloutStatus) string {
+	switch {
+	case r.Leads:
+		return fmt.Sprintf(", decided here: %d of %d to new targets, odds of failing %.1f, of slow %.1f", r.SentNew, r.Sent, r.Failing, r.Slow)
+	case r.Leader != "":
+		return ", decided by " + r.Leader
+	default:
+		return ""
+	}
+}
--- a/cmd/rainford/main.go
+++ b/cmd/rainford/main.go
@@ -52,7 +52,7 @@
 	root := a.group("rainford", "rainford <command> [flags] [arguments]", "steer traffic by the operators' table",
 		a.tableCommand(), a.serviceCommand(), a.regionCommand(), a.blocksCommand(),
 		a.drainCommand(true), a.drainCommand(false), a.statusCommand(), a.watchCommand(),
-		a.auditCommand(), a.lookupCommand(), a.seatsCommand(), a.holdCommand(), a.explainCommand(), a.demoCommand(), a.versionCommand())
+		a.auditCommand(), a.lookupCommand(), a.seatsCommand(), a.holdCommand(), a.rolloutCommand(), a.explainCommand(), a.demoCommand(), a.versionCommand())
 	root.Options = nil
 	err := root.Parse(args)
 	if err == nil {
--- a/cmd/rainfordd/gateway.go
+++ b/cmd/rainfordd/gateway.go
@@ -120,6 +120,8 @@
 	fs.DurationVar(&s.Limits.Window, "limit-window", s.Limits.Window, "window of the promise on limits of client accounts")
 	fs.Float64Var(&s.Limits.Over, "limit-over", s.Limits.Over, "part of a limit that may be admitted beyond it in a window")
 	fs.Float64Var(&s.Limits.Slack, "limit-slack", s.Limits.Slack, "requests of an account that may be admitted beyond that in a window")
+	fs.Float64Var(&s.Rollouts.Share, "canary-share", s.Rollouts.Share, "part of a service's requests that a version that is brought in by order and turns out to be bad may get, 0 if there are no such orders")
+	fs.Float64Var(&s.Rollouts.Slack, "canary-slack", s.Rollouts.Slack, "requests that such a version may get on top of that")
 	fs.IntVar(&s.LogSample, "log-sample", s.LogSample, "one in how many ordinary successes is logged, 0 for none")
 	fs.IntVar(&s.logRate, "log-rate", defaultLogRate, "most lines a second on requests; what is dropped is counted and told")
 	fs.StringVar(&s.logLevel, "log-level", "info", "debug, info, warn or error")
--- a/deploy/days_test.go
+++ b/deploy/days_test.go
@@ -29,6 +29,7 @@
 type event struct {
 	At      float64 `toml:"at"`
 	Kind    string  `toml:"kind"`
+	On      string  `toml:"on"`
 	How     string  `toml:"how"`
 	ForS    float64 `toml:"for_s"`
 	GapS    float64 `toml:"gap_s"`
--- a/fleet/watch.go
+++ b/fleet/watch.go
@@ -35,6 +35,19 @@
 	return v.beat.Flags&Deaf == 0
 }
 
+// Leads tells whether the own process is the first by name of all watchers of the fleet that are known
+// to be alive. If none is, as while the store is away, one that has led until now goes on.
+func (v *View) Leads(now time.Time, hasLed bool) bool {
+	watches := v.beat.Flags&Watching != 0
+	for _, r := range v.order {
+		if r.beat.Flags&Watching == 0 || v.state(now, r) != Alive {
+			continue
+		}
+		return watches && r.member.Name > v.self.Name
+	}
+	return watches || hasLed
+}
+
 // FarWatchers returns the watchers of the other regions that are alive.
 func (v *View) FarWatchers(now time.Time) []Member {
 	var out []Member
--- a/forward/client.go
+++ b/forward/client.go
@@ -345,6 +345,7 @@
 	case c.notRun(resp.Response):
 		a.Outcome, a.Target.Outcome = retry.NotRun, upstream.Rejected
 	default:
+		a.Target.Failed = resp.StatusCode >= http.StatusInternalServerError
 		a.Response = &Response{Status: resp.StatusCode, Header: EndToEnd(resp.Header), Body: resp.body}
 	}
 	return a
--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -55,8 +55,11 @@
 	if before == 0 && d.Kind == KindInstances {
 		g.shareOut(g.clock.Now())
 	}
-	if d.Kind == KindTargets {
+	switch d.Kind {
+	case KindTargets:
 		g.readiness.knowsTargets.Store(true)
+	case KindRollouts:
+		g.knowRollouts()
 	}
 	g.noteReady()
 	if len(changes) > 0 && before > 0 {
@@ -100,6 +103,10 @@
 	case KindInstances:
 		g.applyInstances(now, changes)
 		g.shareOut(now)
+	case KindRollouts:
+		for _, c := range changes {
+			g.applyRollout(now, c, source, revision)
+		}
 	}
 }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -74,10 +74,12 @@
 			p.unsent(decision)
 			continue
 		}
+		p.noteSent(decision)
 		a := g.attempt(ex, header, p, decision)
 		a.Target.Sent, a.Target.NotSent = decision.Sent, !a.Sent
 		g.hearLimit(decision, a)
 		p.release(decision.Target.ID, a.Target)
+		g.observe(ex, p, want, decision, a)
 		g.metrics.attempt(ex.service, decision.Target, a.Target)
 		ex.note(decision, a)
 		g.witness(ex, decision.Target, a)
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -9,6 +9,7 @@
 
 	"github.com/rainford/rainford/internal/clock"
 	"github.com/rainford/rainford/ratelimit"
+	"github.com/rainford/rainford/rollout"
 	"github.com/rainford/rainford/table"
 )
 
@@ -47,6 +48,9 @@
 	ShiftMost float64
 	// Limits is what is promised of the limits of client accounts.
 	Limits ratelimit.Bound
+	// Rollouts is what is promised of versions that are brought in by order and turn out to be bad.
+	// Where its share is 0 there are no such orders, and all versions get requests alike.
+	Rollouts rollout.Bound
 	// DefaultDeadline is the deadline of a request that gives none.
 	DefaultDeadline time.Duration
 
@@ -132,12 +136,21 @@
 	if c.Limits.Slack < 0 {
 		add("limit-slack", "must not be negative")
 	}
+	if c.Rollouts.Share < 0 || c.Rollouts.Share > 1 {
+		add("canary-share", "must be between 0 and 1")
+	}
+	if c.Rollouts.Slack < 0 {
+		add("canary-slack", "must not be negative")
+	}
 	if c.LogSample < 0 {
 		add("log-sample", "must not be negative")
 	}
 	return findings
 }
 
+// bringsVersionsIn tells whether new versions of services are brought in by order.
+func (c *Config) bringsVersionsIn() bool { return c.Rollouts.Share > 0 }
+
 // setting is a setting with its name.
 type setting struct{ field, value string }
 
--- a/gateway/delta.go
+++ b/gateway/delta.go
@@ -10,7 +10,7 @@
 // one watcher to its own region, however it came to know them, since other regions have
 // watchers of their own; what is lost on the way is made up by gossip.
 func urgent(kind feed.Kind) bool {
-	return kind == KindConfig || kind == KindEvacuations || kind == KindTable
+	return kind == KindConfig || kind == KindEvacuations || kind == KindTable || kind == KindRollouts
 }
 
 // passOn sends a delta to the instances that this one is the source of: those of its
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -35,6 +35,9 @@
 	pools   *pools
 	permits *permits
 	holds   *holds
+	// kinds are those that the instance replicates, and rollouts the orders among them.
+	kinds    []feed.Kind
+	rollouts *rollouts
 	// departures are the targets that have said themselves that they leave.
 	departures departures
 	// targetLimits are how much targets take from all instances together, and limitOwner issues the
@@ -133,7 +136,8 @@
 		unregistered: make(chan struct{}, 1),
 		rand:         rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), rand.Uint64())),
 	}
-	for _, kind := range kinds {
+	g.kinds, g.rollouts = kindsOf(config), newRollouts()
+	for _, kind := range g.kinds {
 		g.replicas[kind] = feed.NewReplica(kind)
 		g.catchUp[kind] = &feed.CatchUp{}
 	}
@@ -197,9 +201,12 @@
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	g.start(func() { g.serveMesh() })
-	for _, kind := range kinds {
+	for _, kind := range g.kinds {
 		g.start(func() { g.watchLoop(work, kind) })
 	}
+	if config := g.config; config.bringsVersionsIn() {
+		g.start(func() { g.rolloutLoop(work) })
+	}
 	g.start(func() { g.probeLoop(work) })
 	g.start(func() { g.keepRegistered(work) })
 	g.start(func() { g.gossipLoop(work) })
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -109,8 +109,8 @@
 
 // message returns what this instance tells one of a region. The caller holds mu.
 func (g *Gateway) message(now time.Time, region string) *peer.Gossip {
-	m := &peer.Gossip{Beats: g.view.Beats(now, region), Revisions: make([]int64, 0, len(kinds)), NewsSum: g.newsSum(), DeparturesSum: g.departures.sum(now), LimitsSum: g.targetLimits.sum(now)}
-	for _, kind := range kinds {
+	m := &peer.Gossip{Beats: g.view.Beats(now, region), Revisions: make([]int64, 0, len(g.kinds)), NewsSum: g.newsSum(), DeparturesSum: g.departures.sum(now), LimitsSum: g.targetLimits.sum(now)}
+	for _, kind := range g.kinds {
 		m.Revisions = append(m.Revisions, g.replicas[kind].At())
 	}
 	if now.Sub(g.startedAt) < introduceFor || g.rounds%introduceEvery == 0 {
@@ -172,6 +172,8 @@
 		g.receiveTrialAnswer(m)
 	case *peer.Answers:
 		g.receiveAnswers(m)
+	case *peer.RolloutReport:
+		g.receiveRolloutReport(m)
 	}
 }
 
@@ -252,6 +254,7 @@
 	g.hearNews(now, m.News)
 	g.hearDepartures(now, m.Departures)
 	g.hearLimits(now, m.Limits)
+	g.hearStages(now, m.Stages)
 	if g.view.Len() != known {
 		g.shareOut(now)
 	}
@@ -282,7 +285,7 @@
 		}
 		g.mesh.Send(sender.PeerAddr, reply)
 	}
-	for _, kind := range kinds {
+	for _, kind := range g.kinds {
 		g.ask(now, kind)
 	}
 }
@@ -291,11 +294,14 @@
 // with which the other is ahead, and tells whether it has to be told that it is behind. The
 // caller holds mu.
 func (g *Gateway) compare(now time.Time, sender fleet.Member, revisions []int64) (ahead bool) {
-	for i, kind := range kinds {
+	for i, kind := range g.kinds {
 		if i >= len(revisions) {
 			break
 		}
 		at := g.replicas[kind].At()
+		if kind == KindRollouts && revisions[i] == at && sender.Region == g.config.Region {
+			g.knowRollouts()
+		}
 		switch revision := revisions[i]; {
 		case revision > at:
 			after := g.patience(now, kind, at, sender.Region == g.config.Region)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -27,6 +27,7 @@
 	questions *telemetry.Counter
 	ends      *telemetry.Counter
 	refused   *telemetry.Counter
+	versions  *telemetry.Counter
 	whole     *telemetry.Histogram
 	queued    *telemetry.Histogram
 	attempted *telemetry.Histogram
@@ -71,6 +72,7 @@
 	counter(&m.calls, "rainford.store.reads", "Reads of the store, by what became of them.", "kind", "result")
 	counter(&m.questions, "rainford.questions", "Questions to other instances for changes that this one lacks, by what became of them.", "kind", "result")
 	counter(&m.refused, "rainford.entries.refused", "Entries of the store that could not be taken, by the field at fault.", "kind", "field")
+	counter(&m.versions, "rainford.rollout.attempts", "Attempts at targets of a service that a version is brought in of, by version.", "service", "version", "outcome")
 	counter(&m.ends, "rainford.target.ends", "Targets that ended while they had requests of this instance.")
 	return errors.Join(errs...)
 }
@@ -115,6 +117,12 @@
 	gauge("rainford.peer.sent", "Bytes sent to other instances.", func() int64 { sent, _, _ := g.mesh.Traffic(); return sent })
 	gauge("rainford.peer.received", "Bytes received from other instances.", func() int64 { _, received, _ := g.mesh.Traffic(); return received })
 	errs = append(errs,
+		m.telemetry.Gauges("rainford.rollout.share", "Part of the requests that this instance sends to targets of a version that is brought in.",
+			[]string{"service", "version"}, func(observe func(float64, ...string)) {
+				for _, r := range g.rollouts.list(g.clock.Now()) {
+					observe(r.Share, r.Service, r.Version)
+				}
+			}),
 		m.telemetry.Gauges("rainford.news.age.seconds", "Time since the store or another instance was last heard, -1 before.", nil,
 			func(observe func(float64, ...string)) { observe(g.newsAge(g.clock.Now()).Seconds()) }),
 		m.telemetry.Gauges("rainford.replica.revision", "Revision that is held of each kind of object.", []string{"kind"}, g.observeRevisions),
@@ -232,6 +240,15 @@
 	m.word(service, r.Word)
 }
 
+// sideNames are the versions of a rollout's targets, as the metrics name them: few, whatever versions are
+// ordered.
+var sideNames = map[bool]string{false: "old", true: "new"}
+
+// version counts an attempt at a target while a version of its service is brought in.
+func (m *metrics) version(service string, isNew bool, r upstream.Result) {
+	m.versions.Add(1, service, sideNames[isNew], r.Outcome.String())
+}
+
 // What targets say of themselves, as the metrics name it.
 const (
 	wordLeaves     = "leaves"
--- a/gateway/news.go
+++ b/gateway/news.go
@@ -58,7 +58,7 @@
 // relayNews passes news on to those that the sender has left to this instance. The caller
 // holds mu.
 func (g *Gateway) relayNews(now time.Time, m *peer.Gossip) {
-	message := peer.Gossip{Beats: m.Beats, News: m.News, Departures: m.Departures, Limits: m.Limits, Reply: true}
+	message := peer.Gossip{Beats: m.Beats, News: m.News, Departures: m.Departures, Limits: m.Limits, Stages: m.Stages, Reply: true}
 	switch {
 	case m.Enter:
 		g.spreadNews(now, message)
--- /dev/null
+++ b/gateway/observe.go
@@ -0,0 +1,67 @@
+package gateway
+
+import (
+	"github.com/rainford/rainford/forward"
+	"github.com/rainford/rainford/internal/mix"
+	"github.com/rainford/rainford/rollout"
+	"github.com/rainford/rainford/upstream"
+)
+
+// noteSent counts a request that is sent to a target while a rollout of its service goes on.
+func (p *pool) noteSent(d upstream.Decision) {
+	r := p.rollout.Load()
+	if r == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.goesOn() {
+		r.follower.Sent(d.Sent.New)
+	}
+}
+
+// observe takes in what became of a request for a rollout of its service.
+func (g *Gateway) observe(ex *exchange, p *pool, want upstream.Request, d upstream.Decision, a forward.Attempt) {
+	r := p.rollout.Load()
+	if r == nil {
+		return
+	}
+	g.metrics.version(ex.service, d.Sent.New, a.Target)
+	outcome, tells := outcomeAt(a.Target)
+	if !tells {
+		return
+	}
+	o := rollout.Observation{
+		Route:   uint16(mix.Hash(ex.route.Name)),
+		Key:     uint32(mix.Hash(want.Key)),
+		Target:  uint32(mix.Hash(d.Target.ID)),
+		Took:    rollout.TimeOf(a.Target.Took),
+		Outcome: outcome,
+		Cold:    d.Target.Cold,
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case !r.goesOn():
+	case d.Sent.New:
+		r.follower.EndedNew(o)
+	default:
+		r.follower.EndedOld(o)
+	}
+}
+
+// outcomeAt returns what an attempt says of the version of its target, false if nothing: one that is
+// full, can't be reached or whose client has left says nothing.
+func outcomeAt(r upstream.Result) (rollout.Outcome, bool) {
+	switch r.Outcome {
+	case upstream.Answered:
+		if r.Failed {
+			return rollout.Failed, true
+		}
+		return rollout.Answered, true
+	case upstream.Silent, upstream.Broken:
+		return rollout.Unanswered, true
+	default:
+		return 0, false
+	}
+}
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rainford/rainford/availability"
@@ -27,6 +28,8 @@
 	ask      func(asks []ratelimit.Ask, silent []string)
 	log      *slog.Logger
 	clock    *clock.Clock
+	// rollout is that of the service, nil if there was none.
+	rollout atomic.Pointer[serviceRollout]
 }
 
 // update changes the pool and wakes the requests that this grants.
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -9,6 +9,7 @@
 	"github.com/rainford/rainford/peer"
 	"github.com/rainford/rainford/ratelimit"
 	"github.com/rainford/rainford/retry"
+	"github.com/rainford/rainford/rollout"
 	"github.com/rainford/rainford/table"
 	"github.com/rainford/rainford/upstream"
 )
@@ -122,6 +123,7 @@
 		Hall:        ps.config.Hall,
 		Region:      ps.config.Region,
 		RegionOf:    ps.config.RegionOf,
+		HoldsNew:    ps.config.bringsVersionsIn(),
 		ShiftStep:   shiftStepShare * ps.config.ShiftMost,
 		ShiftWindow: shiftWindow,
 	})
@@ -257,6 +259,28 @@
 	})
 }
 
+// setSplit takes in which part of a service's requests goes to targets of a new version, and until
+// when.
+func (ps *pools) setSplit(now time.Time, r *serviceRollout, split rollout.Split, until time.Time) {
+	p := ps.get(r.order().Service)
+	if p == nil {
+		return
+	}
+	p.rollout.Store(r)
+	p.update(func(u *upstream.Pool) []upstream.Grant { return u.SetSplit(now, split, until) })
+}
+
+// versions returns what there is of a service's targets of both versions.
+func (ps *pools) versions(now time.Time, service string) upstream.Versions {
+	p := ps.get(service)
+	if p == nil {
+		return upstream.Versions{}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.upstream.Versions(now)
+}
+
 // forgetPermits drops what is known of permits that nobody asks for.
 func (ps *pools) forgetPermits(now time.Time) {
 	ps.mu.RLock()
--- a/gateway/ports.go
+++ b/gateway/ports.go
@@ -4,11 +4,13 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/rainford/rainford/catalog"
 	"github.com/rainford/rainford/feed"
 	"github.com/rainford/rainford/forward"
+	"github.com/rainford/rainford/rollout"
 )
 
 // The kinds of objects that instances replicate.
@@ -20,15 +22,31 @@
 	// KindTable holds the product's own objects, the operators' table among
 	// them.
 	KindTable feed.Kind = "table"
+	// KindRollouts are the orders to bring in new versions of services, with what has become of
+	// them.
+	KindRollouts feed.Kind = "rollouts"
 )
 
-// kinds are all kinds, in the order in which they are read at the start.
+// kinds are the kinds that every instance replicates, in the order in which they are read at the
+// start.
 var kinds = []feed.Kind{KindConfig, KindTargets, KindEvacuations, KindInstances, KindTable}
 
+// kindsOf returns the kinds that an instance with the settings replicates. Where versions are brought
+// in by order the orders are one more, and come last, as in messages.
+func kindsOf(c Config) []feed.Kind {
+	if !c.bringsVersionsIn() {
+		return kinds
+	}
+	return append(slices.Clone(kinds), KindRollouts)
+}
+
 // ErrHistoryGone means that the store no longer has the changes after a
 // revision, so that the kind has to be listed again.
 var ErrHistoryGone = errors.New("gateway: history gone")
 
+// ErrConflict means that an object has changed since the revision that a write named.
+var ErrConflict = errors.New("gateway: object has changed")
+
 // Store is what an instance needs of the platform's store.
 type Store interface {
 	List(ctx context.Context, kind feed.Kind) (feed.Delta, error)
@@ -43,6 +61,9 @@
 	Create(ctx context.Context, kind feed.Kind, name string, spec any) error
 	// Remove removes an object. One that is not there is no error.
 	Remove(ctx context.Context, kind feed.Kind, name string) error
+	// SetRolloutState writes what has become of an order, unless the object has changed since it
+	// was read: then the error wraps ErrConflict.
+	SetRolloutState(ctx context.Context, record rollout.Record, state rollout.State) error
 	// Calls returns the number of calls made.
 	Calls() int64
 }
@@ -52,6 +73,7 @@
 	forward.Codec
 	Config(name string, raw []byte) (*catalog.Config, error)
 	Target(name string, raw []byte) (catalog.Target, error)
+	Rollout(name string, raw []byte) (rollout.Record, error)
 	// Lookup decodes a look-up of a client.
 	Lookup(r *http.Request) (region, hall string, ok bool)
 	LookupAnswer(addrs []string, ttl time.Duration) ([]byte, error)
--- a/gateway/ready.go
+++ b/gateway/ready.go
@@ -13,10 +13,13 @@
 const startShare = 64
 
 // readiness tells when the instance can serve: once it has a configuration and knows the
-// targets, and the instances too where these own the limits of accounts.
+// targets, and the instances too where these own the limits of accounts, and the orders where new
+// versions are brought in by order: targets of a version that is to get few requests must not get
+// more from an instance that has just started.
 type readiness struct {
-	knowsTargets, knowsInstances atomic.Bool
-	once                         sync.Once
+	knowsTargets, knowsInstances, knowsRollouts atomic.Bool
+
+	once sync.Once
 	// reached is closed when the instance is ready.
 	reached chan struct{}
 }
@@ -24,7 +27,15 @@
 // isReady tells whether the instance can serve.
 func (g *Gateway) isReady() bool {
 	router := g.router.Load()
-	return router != nil && g.readiness.knowsTargets.Load() && g.knowsOwners(router)
+	return router != nil && g.readiness.knowsTargets.Load() && g.knowsOwners(router) &&
+		(!g.config.bringsVersionsIn() || g.readiness.knowsRollouts.Load())
+}
+
+// knowRollouts takes in that the instance knows all orders that there are, also if there are none.
+func (g *Gateway) knowRollouts() {
+	if !g.readiness.knowsRollouts.Swap(true) {
+		g.noteReady()
+	}
 }
 
 // noteReady lets the requests go on that wait for the instance to be ready, if it is.
--- /dev/null
+++ b/gateway/rollouts.go
@@ -0,0 +1,295 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/rainford/rainford/feed"
+	"github.com/rainford/rainford/fleet"
+	"github.com/rainford/rainford/internal/pause"
+	"github.com/rainford/rainford/peer"
+	"github.com/rainford/rainford/rollout"
+	"github.com/rainford/rainford/upstream"
+)
+
+const (
+	// rolloutTick is how often a rollout that goes on is looked at.
+	rolloutTick = 100 * time.Millisecond
+	// leaderSilence is how long nothing is heard of a leader before another instance takes over.
+	leaderSilence = 3 * rollout.BeatTime
+	// statePause is the time between two tries to write what has become of an order.
+	statePause = 400 * time.Millisecond
+)
+
+// rollouts are those that the store tells of, by service. It is safe for concurrent use.
+type rollouts struct {
+	mu        sync.Mutex
+	byService map[string]*serviceRollout
+	// changed has an element when an order has come.
+	changed chan struct{}
+}
+
+func newRollouts() *rollouts {
+	return &rollouts{byService: make(map[string]*serviceRollout), changed: make(chan struct{}, 1)}
+}
+
+// of returns the rollout of a service, nil if there is none.
+func (rs *rollouts) of(service string) *serviceRollout {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	return rs.byService[service]
+}
+
+// all returns all rollouts.
+func (rs *rollouts) all() []*serviceRollout {
+	rs.mu.Lock()
+	defer rs.mu.Unlock()
+	out := make([]*serviceRollout, 0, len(rs.byService))
+	for _, r := range rs.byService {
+		out = append(out, r)
+	}
+	return out
+}
+
+// serviceRollout is the rollout of one service. It is safe for concurrent use.
+type serviceRollout struct {
+	mu       sync.Mutex
+	record   rollout.Record
+	follower *rollout.Follower
+	// leader is nil unless this instance leads.
+	leader *rollout.Leader
+	// heardAt is when another leader was last heard.
+	heardAt time.Time
+	// writing says that a write is under way, and wroteAt is when the last one began.
+	writing bool
+	wroteAt time.Time
+}
+
+// goesOn tells whether there is no verdict that all act on yet.
+func (r *serviceRollout) goesOn() bool { return !r.record.State.IsVerdict() }
+
+// applyRollout takes in an order, or what has become of it.
+func (g *Gateway) applyRollout(now time.Time, c feed.Change, source string, revision int64) {
+	known := g.rollouts.of(c.Name)
+	if c.Gone {
+		if known != nil {
+			known.withdraw()
+			g.log.Info(logRollout, "service", c.Name, "withdrawn", true, "source", source, "revision", revision)
+		}
+		g.rollouts.note(c.Name, known)
+		return
+	}
+	record, err := g.codec.Rollout(c.Name, c.Value)
+	if err != nil {
+		g.metrics.refused.Add(1, string(KindRollouts), "entry")
+		g.log.Error(logRolloutRefused, "service", c.Name, "error", err.Error(), "source", source, "revision", revision)
+		return
+	}
+	if known == nil || known.order().ID() != record.Order.ID() {
+		known = &serviceRollout{follower: rollout.NewFollower(now, g.config.Name, record.Order)}
+	}
+	known.learn(record)
+	g.log.Info(logRollout, "service", record.Service, "version", record.Version, "duration_ms", record.Duration.Milliseconds(),
+		"state", record.State, "source", source, "revision", revision)
+	g.rollouts.note(c.Name, known)
+}
+
+// note keeps a service's rollout and has it looked at.
+func (rs *rollouts) note(service string, r *serviceRollout) {
+	if r == nil {
+		return
+	}
+	rs.mu.Lock()
+	rs.byService[service] = r
+	rs.mu.Unlock()
+	select {
+	case rs.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (r *serviceRollout) order() rollout.Order {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.follower.Order()
+}
+
+// isLed tells whether this instance leads the rollout.
+func (r *serviceRollout) isLed() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leader != nil
+}
+
+func (r *serviceRollout) withdraw() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.follower.Withdraw()
+	r.leader = nil
+	r.record.State = rollout.RolledBack
+}
+
+func (r *serviceRollout) learn(record rollout.Record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.record = record
+	r.follower.Learn(record.State)
+	if record.State.IsVerdict() {
+		r.leader = nil
+	}
+}
+
+// rolloutLoop looks at rollouts while some go on.
+func (g *Gateway) rolloutLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		goesOn := false
+		for _, r := range g.rollouts.all() {
+			goesOn = g.tickRollout(ctx, r) || goesOn
+		}
+		if goesOn {
+			pause.For(ctx, rolloutTick)
+			continue
+		}
+		select {
+		case <-g.rollouts.changed:
+		case <-ctx.Done():
+		}
+	}
+}
+
+// tickRollout has a rollout go on. It reports whether it has to be looked at again without a change.
+func (g *Gateway) tickRollout(ctx context.Context, r *serviceRollout) bool {
+	now := g.clock.Now()
+	service := r.order().Service
+	versions := g.pools.versions(now, service)
+	g.lead(ctx, now, r, versions)
+	r.mu.Lock()
+	split, until := r.follower.Split(now)
+	report, leader, reports := r.follower.Report(now, versions.AtOld)
+	goesOn := r.goesOn()
+	r.mu.Unlock()
+	g.pools.setSplit(now, r, split, until)
+	if !reports {
+		return goesOn
+	}
+	if leader == g.view.Self().PeerAddr {
+		g.receiveRolloutReport(&peer.RolloutReport{Report: report})
+	} else {
+		g.mesh.Send(leader, &peer.RolloutReport{Report: report})
+	}
+	return goesOn
+}
+
+// lead takes the lead of a rollout if that is this instance's part, decides on its stage, tells all
+// others, and has the store hold what has become of it.
+func (g *Gateway) lead(ctx context.Context, now time.Time, r *serviceRollout, versions upstream.Versions) {
+	leads, members := g.leads(now, r.isLed())
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.goesOn() || !leads || now.Sub(r.heardAt) < leaderSilence {
+		r.leader = nil
+		return
+	}
+	if r.leader == nil {
+		r.leader = rollout.NewLeader(now, g.view.Self().PeerAddr, r.follower, g.config.Rollouts)
+		g.log.Info(logRolloutLeads, "service", r.record.Service, "version", r.record.Version, "stage", r.leader.Stage().Phase.String())
+	}
+	stage, tell := r.leader.Decide(now, rollout.Situation{
+		Members:  members,
+		Rate:     versions.Rate * float64(members),
+		OldSlots: versions.OldSlots,
+		NewSlots: versions.NewSlots,
+		Usage:    versions.Usage,
+	})
+	if r.follower.Hear(now, stage) {
+		g.logStage(r, stage)
+	}
+	if tell {
+		go g.broadcast(now, peer.Gossip{Stages: []rollout.Stage{stage}})
+	}
+	g.writeState(ctx, now, r)
+}
+
+// leads tells whether this instance leads rollouts, and how many instances there are.
+func (g *Gateway) leads(now time.Time, hasLed bool) (leads bool, members int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range g.view.All(now) {
+		if s.State == fleet.Alive || s.State == fleet.Unknown {
+			members++
+		}
+	}
+	return g.view.Leads(now, hasLed), members
+}
+
+// writeState has the store hold what has become of an order. The caller holds the rollout's mu.
+func (g *Gateway) writeState(ctx context.Context, now time.Time, r *serviceRollout) {
+	state := r.leader.Verdict()
+	if r.writing || r.record.State == state || now.Sub(r.wroteAt) < statePause {
+		return
+	}
+	r.writing, r.wroteAt = true, now
+	record := r.record
+	g.start(func() {
+		err := g.store.SetRolloutState(ctx, record, state)
+		r.mu.Lock()
+		r.writing = false
+		r.mu.Unlock()
+		switch {
+		case err == nil:
+			g.log.Info(logRolloutState, "service", record.Service, "version", record.Version, "state", state)
+		case errors.Is(err, ErrConflict):
+			// The watch brings what the object is now.
+			g.log.Info(logRolloutState, "service", record.Service, "version", record.Version, "state", state, "error", err.Error())
+		default:
+			g.log.Warn(logRolloutState, "service", record.Service, "version", record.Version, "state", state, "error", err.Error())
+		}
+	})
+}
+
+// logStage logs a stage that is new here, with what the leader has decided it by. The caller holds the
+// rollout's mu.
+func (g *Gateway) logStage(r *serviceRollout, stage rollout.Stage) {
+	attrs := []slog.Attr{slog.String("service", r.record.Service), slog.String("version", r.record.Version),
+		slog.String("stage", stage.Phase.String()), slog.Float64("keys", stage.Keys), slog.Float64("draw", stage.Draw),
+		slog.Float64("targets", stage.Targets), slog.Float64("senders", stage.Senders), slog.String("reason", string(stage.Reason)),
+		slog.Int64("age_ms", stage.Age.Milliseconds()), slog.String("leader", stage.Leader)}
+	if r.leader != nil {
+		opinion := r.leader.Opinion()
+		sent, sentNew := r.leader.Counts()
+		attrs = append(attrs, slog.Int("sent", sent), slog.Int("sent_new", sentNew), slog.Float64("odds_failing", opinion.Failing),
+			slog.Float64("odds_slow", opinion.Slow), slog.Bool("suspect", opinion.Suspect))
+	}
+	g.log.LogAttrs(context.Background(), slog.LevelInfo, logRolloutStage, attrs...)
+}
+
+// hearStages takes in the stages that leaders tell.
+func (g *Gateway) hearStages(now time.Time, stages []rollout.Stage) {
+	for _, stage := range stages {
+		for _, r := range g.rollouts.all() {
+			r.mu.Lock()
+			if r.follower.Hear(now, stage) {
+				g.logStage(r, stage)
+			}
+			if r.follower.Stage() == stage && stage.Leader != g.view.Self().PeerAddr {
+				r.heardAt = now
+			}
+			r.mu.Unlock()
+		}
+	}
+}
+
+// receiveRolloutReport takes in what an instance has seen of a rollout that this one leads.
+func (g *Gateway) receiveRolloutReport(m *peer.RolloutReport) {
+	now := g.clock.Now()
+	for _, r := range g.rollouts.all() {
+		r.mu.Lock()
+		if r.leader != nil {
+			r.leader.Hear(now, m.Report)
+		}
+		r.mu.Unlock()
+	}
+}
--- /dev/null
+++ b/gateway/rollouts_test.go
@@ -0,0 +1,215 @@
+package gateway_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rainford/rainford/gateway"
+	"github.com/rainford/rainford/internal/standin/objects"
+	"github.com/rainford/rainford/internal/standin/origin"
+	"github.com/rainford/rainford/rollout"
+)
+
+// versioned is a site whose service runs in one version, of which another one is to be brought in.
+type versioned struct {
+	*site
+	instances []*instance
+	old, new  []*origin.Server
+	// toOld and toNew count the requests that reach targets of either version.
+	toOld, toNew atomic.Int64
+}
+
+const rolloutTime = 6 * time.Second
+
+// newVersioned starts some instances and six targets of version v1.
+func newVersioned(t *testing.T, instances int) *versioned {
+	v := &versioned{site: newSite(t)}
+	v.configure(1, safeRoute)
+	for i := range 6 {
+		v.old = append(v.old, v.versionedServer(fmt.Sprint("old", i), "v1", &v.toOld))
+	}
+	for i := range instances {
+		v.instances = append(v.instances, v.instance(fmt.Sprint("n", i), "a1", func(c *gateway.Config) {
+			c.Rollouts = rollout.DefaultBound
+			if i > 0 {
+				c.Seeds = []string{v.instances[0].config.PeerListen}
+			}
+		}))
+	}
+	for _, in := range v.instances {
+		in.awaitStatus("/x/", 200)
+	}
+	return v
+}
+
+func (v *versioned) versionedServer(id, version string, count *atomic.Int64) *origin.Server {
+	server, err := origin.Start(id, "s", "a1", 9)
+	require.NoError(v.t, err)
+	v.t.Cleanup(server.Close)
+	server.SetObserver(func(origin.Arrival) { count.Add(1) })
+	v.store.Set("servers", id, objects.Server{Service: "s", Address: server.Addr(), Zone: "a1", Version: version, Slots: 9, State: "ready", WarmupRemaining: "0ms", Sequence: 1})
+	return server
+}
+
+// bringIn has the operator order version v2, and starts its targets.
+func (v *versioned) bringIn() {
+	v.store.Set("rollouts", "s", objects.Rollout{Service: "s", TargetVersion: "v2", Duration: rolloutTime.String()})
+	for i := range 6 {
+		v.new = append(v.new, v.versionedServer(fmt.Sprint("new", i), "v2", &v.toNew))
+	}
+}
+
+// load has clients send requests until the function that it returns is called.
+func (v *versioned) load() (stop func()) {
+	var clients sync.WaitGroup
+	var stopped atomic.Bool
+	for i := range 8 {
+		clients.Add(1)
+		go func() {
+			defer clients.Done()
+			for n := 0; !stopped.Load(); n++ {
+				in := v.instances[(i+n)%len(v.instances)]
+				header := http.Header{"Affinity-Key": {fmt.Sprint(n % 50)}}
+				in.sendWith(v.t.Context(), v.newID(), "GET", "/x/", "", header)
+				time.Sleep(10 * time.Millisecond)
+			}
+		}()
+	}
+	return func() {
+		stopped.Store(true)
+		clients.Wait()
+	}
+}
+
+// state returns what the store holds of the order.
+func (v *versioned) state() objects.RolloutStatus {
+	var status objects.RolloutStatus
+	raw := v.store.Status("rollouts", "s")
+	if raw != nil {
+		require.NoError(v.t, json.Unmarshal(raw, &status))
+	}
+	return status
+}
+
+func (v *versioned) awaitState(state string) {
+	v.t.Helper()
+	require.Eventually(v.t, func() bool { return v.state().State == state }, rolloutTime+wait, poll)
+	require.Equal(v.t, "v2", v.state().TargetVersion)
+}
+
+// failing has a server fail half of its requests.
+func failing(server *origin.Server) {
+	var n atomic.Int64
+	server.SetScript(func(*http.Request) origin.Fault {
+		if n.Add(1)%2 == 0 {
+			return origin.Failed
+		}
+		return origin.None
+	})
+}
+
+// TestGoodVersionIsBroughtIn checks that a good version gets all requests, and that the order is said to have
+// succeeded only when none is at an old target any more.
+func TestGoodVersionIsBroughtIn(t *testing.T) {
+	for _, instances := range []int{1, 3} {
+		t.Run(fmt.Sprint("instances=", instances), func(t *testing.T) {
+			v := newVersioned(t, instances)
+			stop := v.load()
+			defer stop()
+			v.bringIn()
+			v.awaitState("running")
+			v.awaitState("succeeded")
+			// The platform stops the old targets now.
+			before := v.toOld.Load()
+			for _, server := range v.old {
+				v.store.Remove("servers", server.ID)
+				server.Close()
+			}
+			stop()
+			require.Equal(t, before, v.toOld.Load())
+			for _, in := range v.instances {
+				require.Equal(t, 200, in.send("GET", "/x/", "").status)
+			}
+		})
+	}
+}
+
+// TestBadVersionIsRolledBack checks that a version that fails gets a few requests only, and none after the
+// rollback. A version was a target like any other: on a simulated day one that failed half of its requests got
+// 16,319 of 27,718, where a tenth and 50 were allowed.
+func TestBadVersionIsRolledBack(t *testing.T) {
+	for _, instances := range []int{1, 3} {
+		t.Run(fmt.Sprint("instances=", instances), func(t *testing.T) {
+			v := newVersioned(t, instances)
+			stop := v.load()
+			defer stop()
+			v.store.Set("rollouts", "s", objects.Rollout{Service: "s", TargetVersion: "v2", Duration: rolloutTime.String()})
+			before := v.toOld.Load() + v.toNew.Load()
+			for i := range 6 {
+				server := v.versionedServer(fmt.Sprint("new", i), "v2", &v.toNew)
+				failing(server)
+			}
+			v.awaitState("rolled_back")
+			time.Sleep(500 * time.Millisecond)
+			atNew := v.toNew.Load()
+			require.LessOrEqual(t, float64(atNew), 0.1*float64(v.toOld.Load()+atNew-before)+50)
+			require.Never(t, func() bool { return v.toNew.Load() > atNew }, time.Second, poll)
+		})
+	}
+}
+
+// TestVerdictWhileLeaderIsLost checks that another instance goes on with a rollout when the one that leads it
+// ends.
+func TestVerdictWhileLeaderIsLost(t *testing.T) {
+	v := newVersioned(t, 3)
+	stop := v.load()
+	defer stop()
+	v.bringIn()
+	v.awaitState("running")
+	// The first by name leads.
+	v.instances[0].stop()
+	<-v.instances[0].done
+	v.instances = v.instances[1:]
+	require.Eventually(t, func() bool { state := v.state().State; return state == "succeeded" || state == "rolled_back" }, 2*rolloutTime+wait, poll)
+}
+
+// TestVerdictWhileStoreIsAway checks that a bad version gets no more requests though nothing can be written to
+// the store, and that the rollback is written once the store is back.
+func TestVerdictWhileStoreIsAway(t *testing.T) {
+	v := newVersioned(t, 2)
+	stop := v.load()
+	defer stop()
+	v.bringIn()
+	for _, server := range v.new {
+		failing(server)
+	}
+	v.awaitState("running")
+	v.store.SetFaults(objects.Faults{Down: true})
+	require.Eventually(t, func() bool {
+		before := v.toNew.Load()
+		time.Sleep(400 * time.Millisecond)
+		return before > 0 && v.toNew.Load() == before
+	}, rolloutTime, poll)
+	require.Equal(t, "running", v.state().State)
+	v.store.SetFaults(objects.Faults{})
+	v.awaitState("rolled_back")
+}
+
+// TestWrittenVerdictCounts checks that what the store holds is not changed, whoever has written it.
+func TestWrittenVerdictCounts(t *testing.T) {
+	v := newVersioned(t, 1)
+	stop := v.load()
+	defer stop()
+	v.store.Set("rollouts", "s", objects.Rollout{Service: "s", TargetVersion: "v2", Duration: rolloutTime.String()})
+	v.awaitState("running")
+	v.store.SetStatus("rollouts", "s", objects.RolloutStatus{State: "rolled_back", TargetVersion: "v2"})
+	v.versionedServer("new0", "v2", &v.toNew)
+	require.Never(t, func() bool { return v.toNew.Load() > 0 || v.state().State != "rolled_back" }, 2*time.Second, poll)
+}
--- a/gateway/start.go
+++ b/gateway/start.go
@@ -71,6 +71,9 @@
 		g.noteStore(kind, err)
 		if err == nil {
 			g.take(delta, sourceStore)
+			if kind == KindRollouts {
+				g.knowRollouts()
+			}
 			return
 		}
 		pause.For(ctx, wait)
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -10,6 +10,7 @@
 	"github.com/rainford/rainford/availability"
 	"github.com/rainford/rainford/catalog"
 	"github.com/rainford/rainford/quarantine"
+	"github.com/rainford/rainford/rollout"
 )
 
 // StatusPath is the path of an instance's status on its admin address.
@@ -30,6 +31,32 @@
 	Limited []LimitedTarget `json:"limited"`
 	// Held are the requests and accounts that are not sent like others.
 	Held []HeldRequest `json:"held"`
+	// Rollouts are the versions of services that are, or were, brought in by order.
+	Rollouts []RolloutStatus `json:"rollouts,omitempty"`
+}
+
+// RolloutStatus is how a version of a service is brought in, as far as an instance knows.
+type RolloutStatus struct {
+	Service string `json:"service"`
+	Version string `json:"version"`
+	// State is what the store holds, and Stage what the instance does: Share is the part of the
+	// requests that it sends to new targets, if keys are alike.
+	State rollout.State  `json:"state"`
+	Stage string         `json:"stage"`
+	Share float64        `json:"share"`
+	Why   rollout.Reason `json:"why,omitempty"`
+	// ForMs is the time since the order was first known, and OfMs the order's duration.
+	ForMs int64 `json:"for_ms"`
+	OfMs  int64 `json:"of_ms"`
+	// Leader is the peer address of the instance that decides. What follows is told by it alone:
+	// the numbers of requests that the instances have reported, those sent to new targets, and the
+	// logarithms of the odds that the version fails more often and is slower.
+	Leader  string  `json:"leader"`
+	Leads   bool    `json:"leads,omitempty"`
+	Sent    int     `json:"sent,omitempty"`
+	SentNew int     `json:"sent_new,omitempty"`
+	Failing float64 `json:"odds_failing,omitempty"`
+	Slow    float64 `json:"odds_slow,omitempty"`
 }
 
 // UnavailableTarget is a target that gets nothing, and why.
@@ -79,6 +106,7 @@
 	s.Targets, s.Unavailable = g.pools.unavailable(now)
 	s.Limited = g.pools.limited(now)
 	s.Held = g.holds.list(now)
+	s.Rollouts = g.rollouts.list(now)
 	return s
 }
 
@@ -160,3 +188,28 @@
 	slices.SortFunc(out, func(a, b HeldRequest) int { return cmp.Compare(a.Content, b.Content) })
 	return out
 }
+
+// list returns all rollouts.
+func (rs *rollouts) list(now time.Time) []RolloutStatus {
+	var out []RolloutStatus
+	for _, r := range rs.all() {
+		out = append(out, r.status(now))
+	}
+	slices.SortFunc(out, func(a, b RolloutStatus) int { return cmp.Compare(a.Service, b.Service) })
+	return out
+}
+
+func (r *serviceRollout) status(now time.Time) RolloutStatus {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	order, stage := r.follower.Order(), r.follower.Stage()
+	split, _ := r.follower.Split(now)
+	s := RolloutStatus{Service: order.Service, Version: order.Version, State: r.record.State, Stage: stage.Phase.String(), Share: split.Keys * split.Draw,
+		Why: stage.Reason, ForMs: now.Sub(r.follower.Since()).Milliseconds(), OfMs: order.Duration.Milliseconds(), Leader: stage.Leader, Leads: r.leader != nil}
+	if r.leader != nil {
+		opinion := r.leader.Opinion()
+		s.Sent, s.SentNew = r.leader.Counts()
+		s.Failing, s.Slow = opinion.Failing, opinion.Slow
+	}
+	return s
+}
--- a/gateway/targets.go
+++ b/gateway/targets.go
@@ -116,7 +116,7 @@
 			continue
 		}
 		g.listed.put(spec)
-		g.log.Log(ctx, level, logTarget, "target", spec.ID, "service", spec.Service, "hall", spec.Hall, "addr", spec.Addr,
+		g.log.Log(ctx, level, logTarget, "target", spec.ID, "service", spec.Service, "version", spec.Version, "hall", spec.Hall, "addr", spec.Addr,
 			"leaves", spec.Leaves, "cold_ms", spec.ColdFor.Milliseconds(), "source", source, "revision", revision)
 	}
 	if refused > maxRefusedLines {
--- a/internal/soak/entries.go
+++ b/internal/soak/entries.go
@@ -56,6 +56,6 @@
 		if err != nil {
 			return
 		}
-		_, _ = s.serve(o, srv.place, true)
+		_, _ = s.serve(o, srv.place, true, srv.version)
 	})
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -64,6 +64,8 @@
 		r.startAgain(f)
 	case EndingRequests:
 		r.sendEnding(f)
+	case Rollout:
+		r.rollout(f)
 	case ConfigChange:
 		s.configure()
 	case ConfigStorm:
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -45,6 +45,8 @@
 	// endings are the servers that ended under a request, by its path.
 	endings map[string]*endings
 	words   words
+	// versions are the rollouts of the run.
+	versions []*versionCheck
 	// frozenAt is until when an instance last stood still.
 	frozenAt map[string]time.Time
 }
@@ -185,6 +187,7 @@
 	o.judgeCold(v)
 	o.judgeEnding(a, v)
 	o.judgeWords(a, v)
+	o.judgeExposure(a, v)
 }
 
 // judgePlace checks service, home region and at most once. The caller holds mu.
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -45,6 +45,7 @@
 	ServerRests    FaultKind = "server-asks-for-rest"
 	ServerSays     FaultKind = "server-says-wrong-words"
 	ServerLimits   FaultKind = "server-names-limit"
+	Rollout        FaultKind = "rollout"
 )
 
 // laterKinds came after seeds were kept. They are drawn by themselves, so that the other
@@ -133,6 +134,10 @@
 		length := limitLasts + time.Duration(limits.Int64N(int64(last-limitLasts-at)))
 		out = append(out, Fault{At: at, For: length, Kind: ServerLimits, Which: limits.IntN(1 << 16), How: limits.IntN(1 << 16)})
 	}
+	rollouts := rand.New(rand.NewPCG(seed, 12))
+	for at := 1500 * time.Millisecond; at < last-rolloutLasts/2; at += rolloutLasts + time.Duration(rollouts.Int64N(int64(rolloutLasts))) {
+		out = append(out, Fault{At: at, For: rolloutLasts, Kind: Rollout, Which: rollouts.IntN(1 << 16), How: rollouts.IntN(1 << 16)})
+	}
 	sort.SliceStable(out, func(i, j int) bool { return out[i].At < out[j].At })
 	return out
 }
--- /dev/null
+++ b/internal/soak/rollouts_test.go
@@ -0,0 +1,79 @@
+package soak
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rainford/rainford/internal/standin/origin"
+)
+
+// exposed is an oracle with a rollout whose version is of a quality, and a function that has a request of an
+// instance reach a server of the version or of the one before.
+func exposed(q quality) (o *oracle, check *versionCheck, arrive func(at time.Time, isNew bool)) {
+	o = newOracle(newKeyring())
+	start := time.Now()
+	check = &versionCheck{service: "read", version: "v2", quality: q, from: start, until: start.Add(rolloutLasts)}
+	o.versions = append(o.versions, check)
+	for id, version := range map[string]string{"old": "v1", "new": "v2"} {
+		o.servers[id] = &server{Server: &origin.Server{ID: id, Service: "read", Zone: "a1"}, version: version}
+	}
+	return o, check, func(at time.Time, isNew bool) {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		id := map[bool]string{false: "old", true: "new"}[isNew]
+		o.judgeExposure(&attempt{instance: "n1"}, origin.Arrival{Server: o.servers[id].Server, At: at})
+	}
+}
+
+// TestExposureIsJudged checks that a bad version that gets more than its part is told, and one that gets no more,
+// or is sound, is not.
+func TestExposureIsJudged(t *testing.T) {
+	for _, c := range []struct {
+		quality quality
+		atNew   int
+		broken  bool
+	}{{failingVersion, 150, false}, {failingVersion, 151, true}, {soundVersion, 900, false}} {
+		o, check, arrive := exposed(c.quality)
+		for i := range 1000 {
+			arrive(check.from.Add(time.Second), i < c.atNew)
+		}
+		check.verdict = "rolled_back"
+		o.judgeVersion(check, "rolled_back")
+		require.Equal(t, c.broken, len(o.violations) > 0, "%+v", c)
+	}
+}
+
+// TestLateExposureIsJudged checks that requests to a version long after its fiftieth bad answer are told, from
+// instances in touch.
+func TestLateExposureIsJudged(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		for _, touched := range []bool{false, true} {
+			o, check, arrive := exposed(failingVersion)
+			for range badAnswers {
+				o.badAnswer(check)
+			}
+			at := check.fiftiethAt.Add(rollbackWithin - time.Second)
+			if late {
+				at = at.Add(2 * time.Second)
+			}
+			if !touched {
+				o.disturbed("n1", at.Add(-time.Second))
+			}
+			arrive(at, true)
+			require.Equal(t, late && touched, len(o.violations) > 0)
+		}
+	}
+}
+
+// TestVerdictIsJudged checks that a verdict that changes is told.
+func TestVerdictIsJudged(t *testing.T) {
+	o, check, _ := exposed(soundVersion)
+	o.ruled(check, "succeeded")
+	o.judgeVersion(check, "succeeded")
+	require.Empty(t, o.violations)
+	o.judgeVersion(check, "rolled_back")
+	require.Len(t, o.violations, 1)
+	require.Equal(t, "VERDICT", o.violations[0].Rule)
+}
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -64,6 +65,39 @@
 	instances []*instance
 	nextID    int
 	version   int
+	// versions are those that the services' servers run, and newest is the number of the last one that was
+	// ordered.
+	versions map[string]string
+	newest   int
+	// rolling says that a version is being brought in.
+	rolling atomic.Bool
+}
+
+// nextVersion returns a version that there was not yet.
+func (s *site) nextVersion() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.newest++
+	return fmt.Sprintf("v%d", s.newest+1)
+}
+
+// versionOf returns the version that a service's servers run.
+func (s *site) versionOf(service string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if version, ok := s.versions[service]; ok {
+		return version
+	}
+	return "v1"
+}
+
+func (s *site) setVersion(service, version string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.versions == nil {
+		s.versions = make(map[string]string)
+	}
+	s.versions[service] = version
 }
 
 // server is one incarnation with its proxy.
@@ -76,6 +110,7 @@
 	// coldUntil is when it stops being cold, zero if it never was.
 	coldUntil time.Time
 	gone      bool
+	version   string
 }
 
 // instance is one instance over all of its processes.
@@ -143,25 +178,38 @@
 }
 
 func (s *site) addServer(service string, p place, cold bool) (*server, error) {
+	o, err := s.newServer(service, p)
+	if err != nil {
+		return nil, err
+	}
+	return s.serve(o, p, cold, s.versionOf(service))
+}
+
+// addVersion adds a server of a version.
+func (s *site) addVersion(service, version string, p place) (*server, error) {
+	o, err := s.newServer(service, p)
+	if err != nil {
+		return nil, err
+	}
+	return s.serve(o, p, false, version)
+}
+
+func (s *site) newServer(service string, p place) (*origin.Server, error) {
 	s.mu.Lock()
 	s.nextID++
 	id := fmt.Sprintf("i-%s-%04d", service, s.nextID)
 	s.mu.Unlock()
-	o, err := origin.Start(id, service, p.hall, serverSlots)
-	if err != nil {
-		return nil, err
-	}
-	return s.serve(o, p, cold)
+	return origin.Start(id, service, p.hall, serverSlots)
 }
 
 // serve puts a proxy before a server and lists it.
-func (s *site) serve(o *origin.Server, p place, cold bool) (*server, error) {
+func (s *site) serve(o *origin.Server, p place, cold bool, version string) (*server, error) {
 	o.SetWork(serverWork)
 	px, err := newProxy(o.Addr())
 	if err != nil {
 		return nil, err
 	}
-	srv := &server{Server: o, proxy: px, place: p, born: time.Now()}
+	srv := &server{Server: o, proxy: px, place: p, born: time.Now(), version: version}
 	o.SetEnding(func(r *http.Request) bool { return isEnding(r.RequestURI) }, func(r origin.Run) {
 		s.oracle.endedUnder(r.URI)
 		s.endUnder(srv)
@@ -181,7 +229,7 @@
 func (s *site) record(srv *server, state string) {
 	cold := max(0, time.Until(srv.coldUntil))
 	s.store.Record(srv.ID, objects.Server{Service: srv.Service, Address: srv.proxy.addr(), Zone: srv.place.hall, Slots: srv.Slots,
-		State: state, WarmupRemaining: fmt.Sprintf("%dms", cold.Milliseconds()), Sequence: 1, Version: "v1", Born: srv.born.UnixMilli()})
+		State: state, WarmupRemaining: fmt.Sprintf("%dms", cold.Milliseconds()), Sequence: 1, Version: srv.version, Born: srv.born.UnixMilli()})
 }
 
 // configure writes the next configuration: the fixed routes, and one route for
@@ -249,7 +297,8 @@
 	return []string{"gateway", "-name", in.name, "-hall", in.place.hall, "-region", in.place.region, "-halls", hallsSetting(),
 		"-listen", in.listen, "-lookup-listen", in.lookup, "-ready-listen", in.ready, "-peer-listen", in.peerListen, "-admin-listen", in.admin,
 		"-advertise-front", in.front.addr(), "-advertise-peer", in.peer.addr(), "-store", in.store.addr(),
-		"-peers", strings.Join(seeds, ","), "-grace", grace.String(), "-lookup-ttl", "1s"}
+		"-peers", strings.Join(seeds, ","), "-grace", grace.String(), "-lookup-ttl", "1s",
+		"-canary-share", fmt.Sprint(exposedShare), "-canary-slack", fmt.Sprint(exposedSlack)}
 }
 
 // start starts a process of the instance. It is started again when it ends,
--- a/internal/standin/objects/spec.go
+++ b/internal/standin/objects/spec.go
@@ -99,3 +99,16 @@
 
 // Return takes an emptied zone back.
 func (s *Store) Return(zone string) { s.Remove(KindEvacuations, zone) }
+
+// Rollout is the order to bring in a version of a service.
+type Rollout struct {
+	Service       string `json:"service"`
+	TargetVersion string `json:"targetVersion"`
+	Duration      string `json:"duration"`
+}
+
+// RolloutStatus is what the system says of such an order.
+type RolloutStatus struct {
+	State         string `json:"state"`
+	TargetVersion string `json:"targetVersion"`
+}
--- a/internal/standin/objects/store.go
+++ b/internal/standin/objects/store.go
@@ -104,6 +104,30 @@
 	return s.revision
 }
 
+// Status returns the status of an object, nil if there is none.
+func (s *Store) Status(kind, name string) json.RawMessage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := s.kinds[kind][name]
+	if o == nil {
+		return nil
+	}
+	return o.Status
+}
+
+// SetStatus replaces the status of an object that is there.
+func (s *Store) SetStatus(kind, name string, status any) {
+	raw, err := json.Marshal(status)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := *s.kinds[kind][name]
+	next.Status = raw
+	s.commit(kind, next)
+}
+
 // Remove removes an object whatever its finalizers.
 func (s *Store) Remove(kind, name string) {
 	s.mu.Lock()
--- a/peer/message.go
+++ b/peer/message.go
@@ -11,6 +11,7 @@
 	"github.com/rainford/rainford/objectstore"
 	"github.com/rainford/rainford/quarantine"
 	"github.com/rainford/rainford/ratelimit"
+	"github.com/rainford/rainford/rollout"
 	"github.com/rainford/rainford/share"
 	"github.com/rainford/rainford/upstream"
 )
@@ -37,6 +38,7 @@
 	kindTrialAsk
 	kindTrialAnswer
 	kindAnswers
+	kindRolloutReport
 )
 
 // Message is a message between instances.
@@ -122,8 +124,10 @@
 	// instances that know the same.
 	Limits    availability.LimitList `msgpack:"t,omitempty"`
 	LimitsSum uint32                 `msgpack:"q,omitempty"`
-	// Until is the last member of the region that the receiver has to pass News, Departures and
-	// Limits on to, 0 for none, and Enter has it pass them on to its whole region.
+	// Stages are those of rollouts that go on.
+	Stages []rollout.Stage `msgpack:"g,omitempty"`
+	// Until is the last member of the region that the receiver has to pass News, Departures, Limits
+	// and Stages on to, 0 for none, and Enter has it pass them on to its whole region.
 	Until fleet.ID `msgpack:"u,omitempty"`
 	Enter bool     `msgpack:"w,omitempty"`
 }
@@ -160,6 +164,11 @@
 	Digests []uint64 `msgpack:"d"`
 }
 
+// RolloutReport tells the leader of a rollout what an instance has seen of it.
+type RolloutReport struct {
+	rollout.Report
+}
+
 // Since asks for the changes of a kind after a revision.
 type Since struct {
 	Kind     feed.Kind `msgpack:"k"`
@@ -230,6 +239,8 @@
 func (*TrialAnswer) kind() kind { return kindTrialAnswer }
 func (*Answers) kind() kind     { return kindAnswers }
 
+func (*RolloutReport) kind() kind { return kindRolloutReport }
+
 // empty returns a new message of a kind, or nil for an unknown one.
 func empty(k kind) Message {
 	switch k {
@@ -267,6 +278,8 @@
 		return &TrialAnswer{}
 	case kindAnswers:
 		return &Answers{}
+	case kindRolloutReport:
+		return &RolloutReport{}
 	default:
 		return nil
 	}
--- /dev/null
+++ b/rollout/rate.go
@@ -0,0 +1,41 @@
+package rollout
+
+import "time"
+
+const (
+	// rateSamples and rateTime are the number of counts that a rate is taken from and the time
+	// between two of them, and leastSamples the number below which there is none.
+	rateSamples  = 6
+	rateTime     = 500 * time.Millisecond
+	leastSamples = 3
+)
+
+// rate is how fast a count has risen of late.
+type rate struct {
+	at     [rateSamples]time.Time
+	counts [rateSamples]int
+	n      int
+}
+
+// note takes in a count, if it is time for one.
+func (r *rate) note(now time.Time, count int) {
+	if r.n > 0 && now.Sub(r.at[r.n-1]) < rateTime {
+		return
+	}
+	if r.n == rateSamples {
+		copy(r.at[:], r.at[1:])
+		copy(r.counts[:], r.counts[1:])
+		r.n--
+	}
+	r.at[r.n], r.counts[r.n] = now, count
+	r.n++
+}
+
+// perSecond returns the rate, false if too little is known.
+func (r *rate) perSecond() (float64, bool) {
+	if r.n < leastSamples || r.counts[r.n-1] == 0 {
+		return 0, false
+	}
+	elapsed := r.at[r.n-1].Sub(r.at[0])
+	return float64(r.counts[r.n-1]-r.counts[0]) / elapsed.Seconds(), true
+}
--- a/upstream/choose.go
+++ b/upstream/choose.go
@@ -34,11 +34,23 @@
 	first bool
 }
 
-// choose picks the target of a request: in the region drawn for it, or, if no
+// choose picks the target of a request among those of its version, or of the other one if these
+// can't be used.
+func (p *Pool) choose(now time.Time, r *Request) candidate {
+	c := p.chooseAnywhere(now, r)
+	if c.found || !p.mayChangeSide(r, c.reason) {
+		return c
+	}
+	other := *r
+	other.side = r.side.other()
+	return p.chooseAnywhere(now, &other)
+}
+
+// chooseAnywhere picks the target of a request: in the region drawn for it, or, if no
 // target there can be used at all, in another one. Full targets do not send a
 // request to another region: that would shift traffic faster than the bound. Targets that name
 // limits send it only where nobody else waits for its place.
-func (p *Pool) choose(now time.Time, r *Request) candidate {
+func (p *Pool) chooseAnywhere(now time.Time, r *Request) candidate {
 	pl := p.planFor(now, r)
 	drawn := p.draw(pl, r)
 	c := p.chooseIn(now, r, drawn)
@@ -46,7 +58,7 @@
 		return c
 	}
 	chooseIn := p.chooseIn
-	if !r.Alone && p.limitsBindIn(now, drawn) {
+	if !r.Alone && p.limitsBindIn(now, r, drawn) {
 		chooseIn = p.chooseSpare
 	}
 	for _, region := range pl.regions {
@@ -99,8 +111,9 @@
 // which would be lost with it.
 func (p *Pool) chooseAlone(now time.Time, r *Request, region string) candidate {
 	usable := func(t *target) bool { return !r.avoids(t.spec.ID) && t.usable(now) }
-	if !slices.ContainsFunc(p.byRegion[region], usable) {
-		p.wantAny(now, p.byRegion[region][:min(aloneWants, len(p.byRegion[region]))])
+	targets := p.targetsOf(r, region)
+	if !slices.ContainsFunc(targets, usable) {
+		p.wantAny(now, targets[:min(aloneWants, len(targets))])
 		return candidate{reason: ReasonNoTarget}
 	}
 	return p.leastLoaded(now, r, region)
@@ -110,7 +123,7 @@
 // region, as indexes.
 func (p *Pool) rank(r *Request, region string, eligible func(*target) bool) affinity.Ranking {
 	ranker := affinity.NewRanker(r.Key)
-	for i, t := range p.byRegion[region] {
+	for i, t := range p.targetsOf(r, region) {
 		if !r.avoids(t.spec.ID) && eligible(t) {
 			ranker.Offer(i, t.group, t.hash, t.weight)
 		}
@@ -123,11 +136,12 @@
 func (p *Pool) cheapest(now time.Time, r *Request, region string, ranking affinity.Ranking) candidate {
 	best := candidate{reason: ReasonNoTarget}
 	bestCost := 0.0
+	targets := p.targetsOf(r, region)
 	for place, index := range ranking {
-		if index < 0 || !p.byRegion[region][index].otherwiseUsable(now) {
+		if index < 0 || !targets[index].otherwiseUsable(now) {
 			continue
 		}
-		t := p.byRegion[region][index]
+		t := targets[index]
 		if !t.permitted(now) {
 			if best.found {
 				continue
@@ -207,7 +221,7 @@
 func (p *Pool) leastLoaded(now time.Time, r *Request, region string) candidate {
 	var best *target
 	bestLoad := 0.0
-	for _, t := range p.byRegion[region] {
+	for _, t := range p.targetsOf(r, region) {
 		if r.avoids(t.spec.ID) || !t.usable(now) || full(now, r, t, 0) {
 			continue
 		}
--- a/upstream/limited.go
+++ b/upstream/limited.go
@@ -231,6 +231,12 @@
 // rate is the number of requests sent a second.
 func (f *returns) rate() float64 { return max(leastSends, f.sends/sendsTime.Seconds()) }
 
+// sentRate is the number of requests sent a second of late.
+func (f *returns) sentRate(now time.Time) float64 {
+	f.pass(now)
+	return f.sends / sendsTime.Seconds()
+}
+
 // sent counts a request that is sent.
 func (f *returns) sent(now time.Time) {
 	f.pass(now)
@@ -255,11 +261,11 @@
 }
 
 // limitsBindIn tells whether a target of a region is kept from requests by its limit alone.
-func (p *Pool) limitsBindIn(now time.Time, region string) bool {
+func (p *Pool) limitsBindIn(now time.Time, r *Request, region string) bool {
 	if len(p.limits) == 0 {
 		return false
 	}
-	return slices.ContainsFunc(p.byRegion[region], func(t *target) bool { return t.limited != nil && t.otherwiseUsable(now) })
+	return slices.ContainsFunc(p.targetsOf(r, region), func(t *target) bool { return t.limited != nil && t.otherwiseUsable(now) })
 }
 
 // refuse is the refusal of a request that has no target.
--- a/upstream/plan.go
+++ b/upstream/plan.go
@@ -128,11 +128,13 @@
 
 // regionSlots returns the slots of each region whose targets are meant to serve:
 // suspicions, rests and coldness pass, so that they do not move shares. Targets that name a
-// limit count for what that lets them use.
+// limit count for what that lets them use. Of two versions of a service the one that runs most
+// requests counts.
 func (p *Pool) regionSlots(r *Request) map[string]float64 {
 	slots := make(map[string]float64, p.regions)
+	most := p.mostSide()
 	for _, t := range p.targets {
-		if !t.serves() || !r.allows(t.region) {
+		if !t.serves() || !r.allows(t.region) || p.split.Version != "" && t.side != most {
 			continue
 		}
 		slots[t.region] += t.capacity(p.typical)
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -10,6 +10,7 @@
 	"github.com/rainford/rainford/catalog"
 	"github.com/rainford/rainford/internal/mix"
 	"github.com/rainford/rainford/ratelimit"
+	"github.com/rainford/rainford/rollout"
 	"github.com/rainford/rainford/table"
 )
 
@@ -20,6 +21,9 @@
 	Self, Hall, Region string
 	// RegionOf maps each hall to its region.
 	RegionOf map[string]string
+	// HoldsNew says that targets of a version that none had before get nothing until an order for it
+	// is known, or for some time if there is none.
+	HoldsNew bool
 	// ShiftStep is the largest part of a region's requests that changes the
 	// region that runs them in ShiftWindow.
 	ShiftStep   float64
@@ -42,8 +46,14 @@
 	// byShortID holds the same targets by the form of their IDs in sightings.
 	byShortID map[uint32]*target
 	targets   []*target
-	// byRegion holds the same targets by region.
-	byRegion map[string][]*target
+	// byRegion holds the same targets by region, but for new ones that are to get nothing.
+	byRegion map[string]*sides
+	// split is the part of the requests that goes to targets of a new version, until a time if that
+	// is not zero.
+	split      rollout.Split
+	splitUntil time.Time
+	// versions are those of the service's targets.
+	versions versions
 	// usages hold the load of each region's targets.
 	usages map[string]*usage
 	// groups number the halls of each region.
@@ -88,7 +98,7 @@
 		byID:      make(map[string]*target),
 		byHash:    make(map[availability.ID]*target),
 		byShortID: make(map[uint32]*target),
-		byRegion:  make(map[string][]*target),
+		byRegion:  make(map[string]*sides),
 		usages:    make(map[string]*usage),
 		groups:    numberHalls(config.RegionOf),
 		plans:     make(map[string]*plan),
@@ -162,7 +172,7 @@
 			delete(p.byID, id)
 		}
 	}
-	p.arrange()
+	p.arrange(now)
 	return p.dispatch(now)
 }
 
@@ -188,13 +198,13 @@
 	if !touched {
 		return nil
 	}
-	p.arrange()
+	p.arrange(now)
 	return p.dispatch(now)
 }
 
 // arrange lists the targets anew, in the order of IDs, so that decisions do not
 // depend on the order of a map.
-func (p *Pool) arrange() {
+func (p *Pool) arrange(now time.Time) {
 	p.targets = p.targets[:0]
 	clear(p.byRegion)
 	clear(p.byHash)
@@ -205,9 +215,7 @@
 		p.byShortID[shortID(t.hash)] = t
 	}
 	sort.Slice(p.targets, func(i, j int) bool { return p.targets[i].spec.ID < p.targets[j].spec.ID })
-	for _, t := range p.targets {
-		p.byRegion[t.region] = append(p.byRegion[t.region], t)
-	}
+	p.divide(now)
 	p.replan()
 }
 
@@ -264,6 +272,7 @@
 	if r.Sticky {
 		p.planFor(now, &r).points.Note(now, r.point)
 	}
+	r.side = p.sideFor(now, &r)
 	c := p.choose(now, &r)
 	if c.found {
 		return p.send(now, &r, c)
@@ -285,7 +294,7 @@
 
 func (p *Pool) send(now time.Time, r *Request, c candidate) Decision {
 	t := c.target
-	sent := Sent{Known: t.knows(now, r.Key), First: c.first, Load: t.load(now) / float64(max(t.spec.Slots, 1))}
+	sent := Sent{New: t.side == newSide, Known: t.knows(now, r.Key), First: c.first, Load: t.load(now) / float64(max(t.spec.Slots, 1))}
 	cold := t.cold(now)
 	sent.At, sent.PermitUntil = now, p.spend(now, t)
 	p.returns.sent(now)
@@ -341,7 +350,7 @@
 	}
 	switch {
 	case t.state.Gone() && t.inFlight == 0:
-		p.drop(t)
+		p.drop(now, t)
 	case served && !t.serves():
 		p.replan()
 	}
@@ -400,9 +409,9 @@
 	p.typical += time.Duration(typicalWeight * float64(took-p.typical))
 }
 
-func (p *Pool) drop(gone *target) {
+func (p *Pool) drop(now time.Time, gone *target) {
 	delete(p.byID, gone.spec.ID)
-	p.arrange()
+	p.arrange(now)
 }
 
 // Cancel takes a request out of the queue. It reports whether it was there.
--- a/upstream/request.go
+++ b/upstream/request.go
@@ -36,6 +36,8 @@
 	since time.Time
 	// point is the place of the key among the shares of regions, in [0, 1).
 	point float64
+	// side is that of the targets that the request may go to.
+	side side
 }
 
 func (r *Request) avoids(id string) bool {
@@ -150,6 +152,8 @@
 	Report *Report
 	// Word is what the target said of itself.
 	Word availability.Word
+	// Failed says that the answer is one of a failure of the target.
+	Failed bool
 	// NotSent says that the request never left for the target.
 	NotSent bool
 	// Took is the time from the send to the whole answer.
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -52,6 +52,8 @@
 
 	spec   catalog.Target
 	region string
+	// side is whether the target is of a version that is brought in.
+	side side
 
 	inFlight int
 	// others is the number of requests of other instances at the target.
--- /dev/null
+++ b/upstream/versions_test.go
@@ -0,0 +1,208 @@
+package upstream
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/rainford/rainford/catalog"
+	"github.com/rainford/rainford/rollout"
+)
+
+// versioned returns the spec of a target of a version.
+func versioned(id, hall, version string) catalog.Target {
+	return catalog.Target{ID: id, Name: id, Service: "s", Addr: id + ":1", Hall: hall, Slots: 9, Version: version}
+}
+
+// versionedPool returns a pool in region a that holds targets of new versions back, with some targets
+// of version v1.
+func versionedPool(now time.Time, old int) (*Pool, []catalog.Target) {
+	p := NewPool(Config{Service: "s", Self: "n1", Hall: "a1", Region: "a", RegionOf: map[string]string{"a1": "a", "a2": "a", "b1": "b"},
+		ShiftStep: 0.1, ShiftWindow: 2 * time.Second, HoldsNew: true})
+	var specs []catalog.Target
+	for i := range old {
+		specs = append(specs, versioned(fmt.Sprint("old", i), []string{"a1", "a2"}[i%2], "v1"))
+	}
+	p.SetTargets(now, specs, nil)
+	return p, specs
+}
+
+// newTargets returns some targets of version v2.
+func newTargets(n int) []catalog.Target {
+	var specs []catalog.Target
+	for i := range n {
+		specs = append(specs, versioned(fmt.Sprint("new", i), []string{"a1", "a2"}[i%2], "v2"))
+	}
+	return specs
+}
+
+// sendMany has a pool choose for requests of many keys, and returns the number sent to each target.
+func sendMany(t require.TestingT, now time.Time, p *Pool, requests int, change ...func(*Request)) map[string]int {
+	sent := make(map[string]int)
+	for i := range requests {
+		r := Request{ID: uint64(i + 1), Key: fmt.Sprint("k", i%200), Sticky: true, Deadline: now.Add(time.Minute), Patience: time.Second}
+		for _, f := range change {
+			f(&r)
+		}
+		d := p.Acquire(now, r)
+		require.Equal(t, Send, d.Verdict, d.Reason)
+		sent[d.Target.ID]++
+		p.Release(now, d.Target.ID, Result{Outcome: Answered, Took: time.Millisecond, Sent: d.Sent})
+	}
+	return sent
+}
+
+// atNew returns the number of requests sent to new targets, and the number of those that got any.
+func atNew(sent map[string]int) (requests, targets int) {
+	for id, n := range sent {
+		if id[:3] == "new" {
+			requests += n
+			targets++
+		}
+	}
+	return requests, targets
+}
+
+// TestNewVersionWaitsForItsOrder checks that targets of a version that nobody has ordered get nothing at
+// first: their order may be on its way.
+func TestNewVersionWaitsForItsOrder(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	p, _ := versionedPool(now, 6)
+	p.ChangeTargets(now.Add(time.Minute), newTargets(6), nil, nil)
+	now = now.Add(time.Minute)
+	n, _ := atNew(sendMany(t, now, p, 1000))
+	require.Zero(t, n)
+	p.SetSplit(now, rollout.Split{Version: "v2"}, time.Time{})
+	n, _ = atNew(sendMany(t, now.Add(2*unorderedTime), p, 1000))
+	require.Zero(t, n, "ordered, and not to get anything yet")
+}
+
+// TestUnorderedVersion checks that targets of a new version take part after a while if there is no
+// order for it, and at once if there are no others.
+func TestUnorderedVersion(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	p, old := versionedPool(now, 6)
+	now = now.Add(time.Minute)
+	p.ChangeTargets(now, newTargets(6), nil, nil)
+	n, targets := atNew(sendMany(t, now.Add(unorderedTime), p, 1000))
+	require.NotZero(t, n)
+	require.Equal(t, 6, targets)
+	p, old = versionedPool(now, 6)
+	var gone []string
+	for _, spec := range old {
+		gone = append(gone, spec.ID)
+	}
+	p.ChangeTargets(now, newTargets(6), gone, nil)
+	n, _ = atNew(sendMany(t, now, p, 100))
+	require.Equal(t, 100, n)
+}
+
+// TestSplitShares checks that new targets get the part of the requests that they are to get, that a key
+// stays at one target of each version, and that few new targets get any if it is to be few.
+func TestSplitShares(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1_000_000, 0)
+		p, _ := versionedPool(now, 30)
+		split := rollout.Split{Version: "v2", Keys: rapid.Float64Range(0, 1).Draw(t, "keys"),
+			Draw: rapid.Float64Range(0, 1).Draw(t, "draw"), Targets: rapid.Float64Range(0, 1).Draw(t, "targets")}
+		p.SetSplit(now, split, time.Time{})
+		p.ChangeTargets(now, newTargets(30), nil, nil)
+		const requests = 4000
+		n, targets := atNew(sendMany(t, now, p, requests))
+		require.InDelta(t, split.Keys*split.Draw, float64(n)/requests, 0.12)
+		require.LessOrEqual(t, targets, max(2*leastOpen, int(split.Targets*30+12)))
+	})
+}
+
+// TestSplitEndsByItself checks that a split that is not told again ends.
+func TestSplitEndsByItself(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	p, _ := versionedPool(now, 6)
+	p.ChangeTargets(now, newTargets(6), nil, nil)
+	until := now.Add(time.Second)
+	p.SetSplit(now, rollout.Split{Version: "v2", Keys: 1, Draw: 0.5, Targets: 1}, until)
+	n, _ := atNew(sendMany(t, now, p, 1000))
+	require.NotZero(t, n)
+	n, _ = atNew(sendMany(t, until, p, 1000))
+	require.Zero(t, n)
+}
+
+// TestRepeatsGoToOldTargets checks that a request that was sent before goes to an old target, until all do
+// go to new ones.
+func TestRepeatsGoToOldTargets(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	p, _ := versionedPool(now, 6)
+	p.ChangeTargets(now, newTargets(6), nil, nil)
+	repeat := func(r *Request) { r.Avoid = []string{"new0"} }
+	p.SetSplit(now, rollout.Split{Version: "v2", Keys: 1, Draw: 0.9, Targets: 1}, time.Time{})
+	n, _ := atNew(sendMany(t, now, p, 500, repeat))
+	require.Zero(t, n)
+	p.SetSplit(now, rollout.Split{Version: "v2", Keys: 1, Draw: 1, Targets: 1}, time.Time{})
+	n, _ = atNew(sendMany(t, now, p, 500, repeat))
+	require.Equal(t, 500, n)
+}
+
+// TestOldTargetsServeForNewOnes checks that requests that were to go to new targets go to old ones if no new
+// one can take them, and not the other way round as long as an old one serves.
+func TestOldTargetsServeForNewOnes(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	p, old := versionedPool(now, 6)
+	p.SetSplit(now, rollout.Split{Version: "v2", Keys: 1, Draw: 0.5, Targets: 1}, time.Time{})
+	n, _ := atNew(sendMany(t, now, p, 100))
+	require.Zero(t, n, "there are no new ones")
+	p.ChangeTargets(now, newTargets(2), nil, nil)
+	p.SetSplit(now, rollout.Split{Version: "v2"}, time.Time{})
+	for _, spec := range old {
+		p.byID[spec.ID].suspect(now)
+	}
+	d := p.Acquire(now, Request{ID: 1, Key: "k", Sticky: true, Deadline: now.Add(time.Minute), Patience: time.Second})
+	require.NotEqual(t, Send, d.Verdict, "old ones serve, though none can be used for a moment")
+	for i := range old {
+		old[i].Leaves = true
+	}
+	p.ChangeTargets(now, old, nil, nil)
+	n, _ = atNew(sendMany(t, now, p, 100))
+	require.Equal(t, 100, n, "no old one serves any more")
+}
+
+// TestAfterTheVerdict checks what gets requests after a version was brought in, and after a rollback.
+func TestAfterTheVerdict(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	p, _ := versionedPool(now, 6)
+	now = now.Add(time.Minute)
+	p.ChangeTargets(now, newTargets(6), nil, nil)
+	p.SetSplit(now, rollout.Split{Version: "v2", Over: true}, time.Time{})
+	n, _ := atNew(sendMany(t, now, p, 500))
+	require.Zero(t, n)
+	p.SetSplit(now, rollout.Split{Version: "v2", Keys: 1, Draw: 1, Targets: 1, Over: true}, time.Time{})
+	n, _ = atNew(sendMany(t, now, p, 500))
+	require.Equal(t, 500, n)
+	later := versioned("later", "a1", "v3")
+	p.ChangeTargets(now.Add(time.Minute), []catalog.Target{later}, nil, nil)
+	sent := sendMany(t, now.Add(time.Minute+unorderedTime), p, 500)
+	require.NotZero(t, sent["later"], "versions that come later without an order take part")
+	n, _ = atNew(sent)
+	require.Equal(t, 500, n+sent["later"], "the version before does not come back")
+}
+
+// TestOrderInPlaceOfAnother checks that a version whose order another one has taken the place of gets nothing.
+func TestOrderInPlaceOfAnother(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	p, _ := versionedPool(now, 6)
+	now = now.Add(time.Minute)
+	p.SetSplit(now, rollout.Split{Version: "v2", Keys: 1, Draw: 0.1, Targets: 1}, time.Time{})
+	p.ChangeTargets(now, newTargets(6), nil, nil)
+	now = now.Add(time.Minute)
+	p.SetSplit(now, rollout.Split{Version: "v3", Keys: 1, Draw: 0.1, Targets: 1}, time.Time{})
+	p.ChangeTargets(now, []catalog.Target{versioned("third", "a1", "v3")}, nil, nil)
+	sent := sendMany(t, now, p, 1000)
+	n, _ := atNew(sent)
+	require.Zero(t, n)
+	require.NotZero(t, sent["third"])
+	p.SetSplit(now, rollout.Split{Version: "v2", Keys: 1, Draw: 0.5, Targets: 1}, time.Time{})
+	n, _ = atNew(sendMany(t, now, p, 1000))
+	require.NotZero(t, n, "ordered again")
+}
--- a/upstream/warmth.go
+++ b/upstream/warmth.go
@@ -28,6 +28,8 @@
 // Sent is what was believed when a request was sent: a Decision tells it and the Result
 // brings it back.
 type Sent struct {
+	// New says that the target is of the version that a rollout brings in.
+	New bool
 	// Known says that the target has had the object from this instance.
 	Known bool
 	// First says that the target was the first one of the key.
