--- a/rollout/model_test.go
+++ b/rollout/model_test.go
@@ -67,7 +67,6 @@
 	verdict            rollout.State
 	verdictAt          time.Duration
 	reason             rollout.Reason
-	hook               func(rollout.Opinion, rollout.Stage, *rollout.Leader)
 }
 
 // event is something that happens at a time.
--- a/upstream/versions_test.go
+++ b/upstream/versions_test.go
@@ -84,13 +84,13 @@
 // order for it, and at once if there are no others.
 func TestUnorderedVersion(t *testing.T) {
 	now := time.Unix(1_000_000, 0)
-	p, old := versionedPool(now, 6)
+	p, _ := versionedPool(now, 6)
 	now = now.Add(time.Minute)
 	p.ChangeTargets(now, newTargets(6), nil, nil)
 	n, targets := atNew(sendMany(t, now.Add(unorderedTime), p, 1000))
 	require.NotZero(t, n)
 	require.Equal(t, 6, targets)
-	p, old = versionedPool(now, 6)
+	p, old := versionedPool(now, 6)
 	var gone []string
 	for _, spec := range old {
 		gone = append(gone, spec.ID)
