A change of one target costs the same in a large fleet as in a small one

An instance hears of five to seven changes of targets a second.

Cause: upstream.Pool listed all targets of the service anew at each change (maps, sort, sums of slots): 0.5 ms at 1,000 targets, 5.7 ms at 6,474, 9.3 ms at 10,000.

Now: a region's targets are kept in order by binary search, and what serves is counted as single targets change. All are placed anew only when a version comes or goes, an order for one changes, or targets are no longer held back. A request all of whose targets are held back for a moment waits for them, if its patience allows.

Ruled out: the ranking of keys (0.06 ms a request, three requests a second), gossip's messages.

BenchmarkChange (three changes): 0.9, 8.5, 13.5 ms at 1,000, 6,474, 10,000 before, 1.7 to 1.9 µs after.

--- a/upstream/away.go
+++ b/upstream/away.go
@@ -20,17 +20,22 @@
 // be used by it again, and counts for when its caller should come back.
 func (p *Pool) awayFor(now time.Time, r *Request) (away, bool) {
 	var first away
-	for _, t := range p.targets {
-		if !t.serves() || !r.allows(t.region) {
-			continue
+	if held := p.versions.heldUntil; !held.IsZero() && held.Sub(now) <= r.Patience {
+		return away{}, false
+	}
+	soon := false
+	p.each(func(t *target) {
+		if soon || !t.serves() || !r.allows(t.region) {
+			return
 		}
 		cause, until := t.back(now)
-		if !r.avoids(t.spec.ID) && until.Sub(now) <= r.Patience {
-			return away{}, false
-		}
+		soon = !r.avoids(t.spec.ID) && until.Sub(now) <= r.Patience
 		if !first.any || until.Before(first.until) {
 			first = away{any: true, cause: cause, until: until}
 		}
+	})
+	if soon {
+		return away{}, false
 	}
 	return first, true
 }
--- a/upstream/bench_test.go
+++ b/upstream/bench_test.go
@@ -62,3 +62,24 @@
 		})
 	}
 }
+
+// BenchmarkChange measures a target that comes, starts to leave and goes, beside others. With all
+// targets listed anew for each of the three: 0.9, 8.5 and 13.5 ms; with the one placed: 1.7, 1.9 and
+// 1.7 µs.
+func BenchmarkChange(b *testing.B) {
+	for _, n := range []int{1000, 6474, 10000} {
+		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
+			p := newPool()
+			p.SetTargets(start, spread(n/4), nil)
+			spec := catalog.Target{ID: "t", Service: "s", Addr: "x", Hall: "a1", Slots: 5}
+			leaving := spec
+			leaving.Leaves = true
+			b.ReportAllocs()
+			for b.Loop() {
+				p.ChangeTargets(start, []catalog.Target{spec}, nil, nil)
+				p.ChangeTargets(start, []catalog.Target{leaving}, nil, nil)
+				p.ChangeTargets(start, nil, []string{spec.ID}, nil)
+			}
+		})
+	}
+}
--- a/upstream/census.go
+++ b/upstream/census.go
@@ -42,7 +42,7 @@
 // Census counts the targets by hall and state.
 func (p *Pool) Census(now time.Time) map[Group]Count {
 	census := make(map[Group]Count)
-	for _, t := range p.targets {
+	for _, t := range p.byID {
 		group := Group{Hall: t.spec.Hall, State: t.standing(now)}
 		n := census[group]
 		n.Targets++
--- a/upstream/limited.go
+++ b/upstream/limited.go
@@ -97,11 +97,11 @@
 	switch {
 	case !ok:
 		had := t.limited != nil
-		t.limited = nil
+		p.setLimited(t, nil)
 		return had
 	case t.limited == nil:
 		name := ratelimit.PlacedName(t.spec.Hall, t.spec.ID)
-		t.limited = &limited{perSecond: known.PerSecond, name: name, source: source, since: now.Add(-known.Age)}
+		p.setLimited(t, &limited{perSecond: known.PerSecond, name: name, source: source, since: now.Add(-known.Age)})
 		return true
 	case t.limited.perSecond == known.PerSecond:
 		return false
@@ -111,13 +111,23 @@
 	}
 }
 
+// setLimited puts a limit of a target in force, nil for none.
+func (p *Pool) setLimited(t *target, limit *limited) {
+	if (t.limited == nil) != (limit == nil) {
+		at, _ := slices.BinarySearchFunc(p.limited, t.spec.ID, byID)
+		if limit == nil {
+			p.limited = slices.Delete(p.limited, at, at+1)
+		} else {
+			p.limited = slices.Insert(p.limited, at, t)
+		}
+	}
+	t.limited = limit
+}
+
 // Limited returns the targets that have named a limit, in the order of their IDs.
 func (p *Pool) Limited(now time.Time) []Limited {
 	var out []Limited
-	for _, t := range p.targets {
-		if t.limited == nil {
-			continue
-		}
+	for _, t := range p.limited {
 		got, used, owner := p.permits.Use(now, t.limited.name)
 		out = append(out, Limited{ID: t.spec.ID, Hall: t.spec.Hall, PerSecond: t.limited.perSecond, Source: t.limited.source,
 			Since: t.limited.since, Owner: owner, Got: got, Used: used})
@@ -252,12 +262,7 @@
 
 // limitsBind tells whether a target of a request is kept from it by its limit alone.
 func (p *Pool) limitsBind(now time.Time, r *Request) bool {
-	for _, t := range p.targets {
-		if t.limited != nil && r.allows(t.region) && t.otherwiseUsable(now) {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(p.limited, func(t *target) bool { return r.allows(t.region) && t.otherwiseUsable(now) })
 }
 
 // limitsBindIn tells whether a target of a region is kept from requests by its limit alone.
--- /dev/null
+++ b/upstream/listing.go
@@ -0,0 +1,141 @@
+package upstream
+
+import (
+	"time"
+
+	"github.com/rainford/rainford/affinity"
+	"github.com/rainford/rainford/availability"
+	"github.com/rainford/rainford/catalog"
+)
+
+// SetTargets takes in the service's targets and the evacuated halls, and returns
+// the grants that this makes possible.
+func (p *Pool) SetTargets(now time.Time, specs []catalog.Target, evacuated map[string]bool) []Grant {
+	for _, t := range p.byID {
+		t.state.Unlist(now)
+	}
+	for _, spec := range specs {
+		p.setTarget(now, spec, evacuated[spec.Hall])
+	}
+	for _, t := range p.byID {
+		if t.state.Gone() && t.inFlight == 0 {
+			p.forget(t)
+		}
+	}
+	p.noteVersions(now)
+	p.arrange(now)
+	return p.dispatch(now)
+}
+
+// ChangeTargets takes in new or changed targets of the service and the IDs of some
+// that are gone, and returns the grants that this makes possible. A target that is
+// in both is gone.
+func (p *Pool) ChangeTargets(now time.Time, changed []catalog.Target, gone []string, evacuated map[string]bool) []Grant {
+	touched := make([]*target, 0, len(changed)+len(gone))
+	for _, spec := range changed {
+		touched = append(touched, p.setTarget(now, spec, evacuated[spec.Hall]))
+	}
+	for _, id := range gone {
+		t := p.byID[id]
+		if t == nil {
+			continue
+		}
+		touched = append(touched, t)
+		t.state.Unlist(now)
+		if t.inFlight == 0 {
+			p.forget(t)
+		}
+	}
+	if len(touched) == 0 {
+		return nil
+	}
+	if p.noteVersions(now) {
+		p.arrange(now)
+	}
+	for _, t := range touched {
+		if p.byID[t.spec.ID] == t {
+			p.place(now, t)
+		}
+	}
+	return p.dispatch(now)
+}
+
+// arrange places all targets anew.
+func (p *Pool) arrange(now time.Time) {
+	p.versions.heldUntil = time.Time{}
+	for _, t := range p.byID {
+		p.place(now, t)
+	}
+	for _, r := range p.inOrder {
+		r.open = nil
+	}
+}
+
+// noteVersions takes in the versions of the targets that there are now. It reports whether that
+// may change what other targets get.
+func (p *Pool) noteVersions(now time.Time) bool {
+	return p.config.HoldsNew && p.versions.note(now)
+}
+
+// setTarget takes in what is listed of a target. It is to be placed after that.
+func (p *Pool) setTarget(now time.Time, spec catalog.Target, evacuated bool) *target {
+	t := p.byID[spec.ID]
+	if t == nil {
+		t = p.newTarget(now, spec.ID)
+		p.versions.add(spec.Version)
+	} else if spec.Version != t.spec.Version {
+		p.versions.remove(t.spec.Version)
+		p.versions.add(spec.Version)
+	}
+	before := t.belief()
+	if spec.ColdFor > t.spec.ColdFor {
+		t.chill(now, spec.ColdFor)
+	}
+	if t.state.Evacuated() && !evacuated {
+		// Servers may have turned cold while nothing was sent to them.
+		t.chill(now, p.warmup)
+	}
+	t.group, t.weight = p.groups[spec.Hall], float64(max(spec.Slots, 1))
+	t.spec, t.region = spec, p.config.RegionOf[spec.Hall]
+	t.peers = &p.regionFor(t.region).usage
+	t.state.List(now, spec.Leaves)
+	t.state.Drain(now, spec.Drained)
+	t.state.Evacuate(now, evacuated)
+	p.limit(now, t, availability.SourcePeer)
+	if at, ok := p.departures.Has(availability.ID(t.hash)); ok {
+		t.state.Leave(at, availability.SourcePeer)
+	}
+	p.note(t, before, Answered)
+	return t
+}
+
+func (p *Pool) newTarget(now time.Time, id string) *target {
+	t := &target{known: make(map[string]time.Time), hash: affinity.Hash(id), coldUntil: now, quotas: p.quotas, permits: p.permits}
+	p.byID[id] = t
+	p.byHash[availability.ID(t.hash)] = t
+	p.byShortID[shortID(t.hash)] = t
+	return t
+}
+
+// forget drops a target that is gone and has no requests left.
+func (p *Pool) forget(t *target) {
+	p.unplace(t)
+	p.versions.remove(t.spec.Version)
+	p.setLimited(t, nil)
+	delete(p.byID, t.spec.ID)
+	if p.byHash[availability.ID(t.hash)] == t {
+		delete(p.byHash, availability.ID(t.hash))
+	}
+	if p.byShortID[shortID(t.hash)] == t {
+		delete(p.byShortID, shortID(t.hash))
+	}
+}
+
+// chill counts the target as cold from now on for a while. What was sent of late
+// counts against the quota, so the window begins full.
+func (t *target) chill(now time.Time, length time.Duration) {
+	if until := now.Add(length); until.After(t.coldUntil) {
+		t.coldUntil = until
+	}
+	clear(t.known)
+}
--- /dev/null
+++ b/upstream/placement_test.go
@@ -0,0 +1,171 @@
+package upstream
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/rainford/rainford/affinity"
+	"github.com/rainford/rainford/availability"
+	"github.com/rainford/rainford/catalog"
+	"github.com/rainford/rainford/rollout"
+)
+
+// placedPool returns a pool of n targets in the halls a1, a2 and b1, and their specs.
+func placedPool(now time.Time, n int) (*Pool, []catalog.Target) {
+	halls := map[string]string{"a1": "a", "a2": "a", "b1": "b"}
+	p := NewPool(Config{Service: "s", Self: "n1", Hall: "a1", Region: "a", RegionOf: halls, ShiftStep: 0.1, ShiftWindow: 2 * time.Second})
+	specs := make([]catalog.Target, n)
+	for i := range specs {
+		id := fmt.Sprintf("i-%08x", uint32(i)*2654435761)
+		specs[i] = versioned(id, []string{"a1", "a2", "b1"}[i%3], "v1")
+	}
+	p.SetTargets(now, specs, nil)
+	return p, specs
+}
+
+// changeCost returns the least time and the bytes allocated of a change among n targets: one comes,
+// starts to leave, and goes.
+func changeCost(n int) (time.Duration, int64) {
+	now := time.Unix(1_000_000, 0)
+	p, _ := placedPool(now, n)
+	least := time.Hour
+	result := testing.Benchmark(func(b *testing.B) {
+		b.ReportAllocs()
+		for i := range b.N {
+			spec := versioned(fmt.Sprint("k", i%50), "a1", "v1")
+			began := time.Now()
+			p.ChangeTargets(now, []catalog.Target{spec}, nil, nil)
+			spec.Leaves = true
+			p.ChangeTargets(now, []catalog.Target{spec}, nil, nil)
+			p.ChangeTargets(now, nil, []string{spec.ID}, nil)
+			least = min(least, time.Since(began))
+		}
+	})
+	return least, result.AllocedBytesPerOp()
+}
+
+// TestChangeCostsTheSameInALargeFleet guards against work for all targets at each change of one. In a
+// fleet of 10,000 targets, of 6,500 in one service, an instance hears of five to seven changes a second
+// on a calm day. All targets were listed anew for each: 0.5 ms at 1,000 targets and 9.3 ms at 10,000, and
+// 18 and 301 KB allocated, which was most of an instance's processor time.
+func TestChangeCostsTheSameInALargeFleet(t *testing.T) {
+	smallTime, smallBytes := changeCost(1_000)
+	largeTime, largeBytes := changeCost(10_000)
+	require.Less(t, largeBytes, smallBytes+smallBytes/2)
+	require.Less(t, largeTime, 4*smallTime)
+}
+
+// listedNaive returns the IDs of the targets that are listed, by region and side, and what serves there,
+// by their definitions.
+func listedNaive(now time.Time, p *Pool) (map[string][2][]string, map[string][2]serving) {
+	listed, counts := make(map[string][2][]string), make(map[string][2]serving)
+	for _, id := range slices.Sorted(maps.Keys(p.byID)) {
+		t := p.byID[id]
+		if !p.mayList(now, t) {
+			continue
+		}
+		side := p.sideOf(t)
+		lists, serves := listed[t.region], counts[t.region]
+		lists[side] = append(lists[side], id)
+		if t.serves() {
+			serves[side].targets++
+			serves[side].slots += float64(t.spec.Slots)
+		}
+		listed[t.region], counts[t.region] = lists, serves
+	}
+	return listed, counts
+}
+
+func requirePlaced(t require.TestingT, now time.Time, p *Pool) {
+	listed, counts := listedNaive(now, p)
+	limited := 0
+	for _, r := range p.inOrder {
+		for side := range r.listed {
+			var ids []string
+			for _, target := range r.listed[side] {
+				ids = append(ids, target.spec.ID)
+				require.Same(t, r, target.placement.in)
+			}
+			require.Equal(t, listed[r.name][side], ids)
+		}
+		require.Equal(t, counts[r.name], r.serving)
+	}
+	require.True(t, slices.IsSortedFunc(p.limited, func(a, b *target) int { return cmp.Compare(a.spec.ID, b.spec.ID) }))
+	for _, target := range p.byID {
+		if target.limited != nil {
+			limited++
+		}
+	}
+	require.Len(t, p.limited, limited)
+	require.Len(t, p.byHash, len(p.byID))
+	versions := make(map[string]int)
+	for _, target := range p.byID {
+		versions[target.spec.Version]++
+	}
+	require.True(t, maps.Equal(versions, p.versions.targets))
+}
+
+// TestPlacementFollowsItsDefinition draws changes of all kinds, and checks the lists that are kept
+// against those made anew from all targets.
+func TestPlacementFollowsItsDefinition(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1_000_000, 0)
+		p, _ := placedPool(now, 3)
+		p.config.HoldsNew = rapid.Bool().Draw(t, "holds new")
+		id := func() string { return fmt.Sprint("t", rapid.IntRange(0, 7).Draw(t, "target")) }
+		hash := func() availability.ID { return availability.ID(affinity.Hash(id())) }
+		spec := func() catalog.Target {
+			s := versioned(id(), rapid.SampledFrom([]string{"a1", "a2", "b1"}).Draw(t, "hall"), rapid.SampledFrom([]string{"v1", "v2", "v3"}).Draw(t, "version"))
+			s.Leaves, s.Drained = rapid.Bool().Draw(t, "leaves"), rapid.Bool().Draw(t, "drained")
+			s.Slots = rapid.IntRange(1, 3).Draw(t, "slots")
+			return s
+		}
+		evacuated := func() map[string]bool { return map[string]bool{"a2": rapid.Bool().Draw(t, "evacuated")} }
+		var sent []Decision
+		t.Repeat(map[string]func(*rapid.T){
+			"change": func(*rapid.T) { p.ChangeTargets(now, []catalog.Target{spec(), spec()}, nil, evacuated()) },
+			"gone":   func(*rapid.T) { p.ChangeTargets(now, nil, []string{id(), id()}, nil) },
+			"set":    func(*rapid.T) { p.SetTargets(now, []catalog.Target{spec(), spec(), spec()}, evacuated()) },
+			"leave": func(*rapid.T) {
+				p.HearDepartures(now, availability.DepartureList{{ID: hash()}}, availability.SourcePeer)
+			},
+			"limit": func(t *rapid.T) {
+				p.HearLimits(now, availability.LimitList{{ID: hash(), PerSecond: 1, Ended: rapid.Bool().Draw(t, "ended")}}, availability.SourcePeer)
+			},
+			"split": func(t *rapid.T) {
+				split := rollout.Split{Version: rapid.SampledFrom([]string{"v2", "v3"}).Draw(t, "version"), Over: rapid.Bool().Draw(t, "over")}
+				split.Keys = float64(rapid.IntRange(0, 1).Draw(t, "part"))
+				split.Draw, split.Targets = split.Keys, split.Keys
+				p.SetSplit(now, split, time.Time{})
+			},
+			"send": func(*rapid.T) {
+				d := p.Acquire(now, Request{ID: uint64(len(sent)), Key: id(), Sticky: true, Deadline: now.Add(time.Minute)})
+				if d.Verdict == Send {
+					sent = append(sent, d)
+				}
+			},
+			"end": func(t *rapid.T) {
+				if len(sent) == 0 {
+					return
+				}
+				d := sent[0]
+				sent = sent[1:]
+				word := availability.Word{Leaves: rapid.Bool().Draw(t, "leaves")}
+				outcome := rapid.SampledFrom([]Outcome{Answered, Replaced, Unreachable}).Draw(t, "outcome")
+				p.Release(now, d.Target.ID, Result{Outcome: outcome, Word: word, Sent: d.Sent, Took: time.Millisecond})
+			},
+			"wait": func(*rapid.T) {
+				now = now.Add(unorderedTime / 2)
+				p.endHold(now)
+			},
+			"": func(t *rapid.T) { requirePlaced(t, now, p) },
+		})
+	})
+}
--- a/upstream/plan.go
+++ b/upstream/plan.go
@@ -83,7 +83,7 @@
 	pl.slots = p.regionSlots(r)
 	pl.parts = locality.FromRows(p.config.Service, p.config.Region, p.rows, pl.slots)
 	if len(pl.parts) == 0 {
-		pl.parts = locality.FromSlots(p.config.Region, p.freeSlots(r, pl.slots), p.regions)
+		pl.parts = locality.FromSlots(p.config.Region, p.freeSlots(r, pl.slots), p.regionCount)
 	}
 	pl.regions = pl.regions[:0]
 	for region := range pl.slots {
@@ -131,13 +131,18 @@
 // limit count for what that lets them use. Of two versions of a service the one that runs most
 // requests counts.
 func (p *Pool) regionSlots(r *Request) map[string]float64 {
-	slots := make(map[string]float64, p.regions)
+	slots := make(map[string]float64, len(p.inOrder))
 	most := p.mostSide()
-	for _, t := range p.targets {
-		if !t.serves() || !r.allows(t.region) || p.split.Version != "" && t.side != most {
-			continue
+	for _, in := range p.inOrder {
+		counts := in.serving[most]
+		if counts.targets > 0 && r.allows(in.name) {
+			slots[in.name] = counts.slots
+		}
+	}
+	for _, t := range p.limited {
+		if t.placement.serving && t.side == most && r.allows(t.region) {
+			slots[t.region] -= t.placement.slots - t.capacity(p.typical)
 		}
-		slots[t.region] += t.capacity(p.typical)
 	}
 	return slots
 }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -5,7 +5,6 @@
 	"sort"
 	"time"
 
-	"github.com/rainford/rainford/affinity"
 	"github.com/rainford/rainford/availability"
 	"github.com/rainford/rainford/catalog"
 	"github.com/rainford/rainford/internal/mix"
@@ -32,11 +31,12 @@
 
 // Pool chooses targets. It is not safe for concurrent use.
 type Pool struct {
-	config  Config
-	regions int
-	warmup  time.Duration
-	quotas  *quotas
-	rows    []table.Row
+	config Config
+	// regionCount is the number of regions that halls are in.
+	regionCount int
+	warmup      time.Duration
+	quotas      *quotas
+	rows        []table.Row
 	// homeShares are the parts of all requests that regions have to run.
 	homeShares map[string]float64
 
@@ -45,17 +45,16 @@
 	byHash map[availability.ID]*target
 	// byShortID holds the same targets by the form of their IDs in sightings.
 	byShortID map[uint32]*target
-	targets   []*target
-	// byRegion holds the same targets by region, but for new ones that are to get nothing.
-	byRegion map[string]*sides
+	// regions hold the same targets by the names of their regions, but for those that are to get
+	// nothing yet, and inOrder the regions in the order of names.
+	regions map[string]*regionTargets
+	inOrder []*regionTargets
 	// split is the part of the requests that goes to targets of a new version, until a time if that
 	// is not zero.
 	split      rollout.Split
 	splitUntil time.Time
 	// versions are those of the service's targets.
 	versions versions
-	// usages hold the load of each region's targets.
-	usages map[string]*usage
 	// groups number the halls of each region.
 	groups map[string]int
 	// plans hold what was computed for each set of home regions.
@@ -66,6 +65,8 @@
 	departures availability.Departures
 	// limits are those that targets have named, those too that the pool does not have.
 	limits map[availability.ID]availability.Limit
+	// limited are the targets that have named one, in the order of IDs.
+	limited []*target
 	// permits are those of targets' limits, asks the questions for more that are to be sent
 	// to their owners, and silent the owners that do not answer.
 	permits *ratelimit.Holder
@@ -87,19 +88,13 @@
 
 // NewPool returns a pool without targets.
 func NewPool(config Config) *Pool {
-	regions := make(map[string]bool)
-	for _, region := range config.RegionOf {
-		regions[region] = true
-	}
-	return &Pool{
+	p := &Pool{
 		config:    config,
-		regions:   len(regions),
 		quotas:    &quotas{self: config.Self, version: 1},
 		byID:      make(map[string]*target),
 		byHash:    make(map[availability.ID]*target),
 		byShortID: make(map[uint32]*target),
-		byRegion:  make(map[string]*sides),
-		usages:    make(map[string]*usage),
+		regions:   make(map[string]*regionTargets),
 		groups:    numberHalls(config.RegionOf),
 		plans:     make(map[string]*plan),
 		limits:    make(map[availability.ID]availability.Limit),
@@ -107,6 +102,11 @@
 		typical:   firstTypical,
 		salt:      mix.Hash(config.Self),
 	}
+	for _, region := range config.RegionOf {
+		p.regionFor(region)
+	}
+	p.regionCount = len(p.regions)
+	return p
 }
 
 // numberHalls numbers the halls of each region from 0 in the order of names.
@@ -158,113 +158,6 @@
 	p.quotas.setMembers(members)
 }
 
-// SetTargets takes in the service's targets and the evacuated halls, and returns
-// the grants that this makes possible.
-func (p *Pool) SetTargets(now time.Time, specs []catalog.Target, evacuated map[string]bool) []Grant {
-	for _, t := range p.byID {
-		t.state.Unlist(now)
-	}
-	for _, spec := range specs {
-		p.setTarget(now, spec, evacuated[spec.Hall])
-	}
-	for id, t := range p.byID {
-		if t.state.Gone() && t.inFlight == 0 {
-			delete(p.byID, id)
-		}
-	}
-	p.arrange(now)
-	return p.dispatch(now)
-}
-
-// ChangeTargets takes in new or changed targets of the service and the IDs of some
-// that are gone, and returns the grants that this makes possible. A target that is
-// in both is gone.
-func (p *Pool) ChangeTargets(now time.Time, changed []catalog.Target, gone []string, evacuated map[string]bool) []Grant {
-	touched := len(changed) > 0
-	for _, spec := range changed {
-		p.setTarget(now, spec, evacuated[spec.Hall])
-	}
-	for _, id := range gone {
-		t := p.byID[id]
-		if t == nil {
-			continue
-		}
-		touched = true
-		t.state.Unlist(now)
-		if t.inFlight == 0 {
-			delete(p.byID, id)
-		}
-	}
-	if !touched {
-		return nil
-	}
-	p.arrange(now)
-	return p.dispatch(now)
-}
-
-// arrange lists the targets anew, in the order of IDs, so that decisions do not
-// depend on the order of a map.
-func (p *Pool) arrange(now time.Time) {
-	p.targets = p.targets[:0]
-	clear(p.byRegion)
-	clear(p.byHash)
-	clear(p.byShortID)
-	for _, t := range p.byID {
-		p.targets = append(p.targets, t)
-		p.byHash[availability.ID(t.hash)] = t
-		p.byShortID[shortID(t.hash)] = t
-	}
-	sort.Slice(p.targets, func(i, j int) bool { return p.targets[i].spec.ID < p.targets[j].spec.ID })
-	p.divide(now)
-	p.replan()
-}
-
-func (p *Pool) setTarget(now time.Time, spec catalog.Target, evacuated bool) {
-	t := p.byID[spec.ID]
-	if t == nil {
-		t = &target{known: make(map[string]time.Time), hash: affinity.Hash(spec.ID), coldUntil: now, quotas: p.quotas, permits: p.permits}
-		p.byID[spec.ID] = t
-	}
-	before := t.belief()
-	if spec.ColdFor > t.spec.ColdFor {
-		t.chill(now, spec.ColdFor)
-	}
-	if t.state.Evacuated() && !evacuated {
-		// Servers may have turned cold while nothing was sent to them.
-		t.chill(now, p.warmup)
-	}
-	t.group, t.weight = p.groups[spec.Hall], float64(max(spec.Slots, 1))
-	t.spec, t.region = spec, p.config.RegionOf[spec.Hall]
-	t.peers = p.usageOf(t.region)
-	t.state.List(now, spec.Leaves)
-	t.state.Drain(now, spec.Drained)
-	t.state.Evacuate(now, evacuated)
-	p.limit(now, t, availability.SourcePeer)
-	if at, ok := p.departures.Has(availability.ID(t.hash)); ok {
-		t.state.Leave(at, availability.SourcePeer)
-	}
-	p.note(t, before, Answered)
-}
-
-// usageOf returns the usage of a region's targets.
-func (p *Pool) usageOf(region string) *usage {
-	u := p.usages[region]
-	if u == nil {
-		u = &usage{}
-		p.usages[region] = u
-	}
-	return u
-}
-
-// chill counts the target as cold from now on for a while. What was sent of late
-// counts against the quota, so the window begins full.
-func (t *target) chill(now time.Time, length time.Duration) {
-	if until := now.Add(length); until.After(t.coldUntil) {
-		t.coldUntil = until
-	}
-	clear(t.known)
-}
-
 // Acquire chooses a target for a request, queues the request, or refuses it.
 func (p *Pool) Acquire(now time.Time, r Request) Decision {
 	r.since = now
@@ -334,7 +227,6 @@
 	}
 	full := t.load(now) > float64(t.spec.Slots)
 	before := t.belief()
-	served := t.serves()
 	if r.Word.Leaves {
 		p.departures.Add(now, availability.ID(t.hash))
 	}
@@ -350,9 +242,12 @@
 	}
 	switch {
 	case t.state.Gone() && t.inFlight == 0:
-		p.drop(now, t)
-	case served && !t.serves():
-		p.replan()
+		p.forget(t)
+		if p.noteVersions(now) {
+			p.arrange(now)
+		}
+	default:
+		p.count(t)
 	}
 	return p.dispatch(now)
 }
@@ -383,11 +278,9 @@
 		if t.state.Leave(now.Add(-d.Age), source) {
 			fresh = append(fresh, t.spec.ID)
 			p.note(t, before, Answered)
+			p.count(t)
 		}
 	}
-	if len(fresh) > 0 {
-		p.replan()
-	}
 	return fresh
 }
 
@@ -409,11 +302,6 @@
 	p.typical += time.Duration(typicalWeight * float64(took-p.typical))
 }
 
-func (p *Pool) drop(now time.Time, gone *target) {
-	delete(p.byID, gone.spec.ID)
-	p.arrange(now)
-}
-
 // Cancel takes a request out of the queue. It reports whether it was there.
 func (p *Pool) Cancel(id uint64) bool { return p.queue.remove(id) }
 
@@ -430,6 +318,7 @@
 // dispatch grants what it can to the queued requests, the most urgent first, and
 // refuses those whose patience is over.
 func (p *Pool) dispatch(now time.Time) []Grant {
+	p.endHold(now)
 	var grants []Grant
 	kept := p.queue.waiting[:0]
 	for _, w := range p.queue.waiting {
--- a/upstream/sighting.go
+++ b/upstream/sighting.go
@@ -118,22 +118,22 @@
 func (p *Pool) Sightings(now time.Time) Sightings {
 	var busy, down Sightings
 	answering := 0
-	for _, t := range p.targets {
+	p.each(func(t *target) {
 		if now.Sub(t.answeredAt) < sightingLife {
 			answering++
 		}
 		if !t.serves() {
-			continue
+			return
 		}
 		if age := now.Sub(t.downAt); age < sightingLife && t.suspicion > 0 {
 			down = append(down, Sighting{Target: shortID(t.hash), Down: true, Age: age})
-			continue
+			return
 		}
 		age := now.Sub(t.last.at)
 		if age < sightingLife && now.Sub(t.last.busyAt) < busyFor {
 			busy = append(busy, Sighting{Target: shortID(t.hash), PerSlot: t.last.perSlot, Age: age})
 		}
-	}
+	})
 	if len(down) > answering {
 		return busy
 	}
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -53,7 +53,8 @@
 	spec   catalog.Target
 	region string
 	// side is whether the target is of a version that is brought in.
-	side side
+	side      side
+	placement placement
 
 	inFlight int
 	// others is the number of requests of other instances at the target.
--- a/upstream/unavailable.go
+++ b/upstream/unavailable.go
@@ -1,6 +1,8 @@
 package upstream
 
 import (
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/rainford/rainford/availability"
@@ -15,11 +17,12 @@
 // Unavailable returns the targets that are sent nothing now, in the order of their IDs.
 func (p *Pool) Unavailable(now time.Time) []Unavailable {
 	var out []Unavailable
-	for _, t := range p.targets {
+	for _, t := range p.byID {
 		verdict := t.judge(now)
 		if !verdict.OK() {
 			out = append(out, Unavailable{ID: t.spec.ID, Hall: t.spec.Hall, Verdict: verdict})
 		}
 	}
+	slices.SortFunc(out, func(a, b Unavailable) int { return strings.Compare(a.ID, b.ID) })
 	return out
 }
--- a/upstream/versions.go
+++ b/upstream/versions.go
@@ -36,38 +36,61 @@
 	unorderedTime = 3 * time.Second
 )
 
-// versions are those of a service's targets, with when each was first seen.
+// versions are those of the service's targets, with when each was first seen.
 type versions struct {
-	seen map[string]time.Time
+	// targets count those of each version, and changed says that a version came or went since the
+	// last look.
+	targets map[string]int
+	changed bool
+	seen    map[string]time.Time
 	// heldUntil is when targets may be used that are held back, zero if there are none.
 	heldUntil time.Time
 	// barred are those of orders that another one took the place of before they were brought in.
 	barred map[string]bool
 }
 
-// note takes in the versions of the targets there are now. Those of a pool's first targets have been
-// there before.
-func (v *versions) note(now time.Time, targets []*target) {
-	first := v.seen == nil
-	if first {
+// add counts a target of a version.
+func (v *versions) add(version string) {
+	if v.targets == nil {
+		v.targets = make(map[string]int)
+	}
+	v.targets[version]++
+	v.changed = v.changed || v.targets[version] == 1
+}
+
+// remove takes a target of a version from the count.
+func (v *versions) remove(version string) {
+	v.targets[version]--
+	if v.targets[version] == 0 {
+		delete(v.targets, version)
+		v.changed = true
+	}
+}
+
+// note takes in the versions of the targets there are now, and reports whether any came or went. Those
+// of a pool's first targets have been there before.
+func (v *versions) note(now time.Time) bool {
+	if !v.changed {
+		return false
+	}
+	v.changed = false
+	since := now
+	if v.seen == nil {
 		v.seen = make(map[string]time.Time)
+		since = now.Add(-unorderedTime)
 	}
-	present := make(map[string]bool)
-	for _, t := range targets {
-		present[t.spec.Version] = true
-		if _, ok := v.seen[t.spec.Version]; !ok {
-			v.seen[t.spec.Version] = now
-			if first {
-				v.seen[t.spec.Version] = now.Add(-unorderedTime)
-			}
+	for version := range v.targets {
+		if _, ok := v.seen[version]; !ok {
+			v.seen[version] = since
 		}
 	}
 	for version := range v.seen {
-		if !present[version] {
+		if v.targets[version] == 0 {
 			delete(v.seen, version)
 			delete(v.barred, version)
 		}
 	}
+	return true
 }
 
 // replace takes in that an order for a version takes the place of one for another version.
@@ -119,40 +142,26 @@
 	p.split = split
 	if again {
 		p.arrange(now)
-	} else {
-		p.replan()
 	}
+	p.replan()
 	return p.dispatch(now)
 }
 
-// divide lists the targets of each region by side. New ones that get nothing are left out, unless
-// there are no others.
-func (p *Pool) divide(now time.Time) {
-	p.versions.heldUntil = time.Time{}
-	if p.config.HoldsNew {
-		p.versions.note(now, p.targets)
-	}
-	for _, t := range p.targets {
-		t.side = p.sideOf(t)
-		ordered := t.spec.Version == p.split.Version
-		if p.versions.barred[t.spec.Version] && len(p.versions.seen) > len(p.versions.barred) {
-			continue
-		}
-		if p.config.HoldsNew && !ordered && p.versions.isLater(t.spec.Version) && p.versions.holds(now, t.spec.Version) {
-			continue
-		}
-		s := p.byRegion[t.region]
-		if s == nil {
-			s = &sides{}
-			p.byRegion[t.region] = s
-		}
-		s[t.side] = append(s[t.side], t)
-	}
-	if p.split.Over {
-		return
+// mayList tells whether a target may get requests as far as its version is concerned. New ones that
+// get nothing may not, unless there are no others.
+func (p *Pool) mayList(now time.Time, t *target) bool {
+	version := t.spec.Version
+	if p.versions.barred[version] && len(p.versions.seen) > len(p.versions.barred) {
+		return false
 	}
-	for _, s := range p.byRegion {
-		s[newSide] = p.open(s[newSide])
+	ordered := version == p.split.Version
+	return !p.config.HoldsNew || ordered || !p.versions.isLater(version) || !p.versions.holds(now, version)
+}
+
+// endHold places targets anew once some are no longer held back.
+func (p *Pool) endHold(now time.Time) {
+	if until := p.versions.heldUntil; !until.IsZero() && !now.Before(until) {
+		p.arrange(now)
 	}
 }
 
@@ -197,19 +206,23 @@
 
 // targetsOf returns the targets of a region that a request may go to.
 func (p *Pool) targetsOf(r *Request, region string) []*target {
-	s := p.byRegion[region]
-	if s == nil {
+	in := p.regions[region]
+	switch {
+	case in == nil:
 		return nil
+	case r.side == oldSide || p.split.Over:
+		return in.listed[r.side]
+	}
+	if in.open == nil {
+		in.open = p.open(in.listed[newSide])
 	}
-	return s[r.side]
+	return in.open
 }
 
 // sideFor draws the side of a request. One that was sent before goes to old targets, as long as most
 // do.
 func (p *Pool) sideFor(now time.Time, r *Request) side {
-	if until := p.versions.heldUntil; !until.IsZero() && !now.Before(until) {
-		p.arrange(now)
-	}
+	p.endHold(now)
 	switch {
 	case p.split.Version == "":
 		return oldSide
@@ -243,8 +256,8 @@
 
 // serves tells whether a target of a side is meant to serve.
 func (p *Pool) serves(s side) bool {
-	for _, t := range p.targets {
-		if t.side == s && t.serves() {
+	for _, r := range p.inOrder {
+		if r.serving[s].targets > 0 {
 			return true
 		}
 	}
@@ -275,15 +288,12 @@
 func (p *Pool) Versions(now time.Time) Versions {
 	v := Versions{Rate: p.returns.sentRate(now)}
 	used := 0.0
-	for _, t := range p.targets {
-		slots := float64(t.spec.Slots)
-		switch {
-		case t.side == newSide && t.serves():
-			v.NewSlots += slots
-		case t.side == oldSide && t.serves():
-			v.OldSlots += slots
-			used += slots * t.peers.at(now)
-		}
+	for _, r := range p.inOrder {
+		v.NewSlots += r.serving[newSide].slots
+		v.OldSlots += r.serving[oldSide].slots
+		used += r.serving[oldSide].slots * r.usage.at(now)
+	}
+	for _, t := range p.byID {
 		if t.side == oldSide {
 			v.AtOld += t.inFlight
 		}
