--- a/availability/state.go
+++ b/availability/state.go
@@ -101,6 +101,13 @@
 	lasting bool
 	until   time.Time
 
+	// facts is nil while there are none, as for nearly all of the thousands of targets of a large
+	// fleet.
+	facts *facts
+}
+
+// facts are what keeps requests from a target.
+type facts struct {
 	rest, suspicion, pause span
 
 	replaced, gone, evacuated mark
@@ -108,76 +115,101 @@
 	listed, word, drained mark
 }
 
+// noFacts is what is read where there are none. It is never written to.
+var noFacts = new(facts)
+
+// known returns what is known, to be read only.
+func (s *State) known() *facts {
+	if s.facts == nil {
+		return noFacts
+	}
+	return s.facts
+}
+
+// own returns what is known, to be changed.
+func (s *State) own() *facts {
+	if s.facts == nil {
+		s.facts = &facts{}
+	}
+	return s.facts
+}
+
+// put sets or clears the mark that a function returns.
+func (s *State) put(now time.Time, source Source, set bool, of func(*facts) *mark) {
+	if set || s.facts != nil {
+		of(s.own()).put(now, source, set)
+		s.review()
+	}
+}
+
 func (s *State) review() {
-	s.lasting = s.replaced.set || s.gone.set || s.evacuated.set || s.listed.set || s.word.set || s.drained.set
-	s.until = s.rest.until
-	if s.suspicion.until.After(s.until) {
-		s.until = s.suspicion.until
+	f := s.known()
+	s.lasting = f.replaced.set || f.gone.set || f.evacuated.set || f.listed.set || f.word.set || f.drained.set
+	s.until = f.rest.until
+	if f.suspicion.until.After(s.until) {
+		s.until = f.suspicion.until
+	}
+	if f.pause.until.After(s.until) {
+		s.until = f.pause.until
 	}
-	if s.pause.until.After(s.until) {
-		s.until = s.pause.until
+	if !s.lasting && s.until.IsZero() {
+		s.facts = nil
 	}
 }
 
 // List takes in the target's entry in the list, which says whether it leaves. A target with an
 // entry is not gone.
 func (s *State) List(now time.Time, leaves bool) {
-	s.gone = mark{}
-	s.listed.put(now, SourceList, leaves)
-	s.review()
+	s.put(now, SourceList, false, func(f *facts) *mark { return &f.gone })
+	s.put(now, SourceList, leaves, func(f *facts) *mark { return &f.listed })
 }
 
 // Unlist takes in that the target is no longer in the list.
 func (s *State) Unlist(now time.Time) {
-	s.gone.put(now, SourceList, true)
-	s.review()
+	s.put(now, SourceList, true, func(f *facts) *mark { return &f.gone })
 }
 
 // Drain takes in whether operators drain the target.
 func (s *State) Drain(now time.Time, drained bool) {
-	s.drained.put(now, SourceOperator, drained)
-	s.review()
+	s.put(now, SourceOperator, drained, func(f *facts) *mark { return &f.drained })
 }
 
 // Evacuate takes in whether the target's hall is being emptied.
 func (s *State) Evacuate(now time.Time, evacuated bool) {
-	s.evacuated.put(now, SourceList, evacuated)
-	s.review()
+	s.put(now, SourceList, evacuated, func(f *facts) *mark { return &f.evacuated })
 }
 
 // Replace takes in that another target has answered at the address.
 func (s *State) Replace(now time.Time) {
-	s.replaced.put(now, SourceOwn, true)
-	s.review()
+	s.put(now, SourceOwn, true, func(f *facts) *mark { return &f.replaced })
 }
 
 // Leave takes in that the target said at a time, to this or to another instance, that it
 // leaves. It reports whether that is new. Nothing takes it back.
 func (s *State) Leave(at time.Time, source Source) bool {
-	if s.word.set {
+	if s.known().word.set {
 		return false
 	}
-	s.word.put(at, source, true)
-	s.review()
+	s.put(at, source, true, func(f *facts) *mark { return &f.word })
 	return true
 }
 
 // Rest takes in that the target asks for a rest from now on. A shorter one than it has asked for
 // before changes nothing.
 func (s *State) Rest(now time.Time, length time.Duration) {
-	s.rest.extend(now, SourceWord, now.Add(min(length, longestRest)))
+	s.own().rest.extend(now, SourceWord, now.Add(min(length, longestRest)))
 	s.review()
 }
 
 // Suspect keeps requests from the target until a time because it did not answer.
 func (s *State) Suspect(now, until time.Time) {
-	s.suspicion.extend(now, SourceOwn, until)
+	s.own().suspicion.extend(now, SourceOwn, until)
 	s.review()
 }
 
 // Pause keeps requests from the target until a time.
 func (s *State) Pause(now, until time.Time, source Source) {
-	s.pause.extend(now, source, until)
+	s.own().pause.extend(now, source, until)
 	s.review()
 }
 
@@ -195,10 +227,11 @@
 	if !now.Before(s.until) {
 		return Verdict{}
 	}
+	f := s.known()
 	for _, c := range []struct {
 		cause Cause
 		span  span
-	}{{CauseResting, s.rest}, {CauseSuspected, s.suspicion}, {CausePaused, s.pause}} {
+	}{{CauseResting, f.rest}, {CauseSuspected, f.suspicion}, {CausePaused, f.pause}} {
 		if c.span.until.Equal(s.until) {
 			return Verdict{Cause: c.cause, Source: c.span.source, Since: c.span.since, Until: c.span.until}
 		}
@@ -207,13 +240,14 @@
 }
 
 func (s *State) lastingVerdict() Verdict {
+	f := s.known()
 	for _, c := range []struct {
 		cause Cause
 		mark  mark
 	}{
-		{CauseReplaced, s.replaced}, {CauseGone, s.gone},
-		{CauseLeaving, s.word}, {CauseLeaving, s.listed}, {CauseLeaving, s.drained},
-		{CauseEvacuated, s.evacuated},
+		{CauseReplaced, f.replaced}, {CauseGone, f.gone},
+		{CauseLeaving, f.word}, {CauseLeaving, f.listed}, {CauseLeaving, f.drained},
+		{CauseEvacuated, f.evacuated},
 	} {
 		if c.mark.set {
 			return Verdict{Cause: c.cause, Source: c.mark.source, Since: c.mark.since}
@@ -223,22 +257,22 @@
 }
 
 // SuspectedUntil returns until when the target gets nothing because it did not answer.
-func (s *State) SuspectedUntil() time.Time { return s.suspicion.until }
+func (s *State) SuspectedUntil() time.Time { return s.known().suspicion.until }
 
 // PausedUntil returns until when the target gets nothing because it was paused.
-func (s *State) PausedUntil() time.Time { return s.pause.until }
+func (s *State) PausedUntil() time.Time { return s.known().pause.until }
 
 // RestsUntil returns until when the target gets nothing because it asked for that.
-func (s *State) RestsUntil() time.Time { return s.rest.until }
+func (s *State) RestsUntil() time.Time { return s.known().rest.until }
 
 // Replaced tells whether another target has answered at the address.
-func (s *State) Replaced() bool { return s.replaced.set }
+func (s *State) Replaced() bool { return s.known().replaced.set }
 
 // Gone tells whether the target is no longer listed.
-func (s *State) Gone() bool { return s.gone.set }
+func (s *State) Gone() bool { return s.known().gone.set }
 
 // Evacuated tells whether the target's hall is being emptied.
-func (s *State) Evacuated() bool { return s.evacuated.set }
+func (s *State) Evacuated() bool { return s.known().evacuated.set }
 
 // Leaves tells whether the target said itself that it leaves.
-func (s *State) Leaves() bool { return s.word.set }
+func (s *State) Leaves() bool { return s.known().word.set }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -241,7 +241,7 @@
 	g.reviewOwners(now)
 	g.mu.Unlock()
 	g.limitOwner.forget(now)
-	g.pools.forgetPermits(now)
+	g.pools.forget(now)
 }
 
 // upkeepEvery is the time between rounds of upkeep.
--- a/gateway/logs_test.go
+++ b/gateway/logs_test.go
@@ -66,10 +66,10 @@
 	var out bytes.Buffer
 	config := Config{Name: "n0", Hall: "a1", Region: "a", RegionOf: map[string]string{"a1": "a"}, Log: slog.New(slog.NewJSONHandler(&out, nil))}
 	ps := newPools(config, new(departures).all, new(targetLimits).all, nil)
-	specs := make(map[string]catalog.Target)
+	specs := make(map[string]*catalog.Target)
 	for i := range 300 {
 		name := fmt.Sprint("t", i)
-		specs[name] = catalog.Target{ID: name, Service: "s", Hall: "a1", Slots: 9, ColdFor: 3 * time.Second}
+		specs[name] = &catalog.Target{ID: name, Service: "s", Hall: "a1", Slots: 9, ColdFor: 3 * time.Second}
 	}
 	ps.setTargets(time.Now(), specs, nil)
 	require.Equal(t, 1, strings.Count(out.String(), "\n"), out.String())
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -54,13 +54,12 @@
 	return ps.pools[service]
 }
 
-func (ps *pools) setTargets(now time.Time, specs map[string]catalog.Target, evacuated map[string]bool) {
+func (ps *pools) setTargets(now time.Time, specs map[string]*catalog.Target, evacuated map[string]bool) {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
-	byService := make(map[string][]catalog.Target)
+	byService := make(map[string][]*catalog.Target)
 	for _, spec := range specs {
-		spec.Drained = ps.drained(spec)
-		byService[spec.Service] = append(byService[spec.Service], spec)
+		byService[spec.Service] = append(byService[spec.Service], ps.asPlanned(spec))
 	}
 	for service := range byService {
 		if ps.pools[service] == nil {
@@ -75,13 +74,12 @@
 }
 
 // changeTargets takes in changed targets and the IDs of those that are gone.
-func (ps *pools) changeTargets(now time.Time, changed []catalog.Target, gone []string, evacuated map[string]bool) {
+func (ps *pools) changeTargets(now time.Time, changed []*catalog.Target, gone []string, evacuated map[string]bool) {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
-	byService := make(map[string][]catalog.Target)
+	byService := make(map[string][]*catalog.Target)
 	for _, spec := range changed {
-		spec.Drained = ps.drained(spec)
-		byService[spec.Service] = append(byService[spec.Service], spec)
+		byService[spec.Service] = append(byService[spec.Service], ps.asPlanned(spec))
 		if ps.pools[spec.Service] == nil {
 			ps.pools[spec.Service] = ps.newPool(spec.Service)
 		}
@@ -93,9 +91,20 @@
 	}
 }
 
+// asPlanned returns the spec of a target with what the operators' table says of it. The caller holds
+// mu.
+func (ps *pools) asPlanned(spec *catalog.Target) *catalog.Target {
+	if !ps.drained(spec) {
+		return spec
+	}
+	drained := *spec
+	drained.Drained = true
+	return &drained
+}
+
 // drained tells whether the operators' table drains a target, its hall or its
 // region. The caller holds mu.
-func (ps *pools) drained(spec catalog.Target) bool {
+func (ps *pools) drained(spec *catalog.Target) bool {
 	if ps.plan == nil {
 		return false
 	}
@@ -281,12 +290,12 @@
 	return p.upstream.Versions(now)
 }
 
-// forgetPermits drops what is known of permits that nobody asks for.
-func (ps *pools) forgetPermits(now time.Time) {
+// forget drops what is known of permits that nobody asks for, and of idle targets.
+func (ps *pools) forget(now time.Time) {
 	ps.mu.RLock()
 	defer ps.mu.RUnlock()
 	ps.each(func(u *upstream.Pool) []upstream.Grant {
-		u.ForgetPermits(now)
+		u.Forget(now)
 		return nil
 	})
 }
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -294,7 +294,7 @@
 
 // listedEnds takes in which entries of targets have gone or say that they leave. The caller
 // holds mu of the gateway.
-func (g *Gateway) listedEnds(now time.Time, changed []catalog.Target, gone []string) {
+func (g *Gateway) listedEnds(now time.Time, changed []*catalog.Target, gone []string) {
 	if !g.holds.known.Load() {
 		return
 	}
--- a/gateway/targets.go
+++ b/gateway/targets.go
@@ -19,16 +19,18 @@
 
 // listed are the targets that the store names.
 type listed struct {
-	// specs holds those to use by their names.
-	specs map[string]catalog.Target
+	// specs holds those to use by their names. None changes once it is there.
+	specs map[string]*catalog.Target
 	// refused are the entries that name no target to use, with what is wrong with them.
 	refused map[string]*catalog.EntryError
-	// last holds the latest incarnation known of each name, for a while also of those
-	// that are gone.
-	last map[string]incarnation
+	// gone holds the latest incarnation known of each name that has no target to use, or one whose start
+	// is not told, for a while.
+	gone map[string]incarnation
+	// texts are those that many targets have in common, so that each is held once.
+	texts map[string]string
 }
 
-// incarnation is when a target started, and when its entry went, zero while it is there.
+// incarnation is when a target started, and when its entry went, zero while there is one.
 type incarnation struct {
 	born   int64
 	goneAt time.Time
@@ -40,41 +42,71 @@
 
 func newListed() listed {
 	return listed{
-		specs:   make(map[string]catalog.Target),
+		specs:   make(map[string]*catalog.Target),
 		refused: make(map[string]*catalog.EntryError),
-		last:    make(map[string]incarnation),
+		gone:    make(map[string]incarnation),
+		texts:   make(map[string]string),
 	}
 }
 
+// born returns when the latest known incarnation of a name started, 0 if that is not known.
+func (l *listed) born(name string) int64 {
+	if spec := l.specs[name]; spec != nil && spec.Born > 0 {
+		return spec.Born
+	}
+	return l.gone[name].born
+}
+
 // isOld tells whether an entry is that of an earlier incarnation than the one known.
 func (l *listed) isOld(spec catalog.Target) bool {
-	return spec.Born > 0 && spec.Born < l.last[spec.Name].born
+	return spec.Born > 0 && spec.Born < l.born(spec.Name)
 }
 
 // put takes in the entry of a target to use.
 func (l *listed) put(spec catalog.Target) {
-	l.specs[spec.Name] = spec
+	spec.Service, spec.Version, spec.Hall = l.shared(spec.Service), l.shared(spec.Version), l.shared(spec.Hall)
+	known := l.born(spec.Name)
+	l.specs[spec.Name] = &spec
 	delete(l.refused, spec.Name)
-	if spec.Born > 0 {
-		l.last[spec.Name] = incarnation{born: spec.Born}
+	switch {
+	case spec.Born > 0:
+		delete(l.gone, spec.Name)
+	case known > 0:
+		l.gone[spec.Name] = incarnation{born: known}
+	}
+}
+
+// maxTexts bounds the texts that are held once: far more than there are services, versions and halls.
+const maxTexts = 4096
+
+// shared returns a text as it is held.
+func (l *listed) shared(text string) string {
+	held, ok := l.texts[text]
+	if ok {
+		return held
+	}
+	if len(l.texts) >= maxTexts {
+		clear(l.texts)
 	}
+	l.texts[text] = text
+	return text
 }
 
 // drop takes in that a name has no target to use any more.
 func (l *listed) drop(now time.Time, name string) {
+	known := l.born(name)
 	delete(l.specs, name)
 	delete(l.refused, name)
-	if known, ok := l.last[name]; ok {
-		known.goneAt = now
-		l.last[name] = known
+	if known > 0 {
+		l.gone[name] = incarnation{born: known, goneAt: now}
 	}
 }
 
 // expire forgets when targets had started that are gone for long.
 func (l *listed) expire(now time.Time) {
-	for name, known := range l.last {
+	for name, known := range l.gone {
 		if !known.goneAt.IsZero() && now.Sub(known.goneAt) >= bornKept {
-			delete(l.last, name)
+			delete(l.gone, name)
 		}
 	}
 }
@@ -88,7 +120,7 @@
 		level = slog.LevelDebug
 		g.log.Info(logTargets, "changes", len(changes), "held", g.replicas[KindTargets].Len(), "source", source, "revision", revision)
 	}
-	before := make(map[string]catalog.Target, len(changes))
+	before := make(map[string]*catalog.Target, len(changes))
 	refused := 0
 	ctx := context.Background()
 	for _, c := range changes {
@@ -112,7 +144,7 @@
 			continue
 		}
 		if g.listed.isOld(spec) {
-			g.log.Log(ctx, level, logTargetOld, "target", c.Name, "born", spec.Born, "known", g.listed.last[c.Name].born, "source", source, "revision", revision)
+			g.log.Log(ctx, level, logTargetOld, "target", c.Name, "born", spec.Born, "known", g.listed.born(c.Name), "source", source, "revision", revision)
 			continue
 		}
 		g.listed.put(spec)
@@ -164,15 +196,15 @@
 // useTargets has the pools use what the changed names came to: a target may change, go and
 // come back within a delta. Before holds what was listed under these names before. The caller
 // holds mu.
-func (g *Gateway) useTargets(now time.Time, before map[string]catalog.Target) {
-	var changed []catalog.Target
+func (g *Gateway) useTargets(now time.Time, before map[string]*catalog.Target) {
+	var changed []*catalog.Target
 	var gone []string
 	for name, old := range before {
 		spec, ok := g.listed.specs[name]
 		if ok {
 			changed = append(changed, spec)
 		}
-		if old.ID != "" && old.ID != spec.ID {
+		if old != nil && (!ok || old.ID != spec.ID) {
 			gone = append(gone, old.ID)
 		}
 	}
@@ -199,7 +231,7 @@
 	if len(names) == 0 {
 		return
 	}
-	before := make(map[string]catalog.Target, len(names))
+	before := make(map[string]*catalog.Target, len(names))
 	for _, name := range names {
 		before[name] = g.listed.specs[name]
 		g.listed.drop(now, name)
--- a/upstream/away.go
+++ b/upstream/away.go
@@ -25,7 +25,7 @@
 	}
 	soon := false
 	p.each(func(t *target) {
-		if soon || !t.serves() || !r.allows(t.region) {
+		if soon || !t.serves() || !r.allows(t.region.name) {
 			return
 		}
 		cause, until := t.back(now)
--- a/upstream/bench_test.go
+++ b/upstream/bench_test.go
@@ -17,10 +17,10 @@
 	for _, n := range []int{12, 300, 2000} {
 		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
 			p := newPool()
-			var specs []catalog.Target
+			var specs []*catalog.Target
 			names := []string{"a1", "a2", "b1", "c1"}
 			for i := range n {
-				specs = append(specs, catalog.Target{ID: fmt.Sprint("t-", i), Service: "s", Addr: "x", Hall: names[i%len(names)], Slots: 5})
+				specs = append(specs, &catalog.Target{ID: fmt.Sprint("t-", i), Service: "s", Addr: "x", Hall: names[i%len(names)], Slots: 5})
 			}
 			p.SetTargets(start, specs, nil)
 			requests := make([]upstream.Request, 100)
@@ -44,10 +44,10 @@
 	for _, size := range []struct{ targets, instances int }{{24, 2}, {212, 12}, {1047, 33}} {
 		b.Run(fmt.Sprintf("targets=%d/instances=%d", size.targets, size.instances), func(b *testing.B) {
 			p := newPool()
-			var specs []catalog.Target
+			var specs []*catalog.Target
 			names := []string{"a1", "a2", "b1", "c1"}
 			for i := range size.targets {
-				specs = append(specs, catalog.Target{ID: fmt.Sprint("t-", i), Service: "s", Addr: "x", Hall: names[i%len(names)], Slots: 5})
+				specs = append(specs, &catalog.Target{ID: fmt.Sprint("t-", i), Service: "s", Addr: "x", Hall: names[i%len(names)], Slots: 5})
 			}
 			p.SetTargets(start, specs, nil)
 			members := make(map[string][]string)
@@ -71,13 +71,12 @@
 		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
 			p := newPool()
 			p.SetTargets(start, spread(n/4), nil)
-			spec := catalog.Target{ID: "t", Service: "s", Addr: "x", Hall: "a1", Slots: 5}
-			leaving := spec
-			leaving.Leaves = true
+			spec := &catalog.Target{ID: "t", Service: "s", Addr: "x", Hall: "a1", Slots: 5}
+			leaving := altered(spec, func(s *catalog.Target) { s.Leaves = true })
 			b.ReportAllocs()
 			for b.Loop() {
-				p.ChangeTargets(start, []catalog.Target{spec}, nil, nil)
-				p.ChangeTargets(start, []catalog.Target{leaving}, nil, nil)
+				p.ChangeTargets(start, []*catalog.Target{spec}, nil, nil)
+				p.ChangeTargets(start, []*catalog.Target{leaving}, nil, nil)
 				p.ChangeTargets(start, nil, []string{spec.ID}, nil)
 			}
 		})
--- a/upstream/census.go
+++ b/upstream/census.go
@@ -67,7 +67,7 @@
 		return StateSuspect
 	}
 	switch {
-	case t.suspicion > 0:
+	case t.contact.suspicion > 0:
 		return StateSuspect
 	case t.cold(now):
 		return StateCold
--- a/upstream/event.go
+++ b/upstream/event.go
@@ -49,7 +49,7 @@
 // note keeps what has changed in the belief on t since before.
 func (p *Pool) note(t *target, before belief, cause Outcome) {
 	after := t.belief()
-	event := Event{Target: t.spec.ID, Cause: cause, InFlight: t.inFlight, Failures: t.failures}
+	event := Event{Target: t.spec.ID, Cause: cause, InFlight: t.inFlight, Failures: t.contact.failures}
 	switch {
 	case after.replaced && !before.replaced:
 		event.Kind = Taken
@@ -83,7 +83,7 @@
 	return belief{
 		replaced:     t.state.Replaced(),
 		leaves:       t.state.Leaves(),
-		suspected:    t.suspicion > 0,
+		suspected:    t.contact.suspicion > 0,
 		restUntil:    t.state.RestsUntil(),
 		suspectUntil: t.state.SuspectedUntil(),
 		coldUntil:    t.coldUntil,
--- a/upstream/limited.go
+++ b/upstream/limited.go
@@ -214,9 +214,6 @@
 	p.silent = append(p.silent, silent...)
 }
 
-// ForgetPermits drops what is known of permits that nobody asks for.
-func (p *Pool) ForgetPermits(now time.Time) { p.permits.Forget(now) }
-
 // returns forecasts when refused callers find room: those told before come first, as fast as
 // requests are sent.
 type returns struct {
@@ -262,7 +259,7 @@
 
 // limitsBind tells whether a target of a request is kept from it by its limit alone.
 func (p *Pool) limitsBind(now time.Time, r *Request) bool {
-	return slices.ContainsFunc(p.limited, func(t *target) bool { return r.allows(t.region) && t.otherwiseUsable(now) })
+	return slices.ContainsFunc(p.limited, func(t *target) bool { return r.allows(t.region.name) && t.otherwiseUsable(now) })
 }
 
 // limitsBindIn tells whether a target of a region is kept from requests by its limit alone.
--- a/upstream/limited_test.go
+++ b/upstream/limited_test.go
@@ -17,12 +17,12 @@
 // name a limit, and the instance itself as the owner of all permits.
 func newLimitedPool(n int) *upstream.Pool {
 	p := newPool()
-	var specs []catalog.Target
+	var specs []*catalog.Target
 	var limits availability.LimitList
 	for _, hall := range []string{"a1", "b1"} {
 		for i := range n {
 			id := fmt.Sprint("t-", hall, i)
-			specs = append(specs, catalog.Target{ID: id, Service: "s", Addr: "x", Hall: hall, Slots: 5})
+			specs = append(specs, &catalog.Target{ID: id, Service: "s", Addr: "x", Hall: hall, Slots: 5})
 			if hall == "a1" {
 				limits = append(limits, availability.Limit{ID: availability.IDOf(id), Version: 1, PerSecond: 100})
 			}
@@ -39,9 +39,9 @@
 // is limited, goes to the target of another region that has the fewest requests.
 func TestAloneLeavesLimitedRegion(t *testing.T) {
 	free := newPool()
-	var specs []catalog.Target
+	var specs []*catalog.Target
 	for _, hall := range []string{"a1", "b1"} {
-		specs = append(specs, catalog.Target{ID: hall, Service: "s", Addr: "x", Hall: hall, Slots: 15})
+		specs = append(specs, &catalog.Target{ID: hall, Service: "s", Addr: "x", Hall: hall, Slots: 15})
 	}
 	free.SetTargets(start, specs, nil)
 	key := ""
@@ -72,8 +72,8 @@
 // not sent, and that a request that was granted the target before it named a limit is withheld.
 func TestPermitIsSpentOnce(t *testing.T) {
 	p := newPool()
-	spec := catalog.Target{ID: "t", Service: "s", Addr: "x", Hall: "a1", Slots: 5}
-	p.SetTargets(start, []catalog.Target{spec}, nil)
+	spec := &catalog.Target{ID: "t", Service: "s", Addr: "x", Hall: "a1", Slots: 5}
+	p.SetTargets(start, []*catalog.Target{spec}, nil)
 	before := p.Acquire(start, request("k"))
 	require.Equal(t, upstream.Send, before.Verdict)
 	require.True(t, p.May(start, "t", before.Sent))
--- a/upstream/listing.go
+++ b/upstream/listing.go
@@ -9,8 +9,8 @@
 )
 
 // SetTargets takes in the service's targets and the evacuated halls, and returns
-// the grants that this makes possible.
-func (p *Pool) SetTargets(now time.Time, specs []catalog.Target, evacuated map[string]bool) []Grant {
+// the grants that this makes possible. The specs are kept, and must not change afterwards.
+func (p *Pool) SetTargets(now time.Time, specs []*catalog.Target, evacuated map[string]bool) []Grant {
 	for _, t := range p.byID {
 		t.state.Unlist(now)
 	}
@@ -29,8 +29,8 @@
 
 // ChangeTargets takes in new or changed targets of the service and the IDs of some
 // that are gone, and returns the grants that this makes possible. A target that is
-// in both is gone.
-func (p *Pool) ChangeTargets(now time.Time, changed []catalog.Target, gone []string, evacuated map[string]bool) []Grant {
+// in both is gone. The specs are kept, and must not change afterwards.
+func (p *Pool) ChangeTargets(now time.Time, changed []*catalog.Target, gone []string, evacuated map[string]bool) []Grant {
 	touched := make([]*target, 0, len(changed)+len(gone))
 	for _, spec := range changed {
 		touched = append(touched, p.setTarget(now, spec, evacuated[spec.Hall]))
@@ -78,17 +78,18 @@
 }
 
 // setTarget takes in what is listed of a target. It is to be placed after that.
-func (p *Pool) setTarget(now time.Time, spec catalog.Target, evacuated bool) *target {
+func (p *Pool) setTarget(now time.Time, spec *catalog.Target, evacuated bool) *target {
 	t := p.byID[spec.ID]
+	listedCold := time.Duration(0)
+	p.versions.add(spec.Version)
 	if t == nil {
 		t = p.newTarget(now, spec.ID)
-		p.versions.add(spec.Version)
-	} else if spec.Version != t.spec.Version {
+	} else {
+		listedCold = t.spec.ColdFor
 		p.versions.remove(t.spec.Version)
-		p.versions.add(spec.Version)
 	}
 	before := t.belief()
-	if spec.ColdFor > t.spec.ColdFor {
+	if spec.ColdFor > listedCold {
 		t.chill(now, spec.ColdFor)
 	}
 	if t.state.Evacuated() && !evacuated {
@@ -96,8 +97,7 @@
 		t.chill(now, p.warmup)
 	}
 	t.group, t.weight = p.groups[spec.Hall], float64(max(spec.Slots, 1))
-	t.spec, t.region = spec, p.config.RegionOf[spec.Hall]
-	t.peers = &p.regionFor(t.region).usage
+	t.spec, t.region = spec, p.regionFor(p.config.RegionOf[spec.Hall])
 	t.state.List(now, spec.Leaves)
 	t.state.Drain(now, spec.Drained)
 	t.state.Evacuate(now, evacuated)
@@ -110,7 +110,7 @@
 }
 
 func (p *Pool) newTarget(now time.Time, id string) *target {
-	t := &target{known: make(map[string]time.Time), hash: affinity.Hash(id), coldUntil: now, quotas: p.quotas, permits: p.permits}
+	t := &target{hash: affinity.Hash(id), coldUntil: now, quotas: p.quotas, permits: p.permits, contact: &p.none}
 	p.byID[id] = t
 	p.byHash[availability.ID(t.hash)] = t
 	p.byShortID[shortID(t.hash)] = t
@@ -137,5 +137,5 @@
 	if until := now.Add(length); until.After(t.coldUntil) {
 		t.coldUntil = until
 	}
-	clear(t.known)
+	clear(t.contact.known)
 }
--- a/upstream/placement.go
+++ b/upstream/placement.go
@@ -62,7 +62,7 @@
 func (p *Pool) place(now time.Time, t *target) {
 	side, in := p.sideOf(t), (*regionTargets)(nil)
 	if p.mayList(now, t) {
-		in = p.regionFor(t.region)
+		in = t.region
 	}
 	if in != t.placement.in || side != t.side {
 		p.unplace(t)
--- a/upstream/placement_test.go
+++ b/upstream/placement_test.go
@@ -18,10 +18,10 @@
 )
 
 // placedPool returns a pool of n targets in the halls a1, a2 and b1, and their specs.
-func placedPool(now time.Time, n int) (*Pool, []catalog.Target) {
+func placedPool(now time.Time, n int) (*Pool, []*catalog.Target) {
 	halls := map[string]string{"a1": "a", "a2": "a", "b1": "b"}
 	p := NewPool(Config{Service: "s", Self: "n1", Hall: "a1", Region: "a", RegionOf: halls, ShiftStep: 0.1, ShiftWindow: 2 * time.Second})
-	specs := make([]catalog.Target, n)
+	specs := make([]*catalog.Target, n)
 	for i := range specs {
 		id := fmt.Sprintf("i-%08x", uint32(i)*2654435761)
 		specs[i] = versioned(id, []string{"a1", "a2", "b1"}[i%3], "v1")
@@ -39,11 +39,11 @@
 	result := testing.Benchmark(func(b *testing.B) {
 		b.ReportAllocs()
 		for i := range b.N {
-			spec := versioned(fmt.Sprint("k", i%50), "a1", "v1")
+			spec, leaving := versioned(fmt.Sprint("k", i%50), "a1", "v1"), versioned(fmt.Sprint("k", i%50), "a1", "v1")
+			leaving.Leaves = true
 			began := time.Now()
-			p.ChangeTargets(now, []catalog.Target{spec}, nil, nil)
-			spec.Leaves = true
-			p.ChangeTargets(now, []catalog.Target{spec}, nil, nil)
+			p.ChangeTargets(now, []*catalog.Target{spec}, nil, nil)
+			p.ChangeTargets(now, []*catalog.Target{leaving}, nil, nil)
 			p.ChangeTargets(now, nil, []string{spec.ID}, nil)
 			least = min(least, time.Since(began))
 		}
@@ -72,13 +72,13 @@
 			continue
 		}
 		side := p.sideOf(t)
-		lists, serves := listed[t.region], counts[t.region]
+		lists, serves := listed[t.region.name], counts[t.region.name]
 		lists[side] = append(lists[side], id)
 		if t.serves() {
 			serves[side].targets++
 			serves[side].slots += float64(t.spec.Slots)
 		}
-		listed[t.region], counts[t.region] = lists, serves
+		listed[t.region.name], counts[t.region.name] = lists, serves
 	}
 	return listed, counts
 }
@@ -105,6 +105,7 @@
 	}
 	require.Len(t, p.limited, limited)
 	require.Len(t, p.byHash, len(p.byID))
+	require.Zero(t, p.none, "what all targets share that nothing is known of")
 	versions := make(map[string]int)
 	for _, target := range p.byID {
 		versions[target.spec.Version]++
@@ -121,7 +122,7 @@
 		p.config.HoldsNew = rapid.Bool().Draw(t, "holds new")
 		id := func() string { return fmt.Sprint("t", rapid.IntRange(0, 7).Draw(t, "target")) }
 		hash := func() availability.ID { return availability.ID(affinity.Hash(id())) }
-		spec := func() catalog.Target {
+		spec := func() *catalog.Target {
 			s := versioned(id(), rapid.SampledFrom([]string{"a1", "a2", "b1"}).Draw(t, "hall"), rapid.SampledFrom([]string{"v1", "v2", "v3"}).Draw(t, "version"))
 			s.Leaves, s.Drained = rapid.Bool().Draw(t, "leaves"), rapid.Bool().Draw(t, "drained")
 			s.Slots = rapid.IntRange(1, 3).Draw(t, "slots")
@@ -130,9 +131,9 @@
 		evacuated := func() map[string]bool { return map[string]bool{"a2": rapid.Bool().Draw(t, "evacuated")} }
 		var sent []Decision
 		t.Repeat(map[string]func(*rapid.T){
-			"change": func(*rapid.T) { p.ChangeTargets(now, []catalog.Target{spec(), spec()}, nil, evacuated()) },
+			"change": func(*rapid.T) { p.ChangeTargets(now, []*catalog.Target{spec(), spec()}, nil, evacuated()) },
 			"gone":   func(*rapid.T) { p.ChangeTargets(now, nil, []string{id(), id()}, nil) },
-			"set":    func(*rapid.T) { p.SetTargets(now, []catalog.Target{spec(), spec(), spec()}, evacuated()) },
+			"set":    func(*rapid.T) { p.SetTargets(now, []*catalog.Target{spec(), spec(), spec()}, evacuated()) },
 			"leave": func(*rapid.T) {
 				p.HearDepartures(now, availability.DepartureList{{ID: hash()}}, availability.SourcePeer)
 			},
--- a/upstream/plan.go
+++ b/upstream/plan.go
@@ -140,8 +140,8 @@
 		}
 	}
 	for _, t := range p.limited {
-		if t.placement.serving && t.side == most && r.allows(t.region) {
-			slots[t.region] -= t.placement.slots - t.capacity(p.typical)
+		if t.placement.serving && t.side == most && r.allows(t.region.name) {
+			slots[t.region.name] -= t.placement.slots - t.capacity(p.typical)
 		}
 	}
 	return slots
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -63,6 +63,10 @@
 	// departures are the targets that have said themselves that they leave, those too that
 	// the pool does not have: what the list says of them, later or not, does not undo that.
 	departures availability.Departures
+	// touched are the targets with a contact of their own, and none is that of all others. It stays
+	// empty.
+	touched []*target
+	none    contact
 	// limits are those that targets have named, those too that the pool does not have.
 	limits map[availability.ID]availability.Limit
 	// limited are the targets that have named one, in the order of IDs.
@@ -191,13 +195,14 @@
 	cold := t.cold(now)
 	sent.At, sent.PermitUntil = now, p.spend(now, t)
 	p.returns.sent(now)
+	p.touch(now, t)
 	t.begin(now)
 	t.learn(now, r.Key)
 	return Decision{
 		Verdict: Send,
 		Reason:  c.reason,
 		Sent:    sent,
-		Target:  Choice{ID: t.spec.ID, Name: t.spec.Name, Addr: t.spec.Addr, Hall: t.spec.Hall, Region: t.region, Cold: cold},
+		Target:  Choice{ID: t.spec.ID, Name: t.spec.Name, Addr: t.spec.Addr, Hall: t.spec.Hall, Region: t.region.name, Cold: cold},
 	}
 }
 
@@ -225,6 +230,7 @@
 	if t == nil {
 		return nil
 	}
+	p.touch(now, t)
 	full := t.load(now) > float64(t.spec.Slots)
 	before := t.belief()
 	if r.Word.Leaves {
@@ -291,7 +297,7 @@
 	}
 	times := p.warmth.learn(r.Sent, r.Took)
 	if times > 0 {
-		t.slow.take(times)
+		t.contact.slow.take(times)
 	}
 }
 
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -24,12 +24,19 @@
 	return p
 }
 
+// altered returns the spec of a target with a change.
+func altered(spec *catalog.Target, change func(*catalog.Target)) *catalog.Target {
+	other := *spec
+	change(&other)
+	return &other
+}
+
 // spread returns n targets in each hall.
-func spread(n int) []catalog.Target {
-	var out []catalog.Target
+func spread(n int) []*catalog.Target {
+	var out []*catalog.Target
 	for _, hall := range []string{"a1", "a2", "b1", "c1"} {
 		for i := range n {
-			out = append(out, catalog.Target{ID: fmt.Sprint(hall, "-", i), Service: "s", Addr: "x", Hall: hall, Slots: 3})
+			out = append(out, &catalog.Target{ID: fmt.Sprint(hall, "-", i), Service: "s", Addr: "x", Hall: hall, Slots: 3})
 		}
 	}
 	return out
@@ -165,7 +172,7 @@
 		p.SetTargets(start, spread(2), nil)
 		p.SetTargets(start, specs, evacuated)
 		replaced := map[string]bool{}
-		byID := map[string]catalog.Target{}
+		byID := map[string]*catalog.Target{}
 		for _, s := range specs {
 			byID[s.ID] = s
 		}
@@ -193,14 +200,15 @@
 func TestChangesEqualTheWhole(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		stepwise := newPool()
-		held := map[string]catalog.Target{}
+		held := map[string]*catalog.Target{}
 		all := spread(3)
 		for range rapid.IntRange(1, 12).Draw(t, "steps") {
-			var changed []catalog.Target
+			var changed []*catalog.Target
 			var gone []string
 			for range rapid.IntRange(1, 6).Draw(t, "changes") {
-				spec := all[rapid.IntRange(0, len(all)-1).Draw(t, "target")]
-				spec.Leaves = rapid.IntRange(0, 4).Draw(t, "leaves") == 0
+				spec := altered(all[rapid.IntRange(0, len(all)-1).Draw(t, "target")], func(s *catalog.Target) {
+					s.Leaves = rapid.IntRange(0, 4).Draw(t, "leaves") == 0
+				})
 				changed = append(changed, spec)
 				held[spec.ID] = spec
 			}
@@ -212,7 +220,7 @@
 			stepwise.ChangeTargets(start, changed, gone, nil)
 		}
 		whole := newPool()
-		var specs []catalog.Target
+		var specs []*catalog.Target
 		for _, spec := range held {
 			specs = append(specs, spec)
 		}
@@ -229,22 +237,22 @@
 // TestColdTargets checks that targets that were evacuated, or say that they are
 // cold, get no more than the quota in any second, and none from other halls.
 func TestColdTargets(t *testing.T) {
-	cases := map[string]func(p *upstream.Pool, specs []catalog.Target){
-		"told": func(p *upstream.Pool, specs []catalog.Target) {
+	cases := map[string]func(p *upstream.Pool, specs []*catalog.Target){
+		"told": func(p *upstream.Pool, specs []*catalog.Target) {
 			for i := range specs {
 				specs[i].ColdFor = 3 * time.Second
 			}
 			p.SetTargets(start, specs, nil)
 		},
-		"cold again": func(p *upstream.Pool, specs []catalog.Target) {
+		"cold again": func(p *upstream.Pool, specs []*catalog.Target) {
 			p.SetTargets(start, specs, nil)
-			again := append([]catalog.Target(nil), specs...)
-			for i := range again {
-				again[i].ColdFor = 3 * time.Second
+			var again []*catalog.Target
+			for _, spec := range specs {
+				again = append(again, altered(spec, func(s *catalog.Target) { s.ColdFor = 3 * time.Second }))
 			}
 			p.SetTargets(start, again, nil)
 		},
-		"evacuation ended": func(p *upstream.Pool, specs []catalog.Target) {
+		"evacuation ended": func(p *upstream.Pool, specs []*catalog.Target) {
 			p.SetTargets(start, specs, map[string]bool{"a1": true, "a2": true, "b1": true, "c1": true})
 			p.SetTargets(start, specs, nil)
 		},
--- a/upstream/quotas.go
+++ b/upstream/quotas.go
@@ -35,8 +35,8 @@
 
 // quotaNow returns the quota of the target as things stand.
 func (t *target) quotaNow() int {
-	if t.quota.version != t.quotas.version || t.quota.hall != t.spec.Hall {
-		t.quota = quota{
+	if t.quota == nil || t.quota.version != t.quotas.version || t.quota.hall != t.spec.Hall {
+		t.quota = &quota{
 			requests: warmup.Quota(t.quotas.self, t.spec.ID, t.quotas.members[t.spec.Hall], t.quotas.rate),
 			version:  t.quotas.version,
 			hall:     t.spec.Hall,
--- a/upstream/region_test.go
+++ b/upstream/region_test.go
@@ -36,9 +36,9 @@
 	const keys = 32
 	rapid.Check(t, func(t *rapid.T) {
 		p := newPool()
-		var specs []catalog.Target
+		var specs []*catalog.Target
 		for i, hall := range []string{"a1", "b1", "b1", "c1", "c1", "c1"} {
-			specs = append(specs, catalog.Target{ID: fmt.Sprint(hall, "-", i), Service: "s", Addr: "x", Hall: hall, Slots: 30})
+			specs = append(specs, &catalog.Target{ID: fmt.Sprint(hall, "-", i), Service: "s", Addr: "x", Hall: hall, Slots: 30})
 		}
 		p.SetTargets(start, specs, nil)
 		name := rapid.StringN(1, 4, 8).Draw(t, "name")
@@ -75,10 +75,10 @@
 // operators' rows are not changed by that.
 func TestSharesLeaveRoomForHomes(t *testing.T) {
 	// A region of a tenth of the slots, and two alike.
-	var specs []catalog.Target
+	var specs []*catalog.Target
 	for hall, n := range map[string]int{"a1": 2, "b1": 9, "c1": 9} {
 		for i := range n {
-			specs = append(specs, catalog.Target{ID: fmt.Sprint(hall, "-", i), Service: "s", Addr: "x", Hall: hall, Slots: 300})
+			specs = append(specs, &catalog.Target{ID: fmt.Sprint(hall, "-", i), Service: "s", Addr: "x", Hall: hall, Slots: 300})
 		}
 	}
 	ran := func(shares map[string]float64) map[string]int {
--- a/upstream/rest_model_test.go
+++ b/upstream/rest_model_test.go
@@ -127,11 +127,11 @@
 // newRestModelIn returns a model with instances and targets in the halls of regions.
 func newRestModelIn(regionOf map[string]string, seed uint64, instances, targets int) *restModel {
 	m := &restModel{rnd: rand.New(rand.NewPCG(seed, 7)), now: start, targets: make(map[string]*modelTarget), hallOf: make(map[string]string), regionOf: regionOf, keys: modelKeys * len(oneRegion) / len(regionOf)}
-	var specs []catalog.Target
+	var specs []*catalog.Target
 	hallNames := slices.Sorted(maps.Keys(regionOf))
 	for i := range targets {
 		id := fmt.Sprint("t-", i)
-		specs = append(specs, catalog.Target{ID: id, Service: "s", Addr: "x", Hall: hallNames[i%len(hallNames)], Slots: modelSlots})
+		specs = append(specs, &catalog.Target{ID: id, Service: "s", Addr: "x", Hall: hallNames[i%len(hallNames)], Slots: modelSlots})
 		m.targets[id] = &modelTarget{id: id}
 		m.hallOf[id] = hallNames[i%len(hallNames)]
 	}
--- a/upstream/sighting.go
+++ b/upstream/sighting.go
@@ -118,22 +118,23 @@
 func (p *Pool) Sightings(now time.Time) Sightings {
 	var busy, down Sightings
 	answering := 0
-	p.each(func(t *target) {
-		if now.Sub(t.answeredAt) < sightingLife {
+	for _, t := range p.touched {
+		c := t.contact
+		if now.Sub(c.answeredAt) < sightingLife {
 			answering++
 		}
 		if !t.serves() {
-			return
+			continue
 		}
-		if age := now.Sub(t.downAt); age < sightingLife && t.suspicion > 0 {
+		if age := now.Sub(c.downAt); age < sightingLife && c.suspicion > 0 {
 			down = append(down, Sighting{Target: shortID(t.hash), Down: true, Age: age})
-			return
+			continue
 		}
-		age := now.Sub(t.last.at)
-		if age < sightingLife && now.Sub(t.last.busyAt) < busyFor {
-			busy = append(busy, Sighting{Target: shortID(t.hash), PerSlot: t.last.perSlot, Age: age})
+		age := now.Sub(c.last.at)
+		if age < sightingLife && now.Sub(c.last.busyAt) < busyFor {
+			busy = append(busy, Sighting{Target: shortID(t.hash), PerSlot: c.last.perSlot, Age: age})
 		}
-	})
+	}
 	if len(down) > answering {
 		return busy
 	}
@@ -150,8 +151,9 @@
 		case t == nil:
 		case s.Down:
 			p.hearDown(t, at)
-		case at.After(t.last.at):
-			t.last.take(at, s.PerSlot)
+		case at.After(t.contact.last.at):
+			p.touch(now, t)
+			t.contact.last.take(at, s.PerSlot)
 			p.hearLoad(now, t, at, s.PerSlot)
 		}
 	}
@@ -161,7 +163,7 @@
 // all targets of the region are busy: requests that leave one of them wait elsewhere too,
 // and for a target that does not have their object.
 func (p *Pool) hearLoad(now time.Time, t *target, at time.Time, perSlot float64) {
-	if t.peers.at(now) < busyFrom {
+	if t.region.usage.at(now) < busyFrom {
 		t.count(at, perSlot*float64(max(t.spec.Slots, 1)))
 	}
 }
@@ -170,7 +172,7 @@
 // this instance has had no answer from it for a while: one that knows a target by itself is
 // not moved off it by the bad luck of another.
 func (p *Pool) hearDown(t *target, at time.Time) {
-	if at.Sub(t.answeredAt) < othersGone {
+	if at.Sub(t.contact.answeredAt) < othersGone {
 		return
 	}
 	before := t.belief()
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -35,7 +35,8 @@
 	keyLife = 30 * time.Second
 )
 
-// target is what the pool knows of one target.
+// target is what the pool knows of one target. A large fleet has thousands, of which an instance sends
+// requests to a few: what requests and reports tell of a target is kept apart, in contact.
 type target struct {
 	// What a ranking looks at comes first, to lie in one cache line: each request ranks all
 	// targets of a region.
@@ -50,26 +51,35 @@
 	// requests in flight is kept for these.
 	state availability.State
 
-	spec   catalog.Target
-	region string
+	spec   *catalog.Target
+	region *regionTargets
 	// side is whether the target is of a version that is brought in.
 	side      side
 	placement placement
 
-	inFlight int
+	inFlight  int
+	coldUntil time.Time
+	quotas    *quotas
+	// quota is nil until it is first asked for.
+	quota *quota
+	// limited is nil if the target has named no limit, and permits are those of all targets.
+	limited *limited
+	permits *ratelimit.Holder
+	// contact is the pool's none until there is something to keep: see Pool.touch.
+	contact *contact
+}
+
+// contact is what requests of this instance, and reports of others, have told of a target.
+type contact struct {
+	touchedAt time.Time
 	// others is the number of requests of other instances at the target.
 	others   float64
 	othersAt time.Time
 	last     lastReport
 	// slow is how slowly the target answers.
 	slow slowness
-	// peers is what the targets of the same region have reported of late.
-	peers *usage
-
-	coldUntil time.Time
-	quotas    *quotas
-	quota     quota
-	window    warmup.Window
+	// window counts the requests that were sent to the target while it was cold.
+	window warmup.Window
 
 	// answeredAt is when the target last answered here, and downAt when it last could
 	// not be reached.
@@ -84,10 +94,6 @@
 	probing bool
 
 	known map[string]time.Time
-
-	// limited is nil if the target has named no limit, and permits are those of all targets.
-	limited *limited
-	permits *ratelimit.Holder
 }
 
 func (t *target) cold(now time.Time) bool { return now.Before(t.coldUntil) }
@@ -111,10 +117,10 @@
 	switch {
 	case !t.state.May(now):
 		return false
-	case t.suspicion > 0 && t.probing:
+	case t.contact.suspicion > 0 && t.contact.probing:
 		return false
 	case t.cold(now):
-		return t.window.Free(now, t.quotaNow())
+		return t.contact.window.Free(now, t.quotaNow())
 	default:
 		return true
 	}
@@ -127,7 +133,7 @@
 		return verdict
 	case t.otherwiseUsable(now):
 		return verdict
-	case t.suspicion > 0 && t.probing:
+	case t.contact.suspicion > 0 && t.contact.probing:
 		return availability.Verdict{Cause: availability.CauseTrying, Source: availability.SourceOwn}
 	default:
 		return availability.Verdict{Cause: availability.CauseCold, Source: availability.SourceList, Until: t.coldUntil}
@@ -138,10 +144,10 @@
 // late the load of its region's targets stands in: in a large fleet an instance hears
 // of each single one seldom.
 func (t *target) load(now time.Time) float64 {
-	fresh := freshness(now.Sub(t.othersAt))
-	others := t.others * fresh
+	fresh := freshness(now.Sub(t.contact.othersAt))
+	others := t.contact.others * fresh
 	if fresh < 1 {
-		usual := t.peers.at(now)*float64(max(t.spec.Slots, 1)) - float64(t.inFlight)
+		usual := t.region.usage.at(now)*float64(max(t.spec.Slots, 1)) - float64(t.inFlight)
 		others += (1 - fresh) * max(0, usual)
 	}
 	return float64(t.inFlight) + others
@@ -161,20 +167,23 @@
 
 // knows tells whether the target has probably seen the key of late.
 func (t *target) knows(now time.Time, key string) bool {
-	at, ok := t.known[key]
+	at, ok := t.contact.known[key]
 	return ok && now.Sub(at) < keyLife
 }
 
 func (t *target) learn(now time.Time, key string) {
-	if len(t.known) >= knownKeys {
-		for k, at := range t.known {
+	if len(t.contact.known) >= knownKeys {
+		for k, at := range t.contact.known {
 			if now.Sub(at) >= keyLife {
-				delete(t.known, k)
+				delete(t.contact.known, k)
 			}
 		}
 	}
-	if len(t.known) < knownKeys {
-		t.known[key] = now
+	if t.contact.known == nil {
+		t.contact.known = make(map[string]time.Time)
+	}
+	if len(t.contact.known) < knownKeys {
+		t.contact.known[key] = now
 	}
 }
 
@@ -182,10 +191,10 @@
 func (t *target) begin(now time.Time) {
 	t.inFlight++
 	if t.cold(now) {
-		t.window.Take(now, t.quotaNow())
+		t.contact.window.Take(now, t.quotaNow())
 	}
-	if t.suspicion > 0 {
-		t.probing = true
+	if t.contact.suspicion > 0 {
+		t.contact.probing = true
 	}
 }
 
@@ -193,33 +202,33 @@
 func (t *target) end(now time.Time, r Result) {
 	full := t.load(now) >= float64(t.spec.Slots)
 	t.inFlight--
-	t.probing = false
+	t.contact.probing = false
 	if r.Report != nil {
 		t.report(now, *r.Report)
-		t.peers.hear(now, *r.Report)
+		t.region.usage.hear(now, *r.Report)
 	}
 	t.take(now, r.Word)
 	switch r.Outcome {
 	case Answered:
-		t.failures, t.suspicion, t.rejections = 0, 0, 0
-		t.answeredAt = now
+		t.contact.failures, t.contact.suspicion, t.contact.rejections = 0, 0, 0
+		t.contact.answeredAt = now
 	case Rejected:
-		t.failures, t.suspicion = 0, 0
-		t.answeredAt = now
-		t.rejections++
-		if full || t.rejections >= rejectionsToPause {
+		t.contact.failures, t.contact.suspicion = 0, 0
+		t.contact.answeredAt = now
+		t.contact.rejections++
+		if full || t.contact.rejections >= rejectionsToPause {
 			t.state.Pause(now, now.Add(rejectedPause), availability.SourceOwn)
 		}
 	case Replaced:
 		t.state.Replace(now)
 	case Unreachable:
-		t.downAt = now
+		t.contact.downAt = now
 		t.suspect(now)
 	case Silent:
 		t.suspect(now)
 	case Broken:
-		t.failures++
-		if t.failures >= failuresToSuspect || t.suspicion > 0 {
+		t.contact.failures++
+		if t.contact.failures >= failuresToSuspect || t.contact.suspicion > 0 {
 			t.suspect(now)
 		}
 	case Abandoned:
@@ -230,8 +239,8 @@
 	if now.Before(t.state.SuspectedUntil()) {
 		return
 	}
-	t.suspicion = min(max(2*t.suspicion, firstSuspicion), maxSuspicion)
-	t.state.Suspect(now, now.Add(t.suspicion))
+	t.contact.suspicion = min(max(2*t.contact.suspicion, firstSuspicion), maxSuspicion)
+	t.state.Suspect(now, now.Add(t.contact.suspicion))
 }
 
 // take takes in what the target said of itself in an answer to this instance.
@@ -247,18 +256,18 @@
 // report takes in what the target told of its load with an answer. Requests at a slow
 // target count for more, as what comes next waits longer for them; others are told the same.
 func (t *target) report(now time.Time, r Report) {
-	requests := t.slow.factor() * float64(r.Running+r.Waiting)
-	t.last.take(now, requests/float64(max(r.Slots, 1)))
+	requests := t.contact.slow.factor() * float64(r.Running+r.Waiting)
+	t.contact.last.take(now, requests/float64(max(r.Slots, 1)))
 	t.count(now, requests)
 }
 
 // count takes in the number of requests at the target at a moment.
 func (t *target) count(at time.Time, requests float64) {
 	others := max(0, requests-float64(t.inFlight))
-	if at.Sub(t.othersAt) >= othersGone {
-		t.others = others
+	if at.Sub(t.contact.othersAt) >= othersGone {
+		t.contact.others = others
 	} else {
-		t.others += reportWeight * (others - t.others)
+		t.contact.others += reportWeight * (others - t.contact.others)
 	}
-	t.othersAt = at
+	t.contact.othersAt = at
 }
--- a/upstream/usage_test.go
+++ b/upstream/usage_test.go
@@ -17,9 +17,9 @@
 // nothing was heard for a while.
 func TestUnheardTargetsCountAsTheirRegion(t *testing.T) {
 	p := newPool()
-	var specs []catalog.Target
+	var specs []*catalog.Target
 	for i := range 100 {
-		specs = append(specs, catalog.Target{ID: fmt.Sprint("a1-", i), Service: "s", Addr: "x", Hall: "a1", Slots: 4})
+		specs = append(specs, &catalog.Target{ID: fmt.Sprint("a1-", i), Service: "s", Addr: "x", Hall: "a1", Slots: 4})
 	}
 	p.SetTargets(start, specs, nil)
 	overloaded := upstream.Report{Running: 4, Waiting: 8, Slots: 4}
--- a/upstream/versions.go
+++ b/upstream/versions.go
@@ -293,7 +293,7 @@
 		v.OldSlots += r.serving[oldSide].slots
 		used += r.serving[oldSide].slots * r.usage.at(now)
 	}
-	for _, t := range p.byID {
+	for _, t := range p.touched {
 		if t.side == oldSide {
 			v.AtOld += t.inFlight
 		}
--- a/upstream/versions_test.go
+++ b/upstream/versions_test.go
@@ -13,16 +13,16 @@
 )
 
 // versioned returns the spec of a target of a version.
-func versioned(id, hall, version string) catalog.Target {
-	return catalog.Target{ID: id, Name: id, Service: "s", Addr: id + ":1", Hall: hall, Slots: 9, Version: version}
+func versioned(id, hall, version string) *catalog.Target {
+	return &catalog.Target{ID: id, Name: id, Service: "s", Addr: id + ":1", Hall: hall, Slots: 9, Version: version}
 }
 
 // versionedPool returns a pool in region a that holds targets of new versions back, with some targets
 // of version v1.
-func versionedPool(now time.Time, old int) (*Pool, []catalog.Target) {
+func versionedPool(now time.Time, old int) (*Pool, []*catalog.Target) {
 	p := NewPool(Config{Service: "s", Self: "n1", Hall: "a1", Region: "a", RegionOf: map[string]string{"a1": "a", "a2": "a", "b1": "b"},
 		ShiftStep: 0.1, ShiftWindow: 2 * time.Second, HoldsNew: true})
-	var specs []catalog.Target
+	var specs []*catalog.Target
 	for i := range old {
 		specs = append(specs, versioned(fmt.Sprint("old", i), []string{"a1", "a2"}[i%2], "v1"))
 	}
@@ -31,8 +31,8 @@
 }
 
 // newTargets returns some targets of version v2.
-func newTargets(n int) []catalog.Target {
-	var specs []catalog.Target
+func newTargets(n int) []*catalog.Target {
+	var specs []*catalog.Target
 	for i := range n {
 		specs = append(specs, versioned(fmt.Sprint("new", i), []string{"a1", "a2"}[i%2], "v2"))
 	}
@@ -160,10 +160,13 @@
 	}
 	d := p.Acquire(now, Request{ID: 1, Key: "k", Sticky: true, Deadline: now.Add(time.Minute), Patience: time.Second})
 	require.NotEqual(t, Send, d.Verdict, "old ones serve, though none can be used for a moment")
-	for i := range old {
-		old[i].Leaves = true
+	var leaving []*catalog.Target
+	for _, spec := range old {
+		left := *spec
+		left.Leaves = true
+		leaving = append(leaving, &left)
 	}
-	p.ChangeTargets(now, old, nil, nil)
+	p.ChangeTargets(now, leaving, nil, nil)
 	n, _ = atNew(sendMany(t, now, p, 100))
 	require.Equal(t, 100, n, "no old one serves any more")
 }
@@ -181,7 +184,7 @@
 	n, _ = atNew(sendMany(t, now, p, 500))
 	require.Equal(t, 500, n)
 	later := versioned("later", "a1", "v3")
-	p.ChangeTargets(now.Add(time.Minute), []catalog.Target{later}, nil, nil)
+	p.ChangeTargets(now.Add(time.Minute), []*catalog.Target{later}, nil, nil)
 	sent := sendMany(t, now.Add(time.Minute+unorderedTime), p, 500)
 	require.NotZero(t, sent["later"], "versions that come later without an order take part")
 	n, _ = atNew(sent)
@@ -197,7 +200,7 @@
 	p.ChangeTargets(now, newTargets(6), nil, nil)
 	now = now.Add(time.Minute)
 	p.SetSplit(now, rollout.Split{Version: "v3", Keys: 1, Draw: 0.1, Targets: 1}, time.Time{})
-	p.ChangeTargets(now, []catalog.Target{versioned("third", "a1", "v3")}, nil, nil)
+	p.ChangeTargets(now, []*catalog.Target{versioned("third", "a1", "v3")}, nil, nil)
 	sent := sendMany(t, now, p, 1000)
 	n, _ := atNew(sent)
 	require.Zero(t, n)
--- a/upstream/word_test.go
+++ b/upstream/word_test.go
@@ -86,8 +86,7 @@
 func TestOwnWordAndTheList(t *testing.T) {
 	specs := spread(1)[:1]
 	departed := availability.DepartureList{{ID: availability.IDOf(specs[0].ID)}}
-	again := specs[0]
-	again.ID += "#2"
+	again := altered(specs[0], func(s *catalog.Target) { s.ID += "#2" })
 	for name, tell := range map[string]func(p *upstream.Pool){
 		"before the list": func(p *upstream.Pool) {
 			p.HearDepartures(start, departed, availability.SourcePeer)
@@ -112,7 +111,7 @@
 			p.SetTargets(start, nil, nil)
 			p.SetTargets(start, specs, nil)
 			require.Empty(t, firstOf(p, start, "k"), "an entry that lapsed and is back")
-			p.ChangeTargets(start, []catalog.Target{again}, []string{specs[0].ID}, nil)
+			p.ChangeTargets(start, []*catalog.Target{again}, []string{specs[0].ID}, nil)
 			require.Equal(t, again.ID, firstOf(p, start, "k"))
 		})
 	}
