--- a/gateway/apply_test.go
+++ b/gateway/apply_test.go
@@ -27,6 +27,7 @@
 type noStore struct{ Store }
 
 func (noStore) Calls() int64 { return 0 }
+func (noStore) Era() int64   { return 0 }
 
 // newPlain returns a gateway that is not run, and a maker of changes of targets.
 func newPlain(t *testing.T) *Gateway {
--- a/gateway/logs.go
+++ b/gateway/logs.go
@@ -44,6 +44,8 @@
 	logStoreLost      = "store lost"
 	logStoreRegained  = "store regained"
 	logHistoryGone    = "history gone"
+	logStoreEra       = "store era"
+	logListBehind     = "list ends before the replica"
 	logNotRegistered  = "not registered"
 	logDeltaRefused   = "delta refused"
 	logGap            = "delta leaves a gap"
--- a/gateway/ports.go
+++ b/gateway/ports.go
@@ -64,6 +64,10 @@
 	// SetRolloutState writes what has become of an order, unless the object has changed since it
 	// was read: then the error wraps ErrConflict.
 	SetRolloutState(ctx context.Context, record rollout.Record, state rollout.State) error
+	// Era returns the highest era of the store that an answer to any call has named, 0 if none has.
+	// The store begins a new era when it comes back from a copy: what was written after the copy
+	// is gone, and its revisions are given out again.
+	Era() int64
 	// Calls returns the number of calls made.
 	Calls() int64
 }
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rainford/rainford/feed"
@@ -42,6 +44,8 @@
 
 // watchState is what an instance knows of its own watches.
 type watchState struct {
+	// era is that of the store that was told last.
+	era      atomic.Int64
 	mu       sync.Mutex
 	deaf     bool
 	watching bool
@@ -277,16 +281,35 @@
 	if err != nil {
 		return err
 	}
+	if at := g.revision(kind); delta.To < at {
+		g.metrics.calls.Add(1, string(kind), callBehind)
+		g.log.Warn(logListBehind, "kind", kind, "ends", delta.To, "revision", at, "era", g.store.Era())
+	}
 	g.take(delta, sourceStore)
 	return nil
 }
 
+// noteEra tells when the store names another era than before.
+func (g *Gateway) noteEra() {
+	era := g.store.Era()
+	before := g.watch.era.Swap(era)
+	if before == era {
+		return
+	}
+	level := slog.LevelWarn
+	if before == 0 {
+		level = slog.LevelInfo
+	}
+	g.log.Log(context.Background(), level, logStoreEra, "era", era, "before", before)
+}
+
 // noteStore takes in how a read of the store ended, before what it brought is put in
 // force.
 func (g *Gateway) noteStore(kind feed.Kind, err error) {
 	if errors.Is(err, context.Canceled) {
 		return
 	}
+	g.noteEra()
 	g.metrics.read(kind, err)
 	g.mu.Lock()
 	defer g.mu.Unlock()
