--- /dev/null
+++ b/gateway/restored_test.go
@@ -0,0 +1,110 @@
+package gateway_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rainford/rainford/gateway"
+	"github.com/rainford/rainford/internal/standin/objects"
+	"github.com/rainford/rainford/internal/standin/origin"
+)
+
+// restoredSite is a site of three instances that are ready, and of two services with a server or
+// two. Route /x leads to one of s.
+type restoredSite struct {
+	*site
+	instances []*instance
+	servers   []*origin.Server
+	// version is the last that was configured.
+	version int
+}
+
+func newRestoredSite(t *testing.T) *restoredSite {
+	s := &restoredSite{site: newSite(t), version: 1}
+	s.servers = []*origin.Server{s.server("s1", "s", "a1"), s.server("s2", "s", "b1")}
+	s.server("o1", "other", "a1")
+	s.configure(s.version, route{prefix: "/x/", service: "s", kind: "idempotent"})
+	first := s.instance("n1", "a1")
+	seed := func(c *gateway.Config) { c.Seeds = []string{first.config.PeerListen} }
+	s.instances = []*instance{first, s.instance("n2", "a2", seed), s.instance("n3", "b1", seed)}
+	for _, in := range s.instances {
+		in.awaitReady()
+		in.awaitStatus("/x/", http.StatusOK)
+	}
+	require.Eventually(t, func() bool { return len(s.store.Names("rainford-instances")) == 3 }, wait, poll)
+	return s
+}
+
+// next writes the next configuration, with a route for each of the names.
+func (s *restoredSite) next(names ...string) {
+	s.version++
+	routes := []route{{prefix: "/x/", service: "s", kind: "idempotent"}}
+	for _, name := range names {
+		routes = append(routes, route{prefix: "/" + name + "/", service: "other", kind: "idempotent"})
+	}
+	s.configure(s.version, routes...)
+}
+
+// restore has all instances know some more changes, and brings the store back from a copy that lacks
+// them. What the operator and the servers wrote is written again.
+func (s *restoredSite) restore() {
+	copied := s.store.Revision()
+	for i := range 8 {
+		s.next(fmt.Sprint("before", i))
+		s.record(s.servers[1], objects.Ready)
+	}
+	for _, in := range s.instances {
+		in.awaitStatus("/before7/", http.StatusOK)
+		in.awaitTargets(s.store.Revision())
+	}
+	for _, lost := range s.store.RestoreAt(copied) {
+		s.store.WriteAgain(lost)
+	}
+}
+
+// TestConfigurationConfirmedByARestoredStore checks that a configuration comes into force at every
+// instance if its revision was given out before the store was restored.
+func TestConfigurationConfirmedByARestoredStore(t *testing.T) {
+	s := newRestoredSite(t)
+	s.restore()
+	s.next("after")
+	for _, in := range s.instances {
+		in.awaitStatus("/after/", http.StatusOK)
+		in.awaitStatus("/before7/", http.StatusNotFound)
+	}
+}
+
+// TestDepartureConfirmedByARestoredStore checks that a target gets nothing once a restored store has
+// confirmed that it leaves.
+func TestDepartureConfirmedByARestoredStore(t *testing.T) {
+	s := newRestoredSite(t)
+	s.restore()
+	leaving := s.servers[0]
+	s.record(leaving, objects.Draining)
+	require.Eventually(t, func() bool {
+		before := len(leaving.Runs())
+		for _, in := range s.instances {
+			for range 8 {
+				in.send("GET", "/x/", "")
+			}
+		}
+		return len(leaving.Runs()) == before
+	}, wait, poll)
+}
+
+// TestRestoredStoreIsNotReadInALoop checks that a store that refuses the watches of before it was
+// restored is soon asked no more often than ever.
+func TestRestoredStoreIsNotReadInALoop(t *testing.T) {
+	s := newRestoredSite(t)
+	s.restore()
+	const window, mostCalls = time.Second, 30
+	require.Eventually(t, func() bool {
+		before := s.store.Calls()
+		time.Sleep(window)
+		return s.store.Calls()-before <= mostCalls
+	}, wait, poll)
+}
--- /dev/null
+++ b/internal/standin/objects/restore.go
@@ -0,0 +1,113 @@
+package objects
+
+import "time"
+
+const (
+	// firstEra is the era of a new store.
+	firstEra = 1
+	// undoKept is how far back a copy may lie from which the store is restored.
+	undoKept = time.Minute
+)
+
+// undoEntry is what a write replaced.
+type undoEntry struct {
+	at         time.Time
+	kind, name string
+	// before is nil if there was no object.
+	before *Object
+	// revision is that of the write.
+	revision int64
+	// outside says that the operator or a server wrote, and not the system.
+	outside bool
+}
+
+// LostWrite is the last that the operator or a server wrote of an object, and that a restored store
+// does not hold.
+type LostWrite struct {
+	Kind, Name string
+	object     *Object
+}
+
+// noteUndo keeps what a write of the current revision is about to replace. The caller holds mu.
+func (s *Store) noteUndo(kind, name string) {
+	now := time.Now()
+	for len(s.undo) > 0 && now.Sub(s.undo[0].at) > undoKept {
+		s.undo = s.undo[1:]
+	}
+	s.undo = append(s.undo, undoEntry{at: now, kind: kind, name: name, before: s.kinds[kind][name], revision: s.revision})
+}
+
+// markOutside notes that the last write was the operator's or a server's. The caller holds mu.
+func (s *Store) markOutside() { s.undo[len(s.undo)-1].outside = true }
+
+// Revision returns the revision of the last change.
+func (s *Store) Revision() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.revision
+}
+
+// Era returns the era that answers tell.
+func (s *Store) Era() int64 { return s.era.Load() }
+
+// RestoreAt takes the store back to what it was at a revision, as one that comes back from a copy.
+// Its revisions go on from there, in a new era. It returns what the operator and the servers wrote
+// since, the earliest first; WriteAgain writes it.
+func (s *Store) RestoreAt(revision int64) []LostWrite {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.restore(func(e undoEntry) bool { return e.revision > revision })
+}
+
+// RestoreFrom is like RestoreAt, for a copy of an age.
+func (s *Store) RestoreFrom(age time.Duration) []LostWrite {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	made := time.Now().Add(-age)
+	return s.restore(func(e undoEntry) bool { return e.at.After(made) })
+}
+
+// restore undoes the latest writes for which lost says so. The caller holds mu.
+func (s *Store) restore(lost func(undoEntry) bool) []LostWrite {
+	var out []LostWrite
+	seen := make(map[[2]string]bool)
+	for len(s.undo) > 0 && lost(s.undo[len(s.undo)-1]) {
+		e := s.undo[len(s.undo)-1]
+		s.undo = s.undo[:len(s.undo)-1]
+		key := [2]string{e.kind, e.name}
+		if e.outside && !seen[key] {
+			seen[key] = true
+			out = append([]LostWrite{{Kind: e.kind, Name: e.name, object: s.kinds[e.kind][e.name]}}, out...)
+		}
+		s.put(e.kind, e.name, e.before)
+		s.revision = e.revision - 1
+	}
+	for len(s.history) > 0 && s.history[len(s.history)-1].revision > s.revision {
+		s.history = s.history[:len(s.history)-1]
+	}
+	s.forgotten = min(s.forgotten, s.revision)
+	s.era.Add(1)
+	s.wake()
+	return out
+}
+
+// put has an object be there as it is, or not be there if it is nil. The caller holds mu.
+func (s *Store) put(kind, name string, o *Object) {
+	if o == nil {
+		delete(s.kinds[kind], name)
+		return
+	}
+	if s.kinds[kind] == nil {
+		s.kinds[kind] = make(map[string]*Object)
+	}
+	s.kinds[kind][name] = o
+}
+
+// WriteAgain has the operator or a server write what was lost.
+func (s *Store) WriteAgain(w LostWrite) {
+	if w.object == nil {
+		s.Remove(w.Kind, w.Name)
+		return
+	}
+	s.Set(w.Kind, w.Name, w.object.Spec)
+}
--- a/internal/standin/objects/server.go
+++ b/internal/standin/objects/server.go
@@ -34,6 +34,7 @@
 	s.calls++
 	faults := s.faults
 	s.mu.Unlock()
+	w = eraWriter{ResponseWriter: w, store: s}
 	host, _, _ := net.SplitHostPort(r.RemoteAddr)
 	time.Sleep(faults.Delay)
 	switch {
@@ -69,6 +70,25 @@
 func (d discard) Write(p []byte) (int, error) { return len(p), nil }
 func (d discard) WriteHeader(int)             {}
 
+// eraWriter tells the era in each answer, as it is when the answer is made.
+type eraWriter struct {
+	http.ResponseWriter
+	store *Store
+}
+
+// headerEra holds the era.
+const headerEra = "Store-Era"
+
+// WriteHeader implements http.ResponseWriter. The caller may hold the store's mu.
+func (w eraWriter) WriteHeader(status int) {
+	if w.Header().Get(headerEra) == "" {
+		setEra(w, w.store.Era())
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+func setEra(w http.ResponseWriter, era int64) { w.Header().Set(headerEra, strconv.FormatInt(era, 10)) }
+
 // split takes a path /objects/KIND[/NAME[/status]] apart.
 func split(path string) (kind, name, sub string, ok bool) {
 	rest, ok := strings.CutPrefix(path, "/objects/")
@@ -133,18 +153,22 @@
 	defer timeout.Stop()
 	for {
 		events, at, known, changed := s.events(kind, after)
+		if !known || len(events) > 0 {
+			setEra(w, at.era)
+		}
 		if !known {
 			w.WriteHeader(http.StatusGone)
 			return
 		}
 		if len(events) > 0 {
-			answer(w, http.StatusOK, watchAnswer{Events: events, At: at})
+			answer(w, http.StatusOK, watchAnswer{Events: events, At: at.revision})
 			return
 		}
 		select {
 		case <-changed:
 		case <-timeout.C:
-			answer(w, http.StatusOK, watchAnswer{Events: []Event{}, At: at})
+			setEra(w, at.era)
+			answer(w, http.StatusOK, watchAnswer{Events: []Event{}, At: at.revision})
 			return
 		case <-r.Context().Done():
 			return
--- a/internal/standin/objects/store.go
+++ b/internal/standin/objects/store.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"sort"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -54,14 +55,20 @@
 	history  []Event
 	// forgotten is the revision up to which the history is gone.
 	forgotten int64
-	changed   chan struct{}
-	faults    Faults
-	calls     int
+	// era is told in all answers. It rises when the store is restored from a copy.
+	era atomic.Int64
+	// undo holds what the latest writes replaced, the latest last.
+	undo    []undoEntry
+	changed chan struct{}
+	faults  Faults
+	calls   int
 }
 
 // New returns an empty store.
 func New() *Store {
-	return &Store{kinds: make(map[string]map[string]*Object), changed: make(chan struct{})}
+	s := &Store{kinds: make(map[string]map[string]*Object), changed: make(chan struct{})}
+	s.era.Store(firstEra)
+	return s
 }
 
 // SetFaults replaces the faults.
@@ -101,6 +108,7 @@
 	next := *o
 	next.Spec = raw
 	s.commit(kind, next)
+	s.markOutside()
 	return s.revision
 }
 
@@ -126,6 +134,7 @@
 	next := *s.kinds[kind][name]
 	next.Status = raw
 	s.commit(kind, next)
+	s.markOutside()
 }
 
 // Remove removes an object whatever its finalizers.
@@ -134,6 +143,7 @@
 	defer s.mu.Unlock()
 	if o := s.kinds[kind][name]; o != nil {
 		s.erase(kind, *o)
+		s.markOutside()
 	}
 }
 
@@ -163,6 +173,7 @@
 	if s.kinds[kind] == nil {
 		s.kinds[kind] = make(map[string]*Object)
 	}
+	s.noteUndo(kind, o.Metadata.Name)
 	s.kinds[kind][o.Metadata.Name] = &o
 	s.history = append(s.history, Event{Object: o, kind: kind, revision: s.revision})
 	s.wake()
@@ -171,6 +182,7 @@
 
 func (s *Store) erase(kind string, o Object) {
 	s.revision++
+	s.noteUndo(kind, o.Metadata.Name)
 	delete(s.kinds[kind], o.Metadata.Name)
 	s.history = append(s.history, Event{Object: o, Gone: true, kind: kind, revision: s.revision})
 	s.wake()
@@ -181,9 +193,12 @@
 	s.changed = make(chan struct{})
 }
 
-// events returns the changes of a kind after a revision, whether the history
-// reaches back that far, and a channel that is closed with the next change.
-func (s *Store) events(kind string, after int64) (events []Event, at int64, known bool, changed chan struct{}) {
+// moment is where the store's counters are.
+type moment struct{ era, revision int64 }
+
+// events returns the changes of a kind after a revision, where the store is, whether it has that
+// revision and the history after it, and a channel that is closed with the next change.
+func (s *Store) events(kind string, after int64) (events []Event, at moment, known bool, changed chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, e := range s.history {
@@ -191,5 +206,5 @@
 			events = append(events, e)
 		}
 	}
-	return events, s.revision, after >= s.forgotten, s.changed
+	return events, moment{s.era.Load(), s.revision}, s.forgotten <= after && after <= s.revision, s.changed
 }
