--- a/feed/catchup.go
+++ b/feed/catchup.go
@@ -17,8 +17,8 @@
 // Source is an instance that says that it is ahead with a replica.
 type Source struct {
 	Addr string
-	// Revision is the one that it says to hold.
-	Revision int64
+	// Position is the one that its replica reflects, as it says.
+	Position Position
 	// After is how long the replica has to be behind before this instance is asked: the
 	// usual way may still bring what is missing.
 	After time.Duration
@@ -39,9 +39,9 @@
 // (simulated days in which a region's first watcher comes back after a loss of power).
 // CatchUp is not safe for concurrent use; the zero value is ready.
 type CatchUp struct {
-	// revision is the replica's own, and since is when it was first seen to be behind.
-	revision int64
-	since    time.Time
+	// at is the replica's own position, and since is when it was first seen to be behind.
+	at    Position
+	since time.Time
 	// hurry says that the usual way has failed: a delta left a gap, or a question was not
 	// answered.
 	hurry   bool
@@ -56,10 +56,10 @@
 	seen, asked time.Time
 }
 
-// Ahead takes in that a source is ahead of the replica, which is at a revision.
-func (c *CatchUp) Ahead(now time.Time, revision int64, s Source) {
-	c.reach(now, revision)
-	if s.Revision <= revision {
+// Ahead takes in that a source is ahead of the replica, which is at a position.
+func (c *CatchUp) Ahead(now time.Time, at Position, s Source) {
+	c.reach(now, at)
+	if !s.Position.After(at) {
 		return
 	}
 	if len(c.sources) == 0 {
@@ -76,21 +76,21 @@
 	known.Source, known.seen = s, now
 }
 
-// Gap takes in that a delta of a source begins after the replica's revision: no other way
+// Gap takes in that a delta of a source begins after the replica's position: no other way
 // brings what is between, so that there is nothing to wait for.
-func (c *CatchUp) Gap(now time.Time, revision int64, s Source) {
-	c.Ahead(now, revision, s)
+func (c *CatchUp) Gap(now time.Time, at Position, s Source) {
+	c.Ahead(now, at, s)
 	c.hurry = c.hurry || len(c.sources) > 0
 }
 
-// reach takes in the replica's revision, and drops the claims that it has reached or that
+// reach takes in the replica's position, and drops the claims that it has reached or that
 // are old.
-func (c *CatchUp) reach(now time.Time, revision int64) {
-	if revision != c.revision {
-		c.revision, c.since, c.hurry = revision, now, false
+func (c *CatchUp) reach(now time.Time, at Position) {
+	if at != c.at {
+		c.at, c.since, c.hurry = at, now, false
 	}
 	for addr, s := range c.sources {
-		if s.Revision <= revision || now.Sub(s.seen) > claimKept {
+		if !s.Position.After(at) || now.Sub(s.seen) > claimKept {
 			delete(c.sources, addr)
 		}
 	}
@@ -99,10 +99,10 @@
 	}
 }
 
-// Next returns the instance to ask now for what a replica at a revision lacks, if there is
+// Next returns the instance to ask now for what a replica at a position lacks, if there is
 // one. The question counts as asked.
-func (c *CatchUp) Next(now time.Time, revision int64) (addr string, ok bool) {
-	c.reach(now, revision)
+func (c *CatchUp) Next(now time.Time, at Position) (addr string, ok bool) {
+	c.reach(now, at)
 	if now.Sub(c.last.At) < askEvery {
 		return "", false
 	}
--- a/feed/catchup_test.go
+++ b/feed/catchup_test.go
@@ -92,17 +92,17 @@
 			revision := int64(10)
 			for _, e := range c.events {
 				now := noon.Add(time.Duration(e.at) * time.Millisecond)
-				source := feed.Source{Addr: e.from, Revision: e.claims, After: time.Duration(e.after) * time.Millisecond}
+				source := feed.Source{Addr: e.from, Position: feed.At(0, e.claims), After: time.Duration(e.after) * time.Millisecond}
 				switch {
 				case e.reached > 0:
 					revision = e.reached
 					catchUp.Answered()
 				case e.gap:
-					catchUp.Gap(now, revision, source)
+					catchUp.Gap(now, feed.At(0, revision), source)
 				default:
-					catchUp.Ahead(now, revision, source)
+					catchUp.Ahead(now, feed.At(0, revision), source)
 				}
-				addr, ok := catchUp.Next(now, revision)
+				addr, ok := catchUp.Next(now, feed.At(0, revision))
 				require.Equal(t, e.asks, addr, "at %d ms", e.at)
 				require.Equal(t, e.asks != "", ok)
 				if ok {
@@ -130,8 +130,8 @@
 		var catchUp feed.CatchUp
 		gap := rapid.Bool().Draw(t, "gap")
 		if gap {
-			catchUp.Gap(noon, 1, feed.Source{Addr: "0", Revision: 2})
-			addr, ok := catchUp.Next(noon, 1)
+			catchUp.Gap(noon, feed.At(0, 1), feed.Source{Addr: "0", Position: feed.At(0, 2)})
+			addr, ok := catchUp.Next(noon, feed.At(0, 1))
 			require.True(t, ok)
 			require.Equal(t, "0", addr)
 			if silent == 0 {
@@ -146,8 +146,8 @@
 				if at%round != phase {
 					continue
 				}
-				catchUp.Ahead(now, 1, feed.Source{Addr: fmt.Sprint(i), Revision: 2, After: after})
-				addr, ok := catchUp.Next(now, 1)
+				catchUp.Ahead(now, feed.At(0, 1), feed.Source{Addr: fmt.Sprint(i), Position: feed.At(0, 2), After: after})
+				addr, ok := catchUp.Next(now, feed.At(0, 1))
 				if !ok {
 					continue
 				}
--- a/feed/replica.go
+++ b/feed/replica.go
@@ -23,13 +23,14 @@
 	Gone bool `msgpack:"g,omitempty"`
 }
 
-// Delta carries all changes of a kind after the revision From up to the
-// revision To. A full delta carries all objects instead; From is 0. An exact delta carries
-// the difference of the two states alone: what came and went in between is not in it.
+// Delta carries all changes of a kind after the position From up to the position To, which is of
+// the same era. A full delta carries all objects instead; From is zero. An exact delta carries
+// the difference of the two states alone: what came and went in between is not in it. It may lead
+// from one era to a later one.
 type Delta struct {
 	Kind    Kind     `msgpack:"k"`
-	From    int64    `msgpack:"f"`
-	To      int64    `msgpack:"t"`
+	From    Position `msgpack:"b"`
+	To      Position `msgpack:"u"`
 	Full    bool     `msgpack:"a,omitempty"`
 	Exact   bool     `msgpack:"e,omitempty"`
 	Changes []Change `msgpack:"c"`
@@ -41,7 +42,7 @@
 // Replica holds the objects of one kind. It is not safe for concurrent use.
 type Replica struct {
 	kind    Kind
-	at      int64
+	at      Position
 	objects map[string][]byte
 	// digest is that of the objects.
 	digest uint64
@@ -49,16 +50,16 @@
 	history []Delta
 }
 
-// NewReplica returns a replica that holds nothing, at revision 0.
+// NewReplica returns a replica that holds nothing, at the zero position.
 func NewReplica(kind Kind) *Replica {
 	return &Replica{kind: kind, objects: make(map[string][]byte)}
 }
 
-// At returns the revision that the replica reflects, 0 before the first delta.
-func (r *Replica) At() int64 { return r.at }
+// At returns the position that the replica reflects, zero before the first delta.
+func (r *Replica) At() Position { return r.at }
 
 // Digest returns a value that two replicas share if they hold the same objects, whatever
-// revisions they reflect: one that was read anew reflects a later one than those that
+// positions they reflect: one that was read anew reflects a later one than those that
 // stayed at the last change.
 func (r *Replica) Digest() uint64 { return r.digest }
 
@@ -82,7 +83,7 @@
 // replica now reflects at least the delta's end; if not, the delta left a gap
 // and the difference has to be asked for.
 func (r *Replica) Apply(d Delta) (changes []Change, ok bool) {
-	if d.To <= r.at {
+	if !d.To.After(r.at) {
 		return nil, true
 	}
 	if !r.continues(d) {
@@ -105,15 +106,15 @@
 	case d.Full:
 		return true
 	case d.Exact:
-		return r.at > 0 && d.From == r.at
+		return !r.at.IsZero() && d.From == r.at
 	default:
-		return r.at > 0 && d.From <= r.at
+		return !r.at.IsZero() && d.From.Era == r.at.Era && d.To.Era == r.at.Era && !d.From.After(r.at)
 	}
 }
 
 // Difference returns the exact delta between two states, of which changes are all that
 // they differ in.
-func Difference(kind Kind, from, to int64, changes []Change) Delta {
+func Difference(kind Kind, from, to Position, changes []Change) Delta {
 	return Delta{Kind: kind, From: from, To: to, Exact: true, Changes: changes}
 }
 
@@ -153,11 +154,11 @@
 	return r.update(Delta{Changes: append(all, d.Changes...)})
 }
 
-// remember keeps a delta that begins at or before the replica's revision, unless the
+// remember keeps a delta that begins at or before the replica's position, unless the
 // replica held nothing. An empty delta only moves the end of the one before it, except that
 // an exact one, in which something may have come and gone, leaves one that is not as it is.
 func (r *Replica) remember(d Delta) {
-	if r.at == 0 {
+	if r.at.IsZero() {
 		return
 	}
 	d.From = r.at
@@ -175,17 +176,17 @@
 // digestOf returns the part of an object in a digest.
 func digestOf(name string, value []byte) uint64 { return mix.Pair(name, string(value)) }
 
-// Since returns what leads from revision from, at which there are the objects of a digest,
+// Since returns what leads from position from, at which there are the objects of a digest,
 // to the replica's own: a delta if they are the same or the history reaches back that far,
 // else the whole kind.
-func (r *Replica) Since(from int64, digest uint64) Delta {
+func (r *Replica) Since(from Position, digest uint64) Delta {
 	start := r.startOf(from)
 	switch {
-	case from == r.at && r.at > 0:
+	case from == r.at && !r.at.IsZero():
 		return Delta{Kind: r.kind, From: from, To: r.at}
-	case from > 0 && digest != 0 && digest == r.digest:
+	case !from.IsZero() && digest != 0 && digest == r.digest:
 		return Difference(r.kind, from, r.at, nil)
-	case start < 0 || from == 0:
+	case start < 0 || from.IsZero():
 		return r.whole()
 	}
 	d := Delta{Kind: r.kind, From: from, To: r.at}
@@ -196,13 +197,13 @@
 	return d
 }
 
-// startOf returns the index of the delta of the history from which a replica at a revision
-// can go on, or -1. One whose revision lies within an exact delta can't.
-func (r *Replica) startOf(from int64) int {
+// startOf returns the index of the delta of the history from which a replica at a position
+// can go on, or -1. One whose position lies within an exact delta can't.
+func (r *Replica) startOf(from Position) int {
 	start := -1
 	for i, h := range r.history {
 		switch {
-		case h.From > from:
+		case h.From.After(from):
 			return start
 		case h.From == from || !h.Exact:
 			start = i
--- a/feed/replica_test.go
+++ b/feed/replica_test.go
@@ -13,41 +13,51 @@
 
 // store is the reference: every state that the store went through.
 type store struct {
-	revision int64
-	states   map[int64]map[string]string
-	changes  map[int64]feed.Change
+	at      feed.Position
+	states  map[feed.Position]map[string]string
+	changes map[feed.Position]feed.Change
 }
 
 func newStore() *store {
-	return &store{states: map[int64]map[string]string{0: {}}, changes: map[int64]feed.Change{}}
+	return &store{states: map[feed.Position]map[string]string{{}: {}}, changes: map[feed.Position]feed.Change{}}
 }
 
 func (s *store) write(name, value string, gone bool) {
-	next := map[string]string{}
-	for k, v := range s.states[s.revision] {
-		next[k] = v
-	}
+	next := maps.Clone(s.states[s.at])
 	if gone {
 		delete(next, name)
 	} else {
 		next[name] = value
 	}
-	s.revision++
-	s.states[s.revision] = next
-	s.changes[s.revision] = feed.Change{Object: feed.Object{Name: name, Value: []byte(value)}, Gone: gone}
+	s.at.Revision++
+	s.states[s.at] = next
+	s.changes[s.at] = feed.Change{Object: feed.Object{Name: name, Value: []byte(value)}, Gone: gone}
 }
 
-func (s *store) since(from int64) feed.Delta {
-	d := feed.Delta{From: from, To: s.revision}
-	for r := from + 1; r <= s.revision; r++ {
-		d.Changes = append(d.Changes, s.changes[r])
+// restore has the store come back from a copy that lacks the latest writes.
+func (s *store) restore(lost int64) {
+	copied := feed.At(s.at.Era, max(s.at.Revision-lost, 0))
+	state := s.states[copied]
+	if state == nil {
+		// The era before had fewer writes.
+		return
+	}
+	s.at = feed.At(s.at.Era+1, copied.Revision)
+	s.states[s.at] = state
+}
+
+// since is what a watch from a position of the same era brings.
+func (s *store) since(from feed.Position) feed.Delta {
+	d := feed.Delta{From: from, To: s.at}
+	for r := from.Revision + 1; r <= s.at.Revision; r++ {
+		d.Changes = append(d.Changes, s.changes[feed.At(s.at.Era, r)])
 	}
 	return d
 }
 
 func (s *store) whole() feed.Delta {
-	d := feed.Delta{To: s.revision, Full: true}
-	for name, value := range s.states[s.revision] {
+	d := feed.Delta{To: s.at, Full: true}
+	for name, value := range s.states[s.at] {
 		d.Changes = append(d.Changes, feed.Change{Object: feed.Object{Name: name, Value: []byte(value)}})
 	}
 	return d
@@ -60,9 +70,10 @@
 }
 
 // TestReplicasFollowTheStore has two watchers and three followers. Deltas are
-// lost, delayed, repeated and passed on by anyone, and watchers list anew. Every
-// replica always holds exactly a state that the store had, and never an older
-// one than before.
+// lost, delayed, repeated and passed on by anyone, watchers list anew, and the store comes
+// back from copies of itself. Every replica always holds exactly a state that the store had,
+// and never an older one than before, where a state of a later era counts as later. Once
+// nothing is lost any more, all hold the store's.
 func TestReplicasFollowTheStore(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newStore()
@@ -71,9 +82,11 @@
 			replicas[i] = feed.NewReplica("k")
 		}
 		var wire []feed.Delta
-		check := func(r *feed.Replica, before int64) {
-			require.GreaterOrEqual(t, r.At(), before)
-			require.Equal(t, s.states[r.At()], held(r))
+		check := func(r *feed.Replica, before feed.Position) {
+			require.False(t, before.After(r.At()))
+			if !r.At().IsZero() {
+				require.Equal(t, s.states[r.At()], held(r))
+			}
 			for _, other := range replicas {
 				require.Equal(t, maps.Equal(held(r), held(other)), r.Digest() == other.Digest())
 			}
@@ -81,60 +94,78 @@
 		take := func(r *feed.Replica, d feed.Delta) {
 			before := r.At()
 			_, ok := r.Apply(d)
-			require.Equal(t, ok, r.At() >= d.To)
+			require.Equal(t, ok, !d.To.After(r.At()))
+			check(r, before)
+		}
+		watch := func(r *feed.Replica) {
+			if r.At().IsZero() || r.At().Era != s.at.Era {
+				return
+			}
+			d := s.since(r.At())
+			wire = append(wire, d)
+			take(r, d)
+		}
+		list := func(r *feed.Replica) {
+			d := s.whole()
+			before := r.At()
+			changes, ok := r.Apply(d)
+			require.True(t, ok)
 			check(r, before)
+			wire = append(wire, d)
+			if !before.IsZero() && r.At().After(before) {
+				wire = append(wire, feed.Difference("k", before, r.At(), changes))
+			}
+		}
+		ask := func(r, other *feed.Replica) {
+			if !other.At().After(r.At()) {
+				return
+			}
+			d := other.Since(r.At(), r.Digest())
+			if r.Digest() == other.Digest() && r.Len() > 0 {
+				require.Empty(t, d.Changes)
+			}
+			wire = append(wire, d)
+			take(r, d)
+			require.Equal(t, other.At(), r.At())
 		}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			r := replicas[rapid.IntRange(0, 4).Draw(t, "replica")]
-			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			switch rapid.IntRange(0, 6).Draw(t, "step") {
 			case 0, 1:
 				name := fmt.Sprint("o", rapid.IntRange(0, 3).Draw(t, "name"))
-				s.write(name, fmt.Sprint(s.revision), rapid.IntRange(0, 3).Draw(t, "gone") == 0)
-			case 2: // A watch returns.
-				if r.At() > 0 {
-					d := s.since(r.At())
-					wire = append(wire, d)
-					take(r, d)
-				}
-			case 3: // A list.
-				d := s.whole()
-				before := r.At()
-				changes, ok := r.Apply(d)
-				require.True(t, ok)
-				check(r, before)
-				wire = append(wire, d)
-				if before > 0 && r.At() > before {
-					wire = append(wire, feed.Difference("k", before, r.At(), changes))
-				}
+				s.write(name, fmt.Sprint(s.at), rapid.IntRange(0, 3).Draw(t, "gone") == 0)
+			case 2:
+				watch(r)
+			case 3:
+				list(r)
 			case 4: // A delta arrives, late or again.
 				if len(wire) > 0 {
 					take(r, wire[rapid.IntRange(0, len(wire)-1).Draw(t, "delta")])
 				}
 			case 5: // A replica asks another for what it lacks.
-				other := replicas[rapid.IntRange(0, 4).Draw(t, "other")]
-				if other.At() > r.At() {
-					d := other.Since(r.At(), r.Digest())
-					if r.Digest() == other.Digest() && r.Len() > 0 {
-						require.Empty(t, d.Changes)
-					}
-					wire = append(wire, d)
-					take(r, d)
-					require.Equal(t, other.At(), r.At())
-				}
+				ask(r, replicas[rapid.IntRange(0, 4).Draw(t, "other")])
+			case 6:
+				s.restore(rapid.Int64Range(0, 10).Draw(t, "lost"))
 			}
 		}
+		s.write("last", "1", false)
+		list(replicas[0])
+		for _, r := range replicas[1:] {
+			ask(r, replicas[0])
+			require.Equal(t, s.states[s.at], held(r))
+		}
 	})
 }
 
 func TestGapIsRefused(t *testing.T) {
 	r := feed.NewReplica("k")
-	_, ok := r.Apply(feed.Delta{From: 0, To: 3})
+	_, ok := r.Apply(feed.Delta{From: feed.At(0, 0), To: feed.At(0, 3)})
 	require.False(t, ok, "a delta does not start a replica")
-	_, ok = r.Apply(feed.Delta{To: 3, Full: true})
+	_, ok = r.Apply(feed.Delta{To: feed.At(0, 3), Full: true})
 	require.True(t, ok)
-	_, ok = r.Apply(feed.Delta{From: 4, To: 6})
+	_, ok = r.Apply(feed.Delta{From: feed.At(0, 4), To: feed.At(0, 6)})
 	require.False(t, ok)
-	require.EqualValues(t, 3, r.At())
+	require.Equal(t, feed.At(0, 3), r.At())
 }
 
 // TestSameObjectsNeedNothing checks that a replica that was read anew, and so reflects a
@@ -143,17 +174,17 @@
 func TestSameObjectsNeedNothing(t *testing.T) {
 	object := feed.Change{Object: feed.Object{Name: "o", Value: []byte("1")}}
 	follower, anew := feed.NewReplica("k"), feed.NewReplica("k")
-	follower.Apply(feed.Delta{Kind: "k", To: 126, Full: true, Changes: []feed.Change{object}})
-	anew.Apply(feed.Delta{Kind: "k", To: 128, Full: true, Changes: []feed.Change{object}})
+	follower.Apply(feed.Delta{Kind: "k", To: feed.At(0, 126), Full: true, Changes: []feed.Change{object}})
+	anew.Apply(feed.Delta{Kind: "k", To: feed.At(0, 128), Full: true, Changes: []feed.Change{object}})
 	d := anew.Since(follower.At(), follower.Digest())
-	require.Equal(t, feed.Difference("k", 126, 128, nil), d)
+	require.Equal(t, feed.Difference("k", feed.At(0, 126), feed.At(0, 128), nil), d)
 	_, ok := follower.Apply(d)
 	require.True(t, ok)
 	object.Value = []byte("2")
-	_, ok = follower.Apply(feed.Delta{Kind: "k", From: 128, To: 129, Changes: []feed.Change{object}})
+	_, ok = follower.Apply(feed.Delta{Kind: "k", From: feed.At(0, 128), To: feed.At(0, 129), Changes: []feed.Change{object}})
 	require.True(t, ok)
-	require.EqualValues(t, 129, follower.At())
-	require.True(t, anew.Since(126, follower.Digest()).Full, "another object is held")
+	require.Equal(t, feed.At(0, 129), follower.At())
+	require.True(t, anew.Since(feed.At(0, 126), follower.Digest()).Full, "another object is held")
 }
 
 // TestWithinAnExactDelta checks that a replica that holds something which came and went
@@ -164,7 +195,7 @@
 		return feed.Change{Object: feed.Object{Name: name, Value: []byte("1")}, Gone: gone}
 	}
 	whole := func(to int64, names ...string) feed.Delta {
-		d := feed.Delta{To: to, Full: true}
+		d := feed.Delta{To: feed.At(0, to), Full: true}
 		for _, name := range names {
 			d.Changes = append(d.Changes, object(name, false))
 		}
@@ -176,8 +207,8 @@
 	}{
 		{"with a difference", []feed.Delta{whole(1), whole(5, "a")}},
 		{"empty", []feed.Delta{whole(1), whole(5)}},
-		{"empty, after one that is not exact", []feed.Delta{whole(1), {From: 1, To: 2, Changes: []feed.Change{object("a", false)}}, whole(5, "a")}},
-		{"before another one", []feed.Delta{whole(1), whole(5), {From: 5, To: 6, Changes: []feed.Change{object("a", false)}}}},
+		{"empty, after one that is not exact", []feed.Delta{whole(1), {From: feed.At(0, 1), To: feed.At(0, 2), Changes: []feed.Change{object("a", false)}}, whole(5, "a")}},
+		{"before another one", []feed.Delta{whole(1), whole(5), {From: feed.At(0, 5), To: feed.At(0, 6), Changes: []feed.Change{object("a", false)}}}},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
--- a/fleet/model_test.go
+++ b/fleet/model_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/rainford/rainford/feed"
 	"github.com/rainford/rainford/fleet"
 	"github.com/rainford/rainford/peer"
 	"github.com/rainford/rainford/upstream"
@@ -40,8 +41,8 @@
 
 const round = fleet.RoundTime
 
-// revisions are those that a message of gossip carries.
-var revisions = []int64{70_000, 70_000, 70_000, 70_000, 70_000}
+// positions are those that a message of gossip carries.
+var positions = slices.Repeat([]feed.Position{feed.At(3, 70_000)}, 5)
 
 // busy are as many loads of targets as a message of gossip carries, as while a site is
 // overloaded.
@@ -96,7 +97,7 @@
 		v.Beat(m.now)
 		for _, partner := range v.Partners(m.now, m.rnd) {
 			beats := v.Beats(m.now, partner.Region)
-			message := &peer.Gossip{Beats: beats, Revisions: revisions}
+			message := &peer.Gossip{Beats: beats, Positions: positions}
 			if partner.Region == v.Self().Region {
 				message.Busy = busy
 			}
--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -43,16 +43,17 @@
 	if replica.At() == before {
 		return true
 	}
-	if before == 0 {
+	g.enterEra(replica.At().Era, source)
+	if before.IsZero() {
 		g.answerAskers(d.Kind)
 	}
-	if before == 0 && d.Kind == KindInstances {
+	if before.IsZero() && d.Kind == KindInstances {
 		g.instancesAt = g.clock.Now()
 	}
 	if len(changes) > 0 {
-		g.putInForce(g.clock.Now(), d.Kind, changes, source, replica.At())
+		g.putInForce(g.clock.Now(), d.Kind, changes, source, replica.At().Revision)
 	}
-	if before == 0 && d.Kind == KindInstances {
+	if before.IsZero() && d.Kind == KindInstances {
 		g.shareOut(g.clock.Now())
 	}
 	switch d.Kind {
@@ -62,7 +63,7 @@
 		g.knowRollouts()
 	}
 	g.noteReady()
-	if len(changes) > 0 && before > 0 {
+	if !before.IsZero() && (len(changes) > 0 || d.To.Era != before.Era) {
 		if d.Full {
 			d = feed.Difference(d.Kind, before, d.To, changes)
 		}
@@ -213,7 +214,7 @@
 // has no part: those that it happens to know are fewer than the others divide by, and the parts
 // would add up to more than there is. The caller holds mu.
 func (g *Gateway) shareOut(now time.Time) {
-	if g.replicas[KindInstances].At() == 0 {
+	if g.replicas[KindInstances].At().IsZero() {
 		return
 	}
 	members := make(map[string][]string)
--- a/gateway/apply_test.go
+++ b/gateway/apply_test.go
@@ -50,8 +50,8 @@
 // an entry that went and came back is there, one that changed and went is not.
 func TestOrderWithinADelta(t *testing.T) {
 	g := newPlain(t)
-	g.take(feed.Delta{Kind: KindTargets, To: 1, Full: true, Changes: []feed.Change{change("back", false)}}, sourceStore)
-	g.take(feed.Delta{Kind: KindTargets, From: 1, To: 5, Changes: []feed.Change{
+	g.take(feed.Delta{Kind: KindTargets, To: feed.At(0, 1), Full: true, Changes: []feed.Change{change("back", false)}}, sourceStore)
+	g.take(feed.Delta{Kind: KindTargets, From: feed.At(0, 1), To: feed.At(0, 5), Changes: []feed.Change{
 		change("back", true), change("back", false), change("gone", false), change("gone", true),
 	}}, sourceStore)
 	// Three slots take five requests.
@@ -66,7 +66,7 @@
 // the time for which removals are held back grows meanwhile.
 func TestLapseIsExtended(t *testing.T) {
 	g := newPlain(t)
-	g.take(feed.Delta{Kind: KindTargets, To: 1, Full: true, Changes: []feed.Change{change("kept", false), change("lapsed", false)}}, sourceStore)
+	g.take(feed.Delta{Kind: KindTargets, To: feed.At(0, 1), Full: true, Changes: []feed.Change{change("kept", false), change("lapsed", false)}}, sourceStore)
 	learn := func(remaining time.Duration) {
 		g.mu.Lock()
 		defer g.mu.Unlock()
@@ -79,7 +79,7 @@
 		return ok
 	}
 	learn(50 * time.Millisecond)
-	g.take(feed.Delta{Kind: KindTargets, From: 1, To: 2, Changes: []feed.Change{change("lapsed", true)}}, sourceStore)
+	g.take(feed.Delta{Kind: KindTargets, From: feed.At(0, 1), To: feed.At(0, 2), Changes: []feed.Change{change("lapsed", true)}}, sourceStore)
 	learn(300 * time.Millisecond)
 	require.True(t, held("lapsed"))
 	require.Eventually(t, func() bool { return !held("lapsed") }, 10*time.Second, 5*time.Millisecond)
--- a/gateway/delta.go
+++ b/gateway/delta.go
@@ -79,8 +79,8 @@
 		return
 	}
 	now := g.clock.Now()
-	g.log.Info(logGap, "kind", d.Kind, "source", from, "begins", d.From, "revision", replica.At())
-	g.catchUp[d.Kind].Gap(now, replica.At(), feed.Source{Addr: from, Revision: d.To})
+	g.log.Info(logGap, "kind", d.Kind, "source", from, "begins", d.From.Revision, "revision", replica.At().Revision)
+	g.catchUp[d.Kind].Gap(now, replica.At(), feed.Source{Addr: from, Position: d.To})
 	g.ask(now, d.Kind)
 }
 
@@ -102,9 +102,9 @@
 	replica := g.replicas[m.Kind]
 	switch {
 	case replica == nil:
-	case replica.At() == 0 && len(g.askers[m.Kind]) < maxAskers:
+	case replica.At().IsZero() && len(g.askers[m.Kind]) < maxAskers:
 		g.askers[m.Kind] = append(g.askers[m.Kind], m)
-	case replica.At() > m.Revision:
+	case replica.At().After(m.Position):
 		g.sendSince(replica, m)
 	}
 }
@@ -135,21 +135,21 @@
 
 // packedDelta is a delta from one state to another.
 type packedDelta struct {
-	from    int64
+	from    feed.Position
 	digest  uint64
-	to      int64
+	to      feed.Position
 	message *peer.Delta
 }
 
 // since returns the message that leads from what an asker holds to what the replica does.
 func (a answers) since(replica *feed.Replica, m *peer.Since) (peer.Delta, error) {
 	held, ok := a[m.Kind]
-	if !ok || held.from != m.Revision || held.digest != m.Digest || held.to != replica.At() {
-		message, err := peer.NewDelta(replica.Since(m.Revision, m.Digest))
+	if !ok || held.from != m.Position || held.digest != m.Digest || held.to != replica.At() {
+		message, err := peer.NewDelta(replica.Since(m.Position, m.Digest))
 		if err != nil {
 			return peer.Delta{}, err
 		}
-		held = packedDelta{from: m.Revision, digest: m.Digest, to: replica.At(), message: message}
+		held = packedDelta{from: m.Position, digest: m.Digest, to: replica.At(), message: message}
 		a[m.Kind] = held
 	}
 	return *held.message, nil
--- a/gateway/delta_test.go
+++ b/gateway/delta_test.go
@@ -77,7 +77,7 @@
 func TestAskersAreAnswered(t *testing.T) {
 	g, in := newSender(t), newInbox(t)
 	g.Receive("", &peer.Since{Kind: KindInstances, ReplyTo: in.addr})
-	whole := feed.Delta{Kind: KindInstances, To: 7, Full: true, Changes: []feed.Change{{Object: feed.Object{Name: "n1", Value: []byte(`{"name":"n1","hall":"a1","region":"a","front_addr":"10.0.0.1:1","peer_addr":"10.0.0.1:2"}`)}}}}
+	whole := feed.Delta{Kind: KindInstances, To: feed.At(0, 7), Full: true, Changes: []feed.Change{{Object: feed.Object{Name: "n1", Value: []byte(`{"name":"n1","hall":"a1","region":"a","front_addr":"10.0.0.1:1","peer_addr":"10.0.0.1:2"}`)}}}}
 	require.True(t, g.take(whole, sourceStore))
 	g.Receive("", &peer.Since{Kind: KindInstances, ReplyTo: in.addr})
 	for range 2 {
@@ -117,7 +117,7 @@
 		g.view.Add(m)
 		g.view.Hear(now, fleet.Beats{{Member: fleet.IDOf(m.Name), Number: fleet.NumberAt(now)}})
 	}
-	message, err := peer.NewDelta(feed.Delta{Kind: KindTargets, From: 1, To: 2})
+	message, err := peer.NewDelta(feed.Delta{Kind: KindTargets, From: feed.At(0, 1), To: feed.At(0, 2)})
 	require.NoError(t, err)
 	g.relayDelta(message)
 	g.relayDelta(message.RelayTo(fleet.Branch{Until: fleet.IDOf("n1")}))
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -60,6 +60,7 @@
 
 // gossip sends one round, to all that are alive if wide is set.
 func (g *Gateway) gossip(now time.Time, wide bool) {
+	g.noteEra()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	watches := g.watches(now)
@@ -109,9 +110,9 @@
 
 // message returns what this instance tells one of a region. The caller holds mu.
 func (g *Gateway) message(now time.Time, region string) *peer.Gossip {
-	m := &peer.Gossip{Beats: g.view.Beats(now, region), Revisions: make([]int64, 0, len(g.kinds)), NewsSum: g.newsSum(), DeparturesSum: g.departures.sum(now), LimitsSum: g.targetLimits.sum(now)}
+	m := &peer.Gossip{Beats: g.view.Beats(now, region), Positions: make([]feed.Position, 0, len(g.kinds)), NewsSum: g.newsSum(), DeparturesSum: g.departures.sum(now), LimitsSum: g.targetLimits.sum(now)}
 	for _, kind := range g.kinds {
-		m.Revisions = append(m.Revisions, g.replicas[kind].At())
+		m.Positions = append(m.Positions, g.replicas[kind].At())
 	}
 	if now.Sub(g.startedAt) < introduceFor || g.rounds%introduceEvery == 0 {
 		self := g.view.Self()
@@ -266,7 +267,7 @@
 	if m.Unheard {
 		g.renewFor(now, sender.PeerAddr)
 	}
-	ahead := g.compare(now, sender, m.Revisions)
+	ahead := g.compare(now, sender, m.Positions)
 	outlived, behindItself := g.view.Outlived(m.Beats)
 	var missed quarantine.News
 	var left availability.DepartureList
@@ -290,41 +291,41 @@
 	}
 }
 
-// compare holds the revisions of another instance against the own ones. It notes the kinds
+// compare holds the positions of another instance against the own ones. It notes the kinds
 // with which the other is ahead, and tells whether it has to be told that it is behind. The
 // caller holds mu.
-func (g *Gateway) compare(now time.Time, sender fleet.Member, revisions []int64) (ahead bool) {
+func (g *Gateway) compare(now time.Time, sender fleet.Member, positions []feed.Position) (ahead bool) {
 	for i, kind := range g.kinds {
-		if i >= len(revisions) {
+		if i >= len(positions) {
 			break
 		}
 		at := g.replicas[kind].At()
-		if kind == KindRollouts && revisions[i] == at && sender.Region == g.config.Region {
+		if kind == KindRollouts && positions[i] == at && sender.Region == g.config.Region {
 			g.knowRollouts()
 		}
-		switch revision := revisions[i]; {
-		case revision > at:
-			after := g.patience(now, kind, at, sender.Region == g.config.Region)
-			g.catchUp[kind].Ahead(now, at, feed.Source{Addr: sender.PeerAddr, Revision: revision, After: after})
-		case revision < at && (revision == 0 || urgent(kind)):
+		switch position := positions[i]; {
+		case position.After(at):
+			after := g.patience(now, kind, !at.IsZero(), sender.Region == g.config.Region)
+			g.catchUp[kind].Ahead(now, at, feed.Source{Addr: sender.PeerAddr, Position: position, After: after})
+		case at.After(position) && (position.IsZero() || urgent(kind)):
 			ahead = true
 		}
 	}
 	return ahead
 }
 
-// patience is how long a replica at a revision may be behind before an instance, which is
+// patience is how long a replica, which holds something or not, may be behind before an instance, which is
 // near or not, is asked for what is missing: not at all if the kind is urgent, until the own
 // first read had its time if the replica holds nothing and the instance is near, and else as
 // long as a push may take. That is longer while a watcher of the own region may be about to
 // push, for which a watcher does not wait: its own watch would have told it.
-func (g *Gateway) patience(now time.Time, kind feed.Kind, revision int64, near bool) time.Duration {
+func (g *Gateway) patience(now time.Time, kind feed.Kind, held, near bool) time.Duration {
 	switch {
 	case urgent(kind):
 		return 0
-	case near && revision == 0 && g.config.FirstStart:
+	case near && !held && g.config.FirstStart:
 		return 0
-	case near && revision == 0:
+	case near && !held:
 		return max(0, readTime-now.Sub(g.startedAt))
 	case near || g.watch.isWatching():
 		return askAfter
@@ -344,7 +345,7 @@
 	}
 	if open {
 		g.metrics.question(kind, questionUnanswered)
-		g.log.Warn(logUnanswered, "kind", kind, "asked", last.To, "for_ms", now.Sub(last.At).Milliseconds(), "revision", at)
+		g.log.Warn(logUnanswered, "kind", kind, "asked", last.To, "for_ms", now.Sub(last.At).Milliseconds(), "revision", at.Revision)
 	}
-	g.mesh.Send(addr, &peer.Since{Kind: kind, Revision: at, Digest: g.replicas[kind].Digest(), ReplyTo: g.view.Self().PeerAddr})
+	g.mesh.Send(addr, &peer.Since{Kind: kind, Position: at, Digest: g.replicas[kind].Digest(), ReplyTo: g.view.Self().PeerAddr})
 }
--- a/gateway/incarnation_model_test.go
+++ b/gateway/incarnation_model_test.go
@@ -52,12 +52,12 @@
 	s.changes = append(s.changes, c)
 }
 
-// at is the revision of the store.
-func (s *modelStore) at() int64 { return int64(len(s.changes)) }
+// at is the position of the store.
+func (s *modelStore) at() feed.Position { return feed.At(0, int64(len(s.changes))) }
 
-// since is what a watch from a revision brings.
-func (s *modelStore) since(revision int64) feed.Delta {
-	return feed.Delta{Kind: KindTargets, From: revision, To: s.at(), Changes: s.changes[revision:]}
+// since is what a watch from a position brings.
+func (s *modelStore) since(from feed.Position) feed.Delta {
+	return feed.Delta{Kind: KindTargets, From: from, To: s.at(), Changes: s.changes[from.Revision:]}
 }
 
 // list is what a list brings.
@@ -114,7 +114,7 @@
 // bring has the instance take in a delta, and its reference if it was news.
 func (in *modelInstance) bring(d feed.Delta, source string) {
 	before := in.replicas[KindTargets].At()
-	if in.take(d, source) && in.replicas[KindTargets].At() > before {
+	if in.take(d, source) && in.replicas[KindTargets].At().After(before) {
 		in.reference.bring(d)
 	}
 }
--- a/gateway/missed_departures_test.go
+++ b/gateway/missed_departures_test.go
@@ -68,12 +68,12 @@
 func TestLapsedEntryOfDeparture(t *testing.T) {
 	for _, said := range []bool{true, false} {
 		g := newPlain(t)
-		g.take(feed.Delta{Kind: KindTargets, To: 1, Full: true, Changes: []feed.Change{change("i-1", false)}}, sourceStore)
+		g.take(feed.Delta{Kind: KindTargets, To: feed.At(0, 1), Full: true, Changes: []feed.Change{change("i-1", false)}}, sourceStore)
 		if said {
 			g.heardLeaving("i-1")
 		}
 		g.lapse.Learned(g.clock.Now(), time.Minute)
-		g.take(feed.Delta{Kind: KindTargets, From: 1, To: 2, Changes: []feed.Change{change("i-1", true)}}, sourceStore)
+		g.take(feed.Delta{Kind: KindTargets, From: feed.At(0, 1), To: feed.At(0, 2), Changes: []feed.Change{change("i-1", true)}}, sourceStore)
 		_, listed := g.listed.specs["i-1"]
 		require.Equal(t, !said, listed)
 	}
@@ -86,7 +86,7 @@
 	require.NoError(t, err)
 	t.Cleanup(server.Close)
 	g := newPlain(t)
-	g.take(feed.Delta{Kind: KindTargets, To: 1, Full: true, Changes: []feed.Change{change("i-1", false)}}, sourceStore)
+	g.take(feed.Delta{Kind: KindTargets, To: feed.At(0, 1), Full: true, Changes: []feed.Change{change("i-1", false)}}, sourceStore)
 	p := g.pools.get("s")
 	ex := &exchange{r: httptest.NewRequest("GET", "/", nil), ctx: t.Context(), route: &catalog.Route{}, deadline: g.clock.Now().Add(time.Minute)}
 	d := p.acquire(t.Context(), upstream.Request{Deadline: ex.deadline})
--- a/gateway/news_test.go
+++ b/gateway/news_test.go
@@ -66,7 +66,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := newPlain(t)
-			delta := feed.Delta{Kind: KindTable, To: 5, Full: true}
+			delta := feed.Delta{Kind: KindTable, To: feed.At(0, 5), Full: true}
 			for _, k := range c.kept {
 				raw, err := json.Marshal(k)
 				require.NoError(t, err)
--- a/gateway/ports.go
+++ b/gateway/ports.go
@@ -41,7 +41,7 @@
 }
 
 // ErrHistoryGone means that the store no longer has the changes after a
-// revision, so that the kind has to be listed again.
+// position, so that the kind has to be listed again.
 var ErrHistoryGone = errors.New("gateway: history gone")
 
 // ErrConflict means that an object has changed since the revision that a write named.
@@ -53,8 +53,8 @@
 	// ListStale returns the objects as they may have been some seconds ago, which
 	// costs the store less.
 	ListStale(ctx context.Context, kind feed.Kind) (feed.Delta, error)
-	// Watch returns the changes after a revision, or waits for one.
-	Watch(ctx context.Context, kind feed.Kind, after int64, wait time.Duration) (feed.Delta, error)
+	// Watch returns the changes after a position, or waits for one.
+	Watch(ctx context.Context, kind feed.Kind, after feed.Position, wait time.Duration) (feed.Delta, error)
 	// Probe tells whether the store answers. It is the cheapest call that there is.
 	Probe(ctx context.Context) error
 	// Create makes an object unless it is there.
--- a/gateway/question_test.go
+++ b/gateway/question_test.go
@@ -35,10 +35,10 @@
 // gossip has the neighbour tell an instance how far its targets are.
 func (n *neighbour) gossip(g *Gateway, targets int64) {
 	n.beat.Number++
-	m := &peer.Gossip{Beats: fleet.Beats{n.beat}, Member: &n.member, Revisions: make([]int64, len(kinds)), Reply: true}
+	m := &peer.Gossip{Beats: fleet.Beats{n.beat}, Member: &n.member, Positions: make([]feed.Position, len(kinds)), Reply: true}
 	for i, kind := range kinds {
 		if kind == KindTargets {
-			m.Revisions[i] = targets
+			m.Positions[i] = feed.At(0, targets)
 		}
 	}
 	g.Receive(n.addr, m)
@@ -64,9 +64,9 @@
 	g := newPlain(t)
 	var lines bytes.Buffer
 	g.log = slog.New(slog.NewJSONHandler(&lines, nil))
-	require.True(t, g.take(feed.Delta{Kind: KindTargets, To: 10, Full: true, Changes: []feed.Change{change("i-1", false)}}, sourceStore))
+	require.True(t, g.take(feed.Delta{Kind: KindTargets, To: feed.At(0, 10), Full: true, Changes: []feed.Change{change("i-1", false)}}, sourceStore))
 	silent := newNeighbour(t, "n0")
-	late := feed.Delta{Kind: KindTargets, From: 12, To: 13, Changes: []feed.Change{change("i-1", false)}}
+	late := feed.Delta{Kind: KindTargets, From: feed.At(0, 12), To: feed.At(0, 13), Changes: []feed.Change{change("i-1", false)}}
 	silent.push(t, g, late)
 	// Longer than the time for which another question waits for the answer to the first.
 	time.Sleep(fleet.RoundTime)
@@ -75,7 +75,7 @@
 	require.Contains(t, lines.String(), `"msg":"question not answered","kind":"targets","asked":"`+silent.addr+`"`)
 	text := scrape(g)
 	require.Contains(t, text, `result="unanswered"`)
-	silent.push(t, g, feed.Delta{Kind: KindTargets, From: 10, To: 13, Changes: late.Changes})
+	silent.push(t, g, feed.Delta{Kind: KindTargets, From: feed.At(0, 10), To: feed.At(0, 13), Changes: late.Changes})
 	require.Contains(t, scrape(g), `result="answered"`)
 }
 
@@ -134,17 +134,17 @@
 		apart = 100 * time.Millisecond
 	)
 	g := newPlain(t)
-	require.True(t, g.take(feed.Delta{Kind: KindTargets, To: 126, Full: true, Changes: []feed.Change{change("i-1", false)}}, sourceStore))
+	require.True(t, g.take(feed.Delta{Kind: KindTargets, To: feed.At(0, 126), Full: true, Changes: []feed.Change{change("i-1", false)}}, sourceStore))
 	require.True(t, isUsed(t, g))
 	silent, second := newNeighbour(t, "n0"), newNeighbour(t, "n2")
-	silent.push(t, g, feed.Delta{Kind: KindTargets, From: 128, To: 129, Changes: []feed.Change{leaves("i-1")}})
+	silent.push(t, g, feed.Delta{Kind: KindTargets, From: feed.At(0, 128), To: feed.At(0, 129), Changes: []feed.Change{leaves("i-1")}})
 	for range rounds {
 		silent.gossip(g, 129)
 		time.Sleep(apart)
 		second.gossip(g, 129)
 		time.Sleep(fleet.RoundTime - apart)
 		if since := second.asked(); since != nil {
-			second.push(t, g, feed.Delta{Kind: KindTargets, From: since.Revision, To: 129, Changes: []feed.Change{leaves("i-1")}})
+			second.push(t, g, feed.Delta{Kind: KindTargets, From: since.Position, To: feed.At(0, 129), Changes: []feed.Change{leaves("i-1")}})
 			break
 		}
 	}
@@ -158,15 +158,14 @@
 	cases := []struct {
 		name                string
 		kind                feed.Kind
-		revision            int64
-		near, watches       bool
+		held, near, watches bool
 		first               bool
 		sinceStart, expects time.Duration
 	}{
-		{name: "urgent", kind: KindConfig, revision: 7},
-		{name: "near", kind: KindTargets, revision: 7, near: true, expects: askAfter},
-		{name: "far", kind: KindTargets, revision: 7, expects: askFarAfter},
-		{name: "far, and nobody else of the region is to bring it", kind: KindTargets, revision: 7, watches: true, expects: askAfter},
+		{name: "urgent", kind: KindConfig, held: true},
+		{name: "near", kind: KindTargets, held: true, near: true, expects: askAfter},
+		{name: "far", kind: KindTargets, held: true, expects: askFarAfter},
+		{name: "far, and nobody else of the region is to bring it", kind: KindTargets, held: true, watches: true, expects: askAfter},
 		{name: "nothing held, just started", kind: KindTargets, near: true, expects: readTime},
 		{name: "nothing held for long", kind: KindTargets, near: true, sinceStart: readTime, expects: 0},
 		{name: "nothing held at the first start", kind: KindTargets, near: true, first: true},
@@ -175,7 +174,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			g := &Gateway{config: Config{FirstStart: c.first}, startedAt: now.Add(-c.sinceStart), watch: newWatchState()}
 			g.watch.setWatching(c.watches)
-			require.Equal(t, c.expects, g.patience(now, c.kind, c.revision, c.near))
+			require.Equal(t, c.expects, g.patience(now, c.kind, c.held, c.near))
 		})
 	}
 }
@@ -201,11 +200,11 @@
 	g.watch.setWatching(true)
 	other := newNeighbour(t, "n2")
 	other.gossip(g, 1)
-	whole := feed.Delta{Kind: KindTargets, To: 1, Full: true, Changes: []feed.Change{change("i-1", false), change("i-2", false)}}
+	whole := feed.Delta{Kind: KindTargets, To: feed.At(0, 1), Full: true, Changes: []feed.Change{change("i-1", false), change("i-2", false)}}
 	require.True(t, g.take(whole, sourceStore))
-	whole.To, whole.Changes = 5, []feed.Change{whole.Changes[0], leaves("i-2")}
+	whole.To, whole.Changes = feed.At(0, 5), []feed.Change{whole.Changes[0], leaves("i-2")}
 	require.True(t, g.take(whole, sourceStore))
-	require.Equal(t, feed.Difference(KindTargets, 1, 5, []feed.Change{leaves("i-2")}), other.delta(t))
+	require.Equal(t, feed.Difference(KindTargets, feed.At(0, 1), feed.At(0, 5), []feed.Change{leaves("i-2")}), other.delta(t))
 }
 
 // TestWhatAWatcherIsToldIsPassedOn checks that the first watcher of a region pushes also
@@ -215,8 +214,8 @@
 	g.watch.setWatching(true)
 	other, far := newNeighbour(t, "n2"), newNeighbour(t, "far")
 	other.gossip(g, 1)
-	require.True(t, g.take(feed.Delta{Kind: KindTargets, To: 1, Full: true, Changes: []feed.Change{change("i-1", false)}}, sourceStore))
-	d := feed.Delta{Kind: KindTargets, From: 1, To: 2, Changes: []feed.Change{leaves("i-1")}}
+	require.True(t, g.take(feed.Delta{Kind: KindTargets, To: feed.At(0, 1), Full: true, Changes: []feed.Change{change("i-1", false)}}, sourceStore))
+	d := feed.Delta{Kind: KindTargets, From: feed.At(0, 1), To: feed.At(0, 2), Changes: []feed.Change{leaves("i-1")}}
 	far.push(t, g, d)
 	require.Equal(t, d, other.delta(t))
 }
--- a/gateway/share_test.go
+++ b/gateway/share_test.go
@@ -37,7 +37,7 @@
 	g.shareOut(time.Now())
 	sum += 2 * warmup.Quota("n0", "t", g.pools.members["a1"], rate)
 	require.LessOrEqual(t, float64(sum), rate, "before it knows the others")
-	list := feed.Delta{Kind: KindInstances, To: 7, Full: true}
+	list := feed.Delta{Kind: KindInstances, To: feed.At(0, 7), Full: true}
 	require.True(t, g.take(list, sourceStore))
 	require.Equal(t, []string{"n0"}, g.pools.members["a1"], "a list without others is one")
 	g.view.Add(fleet.Member{Name: "n1", Hall: "a1", Region: "a"})
--- a/gateway/start.go
+++ b/gateway/start.go
@@ -66,7 +66,7 @@
 		g.askReaders(ctx)
 	}
 	wait := firstPause
-	for ctx.Err() == nil && g.revision(kind) == 0 {
+	for ctx.Err() == nil && g.position(kind).IsZero() {
 		delta, err := g.store.ListStale(ctx, kind)
 		g.noteStore(kind, err)
 		if err == nil {
@@ -93,7 +93,7 @@
 	}
 	g.awaitKind(ctx, KindInstances, instancesTime)
 	for _, reader := range g.readers() {
-		if g.revision(KindTargets) > 0 {
+		if !g.position(KindTargets).IsZero() {
 			return
 		}
 		g.mesh.Send(reader.PeerAddr, &peer.Since{Kind: KindTargets, ReplyTo: g.view.Self().PeerAddr})
@@ -123,7 +123,7 @@
 // awaitKind waits until a kind is there, for a time at most.
 func (g *Gateway) awaitKind(ctx context.Context, kind feed.Kind, most time.Duration) {
 	end := g.clock.Now().Add(most)
-	for g.clock.Now().Before(end) && g.revision(kind) == 0 && pause.For(ctx, peersPoll) {
+	for g.clock.Now().Before(end) && g.position(kind).IsZero() && pause.For(ctx, peersPoll) {
 	}
 }
 
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -5,7 +5,6 @@
 	"errors"
 	"log/slog"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/rainford/rainford/feed"
@@ -44,9 +43,9 @@
 
 // watchState is what an instance knows of its own watches.
 type watchState struct {
-	// era is that of the store that was told last.
-	era      atomic.Int64
-	mu       sync.Mutex
+	mu sync.Mutex
+	// era is the latest that the store or another instance has told of.
+	era      int64
 	deaf     bool
 	watching bool
 	// cancels ends the pending watch of a kind.
@@ -54,17 +53,17 @@
 	// missedAt is when another instance brought a change that the pending
 	// watch has not.
 	missedAt map[feed.Kind]time.Time
-	// cursors hold the revision up to which the own watch has seen that
+	// cursors hold the position up to which the own watch has seen that
 	// nothing has changed. A replica stays at its last change, so that
-	// instances with the same objects have the same revision.
-	cursors map[feed.Kind]int64
+	// instances with the same objects have the same position.
+	cursors map[feed.Kind]feed.Position
 }
 
 func newWatchState() watchState {
 	return watchState{
 		cancels:  make(map[feed.Kind]context.CancelFunc),
 		missedAt: make(map[feed.Kind]time.Time),
-		cursors:  make(map[feed.Kind]int64),
+		cursors:  make(map[feed.Kind]feed.Position),
 	}
 }
 
@@ -88,17 +87,40 @@
 // to wait for them.
 func (g *Gateway) isSeed() bool { return len(g.config.Seeds) < minSeeds }
 
-// cursor returns where the next watch begins for a replica at a revision.
-func (w *watchState) cursor(kind feed.Kind, revision int64) int64 {
+// cursor returns where the next watch begins for a replica at a position.
+func (w *watchState) cursor(kind feed.Kind, at feed.Position) feed.Position {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return max(w.cursors[kind], revision)
+	return feed.Later(w.cursors[kind], at)
 }
 
-func (w *watchState) advance(kind feed.Kind, revision int64) {
+func (w *watchState) advance(kind feed.Kind, to feed.Position) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.cursors[kind] = revision
+	w.cursors[kind] = to
+}
+
+// enter takes in that the store is in an era. When a new one has begun all pending watches are
+// given up: they wait for changes after revisions of the era before.
+func (w *watchState) enter(era int64) (before int64, begun bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	before = w.era
+	if era <= before {
+		return before, false
+	}
+	w.era = era
+	for _, cancel := range w.cancels {
+		cancel()
+	}
+	return before, true
+}
+
+// isOver tells whether a position is of an era that has ended.
+func (w *watchState) isOver(at feed.Position) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return at.Era < w.era
 }
 
 func (w *watchState) isDeaf() bool {
@@ -182,7 +204,8 @@
 	return deaf
 }
 
-func (g *Gateway) revision(kind feed.Kind) int64 {
+// position returns the position of the replica of a kind.
+func (g *Gateway) position(kind feed.Kind) feed.Position {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.replicas[kind].At()
@@ -207,30 +230,35 @@
 		err := g.readOnce(ctx, kind)
 		switch {
 		case err == nil:
-			wait = firstPause
 			g.heardStore()
-			if g.revision(kind) == 0 {
-				// The store does not know the kind yet.
-				pause.For(ctx, maxPause)
-			}
+			wait = firstPause
+			continue
 		case errors.Is(err, context.Canceled) || ctx.Err() != nil:
+			continue
+		case errors.Is(err, errNothingNewer) || errors.Is(err, ErrHistoryGone):
+			g.heardStore()
 		default:
 			g.lostStore(kind, err)
-			pause.For(ctx, wait)
-			wait = min(2*wait, maxPause)
 		}
+		pause.For(ctx, wait)
+		wait = min(2*wait, maxPause)
 	}
 }
 
+// errNothingNewer means that a list has not brought the replica forward: the store does not know the
+// kind, or answers as of some time ago.
+var errNothingNewer = errors.New("gateway: list brings nothing newer")
+
 // probeLoop finds out whether the store still answers while this instance is a watcher:
 // a pending watch does not tell.
 func (g *Gateway) probeLoop(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause.For(ctx, probeEvery)
-		if !g.watch.isWatching() || g.revision(KindConfig) == 0 {
+		if !g.watch.isWatching() || g.position(KindConfig).IsZero() {
 			continue
 		}
 		err := g.store.Probe(ctx)
+		g.noteEra()
 		if err != nil && ctx.Err() == nil {
 			g.noteStore(KindEvacuations, err)
 			g.lostStore(KindEvacuations, err)
@@ -238,10 +266,10 @@
 	}
 }
 
-// readOnce lists the kind if nothing is held, and else waits for changes.
+// readOnce lists the kind if nothing of the store's era is held, and else waits for changes.
 func (g *Gateway) readOnce(ctx context.Context, kind feed.Kind) error {
-	at := g.revision(kind)
-	if at == 0 {
+	at := g.position(kind)
+	if at.IsZero() || g.watch.isOver(at) {
 		return g.list(ctx, kind)
 	}
 	watchCtx, cancel := context.WithCancel(ctx)
@@ -251,11 +279,12 @@
 	if g.watch.isDeaf() {
 		wait = deafWait
 	}
-	delta, err := g.store.Watch(watchCtx, kind, g.watch.cursor(kind, at), wait)
+	cursor := g.watch.cursor(kind, at)
+	delta, err := g.store.Watch(watchCtx, kind, cursor, wait)
 	g.watch.end(kind)
 	g.noteStore(kind, err)
 	if errors.Is(err, ErrHistoryGone) {
-		g.log.Warn(logHistoryGone, "kind", kind, "revision", at)
+		g.log.Warn(logHistoryGone, "kind", kind, "revision", cursor.Revision)
 		return g.list(ctx, kind)
 	}
 	if err != nil {
@@ -265,8 +294,10 @@
 	if len(delta.Changes) == 0 {
 		return nil
 	}
-	// Nothing has changed between the replica's revision and the cursor.
-	delta.From = min(delta.From, g.revision(kind))
+	// Nothing has changed between the replica's position and the cursor.
+	if at := g.position(kind); at.Era == delta.From.Era && delta.From.After(at) {
+		delta.From = at
+	}
 	g.take(delta, sourceStore)
 	if kind == KindTargets || kind == KindInstances {
 		// Many of these change one after the other; one call brings several.
@@ -275,32 +306,39 @@
 	return nil
 }
 
+// list reads the whole kind. It returns errNothingNewer if the replica is not further on for it.
 func (g *Gateway) list(ctx context.Context, kind feed.Kind) error {
+	before := g.position(kind)
 	delta, err := g.store.List(ctx, kind)
 	g.noteStore(kind, err)
 	if err != nil {
 		return err
 	}
-	if at := g.revision(kind); delta.To < at {
+	if before.After(delta.To) {
 		g.metrics.calls.Add(1, string(kind), callBehind)
-		g.log.Warn(logListBehind, "kind", kind, "ends", delta.To, "revision", at, "era", g.store.Era())
+		g.log.Warn(logListBehind, "kind", kind, "ends", delta.To.Revision, "era", delta.To.Era, "revision", before.Revision, "held_era", before.Era)
 	}
 	g.take(delta, sourceStore)
+	if !g.position(kind).After(before) {
+		return errNothingNewer
+	}
 	return nil
 }
 
-// noteEra tells when the store names another era than before.
-func (g *Gateway) noteEra() {
-	era := g.store.Era()
-	before := g.watch.era.Swap(era)
-	if before == era {
+// noteEra takes in the era that the store's answers name.
+func (g *Gateway) noteEra() { g.enterEra(g.store.Era(), sourceStore) }
+
+// enterEra has the instance follow the store into an era of which a source tells.
+func (g *Gateway) enterEra(era int64, source string) {
+	before, begun := g.watch.enter(era)
+	if !begun {
 		return
 	}
 	level := slog.LevelWarn
 	if before == 0 {
 		level = slog.LevelInfo
 	}
-	g.log.Log(context.Background(), level, logStoreEra, "era", era, "before", before)
+	g.log.Log(context.Background(), level, logStoreEra, "era", era, "before", before, "source", source)
 }
 
 // noteStore takes in how a read of the store ended, before what it brought is put in
--- a/gateway/watch_test.go
+++ b/gateway/watch_test.go
@@ -66,7 +66,7 @@
 func TestRegisteredOnce(t *testing.T) {
 	g := &Gateway{config: Config{Name: "n0"}, replicas: map[feed.Kind]*feed.Replica{KindInstances: feed.NewReplica(KindInstances)}}
 	require.False(t, g.isRegistered())
-	g.replicas[KindInstances].Apply(feed.Delta{Kind: KindInstances, To: 1, Full: true, Changes: []feed.Change{{Object: feed.Object{Name: "n0"}}}})
+	g.replicas[KindInstances].Apply(feed.Delta{Kind: KindInstances, To: feed.At(0, 1), Full: true, Changes: []feed.Change{{Object: feed.Object{Name: "n0"}}}})
 	require.True(t, g.isRegistered())
 	g.register(t.Context())
 }
--- a/peer/delta_test.go
+++ b/peer/delta_test.go
@@ -14,7 +14,7 @@
 
 // entries returns a delta of n new targets, as alike as those of a site.
 func entries(n int) feed.Delta {
-	d := feed.Delta{Kind: "targets", From: 1, To: int64(n) + 1}
+	d := feed.Delta{Kind: "targets", From: feed.At(0, 1), To: feed.At(0, int64(n)+1)}
 	for i := range n {
 		value := fmt.Sprintf(`{"service":"listings","address":"10.7.%d.%d:8045","zone":"accra-a","version":"v2","slots":9,"state":"ready","warmupRemaining":"%dms","sequence":%d}`,
 			i/250, i%250, 2990+i%10, i%3)
--- a/peer/fuzz_test.go
+++ b/peer/fuzz_test.go
@@ -12,9 +12,9 @@
 func FuzzDelta(f *testing.F) {
 	for _, d := range []feed.Delta{
 		entries(3),
-		{Kind: "targets", To: 9, Full: true, Changes: entries(2).Changes},
-		feed.Difference("targets", 5, 9, entries(1).Changes),
-		{Kind: "targets", From: -1, To: -7},
+		{Kind: "targets", To: feed.At(0, 9), Full: true, Changes: entries(2).Changes},
+		feed.Difference("targets", feed.At(0, 5), feed.At(0, 9), entries(1).Changes),
+		{Kind: "targets", From: feed.At(0, -1), To: feed.At(0, -7)},
 	} {
 		m, err := peer.NewDelta(d)
 		if err != nil {
@@ -28,11 +28,11 @@
 			return
 		}
 		r := feed.NewReplica("targets")
-		r.Apply(feed.Delta{Kind: "targets", To: 5, Full: true})
+		r.Apply(feed.Delta{Kind: "targets", To: feed.At(0, 5), Full: true})
 		_, ok := r.Apply(d)
-		if r.At() < 5 || (ok && r.At() < d.To) {
-			t.Fatalf("at %d after %d to %d", r.At(), d.From, d.To)
+		if feed.At(0, 5).After(r.At()) || (ok && d.To.After(r.At())) {
+			t.Fatalf("at %v after %v to %v", r.At(), d.From, d.To)
 		}
-		r.Since(5, 0)
+		r.Since(feed.At(0, 5), 0)
 	})
 }
--- a/peer/message.go
+++ b/peer/message.go
@@ -95,7 +95,7 @@
 	Reply claim.Reply `msgpack:"r"`
 }
 
-// Gossip tells of the beats that the sender knows and the revisions that its replicas
+// Gossip tells of the beats that the sender knows and the positions that its replicas
 // reflect.
 type Gossip struct {
 	// Beats begin with the sender's own, which names it.
@@ -103,9 +103,9 @@
 	// Member is the sender itself, for receivers that may not know it; nil in most
 	// messages.
 	Member *fleet.Member `msgpack:"m,omitempty"`
-	// Revisions are those of the sender's replicas, in an order of kinds that all
+	// Positions are those of the sender's replicas, in an order of kinds that all
 	// instances share. New kinds come last.
-	Revisions []int64 `msgpack:"r,omitempty"`
+	Positions []feed.Position `msgpack:"p,omitempty"`
 	// Busy are the loads of targets that have more requests than they can work on.
 	Busy upstream.Sightings `msgpack:"l,omitempty"`
 	// Reply marks an answer to gossip, which is not answered again.
@@ -169,11 +169,11 @@
 	rollout.Report
 }
 
-// Since asks for the changes of a kind after a revision.
+// Since asks for the changes of a kind after a position.
 type Since struct {
-	Kind     feed.Kind `msgpack:"k"`
-	Revision int64     `msgpack:"r"`
-	// Digest is that of the objects that the asker holds at the revision.
+	Kind     feed.Kind     `msgpack:"k"`
+	Position feed.Position `msgpack:"p"`
+	// Digest is that of the objects that the asker holds at the position.
 	Digest uint64 `msgpack:"d,omitempty"`
 	// ReplyTo is the asker's peer address.
 	ReplyTo string `msgpack:"a"`
