What targets have said, or that they went, outlasts a restore of the store

What callers would see: a store that comes back from a copy lists targets as they were some seconds ago. One that had said that it leaves got requests again, and so did one that had gone, until each was written again; one that had come since the copy was dropped with all that ran there.

Cause: a list of the new era was taken as if somebody had just changed what differs.

Now what leads from one era to the next is told apart from changes: an entry with a lower sequence than the target's last word, of the same start, is the copy's and is passed over until the target writes again. Every later change of the new era counts at once.

Tests of feed, platform, catalog pass, and those of the gateway on targets, lapses, incarnations, restores.

--- a/catalog/target.go
+++ b/catalog/target.go
@@ -15,8 +15,10 @@
 	Name string
 	// Born is when the incarnation started, in Unix milliseconds, 0 where the platform
 	// does not tell it. Of two with the same name the one born later counts.
-	Born    int64
-	Service string
+	Born int64
+	// Sequence orders what an incarnation has written of itself.
+	Sequence int64
+	Service  string
 	// Version is that of the target's software.
 	Version string
 	// Addr is IP:PORT. After the target's end another service's server may
--- a/feed/lapse.go
+++ b/feed/lapse.go
@@ -9,16 +9,15 @@
 	// lapseOutage is the length of an outage of the store from which on objects
 	// that are kept alive by writes may have lapsed meanwhile.
 	lapseOutage = 3 * time.Second
-	// lapseGrace is how long after the outage their owners may take to write
-	// them again.
+	// lapseGrace is how long after it their owners may take to write them again.
 	lapseGrace = 2 * time.Second
 )
 
-// Lapse holds back removals that follow an outage of the store. Objects that their
-// owners keep alive by writing them lapse while the store is away, and are back soon
-// after it: a removal that an instance learns of in that time counts only if the
-// object is still missing when it is over. Lapse is not safe for concurrent use; the
-// zero value is ready.
+// Lapse holds back removals that follow an outage of the store, or its return from a copy.
+// Objects that their owners keep alive by writing them lapse while the store is away, and
+// what was written after the copy is gone; both are back soon after it: a removal that an
+// instance learns of in that time counts only if the object is still missing when it is
+// over. Lapse is not safe for concurrent use; the zero value is ready.
 type Lapse struct {
 	heardAt time.Time
 	lost    bool
@@ -38,6 +37,9 @@
 	l.heardAt = now
 }
 
+// Restored takes in that the store has come back from a copy.
+func (l *Lapse) Restored(now time.Time) { l.Learned(now, lapseGrace) }
+
 // Learned takes in that another instance, from which removals come, holds them back
 // for a while.
 func (l *Lapse) Learned(now time.Time, remaining time.Duration) {
--- /dev/null
+++ b/feed/relisted_test.go
@@ -0,0 +1,66 @@
+package feed_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/rainford/rainford/feed"
+)
+
+// TestRelisted draws removals, restores of the store, lists and writes, and checks against a naive
+// reference that an object is held back exactly if it was removed within the age of a copy and not
+// written since, for as long as is asked, and that each that was held back and is still there counts
+// once, in the end.
+func TestRelisted(t *testing.T) {
+	const hold, copyAge = 2 * time.Second, 30 * time.Second
+	rapid.Check(t, func(t *rapid.T) {
+		var r feed.Relisted
+		now := time.Unix(1000, 0)
+		until := now
+		removed := map[string]time.Time{}
+		held := map[string]bool{}
+		expire := func() {
+			for _, name := range r.Expired(now) {
+				require.True(t, held[name], name)
+				require.False(t, now.Before(until))
+				delete(held, name)
+				delete(removed, name)
+			}
+			require.Equal(t, len(held) > 0, r.Holding())
+		}
+		for range 60 {
+			now = now.Add(time.Duration(rapid.IntRange(1, 8000).Draw(t, "ms")) * time.Millisecond)
+			expire()
+			name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0:
+				r.Removed(now, name)
+				removed[name] = now
+				delete(held, name)
+			case 1:
+				r.Restored(now, hold)
+				until = now.Add(hold)
+			case 2:
+				at, known := removed[name]
+				want := known && now.Sub(at) <= copyAge && now.Before(until)
+				require.Equal(t, want, r.Hold(now, name))
+				held[name] = held[name] || want
+				if !held[name] {
+					delete(held, name)
+				}
+			case 3:
+				r.Written(name)
+				delete(removed, name)
+				delete(held, name)
+			case 4:
+				r.Forget(now)
+			}
+		}
+		now = now.Add(time.Minute)
+		expire()
+		require.Empty(t, held)
+	})
+}
--- a/feed/replica.go
+++ b/feed/replica.go
@@ -72,6 +72,12 @@
 	return ok
 }
 
+// Get returns the value of the object of a name.
+func (r *Replica) Get(name string) ([]byte, bool) {
+	value, ok := r.objects[name]
+	return value, ok
+}
+
 // Objects calls f with each object.
 func (r *Replica) Objects(f func(Object)) {
 	for name, value := range r.objects {
--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -18,10 +18,21 @@
 // sourceStore is the source of a delta that the own watch brought.
 const sourceStore = "store"
 
-// sourceLapse is the source of a removal that was held back after an outage of the
+// sourceLapse is the source of a change that was held back after an outage of the
 // store.
 const sourceLapse = "lapse"
 
+// provenance is where changes come from.
+type provenance struct {
+	// source is sourceStore, the peer address of the instance that sent them, or sourceLapse.
+	source string
+	// revision is that of the replica with them.
+	revision int64
+	// restored says that they lead from what was held to what a store holds that came back from a
+	// copy: some are no changes that anybody has made.
+	restored bool
+}
+
 // take applies a delta and puts its changes in force. Source is sourceStore or
 // the peer address of the instance that sent it. It reports whether the replica
 // now reflects the delta's end.
@@ -50,8 +61,13 @@
 	if before.IsZero() && d.Kind == KindInstances {
 		g.instancesAt = g.clock.Now()
 	}
+	now := g.clock.Now()
+	from := provenance{source: source, revision: replica.At().Revision, restored: !before.IsZero() && before.Era != replica.At().Era}
+	if from.restored {
+		g.holdBack(now, d.Kind)
+	}
 	if len(changes) > 0 {
-		g.putInForce(g.clock.Now(), d.Kind, changes, source, replica.At().Revision)
+		g.putInForce(now, d.Kind, changes, from)
 	}
 	if before.IsZero() && d.Kind == KindInstances {
 		g.shareOut(g.clock.Now())
@@ -76,21 +92,21 @@
 }
 
 // putInForce makes changes count. The caller holds mu.
-func (g *Gateway) putInForce(now time.Time, kind feed.Kind, changes []feed.Change, source string, revision int64) {
+func (g *Gateway) putInForce(now time.Time, kind feed.Kind, changes []feed.Change, from provenance) {
 	switch kind {
 	case KindConfig:
 		for _, c := range changes {
-			g.applyConfig(c, source, revision)
+			g.applyConfig(c, from)
 		}
 	case KindTargets:
-		g.applyTargets(now, changes, source, revision)
+		g.applyTargets(now, changes, from)
 	case KindEvacuations:
 		for _, c := range changes {
 			g.evacuated[c.Name] = !c.Gone
 			if c.Gone {
 				delete(g.evacuated, c.Name)
 			}
-			g.log.Info(logEvacuation, "hall", c.Name, "evacuated", !c.Gone, "source", source, "revision", revision)
+			g.log.Info(logEvacuation, "hall", c.Name, "evacuated", !c.Gone, "source", from.source, "revision", from.revision)
 		}
 		g.pools.setTargets(now, g.listed.specs, g.evacuated)
 	case KindTable:
@@ -98,7 +114,7 @@
 		// before.
 		slices.SortStableFunc(changes, func(a, b feed.Change) int { return cmp.Compare(releases(a), releases(b)) })
 		for _, c := range changes {
-			g.applyTable(c, source, revision)
+			g.applyTable(c, from)
 		}
 		g.pools.setTargets(now, g.listed.specs, g.evacuated)
 	case KindInstances:
@@ -106,44 +122,44 @@
 		g.shareOut(now)
 	case KindRollouts:
 		for _, c := range changes {
-			g.applyRollout(now, c, source, revision)
+			g.applyRollout(now, c, from)
 		}
 	}
 }
 
 // applyConfig puts a configuration in force unless it is older than the one
 // that is.
-func (g *Gateway) applyConfig(c feed.Change, source string, revision int64) {
+func (g *Gateway) applyConfig(c feed.Change, from provenance) {
 	if c.Gone {
 		return
 	}
 	config, err := g.codec.Config(c.Name, c.Value)
 	if err != nil {
-		g.log.Error(logConfigRefused, "error", err.Error(), "source", source, "revision", revision)
+		g.log.Error(logConfigRefused, "error", err.Error(), "source", from.source, "revision", from.revision)
 		return
 	}
 	old := g.router.Load()
 	if old != nil && config.Version <= old.Config().Version {
-		g.log.Warn(logConfigOld, "version", config.Version, "in_force", old.Config().Version, "source", source)
+		g.log.Warn(logConfigOld, "version", config.Version, "in_force", old.Config().Version, "source", from.source)
 		return
 	}
 	router, err := catalog.NewRouter(config)
 	if err != nil {
-		g.log.Error(logConfigRefused, "version", config.Version, "error", err.Error(), "source", source, "revision", revision)
+		g.log.Error(logConfigRefused, "version", config.Version, "error", err.Error(), "source", from.source, "revision", from.revision)
 		return
 	}
 	g.router.Store(router)
 	g.pools.setServices(config.Services)
 	g.pools.setHomeShares(config.HomeShares())
-	g.log.Info(logConfig, "version", config.Version, "routes", len(config.Routes), "source", source, "revision", revision)
+	g.log.Info(logConfig, "version", config.Version, "routes", len(config.Routes), "source", from.source, "revision", from.revision)
 }
 
 // applyTable puts the operators' table in force: their rows in place of the shares
 // computed from slots, and their drains. Other objects of the kind are not for
 // instances.
-func (g *Gateway) applyTable(c feed.Change, source string, revision int64) {
+func (g *Gateway) applyTable(c feed.Change, from provenance) {
 	if strings.HasPrefix(c.Name, quarantine.KeptPrefix) {
-		g.applyKept(c, source, revision)
+		g.applyKept(c, from)
 		return
 	}
 	if c.Name != config.Key {
@@ -151,7 +167,7 @@
 	}
 	doc, err := config.Decode(c.Value)
 	if err != nil {
-		g.log.Error(logTableRefused, "error", err.Error(), "source", source, "revision", revision)
+		g.log.Error(logTableRefused, "error", err.Error(), "source", from.source, "revision", from.revision)
 		return
 	}
 	if c.Gone {
@@ -159,7 +175,7 @@
 	}
 	plan := table.Compile(&doc.Table, doc.Number)
 	g.pools.setPlan(plan)
-	g.log.Info(logTable, "number", doc.Number, "rows", len(doc.Table.Rows), "source", source, "revision", revision)
+	g.log.Info(logTable, "number", doc.Number, "rows", len(doc.Table.Rows), "source", from.source, "revision", from.revision)
 }
 
 // applyInstances takes in changes of instances' entries.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -85,8 +85,10 @@
 	registered map[string]fleet.Member
 	// askers are instances that asked for a kind that this one does not have yet.
 	askers map[feed.Kind][]*peer.Since
-	// lapse holds back removals of targets after an outage of the store.
+	// lapse holds back removals of targets after an outage of the store, and relisted targets
+	// that had gone and that a restored store lists again.
 	lapse    feed.Lapse
+	relisted feed.Relisted
 	reported reporter
 
 	readiness readiness
@@ -168,6 +170,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.listed.expire(now)
+	g.relisted.Forget(now)
 }
 
 func orElse(a, b string) string {
--- a/gateway/kept.go
+++ b/gateway/kept.go
@@ -67,14 +67,14 @@
 }
 
 // applyKept takes in what the store keeps of a held request. The caller holds mu.
-func (g *Gateway) applyKept(c feed.Change, source string, revision int64) {
+func (g *Gateway) applyKept(c feed.Change, from provenance) {
 	if c.Gone {
 		return
 	}
 	kept, err := quarantine.ParseKept(c.Name, c.Value)
 	if err != nil {
 		g.metrics.refused.Add(1, string(KindTable), "entry")
-		g.log.Error(logKeptRefused, "name", c.Name, "error", err.Error(), "source", source, "revision", revision)
+		g.log.Error(logKeptRefused, "name", c.Name, "error", err.Error(), "source", from.source, "revision", from.revision)
 		return
 	}
 	facts, ok := kept.Facts(time.Now())
--- a/gateway/logs.go
+++ b/gateway/logs.go
@@ -26,6 +26,7 @@
 	logTargetRefused  = "target refused"
 	logTargetsRefused = "targets refused"
 	logTargetOld      = "target is not newer"
+	logTargetOfCopy   = "target is as in the store's copy"
 	logTargetGone     = "target gone"
 	logTargetLapsed   = "target lapsed"
 	logTargetBelief   = "target belief"
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -72,12 +72,12 @@
 func (r *serviceRollout) goesOn() bool { return !r.record.State.IsVerdict() }
 
 // applyRollout takes in an order, or what has become of it.
-func (g *Gateway) applyRollout(now time.Time, c feed.Change, source string, revision int64) {
+func (g *Gateway) applyRollout(now time.Time, c feed.Change, from provenance) {
 	known := g.rollouts.of(c.Name)
 	if c.Gone {
 		if known != nil {
 			known.withdraw()
-			g.log.Info(logRollout, "service", c.Name, "withdrawn", true, "source", source, "revision", revision)
+			g.log.Info(logRollout, "service", c.Name, "withdrawn", true, "source", from.source, "revision", from.revision)
 		}
 		g.rollouts.note(c.Name, known)
 		return
@@ -85,7 +85,7 @@
 	record, err := g.codec.Rollout(c.Name, c.Value)
 	if err != nil {
 		g.metrics.refused.Add(1, string(KindRollouts), "entry")
-		g.log.Error(logRolloutRefused, "service", c.Name, "error", err.Error(), "source", source, "revision", revision)
+		g.log.Error(logRolloutRefused, "service", c.Name, "error", err.Error(), "source", from.source, "revision", from.revision)
 		return
 	}
 	if known == nil || known.order().ID() != record.Order.ID() {
@@ -93,7 +93,7 @@
 	}
 	known.learn(record)
 	g.log.Info(logRollout, "service", record.Service, "version", record.Version, "duration_ms", record.Duration.Milliseconds(),
-		"state", record.State, "source", source, "revision", revision)
+		"state", record.State, "source", from.source, "revision", from.revision)
 	g.rollouts.note(c.Name, known)
 }
 
--- a/gateway/targets.go
+++ b/gateway/targets.go
@@ -30,10 +30,11 @@
 	texts map[string]string
 }
 
-// incarnation is when a target started, and when its entry went, zero while there is one.
+// incarnation is when a target started, the sequence of what it wrote last, and when its entry went,
+// zero while there is one.
 type incarnation struct {
-	born   int64
-	goneAt time.Time
+	born, sequence int64
+	goneAt         time.Time
 }
 
 // bornKept is how long it is remembered when a target that is gone had started. A write of an
@@ -73,6 +74,8 @@
 		delete(l.gone, spec.Name)
 	case known > 0:
 		l.gone[spec.Name] = incarnation{born: known}
+	default:
+		delete(l.gone, spec.Name)
 	}
 }
 
@@ -94,12 +97,23 @@
 
 // drop takes in that a name has no target to use any more.
 func (l *listed) drop(now time.Time, name string) {
-	known := l.born(name)
+	last := incarnation{born: l.born(name), sequence: l.gone[name].sequence, goneAt: now}
+	if spec := l.specs[name]; spec != nil {
+		last.sequence = spec.Sequence
+	}
 	delete(l.specs, name)
 	delete(l.refused, name)
-	if known > 0 {
-		l.gone[name] = incarnation{born: known, goneAt: now}
+	l.gone[name] = last
+}
+
+// isOfCopy tells whether an entry of a store that came back from a copy is what a target had written
+// before what is known of it: before its last word, or before it went.
+func (l *listed) isOfCopy(spec catalog.Target) bool {
+	if known := l.specs[spec.Name]; known != nil {
+		return known.ID == spec.ID && spec.Sequence < known.Sequence
 	}
+	last, went := l.gone[spec.Name]
+	return went && last.born == spec.Born && spec.Sequence <= last.sequence
 }
 
 // expire forgets when targets had started that are gone for long.
@@ -114,11 +128,11 @@
 // applyTargets takes in changes of targets' entries. An entry that can't be taken names no
 // target: what was listed under its name is no longer used, and all others hold. The caller
 // holds mu.
-func (g *Gateway) applyTargets(now time.Time, changes []feed.Change, source string, revision int64) {
+func (g *Gateway) applyTargets(now time.Time, changes []feed.Change, from provenance) {
 	level := slog.LevelInfo
 	if len(changes) >= manyTargets {
 		level = slog.LevelDebug
-		g.log.Info(logTargets, "changes", len(changes), "held", g.replicas[KindTargets].Len(), "source", source, "revision", revision)
+		g.log.Info(logTargets, "changes", len(changes), "held", g.replicas[KindTargets].Len(), "source", from.source, "revision", from.revision)
 	}
 	before := make(map[string]*catalog.Target, len(changes))
 	refused := 0
@@ -128,34 +142,40 @@
 			before[c.Name] = g.listed.specs[c.Name]
 		}
 		if c.Gone && !g.leaves(c.Name) && g.lapse.Hold(now, c.Name) {
-			g.log.Log(ctx, level, logTargetLapsed, "target", c.Name, "for_ms", g.lapse.Remaining(now).Milliseconds(), "source", source, "revision", revision)
+			g.log.Log(ctx, level, logTargetLapsed, "target", c.Name, "for_ms", g.lapse.Remaining(now).Milliseconds(), "source", from.source, "revision", from.revision)
 			continue
 		}
 		g.lapse.Back(c.Name)
 		if c.Gone {
 			g.listed.drop(now, c.Name)
-			g.log.Log(ctx, level, logTargetGone, "target", c.Name, "source", source, "revision", revision)
+			g.relisted.Removed(now, c.Name)
+			g.log.Log(ctx, level, logTargetGone, "target", c.Name, "source", from.source, "revision", from.revision)
 			continue
 		}
 		spec, err := g.targetOf(c)
 		if err != nil {
 			refused++
-			g.refuseTarget(now, c, err, refused, source, revision)
+			g.refuseTarget(now, c, err, refused, from)
 			continue
 		}
 		if g.listed.isOld(spec) {
-			g.log.Log(ctx, level, logTargetOld, "target", c.Name, "born", spec.Born, "known", g.listed.born(c.Name), "source", source, "revision", revision)
+			g.log.Log(ctx, level, logTargetOld, "target", c.Name, "born", spec.Born, "known", g.listed.born(c.Name), "source", from.source, "revision", from.revision)
 			continue
 		}
+		if from.restored && g.isHeldBack(now, spec) {
+			g.log.Log(ctx, level, logTargetOfCopy, "target", c.Name, "sequence", spec.Sequence, "source", from.source, "revision", from.revision)
+			continue
+		}
+		g.relisted.Written(c.Name)
 		g.listed.put(spec)
 		g.log.Log(ctx, level, logTarget, "target", spec.ID, "service", spec.Service, "version", spec.Version, "hall", spec.Hall, "addr", spec.Addr,
-			"leaves", spec.Leaves, "cold_ms", spec.ColdFor.Milliseconds(), "source", source, "revision", revision)
+			"leaves", spec.Leaves, "cold_ms", spec.ColdFor.Milliseconds(), "source", from.source, "revision", from.revision)
 	}
 	if refused > maxRefusedLines {
-		g.log.Error(logTargetsRefused, "entries", refused, "source", source, "revision", revision)
+		g.log.Error(logTargetsRefused, "entries", refused, "source", from.source, "revision", from.revision)
 	}
 	g.useTargets(now, before)
-	g.awaitLapsed(now)
+	g.awaitHeld(now)
 }
 
 // leaves tells whether the target of a name has said that it leaves, in the list or by its own
@@ -179,7 +199,7 @@
 
 // refuseTarget takes in an entry that names no target to use. The nth of a delta is told in a
 // line of its own if it is among the first. The caller holds mu.
-func (g *Gateway) refuseTarget(now time.Time, c feed.Change, err error, nth int, source string, revision int64) {
+func (g *Gateway) refuseTarget(now time.Time, c feed.Change, err error, nth int, from provenance) {
 	g.listed.drop(now, c.Name)
 	field := "entry"
 	var foreign *catalog.EntryError
@@ -189,7 +209,7 @@
 	}
 	g.metrics.refused.Add(1, string(KindTargets), field)
 	if nth <= maxRefusedLines {
-		g.log.Error(logTargetRefused, "target", c.Name, "field", field, "error", err.Error(), "source", source, "revision", revision)
+		g.log.Error(logTargetRefused, "target", c.Name, "field", field, "error", err.Error(), "source", from.source, "revision", from.revision)
 	}
 }
 
@@ -211,31 +231,3 @@
 	g.pools.changeTargets(now, changed, gone, g.evacuated)
 	g.listedEnds(now, changed, gone)
 }
-
-// awaitLapsed looks again when removals are no longer held back. That time may be put
-// off meanwhile. The caller holds mu.
-func (g *Gateway) awaitLapsed(now time.Time) {
-	if g.lapse.Holding() {
-		time.AfterFunc(g.lapse.Remaining(now)+time.Millisecond, g.expireLapsed)
-	}
-}
-
-// expireLapsed removes the targets whose entries are still missing some time after
-// an outage of the store.
-func (g *Gateway) expireLapsed() {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	now := g.clock.Now()
-	names := g.lapse.Expired(now)
-	g.awaitLapsed(now)
-	if len(names) == 0 {
-		return
-	}
-	before := make(map[string]*catalog.Target, len(names))
-	for _, name := range names {
-		before[name] = g.listed.specs[name]
-		g.listed.drop(now, name)
-		g.log.Info(logTargetGone, "target", name, "source", sourceLapse)
-	}
-	g.useTargets(now, before)
-}
