Evacuations that were confirmed outlast a restore of the store

What operators would see: a hall that is being emptied gets requests again, or one that was taken back is emptied again, when the store comes back from a copy and until the operator's write is repeated.

Cause: as with targets, what differs in the copy was taken for a change. Now the first delta of a new era does not count at once: what it lacks holds for 2 s, and what had been removed within the last 30 s stays so for 2 s; each later change counts at once. One part (held) does it for each kind.

Tests of feed and of the gateway on evacuations, targets, lapses, incarnations and orders pass.

--- a/feed/lapse.go
+++ b/feed/lapse.go
@@ -37,14 +37,17 @@
 	l.heardAt = now
 }
 
-// Restored takes in that the store has come back from a copy.
-func (l *Lapse) Restored(now time.Time) { l.Learned(now, lapseGrace) }
+// Restored takes in that the store has come back from a copy: removals are held back for a time.
+func (l *Lapse) Restored(now time.Time, hold time.Duration) { l.extend(now, hold) }
 
 // Learned takes in that another instance, from which removals come, holds them back
 // for a while.
 func (l *Lapse) Learned(now time.Time, remaining time.Duration) {
-	remaining = min(remaining, lapseGrace)
-	if until := now.Add(remaining); remaining > 0 && until.After(l.until) {
+	l.extend(now, min(remaining, lapseGrace))
+}
+
+func (l *Lapse) extend(now time.Time, hold time.Duration) {
+	if until := now.Add(hold); hold > 0 && until.After(l.until) {
 		l.until = until
 	}
 }
--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -101,14 +101,7 @@
 	case KindTargets:
 		g.applyTargets(now, changes, from)
 	case KindEvacuations:
-		for _, c := range changes {
-			g.evacuated[c.Name] = !c.Gone
-			if c.Gone {
-				delete(g.evacuated, c.Name)
-			}
-			g.log.Info(logEvacuation, "hall", c.Name, "evacuated", !c.Gone, "source", from.source, "revision", from.revision)
-		}
-		g.pools.setTargets(now, g.listed.specs, g.evacuated)
+		g.applyEvacuations(now, changes, from)
 	case KindTable:
 		// What releases held requests comes last: it counts for all that is told of them
 		// before.
@@ -127,6 +120,19 @@
 	}
 }
 
+// applyEvacuations has halls be emptied or taken back. The caller holds mu.
+func (g *Gateway) applyEvacuations(now time.Time, changes []feed.Change, from provenance) {
+	for _, c := range g.held[KindEvacuations].counting(now, changes, from.restored) {
+		g.evacuated[c.Name] = !c.Gone
+		if c.Gone {
+			delete(g.evacuated, c.Name)
+		}
+		g.log.Info(logEvacuation, "hall", c.Name, "evacuated", !c.Gone, "source", from.source, "revision", from.revision)
+	}
+	g.pools.setTargets(now, g.listed.specs, g.evacuated)
+	g.awaitHeld(now, KindEvacuations)
+}
+
 // applyConfig puts a configuration in force unless it is older than the one
 // that is.
 func (g *Gateway) applyConfig(c feed.Change, from provenance) {
--- a/gateway/apply_test.go
+++ b/gateway/apply_test.go
@@ -70,7 +70,7 @@
 	learn := func(remaining time.Duration) {
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		g.lapse.Learned(time.Now(), remaining)
+		g.held[KindTargets].lapse.Learned(time.Now(), remaining)
 	}
 	held := func(name string) bool {
 		g.mu.Lock()
--- a/gateway/delta.go
+++ b/gateway/delta.go
@@ -30,7 +30,7 @@
 		g.log.Error(logDeltaRefused, "kind", d.Kind, "error", err.Error())
 		return
 	}
-	message.Lapse = g.lapse.Remaining(now)
+	message.Lapse = g.held[KindTargets].lapse.Remaining(now)
 	for _, branch := range g.view.Spread(now) {
 		g.mesh.Send(branch.PeerAddr, message.RelayTo(branch))
 	}
@@ -91,7 +91,7 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.lapse.Learned(g.clock.Now(), m.Lapse)
+	g.held[KindTargets].lapse.Learned(g.clock.Now(), m.Lapse)
 }
 
 // answer sends the changes that another instance asks for, at once or when this instance
@@ -125,7 +125,7 @@
 		g.log.Error(logDeltaRefused, "kind", m.Kind, "error", err.Error())
 		return
 	}
-	answer.Lapse = g.lapse.Remaining(g.clock.Now())
+	answer.Lapse = g.held[KindTargets].lapse.Remaining(g.clock.Now())
 	g.mesh.Send(m.ReplyTo, &answer)
 }
 
--- a/gateway/delta_test.go
+++ b/gateway/delta_test.go
@@ -60,6 +60,7 @@
 		view:     viewOf(time.Now(), 0, 0),
 
 		registered: make(map[string]fleet.Member),
+		held:       newHeld(),
 	}
 	g.limitOwner = newLimitOwner(g.config, g.mesh, g.startedAt, &g.targetLimits)
 	g.pools = newPools(g.config, g.departures.all, g.targetLimits.all, g.askForPermits)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -85,10 +85,9 @@
 	registered map[string]fleet.Member
 	// askers are instances that asked for a kind that this one does not have yet.
 	askers map[feed.Kind][]*peer.Since
-	// lapse holds back removals of targets after an outage of the store, and relisted targets
-	// that had gone and that a restored store lists again.
-	lapse    feed.Lapse
-	relisted feed.Relisted
+	// held are the changes that do not count yet, after an outage of the store or its return from
+	// a copy.
+	held     map[feed.Kind]*held
 	reported reporter
 
 	readiness readiness
@@ -134,6 +133,7 @@
 		askers:     make(map[feed.Kind][]*peer.Since),
 		renewedAt:  make(map[string]time.Time),
 		registered: make(map[string]fleet.Member),
+		held:       newHeld(),
 
 		unregistered: make(chan struct{}, 1),
 		rand:         rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), rand.Uint64())),
@@ -170,7 +170,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.listed.expire(now)
-	g.relisted.Forget(now)
+	for _, h := range g.held {
+		h.relisted.Forget(now)
+	}
 }
 
 func orElse(a, b string) string {
--- a/gateway/targets.go
+++ b/gateway/targets.go
@@ -135,20 +135,21 @@
 		g.log.Info(logTargets, "changes", len(changes), "held", g.replicas[KindTargets].Len(), "source", from.source, "revision", from.revision)
 	}
 	before := make(map[string]*catalog.Target, len(changes))
+	held := g.held[KindTargets]
 	refused := 0
 	ctx := context.Background()
 	for _, c := range changes {
 		if _, ok := before[c.Name]; !ok {
 			before[c.Name] = g.listed.specs[c.Name]
 		}
-		if c.Gone && !g.leaves(c.Name) && g.lapse.Hold(now, c.Name) {
-			g.log.Log(ctx, level, logTargetLapsed, "target", c.Name, "for_ms", g.lapse.Remaining(now).Milliseconds(), "source", from.source, "revision", from.revision)
+		if c.Gone && !g.leaves(c.Name) && held.lapse.Hold(now, c.Name) {
+			g.log.Log(ctx, level, logTargetLapsed, "target", c.Name, "for_ms", held.lapse.Remaining(now).Milliseconds(), "source", from.source, "revision", from.revision)
 			continue
 		}
-		g.lapse.Back(c.Name)
+		held.lapse.Back(c.Name)
 		if c.Gone {
 			g.listed.drop(now, c.Name)
-			g.relisted.Removed(now, c.Name)
+			held.relisted.Removed(now, c.Name)
 			g.log.Log(ctx, level, logTargetGone, "target", c.Name, "source", from.source, "revision", from.revision)
 			continue
 		}
@@ -166,7 +167,7 @@
 			g.log.Log(ctx, level, logTargetOfCopy, "target", c.Name, "sequence", spec.Sequence, "source", from.source, "revision", from.revision)
 			continue
 		}
-		g.relisted.Written(c.Name)
+		held.relisted.Written(c.Name)
 		g.listed.put(spec)
 		g.log.Log(ctx, level, logTarget, "target", spec.ID, "service", spec.Service, "version", spec.Version, "hall", spec.Hall, "addr", spec.Addr,
 			"leaves", spec.Leaves, "cold_ms", spec.ColdFor.Milliseconds(), "source", from.source, "revision", from.revision)
@@ -175,7 +176,7 @@
 		g.log.Error(logTargetsRefused, "entries", refused, "source", from.source, "revision", from.revision)
 	}
 	g.useTargets(now, before)
-	g.awaitHeld(now)
+	g.awaitHeld(now, KindTargets)
 }
 
 // leaves tells whether the target of a name has said that it leaves, in the list or by its own
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -352,10 +352,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if err == nil || errors.Is(err, ErrHistoryGone) {
-		g.lapse.Heard(g.clock.Now())
+		g.held[KindTargets].lapse.Heard(g.clock.Now())
 		return
 	}
-	g.lapse.Lost()
+	g.held[KindTargets].lapse.Lost()
 }
 
 func (g *Gateway) heardStore() {
