Instances outlast a restore of the store, and register again spread over time

Cause: registrations are written by the instances themselves, and a store that comes back from an older copy has lost them.

Now what the copy lacks counts for 10 s more, an instance looks for its own entry as soon as it learns of the new era, from whatever answer, and all that have to write are spread by 5 ms each, over 5 s at most. A store that has forgotten the whole kind is written to as well. The first era that an instance learns of is no news: store era has no field before then, and nothing is looked for.

TestInstancesOutlastARestore and TestInstanceRegistersWithARestoredStore failed before (the first at once, the second as it did not know which era its replica is of). Tests of platform pass, and those of the gateway on restores, registrations, readers.

--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -111,7 +111,7 @@
 		}
 		g.pools.setTargets(now, g.listed.specs, g.evacuated)
 	case KindInstances:
-		g.applyInstances(now, changes)
+		g.applyInstances(now, changes, from)
 		g.shareOut(now)
 	case KindRollouts:
 		for _, c := range changes {
@@ -184,10 +184,10 @@
 	g.log.Info(logTable, "number", doc.Number, "rows", len(doc.Table.Rows), "source", from.source, "revision", from.revision)
 }
 
-// applyInstances takes in changes of instances' entries.
-func (g *Gateway) applyInstances(now time.Time, changes []feed.Change) {
+// applyInstances takes in changes of instances' entries. The caller holds mu.
+func (g *Gateway) applyInstances(now time.Time, changes []feed.Change, from provenance) {
 	var named []fleet.Member
-	for _, c := range changes {
+	for _, c := range g.held[KindInstances].counting(now, changes, from.restored) {
 		if c.Gone {
 			named = slices.DeleteFunc(named, func(m fleet.Member) bool { return m.Name == c.Name })
 			delete(g.registered, c.Name)
@@ -215,6 +215,7 @@
 	g.permits.setMembers(now, g.config, g.registered)
 	g.reviewOwners(now)
 	g.readiness.knowsInstances.Store(true)
+	g.awaitHeld(now, KindInstances)
 }
 
 // checkInstance tells why the entry of an instance can't be one that an instance has made.
--- a/gateway/held.go
+++ b/gateway/held.go
@@ -27,6 +27,7 @@
 var holdTimes = map[feed.Kind]holdTime{
 	KindTargets:     {removals: writeAgainTime, returns: 6 * time.Second},
 	KindEvacuations: {removals: writeAgainTime, returns: writeAgainTime},
+	KindInstances:   {removals: 2 * maxRegisterSpread},
 }
 
 func newHeld() map[feed.Kind]*held {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -114,7 +114,7 @@
 		func() int64 { requests, _ := g.aheadUsage(); return requests })
 	gauge("rainford.requests.ahead.held", "Bytes of answers to such requests that wait for those ahead.",
 		func() int64 { _, held := g.aheadUsage(); return held })
-	gauge("rainford.store.era", "Era of the store that its latest answers name, 0 if they name none.", g.store.Era)
+	gauge("rainford.store.era", "Latest era of the store that its answers name, 0 if they name none, -1 before the first.", g.store.Era)
 	gauge("rainford.store.calls", "Calls made to the store.", g.store.Calls)
 	gauge("rainford.peer.sent", "Bytes sent to other instances.", func() int64 { sent, _, _ := g.mesh.Traffic(); return sent })
 	gauge("rainford.peer.received", "Bytes received from other instances.", func() int64 { _, received, _ := g.mesh.Traffic(); return received })
--- a/gateway/ports.go
+++ b/gateway/ports.go
@@ -44,6 +44,9 @@
 // position, so that the kind has to be listed again.
 var ErrHistoryGone = errors.New("gateway: history gone")
 
+// UnknownEra is the era of a store that has not answered yet.
+const UnknownEra = -1
+
 // ErrConflict means that an object has changed since the revision that a write named.
 var ErrConflict = errors.New("gateway: object has changed")
 
@@ -64,7 +67,8 @@
 	// SetRolloutState writes what has become of an order, unless the object has changed since it
 	// was read: then the error wraps ErrConflict.
 	SetRolloutState(ctx context.Context, record rollout.Record, state rollout.State) error
-	// Era returns the highest era of the store that an answer to any call has named, 0 if none has.
+	// Era returns the highest era of the store that an answer to any call has named, UnknownEra
+	// before the first answer and 0 if none names one.
 	// The store begins a new era when it comes back from a copy: what was written after the copy
 	// is gone, and its revisions are given out again.
 	Era() int64
--- /dev/null
+++ b/gateway/restored_instances_test.go
@@ -0,0 +1,75 @@
+package gateway
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rainford/rainford/feed"
+	"github.com/rainford/rainford/fleet"
+)
+
+// registration is the change by which an instance of another region than that of newPlain registers.
+func registration(name string) feed.Change {
+	raw, err := json.Marshal(fleet.Member{Name: name, Hall: "a1", Region: "a", FrontAddr: "10.0.0.1:1", PeerAddr: "10.0.0.1:2"})
+	if err != nil {
+		panic(err)
+	}
+	return feed.Change{Object: feed.Object{Name: name, Value: raw}}
+}
+
+// TestInstancesOutlastARestore checks that an instance of which nothing is heard directly, as of those
+// of other regions in a large fleet, still counts while it has the time to register again with a
+// restored store, and no longer.
+func TestInstancesOutlastARestore(t *testing.T) {
+	t.Parallel()
+	g := newPlain(t)
+	counts := func(name string) bool {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		_, registered := g.registered[name]
+		_, known := g.view.Member(fleet.IDOf(name))
+		return registered && known
+	}
+	instances := func(d feed.Delta) feed.Delta {
+		d.Kind = KindInstances
+		return d
+	}
+	require.True(t, g.take(instances(list(feed.At(1, 10), registration("back"), registration("lost"))), sourceStore))
+	require.True(t, g.take(instances(list(feed.At(2, 5))), sourceStore))
+	require.True(t, counts("back") && counts("lost"))
+	require.True(t, g.take(instances(event(feed.At(2, 5), registration("back"))), sourceStore))
+	require.Eventually(t, func() bool { return !counts("lost") }, 30*time.Second, 20*time.Millisecond)
+	require.True(t, counts("back"))
+}
+
+// TestInstanceRegistersWithARestoredStore checks that an instance knows that it has to register again as
+// soon as it learns of a new era of the store, unless the store still has its entry.
+func TestInstanceRegistersWithARestoredStore(t *testing.T) {
+	own := registration("n1")
+	for _, c := range []struct {
+		name     string
+		restored []feed.Change
+		want     bool
+	}{
+		{"the copy is older", nil, false},
+		{"the copy has it", []feed.Change{own}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := newPlain(t)
+			d := list(feed.At(1, 10), own)
+			d.Kind = KindInstances
+			require.True(t, g.take(d, sourceStore))
+			require.True(t, g.isRegistered())
+			g.enterEra(2, sourceStore)
+			require.False(t, g.isRegistered(), "what the store of the new era holds is not known yet")
+			require.Len(t, g.unregistered, 1)
+			d = list(feed.At(2, 5), c.restored...)
+			d.Kind = KindInstances
+			require.True(t, g.take(d, sourceStore))
+			require.Equal(t, c.want, g.isRegistered())
+		})
+	}
+}
--- a/gateway/start.go
+++ b/gateway/start.go
@@ -21,6 +21,11 @@
 	// registerWait is how long an instance that starts again waits to learn whether it
 	// is registered.
 	registerWait = 3 * time.Second
+	// registerSpacing is the mean time between the writes of two instances that register again
+	// at once: a sixth of what the store of the largest site takes. maxRegisterSpread is the
+	// time over which those of a fleet are spread at most.
+	registerSpacing   = 5 * time.Millisecond
+	maxRegisterSpread = 5 * time.Second
 	// readTime is how long an instance that starts waits for its own first read of a
 	// kind before it asks any other instance that has it.
 	readTime = time.Second
@@ -128,20 +133,45 @@
 }
 
 // keepRegistered puts the own member into the store, so that others find it, and again if
-// its entry goes: others take an instance that was cut off for long for lost.
+// its entry goes: others take an instance that was cut off for long for lost, and a store that
+// came back from a copy may have forgotten it.
 func (g *Gateway) keepRegistered(ctx context.Context) {
 	if !g.config.FirstStart {
-		g.awaitKind(ctx, KindInstances, registerWait)
+		g.awaitInstances(ctx)
 	}
 	for ctx.Err() == nil {
 		g.register(ctx)
 		select {
 		case <-ctx.Done():
+			return
 		case <-g.unregistered:
 		}
+		g.awaitInstances(ctx)
+		pause.For(ctx, g.registerSpread())
+	}
+}
+
+// awaitInstances waits until the instances are known that the store of the present era lists, for
+// registerWait at most.
+func (g *Gateway) awaitInstances(ctx context.Context) {
+	end := g.clock.Now().Add(registerWait)
+	for g.clock.Now().Before(end) && !g.knowsInstances() && pause.For(ctx, peersPoll) {
 	}
 }
 
+func (g *Gateway) knowsInstances() bool {
+	at := g.position(KindInstances)
+	return !at.IsZero() && !g.watch.isOver(at)
+}
+
+// registerSpread draws when to register again: all instances may have to at once.
+func (g *Gateway) registerSpread() time.Duration {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	most := min(time.Duration(g.view.Len())*registerSpacing, maxRegisterSpread)
+	return time.Duration(g.rand.Int64N(int64(most) + 1))
+}
+
 // register puts the own member into the store unless it is there from an earlier process.
 func (g *Gateway) register(ctx context.Context) {
 	wait := firstPause
@@ -159,9 +189,13 @@
 // noteUnregistered notes that an instance's entry has gone from the store. The caller holds
 // mu.
 func (g *Gateway) noteUnregistered(name string) {
-	if name != g.config.Name {
-		return
+	if name == g.config.Name {
+		g.lookRegistered()
 	}
+}
+
+// lookRegistered has it looked whether the own entry is in the store.
+func (g *Gateway) lookRegistered() {
 	select {
 	case g.unregistered <- struct{}{}:
 	default:
@@ -172,5 +206,6 @@
 func (g *Gateway) isRegistered() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.replicas[KindInstances].Has(g.config.Name)
+	replica := g.replicas[KindInstances]
+	return !g.watch.isOver(replica.At()) && replica.Has(g.config.Name)
 }
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"log/slog"
 	"sync"
 	"time"
 
@@ -61,6 +60,7 @@
 
 func newWatchState() watchState {
 	return watchState{
+		era:      UnknownEra,
 		cancels:  make(map[feed.Kind]context.CancelFunc),
 		missedAt: make(map[feed.Kind]time.Time),
 		cursors:  make(map[feed.Kind]feed.Position),
@@ -334,11 +334,12 @@
 	if !begun {
 		return
 	}
-	level := slog.LevelWarn
-	if before == 0 {
-		level = slog.LevelInfo
+	if before == UnknownEra {
+		g.log.Info(logStoreEra, "era", era, "source", source)
+		return
 	}
-	g.log.Log(context.Background(), level, logStoreEra, "era", era, "before", before, "source", source)
+	g.lookRegistered()
+	g.log.Warn(logStoreEra, "era", era, "before", before, "source", source)
 }
 
 // noteStore takes in how a read of the store ended, before what it brought is put in
