Verdicts on new versions outlast a restore of the store, and are written again

What callers would see: a version that had been rolled back gets requests again, or requests go back to old targets that the platform has stopped, when the store comes back from a copy that lacks the verdict or the order.

Cause: what has become of an order is written by the leader alone, and an order that the operator gives again counts by the revision of its making as another one, of which nothing is known.

Now a verdict that all act on stays, whatever the store says next; while the store lacks it the instance that would lead writes it. An order that asks for the same, in the first delta of a new era or within 10 s after it, is the same order: its follower, its leader and what both know go on under the new number. An order that is missing holds for 10 s, and one that had been withdrawn, or replaced by another, and is listed again is held back for 2 s.

--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -114,9 +114,10 @@
 		g.applyInstances(now, changes, from)
 		g.shareOut(now)
 	case KindRollouts:
-		for _, c := range changes {
+		for _, c := range g.held[KindRollouts].counting(now, changes, from.restored) {
 			g.applyRollout(now, c, from)
 		}
+		g.awaitHeld(now, KindRollouts)
 	}
 }
 
--- a/gateway/held.go
+++ b/gateway/held.go
@@ -22,12 +22,17 @@
 // store lacks.
 const writeAgainTime = 2 * time.Second
 
+// ordersHold is the same for orders to bring in versions: one that is missed too soon would begin anew when
+// it is there again, with a version that has already been found to be bad.
+const ordersHold = 10 * time.Second
+
 // holdTimes are those of the kinds of which something is held back. The entry of a target that has gone
 // goes again once it has not been written three times in a row, for 4.5 s.
 var holdTimes = map[feed.Kind]holdTime{
 	KindTargets:     {removals: writeAgainTime, returns: 6 * time.Second},
 	KindEvacuations: {removals: writeAgainTime, returns: writeAgainTime},
 	KindInstances:   {removals: 2 * maxRegisterSpread},
+	KindRollouts:    {removals: ordersHold, returns: writeAgainTime},
 }
 
 func newHeld() map[feed.Kind]*held {
--- /dev/null
+++ b/gateway/restored_rollouts_test.go
@@ -0,0 +1,63 @@
+package gateway_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rainford/rainford/internal/standin/objects"
+)
+
+// TestVerdictOutlastsARestore checks that a verdict that all act on is not taken back when the store
+// comes back from a copy that lacks it, or even the order, and that it is written again.
+func TestVerdictOutlastsARestore(t *testing.T) {
+	for _, c := range []struct {
+		name                string
+		bad                 bool
+		verdict             string
+		copiedBeforeTheEnd  bool
+		copiedBeforeAnOrder bool
+	}{
+		{name: "rolled back", bad: true, verdict: "rolled_back", copiedBeforeTheEnd: true},
+		{name: "rolled back, the order lost", bad: true, verdict: "rolled_back", copiedBeforeAnOrder: true},
+		{name: "succeeded", verdict: "succeeded", copiedBeforeTheEnd: true},
+		{name: "succeeded, the order lost", verdict: "succeeded", copiedBeforeAnOrder: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			v := newVersioned(t, 3)
+			stop := v.load()
+			defer stop()
+			// As many changes as the restored store makes again, so that an order gets another revision.
+			copied := v.store.Revision()
+			v.store.Set("other", "o", 1)
+			v.bringIn()
+			if c.bad {
+				for _, server := range v.new {
+					failing(server)
+				}
+			}
+			v.awaitState("running")
+			if c.copiedBeforeTheEnd {
+				copied = v.store.Revision()
+			}
+			v.awaitState(c.verdict)
+			time.Sleep(time.Second)
+			toOld, toNew := v.toOld.Load(), v.toNew.Load()
+			for _, lost := range v.store.RestoreAt(copied) {
+				if lost.Kind != "other" {
+					v.store.WriteAgain(lost)
+				}
+			}
+			v.awaitState(c.verdict)
+			time.Sleep(rolloutTime)
+			require.Equal(t, objects.RolloutStatus{State: c.verdict, TargetVersion: "v2"}, v.state())
+			if c.bad {
+				require.Equal(t, toNew, v.toNew.Load())
+			} else {
+				require.Equal(t, toOld, v.toOld.Load())
+			}
+		})
+	}
+}
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -68,9 +68,15 @@
 	wroteAt time.Time
 }
 
-// goesOn tells whether there is no verdict that all act on yet.
+// goesOn tells whether the store does not hold a verdict yet, or no longer.
 func (r *serviceRollout) goesOn() bool { return !r.record.State.IsVerdict() }
 
+// lost returns the verdict that all act on if the store has lost it.
+func (r *serviceRollout) lost() (rollout.State, bool) {
+	verdict := r.follower.Verdict()
+	return verdict, verdict.IsVerdict() && r.goesOn()
+}
+
 // applyRollout takes in an order, or what has become of it.
 func (g *Gateway) applyRollout(now time.Time, c feed.Change, from provenance) {
 	known := g.rollouts.of(c.Name)
@@ -88,7 +94,15 @@
 		g.log.Error(logRolloutRefused, "service", c.Name, "error", err.Error(), "source", from.source, "revision", from.revision)
 		return
 	}
-	if known == nil || known.order().ID() != record.Order.ID() {
+	switch {
+	case known != nil && known.order().ID() == record.Order.ID():
+	case known != nil && known.order().IsSame(record.Order) && g.mayBeGivenAgain(now, from):
+		known.givenAgain(record.Order)
+	default:
+		if known != nil {
+			// The order before may be listed again by a store that has lost this one.
+			g.held[KindRollouts].relisted.Removed(now, c.Name)
+		}
 		known = &serviceRollout{follower: rollout.NewFollower(now, g.config.Name, record.Order)}
 	}
 	known.learn(record)
@@ -124,6 +138,20 @@
 	return r.leader != nil
 }
 
+// mayBeGivenAgain tells whether an order that comes may be one that a restored store had lost.
+func (g *Gateway) mayBeGivenAgain(now time.Time, from provenance) bool {
+	return from.restored || g.held[KindRollouts].lapse.Remaining(now) > 0
+}
+
+func (r *serviceRollout) givenAgain(order rollout.Order) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.follower.GivenAgain(order)
+	if r.leader != nil {
+		r.leader.GivenAgain(order)
+	}
+}
+
 func (r *serviceRollout) withdraw() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -193,6 +221,11 @@
 		r.leader = nil
 		return
 	}
+	if verdict, lost := r.lost(); lost {
+		r.leader = nil
+		g.writeState(ctx, now, r, verdict)
+		return
+	}
 	if r.leader == nil {
 		r.leader = rollout.NewLeader(now, g.view.Self().PeerAddr, r.follower, g.config.Rollouts)
 		g.log.Info(logRolloutLeads, "service", r.record.Service, "version", r.record.Version, "stage", r.leader.Stage().Phase.String())
@@ -210,7 +243,7 @@
 	if tell {
 		go g.broadcast(now, peer.Gossip{Stages: []rollout.Stage{stage}})
 	}
-	g.writeState(ctx, now, r)
+	g.writeState(ctx, now, r, r.leader.Verdict())
 }
 
 // leads tells whether this instance leads rollouts, and how many instances there are.
@@ -226,8 +259,7 @@
 }
 
 // writeState has the store hold what has become of an order. The caller holds the rollout's mu.
-func (g *Gateway) writeState(ctx context.Context, now time.Time, r *serviceRollout) {
-	state := r.leader.Verdict()
+func (g *Gateway) writeState(ctx context.Context, now time.Time, r *serviceRollout, state rollout.State) {
 	if r.writing || r.record.State == state || now.Sub(r.wroteAt) < statePause {
 		return
 	}
--- a/rollout/follower.go
+++ b/rollout/follower.go
@@ -86,6 +86,13 @@
 	f.verdict = state
 }
 
+// GivenAgain takes in that the store holds the same order as given at another time: it had lost it. What
+// is known of it holds.
+func (f *Follower) GivenAgain(order Order) {
+	f.order, f.stage.Order = order, order.ID()
+	f.withdrawn = false
+}
+
 // Withdraw takes in that the order is no longer in the store. Without a verdict the version gets
 // nothing any more.
 func (f *Follower) Withdraw() { f.withdrawn = true }
--- a/rollout/leader.go
+++ b/rollout/leader.go
@@ -132,6 +132,9 @@
 	return l
 }
 
+// GivenAgain takes in that the store holds the same order as given at another time.
+func (l *Leader) GivenAgain(order Order) { l.order, l.stage.Order = order, order.ID() }
+
 // Stage returns the stage that is decided.
 func (l *Leader) Stage() Stage { return l.stage }
 
--- a/rollout/order.go
+++ b/rollout/order.go
@@ -27,6 +27,12 @@
 	return ID(mix.Hash(o.Service, o.Version, strconv.FormatInt(o.Made, 10), o.Duration.String()))
 }
 
+// IsSame tells whether an order asks for the same as another one, whenever they were given.
+func (o Order) IsSame(other Order) bool {
+	o.Made = other.Made
+	return o == other
+}
+
 // State is what the store says of an order.
 type State string
 
