What the product keeps in the store is written again when a restored store has lost it

What operators would see: a change of the table that a command had accepted is out of force when the store comes back from a copy that lacks it, and gone for good, as are pages of the audit trail and requests that were held back because targets end under them. Nobody else writes these.

Now the instances keep what they held: where the copy lacks an object, or holds an earlier state of it (the table's latest change is among those that were held, a page's changes all are), the held one stays in force, and the first watcher of each region writes it again, eight objects a second, by conditional writes, for a minute at most. Where an operator has changed the restored table before that, that change counts, and a line for each lost one says who made it.

TestOwnObjectsAreWrittenAgain failed before (never written again); TestOperatorsChangeOfARestoredTable guards the other side and passed. The store's client makes all its calls in one place.

--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -44,6 +44,10 @@
 		return false
 	}
 	before := replica.At()
+	var own map[string][]byte
+	if d.Kind == KindTable && d.To.Era != before.Era {
+		own = ownObjects(replica)
+	}
 	changes, ok := replica.Apply(d)
 	if !ok {
 		return false
@@ -65,6 +69,7 @@
 	from := provenance{source: source, revision: replica.At().Revision, restored: !before.IsZero() && before.Era != replica.At().Era}
 	if from.restored {
 		g.holdBack(now, d.Kind)
+		g.noteLost(now, own, changes)
 	}
 	if len(changes) > 0 {
 		g.putInForce(now, d.Kind, changes, from)
@@ -169,7 +174,7 @@
 		g.applyKept(c, from)
 		return
 	}
-	if c.Name != config.Key {
+	if c.Name != config.Key || g.isLost(c, from) {
 		return
 	}
 	doc, err := config.Decode(c.Value)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -87,7 +87,9 @@
 	askers map[feed.Kind][]*peer.Since
 	// held are the changes that do not count yet, after an outage of the store or its return from
 	// a copy.
-	held     map[feed.Kind]*held
+	held map[feed.Kind]*held
+	// lostOwn are the own objects that a restored store has lost.
+	lostOwn  lostObjects
 	reported reporter
 
 	readiness readiness
@@ -270,6 +272,7 @@
 			g.expireListed(now)
 			g.forgetLost(ctx, now)
 			g.forgetKept(ctx, now)
+			g.rewriteLost(ctx, now)
 		}
 	}
 }
--- a/gateway/logs.go
+++ b/gateway/logs.go
@@ -60,9 +60,14 @@
 	logRequestFreed   = "request freed"
 	logAccountHeld    = "account held"
 	logAccountFreed   = "account freed"
+	logObjectsLost    = "own objects lost by the store"
 	logNotKept        = "held request not kept"
 	logKeptRefused    = "held request refused"
 
+	logChangeLost          = "change of the table lost"
+	logObjectRewritten     = "own object written again"
+	logObjectsNotRewritten = "own objects not written again"
+
 	logStatusNotSent   = "status not sent"
 	logInstanceRefused = "instance refused"
 	logForgotten       = "instance forgotten"
--- a/gateway/ports.go
+++ b/gateway/ports.go
@@ -60,6 +60,11 @@
 	Watch(ctx context.Context, kind feed.Kind, after feed.Position, wait time.Duration) (feed.Delta, error)
 	// Probe tells whether the store answers. It is the cheapest call that there is.
 	Probe(ctx context.Context) error
+	// Get reads an object. One that is not there has the revision 0.
+	Get(ctx context.Context, kind feed.Kind, name string) (feed.Object, error)
+	// Replace writes an object unless it has changed since the revision that it names: then the error
+	// wraps ErrConflict.
+	Replace(ctx context.Context, kind feed.Kind, o feed.Object) error
 	// Create makes an object unless it is there.
 	Create(ctx context.Context, kind feed.Kind, name string, spec any) error
 	// Remove removes an object. One that is not there is no error.
--- /dev/null
+++ b/gateway/restored_own_objects_test.go
@@ -0,0 +1,110 @@
+package gateway_test
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/rainford/rainford/config"
+	"github.com/rainford/rainford/gateway"
+	"github.com/rainford/rainford/internal/standin/objects"
+	"github.com/rainford/rainford/platform"
+	"github.com/rainford/rainford/quarantine"
+	"github.com/rainford/rainford/table"
+)
+
+// tableAt returns the operators' table after a number of changes: all requests of region a go to region
+// b, and after the second change none goes there any more.
+func tableAt(number int) config.Document {
+	doc := config.Document{Number: int64(number), Table: table.Table{
+		Regions:  []table.Region{{Name: "a", Halls: []string{"a1", "a2"}}, {Name: "b", Halls: []string{"b1"}}},
+		Services: []table.Service{{Name: "s"}},
+		Rows:     []table.Row{{Service: "s", From: "a", To: "b", Weight: 1}},
+	}}
+	for i := range number {
+		doc.Recent = append(doc.Recent, config.Change{Number: int64(i + 1), ID: string(rune('a' + i)), Who: "op", What: "edit"})
+	}
+	if number > 1 {
+		doc.Table.Drains = []table.Drain{{Scope: table.ScopeRegion, Name: "b"}}
+	}
+	return doc
+}
+
+// TestOwnObjectsAreWrittenAgain checks that what operators have changed in the table, and requests that
+// are held back, are not forgotten when the store comes back from a copy that lacks them: the
+// instances act on them all the while, and have the store hold them again.
+func TestOwnObjectsAreWrittenAgain(t *testing.T) {
+	s := newSite(t)
+	s.configure(1, safeRoute)
+	near, far := s.server("i-1", "s", "a1"), s.server("i-2", "s", "b1")
+	in := s.instance("n1", "a1")
+	second := s.instance("n2", "a1", func(c *gateway.Config) { c.Seeds = []string{in.config.PeerListen} })
+	in.awaitStatus("/x/", 200)
+	second.awaitStatus("/x/", 200)
+	own := platform.NewObjects(s.addr)
+	first, err := own.Put(t.Context(), config.Key, 0, tableAt(1))
+	require.NoError(t, err)
+	servedBy := func(id string) func() bool {
+		return func() bool { return strings.HasPrefix(in.send("GET", "/x/", "").body, "answer of "+id) }
+	}
+	require.Eventually(t, servedBy(far.ID), 30*time.Second, 50*time.Millisecond, "by bounded steps")
+	copied := s.store.Revision()
+	s.store.Set("other", "o", 1)
+	_, err = own.Put(t.Context(), config.Key, first.Version, tableAt(2))
+	require.NoError(t, err)
+	kept := quarantine.Kept{Digest: quarantine.Digest{1}, Ends: []quarantine.KeptEnd{
+		{Target: 1, At: time.Now().UnixMilli()}, {Target: 2, At: time.Now().UnixMilli(), Trial: true}}}
+	_, err = own.Put(t.Context(), kept.Key(), 0, kept)
+	require.NoError(t, err)
+	require.Eventually(t, servedBy(near.ID), wait, poll)
+	require.Eventually(t, func() bool { return second.metric("rainford_requests_held{") == 1 }, wait, poll)
+
+	toFar := len(far.Runs())
+	for _, lost := range s.store.RestoreAt(copied) {
+		s.store.WriteAgain(lost)
+	}
+	require.Eventually(t, func() bool {
+		in.send("GET", "/x/", "")
+		doc, err := own.Get(t.Context(), config.Key)
+		require.NoError(t, err)
+		var held config.Document
+		require.NoError(t, json.Unmarshal(doc.Value, &held))
+		_, err = own.Get(t.Context(), kept.Key())
+		return held.Number == 2 && err == nil
+	}, wait, poll)
+	require.Len(t, far.Runs(), toFar)
+	require.NotEmpty(t, s.store.Names(objects.KindConfig))
+}
+
+// TestOperatorsChangeOfARestoredTable checks that a change that an operator makes to the table of a
+// restored store counts, though the instances know of one that the store has lost.
+func TestOperatorsChangeOfARestoredTable(t *testing.T) {
+	s := newSite(t)
+	s.configure(1, safeRoute)
+	near, far := s.server("i-1", "s", "a1"), s.server("i-2", "s", "b1")
+	in := s.instance("n1", "a1")
+	in.awaitStatus("/x/", 200)
+	own := platform.NewObjects(s.addr)
+	first, err := own.Put(t.Context(), config.Key, 0, tableAt(1))
+	require.NoError(t, err)
+	servedBy := func(id string) func() bool {
+		return func() bool { return strings.HasPrefix(in.send("GET", "/x/", "").body, "answer of "+id) }
+	}
+	require.Eventually(t, servedBy(far.ID), 30*time.Second, 50*time.Millisecond, "by bounded steps")
+	copied := s.store.Revision()
+	_, err = own.Put(t.Context(), config.Key, first.Version, tableAt(2))
+	require.NoError(t, err)
+	require.Eventually(t, servedBy(near.ID), wait, poll)
+	s.store.RestoreAt(copied)
+	other := tableAt(2)
+	other.Recent[1].ID, other.Table.Drains = "other", nil
+	_, err = own.Put(t.Context(), config.Key, first.Version, other)
+	require.NoError(t, err)
+	require.Eventually(t, servedBy(far.ID), 30*time.Second, 50*time.Millisecond)
+	doc, err := own.Get(t.Context(), config.Key)
+	require.NoError(t, err)
+	require.Contains(t, string(doc.Value), "other")
+}
