The operators' command follows changes across a restore of the store; the soak restores it

rainford watch asked for changes after a revision that a restored store does not have, each second, and passed over changes whose numbers were given out again.

--- a/cmd/rainford/status.go
+++ b/cmd/rainford/status.go
@@ -198,7 +198,11 @@
 	if err != nil {
 		return err
 	}
-	seen, after := doc.Number, int64(0)
+	seen := make(map[string]bool)
+	for _, change := range doc.Recent {
+		seen[change.ID] = true
+	}
+	after := int64(0)
 	for shown := 0; ctx.Err() == nil && (count == 0 || shown < count); {
 		listing, err := client.Watch(ctx, []string{config.Key}, after, followWait)
 		if err != nil {
@@ -209,17 +213,17 @@
 			time.Sleep(time.Second)
 			continue
 		}
-		after = max(after, listing.Revision)
+		after = listing.Revision
 		for _, obj := range listing.Objects {
 			doc, err := config.Decode(obj.Value)
 			if err != nil {
 				return err
 			}
 			for _, change := range doc.Recent {
-				if change.Number <= seen {
+				if seen[change.ID] {
 					continue
 				}
-				seen = change.Number
+				seen[change.ID] = true
 				shown++
 				if err := a.showChange(ctx, c, client, change); err != nil {
 					return err
--- a/gateway/restored_evacuations_test.go
+++ b/gateway/restored_evacuations_test.go
@@ -18,6 +18,7 @@
 // TestEvacuationsOutlastARestore checks which halls are emptied after the store came back from a copy, at
 // once and once nothing is held back any more.
 func TestEvacuationsOutlastARestore(t *testing.T) {
+	t.Parallel()
 	evacuated := feed.Change{Object: feed.Object{Name: "a1", Value: []byte("{}")}}
 	takenBack := gone("a1")
 	cases := []struct {
--- a/gateway/restored_own_objects_test.go
+++ b/gateway/restored_own_objects_test.go
@@ -37,6 +37,7 @@
 // are held back, are not forgotten when the store comes back from a copy that lacks them: the
 // instances act on them all the while, and have the store hold them again.
 func TestOwnObjectsAreWrittenAgain(t *testing.T) {
+	t.Parallel()
 	s := newSite(t)
 	s.configure(1, safeRoute)
 	near, far := s.server("i-1", "s", "a1"), s.server("i-2", "s", "b1")
@@ -82,6 +83,7 @@
 // TestOperatorsChangeOfARestoredTable checks that a change that an operator makes to the table of a
 // restored store counts, though the instances know of one that the store has lost.
 func TestOperatorsChangeOfARestoredTable(t *testing.T) {
+	t.Parallel()
 	s := newSite(t)
 	s.configure(1, safeRoute)
 	near, far := s.server("i-1", "s", "a1"), s.server("i-2", "s", "b1")
--- a/gateway/restored_rollouts_test.go
+++ b/gateway/restored_rollouts_test.go
@@ -12,6 +12,7 @@
 // TestVerdictOutlastsARestore checks that a verdict that all act on is not taken back when the store
 // comes back from a copy that lacks it, or even the order, and that it is written again.
 func TestVerdictOutlastsARestore(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name                string
 		bad                 bool
--- a/gateway/restored_targets_test.go
+++ b/gateway/restored_targets_test.go
@@ -129,6 +129,7 @@
 // what the store says in the end: a target that it lacks goes, and one that it lists again after it had
 // gone is used, unless it has said that it leaves.
 func TestTargetsThatNobodyWritesAgain(t *testing.T) {
+	t.Parallel()
 	g := newPlain(t)
 	g.codec = sequencedCodec{}
 	at := feed.At(1, 10)
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -40,6 +40,8 @@
 		r.link(f, in, end)
 	case StoreDown, StoreSlow, StoreLoses, StoreForgets:
 		r.storeFault(f, end)
+	case StoreRestored:
+		r.restoreStore(f)
 	case Evacuation:
 		r.evacuate(f)
 	case KeyChange:
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -46,6 +46,7 @@
 	ServerSays     FaultKind = "server-says-wrong-words"
 	ServerLimits   FaultKind = "server-names-limit"
 	Rollout        FaultKind = "rollout"
+	StoreRestored  FaultKind = "store-restored"
 )
 
 // laterKinds came after seeds were kept. They are drawn by themselves, so that the other
@@ -138,6 +139,13 @@
 	for at := 1500 * time.Millisecond; at < last-rolloutLasts/2; at += rolloutLasts + time.Duration(rollouts.Int64N(int64(rolloutLasts))) {
 		out = append(out, Fault{At: at, For: rolloutLasts, Kind: Rollout, Which: rollouts.IntN(1 << 16), How: rollouts.IntN(1 << 16)})
 	}
+	restores := rand.New(rand.NewPCG(seed, 14))
+	if restores.IntN(2) == 0 {
+		for at := 1700 * time.Millisecond; at < last; at += 4*gap + time.Duration(restores.Int64N(int64(6*gap))) {
+			out = append(out, Fault{At: at, For: time.Duration(restores.IntN(5000)) * time.Millisecond, Kind: StoreRestored,
+				Which: restores.IntN(1 << 16), How: restores.IntN(1 << 16)})
+		}
+	}
 	sort.SliceStable(out, func(i, j int) bool { return out[i].At < out[j].At })
 	return out
 }
--- a/internal/standin/objects/restore.go
+++ b/internal/standin/objects/restore.go
@@ -9,10 +9,13 @@
 	undoKept = time.Minute
 )
 
+// objectKey stands for an object.
+type objectKey struct{ kind, name string }
+
 // undoEntry is what a write replaced.
 type undoEntry struct {
-	at         time.Time
-	kind, name string
+	objectKey
+	at time.Time
 	// before is nil if there was no object.
 	before *Object
 	// revision is that of the write.
@@ -34,11 +37,15 @@
 	for len(s.undo) > 0 && now.Sub(s.undo[0].at) > undoKept {
 		s.undo = s.undo[1:]
 	}
-	s.undo = append(s.undo, undoEntry{at: now, kind: kind, name: name, before: s.kinds[kind][name], revision: s.revision})
+	s.undo = append(s.undo, undoEntry{objectKey: objectKey{kind, name}, at: now, before: s.kinds[kind][name], revision: s.revision})
 }
 
 // markOutside notes that the last write was the operator's or a server's. The caller holds mu.
-func (s *Store) markOutside() { s.undo[len(s.undo)-1].outside = true }
+func (s *Store) markOutside() {
+	last := &s.undo[len(s.undo)-1]
+	last.outside = true
+	s.rewritten[last.objectKey] = true
+}
 
 // Revision returns the revision of the last change.
 func (s *Store) Revision() int64 {
@@ -70,13 +77,12 @@
 // restore undoes the latest writes for which lost says so. The caller holds mu.
 func (s *Store) restore(lost func(undoEntry) bool) []LostWrite {
 	var out []LostWrite
-	seen := make(map[[2]string]bool)
+	seen := make(map[objectKey]bool)
 	for len(s.undo) > 0 && lost(s.undo[len(s.undo)-1]) {
 		e := s.undo[len(s.undo)-1]
 		s.undo = s.undo[:len(s.undo)-1]
-		key := [2]string{e.kind, e.name}
-		if e.outside && !seen[key] {
-			seen[key] = true
+		if e.outside && !seen[e.objectKey] {
+			seen[e.objectKey] = true
 			out = append([]LostWrite{{Kind: e.kind, Name: e.name, object: s.kinds[e.kind][e.name]}}, out...)
 		}
 		s.put(e.kind, e.name, e.before)
@@ -87,6 +93,7 @@
 	}
 	s.forgotten = min(s.forgotten, s.revision)
 	s.era.Add(1)
+	clear(s.rewritten)
 	s.wake()
 	return out
 }
@@ -103,8 +110,15 @@
 	s.kinds[kind][name] = o
 }
 
-// WriteAgain has the operator or a server write what was lost.
+// WriteAgain has the operator or a server write what was lost, unless they have written the object since
+// the store was restored.
 func (s *Store) WriteAgain(w LostWrite) {
+	s.mu.Lock()
+	written := s.rewritten[objectKey{w.Kind, w.Name}]
+	s.mu.Unlock()
+	if written {
+		return
+	}
 	if w.object == nil {
 		s.Remove(w.Kind, w.Name)
 		return
--- a/internal/standin/objects/store.go
+++ b/internal/standin/objects/store.go
@@ -57,16 +57,18 @@
 	forgotten int64
 	// era is told in all answers. It rises when the store is restored from a copy.
 	era atomic.Int64
-	// undo holds what the latest writes replaced, the latest last.
-	undo    []undoEntry
-	changed chan struct{}
-	faults  Faults
-	calls   int
+	// undo holds what the latest writes replaced, the latest last, and rewritten the objects that the
+	// operator and servers have written since the store was last restored.
+	undo      []undoEntry
+	rewritten map[objectKey]bool
+	changed   chan struct{}
+	faults    Faults
+	calls     int
 }
 
 // New returns an empty store.
 func New() *Store {
-	s := &Store{kinds: make(map[string]map[string]*Object), changed: make(chan struct{})}
+	s := &Store{kinds: make(map[string]map[string]*Object), rewritten: make(map[objectKey]bool), changed: make(chan struct{})}
 	s.era.Store(firstEra)
 	return s
 }
