A rollback that is known before a service's targets keeps requests from the version

Cause: what is said of a version was set on the service's pool, and dropped if there was none yet. A pool comes to be with the first target; orders are read side by side with targets. An order with a verdict is not looked at again. Ruled out: the verdict was not taken back (one state from 26.15 s on in all logs).

Now what was last said is kept by service, and set when the pool comes to be. TestRollbackKnownBeforeTargets failed before (the first request went to the version). Tests of the gateway on versions and rollouts pass.

--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -40,11 +40,22 @@
 	plan *table.Plan
 	// owners are those of targets' limits, nil before any are known.
 	owners *ratelimit.Owners
+	// splits are what was last said of new versions, by service, for a service of which targets
+	// become known later.
+	splits map[string]versionSplit
+}
+
+// versionSplit is which part of a service's requests goes to targets of a new version, and until when.
+type versionSplit struct {
+	rollout *serviceRollout
+	split   rollout.Split
+	until   time.Time
 }
 
 func newPools(config Config, departed func(time.Time) availability.DepartureList, limits func(time.Time) availability.LimitList,
 	ask func([]ratelimit.Ask, []string)) *pools {
-	return &pools{config: config, departed: departed, limits: limits, ask: ask, pools: make(map[string]*pool), count: 1}
+	return &pools{config: config, departed: departed, limits: limits, ask: ask, pools: make(map[string]*pool),
+		count: 1, splits: make(map[string]versionSplit)}
 }
 
 // get returns the pool of a service, or nil if it never had a target.
@@ -150,6 +161,10 @@
 		u.SetLimitOwners(ps.owners)
 	}
 	p.tokens.Share(ps.config.RetrySlack, ps.count)
+	if s, ok := ps.splits[service]; ok {
+		p.rollout.Store(s.rollout)
+		u.SetSplit(now, s.split, s.until)
+	}
 	return p
 }
 
@@ -271,7 +286,11 @@
 // setSplit takes in which part of a service's requests goes to targets of a new version, and until
 // when.
 func (ps *pools) setSplit(now time.Time, r *serviceRollout, split rollout.Split, until time.Time) {
-	p := ps.get(r.order().Service)
+	service := r.order().Service
+	ps.mu.Lock()
+	ps.splits[service] = versionSplit{rollout: r, split: split, until: until}
+	p := ps.pools[service]
+	ps.mu.Unlock()
 	if p == nil {
 		return
 	}
