A model of restores in any order

Three instances learn of configurations and targets by watches, lists and each other's deltas while the store comes back from copies and what was lost is written again. TestRestoresInAnyOrder checks that no instance goes back to an earlier configuration or uses a target that it knows to leave or to have gone, and that all use what the store says in the end.

--- /dev/null
+++ b/gateway/restore_model_test.go
@@ -0,0 +1,269 @@
+package gateway
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/rainford/rainford/catalog"
+	"github.com/rainford/rainford/feed"
+)
+
+// restoreCodec decodes configurations that are a number, and targets as sequencedCodec does.
+type restoreCodec struct{ sequencedCodec }
+
+func (restoreCodec) Config(_ string, raw []byte) (*catalog.Config, error) {
+	var version catalog.Version
+	err := json.Unmarshal(raw, &version)
+	return &catalog.Config{Version: version}, err
+}
+
+// kindName stands for an object of restoredModel.
+type kindName struct {
+	kind feed.Kind
+	name string
+}
+
+// storeState is what a store holds at a position.
+type storeState struct {
+	at      feed.Position
+	objects map[kindName]string
+}
+
+// storeWrite is one write.
+type storeWrite struct {
+	kindName
+	value string
+	gone  bool
+}
+
+// restoreModel is a store that may come back from a copy, with the writes of its era and all that it was.
+type restoreModel struct {
+	storeState
+	writes []storeWrite
+	past   []storeState
+	// owed are the writes that a restore has lost, to be written again in order.
+	owed []storeWrite
+}
+
+func (s *restoreModel) write(w storeWrite) {
+	s.past = append(s.past, storeState{at: s.at, objects: maps.Clone(s.objects)})
+	s.at.Revision++
+	s.writes = append(s.writes, w)
+	if w.gone {
+		delete(s.objects, w.kindName)
+	} else {
+		s.objects[w.kindName] = w.value
+	}
+}
+
+// restore has the store come back from a copy that lacks the latest writes of its era.
+func (s *restoreModel) restore(lost int) {
+	lost = min(lost, len(s.writes))
+	if lost == 0 {
+		s.at.Era++
+		s.writes = nil
+		return
+	}
+	// What was written again before counts as lost again only if it was.
+	s.owed = append(slices.Clone(s.writes[len(s.writes)-lost:]), s.owed...)
+	copied := s.past[len(s.past)-lost]
+	s.past = nil
+	s.writes = nil
+	s.objects = maps.Clone(copied.objects)
+	s.at = feed.At(s.at.Era+1, copied.at.Revision)
+}
+
+// writeAgain has the first lost write be repeated, unless its object was written since.
+func (s *restoreModel) writeAgain() {
+	if len(s.owed) == 0 {
+		return
+	}
+	w := s.owed[0]
+	s.owed = s.owed[1:]
+	if !slices.ContainsFunc(s.owed, func(later storeWrite) bool { return later.kindName == w.kindName }) {
+		s.write(w)
+	}
+}
+
+// since is what a watch from a position brings, false if the store does not have it.
+func (s *restoreModel) since(kind feed.Kind, from feed.Position) (feed.Delta, bool) {
+	began := s.at.Revision - int64(len(s.writes))
+	if from.Era != s.at.Era || from.Revision < began || from.IsZero() {
+		return feed.Delta{}, false
+	}
+	d := feed.Delta{Kind: kind, From: from, To: s.at}
+	for _, w := range s.writes[from.Revision-began:] {
+		if w.kind == kind {
+			d.Changes = append(d.Changes, w.change())
+		}
+	}
+	return d, true
+}
+
+func (w storeWrite) change() feed.Change {
+	return feed.Change{Object: feed.Object{Name: w.name, Value: []byte(w.value)}, Gone: w.gone}
+}
+
+func (s *restoreModel) list(kind feed.Kind) feed.Delta {
+	d := feed.Delta{Kind: kind, To: s.at, Full: true}
+	for o, value := range s.objects {
+		if o.kind == kind {
+			d.Changes = append(d.Changes, storeWrite{kindName: o, value: value}.change())
+		}
+	}
+	return d
+}
+
+// restoredInstance is an instance with the configuration that it has had in force, the targets that it has
+// used, and those of which it has known that they leave or have gone.
+type restoredInstance struct {
+	*Gateway
+	version catalog.Version
+	known   map[string]bool
+	left    map[string]bool
+}
+
+// read has an instance watch a kind, or list it if the store has another history.
+func (in *restoredInstance) read(s *restoreModel, kind feed.Kind) {
+	d, ok := s.since(kind, in.replicas[kind].At())
+	if !ok {
+		d = s.list(kind)
+	}
+	in.take(d, sourceStore)
+}
+
+// check requires that the configuration in force does not go back, and that no target is used that is known
+// to leave or to have gone.
+func (in *restoredInstance) check(t require.TestingT) {
+	for name := range in.known {
+		if spec, listed := in.listed.specs[name]; !listed || spec.Leaves {
+			in.left[name] = true
+		}
+	}
+	for _, name := range in.used() {
+		in.known[name] = true
+		require.False(t, in.left[name], name)
+	}
+
+	if router := in.router.Load(); router != nil {
+		require.GreaterOrEqual(t, router.Config().Version, in.version)
+		in.version = router.Config().Version
+	}
+}
+
+// used returns the targets that requests may be sent to.
+func (in *restoredInstance) used() []string {
+	var out []string
+	for name, spec := range in.listed.specs {
+		if !spec.Leaves {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// TestRestoresInAnyOrder has a store come back from copies of itself while configurations are written and
+// targets come, leave and go, and what was lost be written again, all in any order. Three instances learn
+// of it by watches, lists and each other's deltas. It checks that no instance goes back to an earlier
+// configuration, that a target which has said that it leaves is used by none that knows it, and that
+// once all has been written again, all use what the store says.
+func TestRestoresInAnyOrder(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		store := &restoreModel{storeState: storeState{at: feed.At(1, 0), objects: make(map[kindName]string)}}
+		version, sequence := 0, int64(0)
+		configure := func() {
+			version++
+			store.write(storeWrite{kindName: kindName{KindConfig, "main"}, value: fmt.Sprint(version)})
+		}
+		writeTarget := func(name string, leaves bool) {
+			sequence++
+			raw, err := json.Marshal(sequencedEntry{Sequence: sequence, Leaves: leaves})
+			require.NoError(rt, err)
+			store.write(storeWrite{kindName: kindName{KindTargets, name}, value: string(raw)})
+		}
+		configure()
+		writeTarget("i0", false)
+		var instances []*restoredInstance
+		for range 3 {
+			in := &restoredInstance{Gateway: newPlain(t), known: make(map[string]bool), left: make(map[string]bool)}
+			defer (&modelInstance{Gateway: in.Gateway}).closeListeners()
+			in.codec = restoreCodec{}
+			in.read(store, KindConfig)
+			in.read(store, KindTargets)
+			instances = append(instances, in)
+		}
+		pick := func(label string) *restoredInstance { return instances[rapid.IntRange(0, 2).Draw(rt, label)] }
+		pickKind := func() feed.Kind { return rapid.SampledFrom([]feed.Kind{KindConfig, KindTargets}).Draw(rt, "kind") }
+		left := make(map[string]bool)
+		targets := 1
+		for range rapid.IntRange(1, 40).Draw(rt, "steps") {
+			name := fmt.Sprint("i", rapid.IntRange(0, targets-1).Draw(rt, "target"))
+			switch rapid.SampledFrom([]string{"configure", "come", "leave", "go", "restore", "again", "again", "read", "read", "read", "delta", "delta"}).Draw(rt, "step") {
+			case "configure":
+				configure()
+			case "come":
+				writeTarget(fmt.Sprint("i", targets), false)
+				targets++
+			case "leave":
+				if _, listed := store.objects[kindName{KindTargets, name}]; listed && !left[name] {
+					left[name] = true
+					writeTarget(name, true)
+				}
+			case "go":
+				if _, listed := store.objects[kindName{KindTargets, name}]; listed {
+					left[name] = true
+					store.write(storeWrite{kindName: kindName{KindTargets, name}, gone: true})
+				}
+			case "restore":
+				store.restore(rapid.IntRange(0, 12).Draw(rt, "lost"))
+			case "again":
+				store.writeAgain()
+			case "read":
+				pick("instance").read(store, pickKind())
+			case "delta":
+				from, to, kind := pick("from"), pick("to"), pickKind()
+				if from.replicas[kind].At().After(to.replicas[kind].At()) {
+					to.take(from.replicas[kind].Since(to.replicas[kind].At(), to.replicas[kind].Digest()), "other")
+				}
+			}
+			for _, in := range instances {
+				in.check(rt)
+			}
+		}
+		for len(store.owed) > 0 {
+			store.writeAgain()
+		}
+		configure()
+		want := []string(nil)
+		for o, value := range store.objects {
+			var e sequencedEntry
+			if o.kind == KindTargets && json.Unmarshal([]byte(value), &e) == nil && !e.Leaves {
+				want = append(want, o.name)
+			}
+		}
+		slices.Sort(want)
+		for _, in := range instances {
+			in.read(store, KindConfig)
+			in.read(store, KindTargets)
+			require.EqualValues(rt, version, in.router.Load().Config().Version)
+			require.Equal(rt, store.at, in.replicas[KindConfig].At())
+			in.settle()
+			require.Equal(rt, want, in.used())
+		}
+	})
+}
+
+// settle has all count that is held back.
+func (in *restoredInstance) settle() {
+	h := in.held[KindTargets]
+	later := time.Now().Add(time.Hour)
+	in.applyTargets(later, h.expired(later, in.replicas[KindTargets]), provenance{source: sourceLapse})
+}
