A leader of a rollout that begins anew is told what it was told before

Cause: the instance that led lost the lead twice within 3 s, as the store was away and others took up watching, and took it up again with an empty judge. Instances tell a new leader what they had told the one before, but knew a new one by its address alone. Ruled out: no other instance led, no report was lost on the way.

Now stages carry a term, which rises with each lead that is taken. TestLeaderThatBeginsAnewIsTold failed before. Tests of rollout pass.

--- a/rollout/follower.go
+++ b/rollout/follower.go
@@ -109,7 +109,7 @@
 		return false
 	}
 	changed := s.Number != f.stage.Number || s.Phase != f.stage.Phase
-	if s.Leader != f.stage.Leader {
+	if s.Leader != f.stage.Leader || s.Term != f.stage.Term {
 		f.tellAgain()
 	}
 	f.stage, f.heardAt = s, now
@@ -117,7 +117,8 @@
 	return changed
 }
 
-// tellAgain has all that the leader before was told be told to the next one.
+// tellAgain has all that the leader before was told be told to the next one, which may be the same
+// instance.
 func (f *Follower) tellAgain() {
 	f.news = true
 	for route, t := range f.toldOld {
--- a/rollout/follower_test.go
+++ b/rollout/follower_test.go
@@ -145,3 +145,23 @@
 	_, _, ok = f.Report(begin.Add(2*time.Second), 0)
 	require.False(t, ok)
 }
+
+// TestLeaderThatBeginsAnewIsTold checks that a leader that had stopped to lead, and begins anew at the same
+// address, is told what it was told before: it has forgotten that.
+func TestLeaderThatBeginsAnewIsTold(t *testing.T) {
+	f := rollout.NewFollower(begin, "n1", order)
+	first, _ := rollout.NewLeader(begin, "l", f, rollout.DefaultBound).Decide(begin, rollout.Situation{Members: 1, Rate: 20, OldSlots: 9, NewSlots: 9})
+	require.True(t, f.Hear(begin, first))
+	f.Sent(true)
+	f.EndedNew(rollout.Observation{Key: 1, Outcome: rollout.Failed})
+	f.EndedOld(rollout.Observation{Route: 4, Took: 30})
+	told, _, ok := f.Report(begin, 0)
+	require.True(t, ok)
+	later := begin.Add(time.Second)
+	again, _ := rollout.NewLeader(later, "l", f, rollout.DefaultBound).Decide(later, rollout.Situation{Members: 1, Rate: 20, OldSlots: 9, NewSlots: 9})
+	f.Hear(later, again)
+	r, _, ok := f.Report(later, 0)
+	require.True(t, ok)
+	require.Equal(t, told.New, r.New)
+	require.Equal(t, told.Old, r.Old)
+}
--- a/rollout/leader.go
+++ b/rollout/leader.go
@@ -122,6 +122,7 @@
 	}
 	l.stage.Order, l.stage.Leader = f.order.ID(), addr
 	l.stage.Number++
+	l.stage.Term++
 	if l.stage.Phase == Moving {
 		l.step = max(0, slices.Index(movingSteps[:], l.stage.Draw))
 	}
--- a/rollout/stage.go
+++ b/rollout/stage.go
@@ -47,8 +47,10 @@
 	Targets float64 `msgpack:"t"`
 	// Age is the time since the order was first known.
 	Age time.Duration `msgpack:"a"`
-	// Leader is the peer address of the instance that decides.
+	// Leader is the peer address of the instance that decides, and Term rises each time that an
+	// instance takes the lead.
 	Leader string `msgpack:"l"`
+	Term   uint32 `msgpack:"m,omitempty"`
 	// Reason says why the leader has decided for a rollback.
 	Reason Reason `msgpack:"r,omitempty"`
 }
