Soak: the platform stops all servers of a version that was not brought in; entries are counted

The platform now stops whatever runs the version at the verdict and starts none again. No check changes.

The sequence in servers' entries rises with each write, as on the users' pages: it was always 1.

--- a/internal/soak/entries.go
+++ b/internal/soak/entries.go
@@ -42,7 +42,8 @@
 	})
 }
 
-// startAgain ends a server and starts it again under its ID, at another address.
+// startAgain ends a server and starts it again under its ID, at another address, unless its version was
+// rejected meanwhile.
 func (r *runner) startAgain(f Fault) {
 	s := r.site
 	srv := s.pick(f.Which)
@@ -52,6 +53,10 @@
 	srv.proxy.close()
 	srv.Close()
 	r.later(f.For, func() {
+		if s.isRejected(srv.version) {
+			s.store.Remove(objects.KindServers, srv.ID)
+			return
+		}
 		o, err := origin.Start(srv.ID, srv.Service, srv.place.hall, serverSlots)
 		if err != nil {
 			return
--- a/internal/soak/rollouts.go
+++ b/internal/soak/rollouts.go
@@ -70,15 +70,8 @@
 	o.mu.Lock()
 	o.versions = append(o.versions, check)
 	o.mu.Unlock()
-	var old []*server
-	for _, srv := range s.there() {
-		if srv.Service == service {
-			old = append(old, srv)
-		}
-	}
 	s.store.Remove("rollouts", service)
 	s.store.Set("rollouts", service, objects.Rollout{Service: service, TargetVersion: check.version, Duration: rolloutLasts.String()})
-	var fresh []*server
 	for _, p := range places {
 		for range newPerHall {
 			srv, err := s.addVersion(service, check.version, p)
@@ -86,10 +79,9 @@
 				continue
 			}
 			r.spoil(srv, check)
-			fresh = append(fresh, srv)
 		}
 	}
-	r.awaitVerdict(check, old, fresh)
+	r.awaitVerdict(check)
 }
 
 // spoil gives a server of a version what is wrong with it.
@@ -125,21 +117,25 @@
 
 // awaitVerdict waits for the end of a rollout. A success stops the old servers at once, a rollback drains the
 // new ones, as does an order that was not ended in its time.
-func (r *runner) awaitVerdict(check *versionCheck, old, fresh []*server) {
+func (r *runner) awaitVerdict(check *versionCheck) {
 	s := r.site
 	state := s.rolloutState(check.service)
 	if state != "" && state != "running" || time.Now().After(check.until.Add(2*time.Second)) {
 		s.oracle.ruled(check, state)
-		leaving := fresh
-		if state == "succeeded" {
+		succeeded := state == "succeeded"
+		if succeeded {
 			s.setVersion(check.service, check.version)
-			leaving = old
+		} else {
+			s.reject(check.version)
 		}
-		for _, srv := range leaving {
+		for _, srv := range s.there() {
+			if srv.Service != check.service || (srv.version == check.version) == succeeded {
+				continue
+			}
 			if !s.markGone(srv) {
 				continue
 			}
-			if state == "succeeded" {
+			if succeeded {
 				srv.Close()
 				s.store.Remove("servers", srv.ID)
 				continue
@@ -152,7 +148,7 @@
 		})
 		return
 	}
-	r.later(verdictLooks, func() { r.awaitVerdict(check, old, fresh) })
+	r.later(verdictLooks, func() { r.awaitVerdict(check) })
 }
 
 // leave drains a server for which none comes.
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -69,6 +69,8 @@
 	// ordered.
 	versions map[string]string
 	newest   int
+	// rejected are the versions that were not brought in: the platform stops their servers.
+	rejected map[string]bool
 	// rolling says that a version is being brought in.
 	rolling atomic.Bool
 }
@@ -91,6 +93,22 @@
 	return "v1"
 }
 
+// reject notes that a version was not brought in.
+func (s *site) reject(version string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.rejected == nil {
+		s.rejected = make(map[string]bool)
+	}
+	s.rejected[version] = true
+}
+
+func (s *site) isRejected(version string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rejected[version]
+}
+
 func (s *site) setVersion(service, version string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -111,6 +129,8 @@
 	coldUntil time.Time
 	gone      bool
 	version   string
+	// written counts the writes of its entry.
+	written atomic.Int64
 }
 
 // instance is one instance over all of its processes.
@@ -229,7 +249,7 @@
 func (s *site) record(srv *server, state string) {
 	cold := max(0, time.Until(srv.coldUntil))
 	s.store.Record(srv.ID, objects.Server{Service: srv.Service, Address: srv.proxy.addr(), Zone: srv.place.hall, Slots: srv.Slots,
-		State: state, WarmupRemaining: fmt.Sprintf("%dms", cold.Milliseconds()), Sequence: 1, Version: srv.version, Born: srv.born.UnixMilli()})
+		State: state, WarmupRemaining: fmt.Sprintf("%dms", cold.Milliseconds()), Sequence: int(srv.written.Add(1)), Version: srv.version, Born: srv.born.UnixMilli()})
 }
 
 // configure writes the next configuration: the fixed routes, and one route for
