The product's own path: versions order across a restore of the object service

Cause, as in the incident: node's watch asked for changes after a revision that a restored service does not have, and what it read was dropped as old; a conditional write named a version that may have been given out again; nobody wrote the accepted table again.

The client puts the era, which the service names in all answers, into the upper bits of the versions that it hands out, and takes it off again: all that compares versions goes on to do so. A pending watch ends when any call learns of a new era, and brings all objects; a write on a version of an era before is in conflict with what there is now, or makes a lost object anew. Where the service holds an earlier state of the accepted table, that one stays in force and is written again. The writer of a shard of claims merges what it remembers (a minute) into what the service holds.

--- a/config/supersede.go
+++ b/config/supersede.go
@@ -49,6 +49,19 @@
 	return true
 }
 
+// IsSame tells whether two values of the document are of the same latest change.
+func IsSame(a, b []byte) bool {
+	one, err := Decode(a)
+	if err != nil {
+		return false
+	}
+	other, err := Decode(b)
+	if err != nil || one.Number != other.Number || len(one.Recent) == 0 || len(other.Recent) == 0 {
+		return false
+	}
+	return one.Recent[len(one.Recent)-1].ID == other.Recent[len(other.Recent)-1].ID
+}
+
 // Lost returns the latest changes of the document that was held which a stored one lacks, the earliest
 // first. It returns none where either can't be read.
 func Lost(held, stored []byte) []Change {
--- a/config/supersede_test.go
+++ b/config/supersede_test.go
@@ -53,6 +53,8 @@
 					lost = append(lost, change.ID)
 				}
 				require.Equal(t, c.lost, lost)
+				require.Equal(t, c.name == "the same", config.IsSame(held, stored))
+				require.False(t, config.IsSame([]byte("["), stored) || config.IsSame(held, []byte("[")))
 				require.Empty(t, config.Lost([]byte("["), stored))
 				require.Empty(t, config.Lost(held, []byte("[")))
 			}
--- a/internal/standin/platformstore/server.go
+++ b/internal/standin/platformstore/server.go
@@ -101,6 +101,7 @@
 }
 
 func (s *Server) admit(w http.ResponseWriter, r *http.Request, m *meter, limit int) bool {
+	w.Header().Set(objectstore.EraHeader, strconv.FormatInt(s.store.Era(), 10))
 	f := s.currentFaults()
 	if f.Delay > 0 {
 		select {
@@ -160,8 +161,12 @@
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	era := s.store.Era()
 	for {
 		listing, changed := s.store.Changes(query["prefix"], after)
+		if s.store.Era() != era {
+			w.Header().Set(objectstore.EraHeader, strconv.FormatInt(s.store.Era(), 10))
+		}
 		if len(listing.Objects) > 0 {
 			if s.currentFaults().StaleReads {
 				listing.Objects = append(listing.Objects, s.store.Previous(query["prefix"])...)
--- a/internal/standin/platformstore/store.go
+++ b/internal/standin/platformstore/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"sort"
 	"strings"
 	"sync"
@@ -16,8 +17,10 @@
 	objects  map[string]objectstore.Object
 	previous map[string]objectstore.Object
 	changed  chan struct{}
-	reads    meter
-	writes   meter
+	// era counts the returns from copies, from 1 on.
+	era    int64
+	reads  meter
+	writes meter
 }
 
 // NewStore returns an empty store.
@@ -26,9 +29,40 @@
 		objects:  make(map[string]objectstore.Object),
 		previous: make(map[string]objectstore.Object),
 		changed:  make(chan struct{}),
+		era:      1,
 	}
 }
 
+// Copy is what a store held at a time.
+type Copy struct {
+	revision          int64
+	objects, previous map[string]objectstore.Object
+}
+
+// Copy returns what the store holds now.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{revision: s.revision, objects: maps.Clone(s.objects), previous: maps.Clone(s.previous)}
+}
+
+// Restore has the store come back from a copy: what was written since is gone, and the revisions since are
+// given out again, in a new era.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision, s.objects, s.previous = c.revision, maps.Clone(c.objects), maps.Clone(c.previous)
+	s.era++
+	s.wake()
+}
+
+// Era returns how often the store has come back from a copy, and one more.
+func (s *Store) Era() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // Get returns the object under key, and whether there is one. With stale set
 // it returns the object as it was before its last write.
 func (s *Store) Get(key string, stale bool) (objectstore.Object, bool) {
--- a/node/claimwrite.go
+++ b/node/claimwrite.go
@@ -69,7 +69,7 @@
 		case errors.As(err, &conflict):
 			// A write on an older version can't take effect any more.
 			uncertain = false
-			state = decodeShard(conflict.Current)
+			state = afterConflict(state, conflict.Current)
 			c.awaitPace(ctx, id.Number)
 		case ctx.Err() != nil:
 			return
@@ -128,6 +128,16 @@
 	return next, replies
 }
 
+// afterConflict returns the state of a shard that a write was in conflict with. What a platform that came back
+// from a copy has lost of it goes on to count.
+func afterConflict(known shardState, current objectstore.Object) shardState {
+	state := decodeShard(current)
+	if objectstore.IsLaterEra(current.Version, known.version) {
+		state.shard = claim.Merge(known.shard, state.shard)
+	}
+	return state
+}
+
 func decodeShard(obj objectstore.Object) shardState {
 	state := shardState{version: obj.Version}
 	if len(obj.Value) > 0 {
--- a/node/node.go
+++ b/node/node.go
@@ -46,18 +46,22 @@
 	servers   []*http.Server
 
 	// mu guards the deciding parts that follow.
-	mu        sync.Mutex
-	objects   *objects
-	view      *member.View
-	agent     *seat.Agent
-	ledger    *share.Ledger
-	warmth    map[destination]*route.Warmth
-	declined  map[offer]time.Time
-	sent      map[offer]int
-	drainedAt map[string]time.Time
-	blocks    *lookup.Blocks
-	listing   *listing
-	leaving   bool
+	mu      sync.Mutex
+	objects *objects
+	// revision is that of the platform up to which objects are known. It holds the era.
+	revision int64
+	// configLost says that the platform holds an earlier configuration than was accepted.
+	configLost bool
+	view       *member.View
+	agent      *seat.Agent
+	ledger     *share.Ledger
+	warmth     map[destination]*route.Warmth
+	declined   map[offer]time.Time
+	sent       map[offer]int
+	drainedAt  map[string]time.Time
+	blocks     *lookup.Blocks
+	listing    *listing
+	leaving    bool
 	// closing is set when a stopping instance wants no more from others.
 	closing  bool
 	rand     *rand.Rand
--- a/node/register.go
+++ b/node/register.go
@@ -27,6 +27,7 @@
 	swept := time.Now()
 	for {
 		n.register(ctx)
+		n.rewriteConfig(ctx)
 		n.removeDead(ctx)
 		if time.Since(swept) > sweepEvery {
 			swept = time.Now()
@@ -47,8 +48,9 @@
 	want := n.self
 	want.Leaving = n.leaving
 	have := n.objects.byKey[key]
+	lost := objectstore.IsLaterEra(n.revision, have.Version)
 	n.mu.Unlock()
-	if sameInstance(have, want) {
+	if sameInstance(have, want) && !lost {
 		return
 	}
 	version := have.Version
--- a/node/sync.go
+++ b/node/sync.go
@@ -83,6 +83,9 @@
 			continue
 		}
 		after = listing.Revision
+		n.mu.Lock()
+		n.revision = after
+		n.mu.Unlock()
 		n.takeIn(listing.Objects)
 		if first {
 			first = false
@@ -100,10 +103,11 @@
 	var newer []objectstore.Object
 	blocksBefore := make(map[string][]lookup.Block)
 	for _, obj := range objs {
+		known := obj.Key == config.Key && n.knowsConfig(&obj)
 		if strings.HasPrefix(obj.Key, lookup.BlockPrefix) {
 			blocksBefore[obj.Key] = n.blocksOf(n.objects.byKey[obj.Key])
 		}
-		if n.objects.offer(obj) {
+		if n.objects.offer(obj) && !known {
 			newer = append(newer, obj)
 		}
 	}
--- a/objectstore/client.go
+++ b/objectstore/client.go
@@ -32,6 +32,7 @@
 	base    string
 	http    *http.Client
 	timeout time.Duration
+	eras    *eras
 }
 
 // NewClient returns a client of the service at base, such as
@@ -46,7 +47,7 @@
 		MaxIdleConnsPerHost: 8,
 		IdleConnTimeout:     30 * time.Second,
 	}
-	return &Client{base: base, http: &http.Client{Transport: transport}, timeout: timeout}
+	return &Client{base: base, http: &http.Client{Transport: transport}, timeout: timeout, eras: newEras()}
 }
 
 // Close releases idle connections.
@@ -57,11 +58,11 @@
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
 	var obj Object
-	err := c.read(ctx, ObjectsPath+key, &obj)
+	era, err := c.read(ctx, ObjectsPath+key, &obj)
 	if err != nil {
 		return Object{}, fmt.Errorf("get %s: %w", key, err)
 	}
-	return obj, nil
+	return obj.in(era), nil
 }
 
 // List reads all objects whose key starts with prefix.
@@ -70,35 +71,59 @@
 	defer cancel()
 	query := url.Values{"prefix": {prefix}}
 	var out Listing
-	err := c.read(ctx, ListPath+"?"+query.Encode(), &out)
+	era, err := c.read(ctx, ListPath+"?"+query.Encode(), &out)
 	if err != nil {
 		return Listing{}, fmt.Errorf("list %s: %w", prefix, err)
 	}
-	return out, nil
+	return out.in(era), nil
 }
 
 // Watch returns the objects below the prefixes that changed after a revision.
 // When there is none it waits for one, up to wait, and then returns an empty
-// listing.
+// listing. Where the service has come back from a copy since, it returns all
+// objects below the prefixes.
 func (c *Client) Watch(ctx context.Context, prefixes []string, after int64, wait time.Duration) (Listing, error) {
+	era, number := split(after)
+	latest, begun := c.eras.now()
+	if era >= latest && number > 0 {
+		out, answered, err := c.watch(ctx, prefixes, number, wait, begun)
+		if answered == era {
+			return out, err
+		}
+	}
+	out, _, err := c.watch(ctx, prefixes, 0, wait, nil)
+	return out, err
+}
+
+// watch returns the changes after the service's own number, and the era of the answer. It ends early, with
+// the era that is known then, if begun is closed.
+func (c *Client) watch(ctx context.Context, prefixes []string, number int64, wait time.Duration, begun <-chan struct{}) (out Listing, era int64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+watchSlack)
 	defer cancel()
+	go func() {
+		select {
+		case <-begun:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	query := url.Values{
 		"prefix": prefixes,
-		"after":  {strconv.FormatInt(after, 10)},
+		"after":  {strconv.FormatInt(number, 10)},
 		"wait":   {wait.String()},
 	}
-	var out Listing
-	err := c.read(ctx, WatchPath+"?"+query.Encode(), &out)
+	era, err = c.read(ctx, WatchPath+"?"+query.Encode(), &out)
 	if err != nil {
-		return Listing{}, fmt.Errorf("watch: %w", err)
+		era, _ = c.eras.now()
+		return Listing{}, era, fmt.Errorf("watch: %w", err)
 	}
-	return out, nil
+	return out.in(era), era, nil
 }
 
 // Put writes value under key if the object is at version (0: if there is
 // none), and returns the object written. Besides the package's errors it
-// returns a *ConflictError.
+// returns a *ConflictError. An object that the service has lost since the
+// version, as it has come back from a copy, is made anew.
 func (c *Client) Put(ctx context.Context, key string, version int64, value any) (Object, error) {
 	raw, err := json.Marshal(value)
 	if err != nil {
@@ -107,7 +132,11 @@
 	if len(raw) > MaxValueBytes {
 		return Object{}, fmt.Errorf("put %s: %d bytes: %w", key, len(raw), ErrTooLarge)
 	}
-	body, err := json.Marshal(WriteRequest{Version: version, Value: raw})
+	number, err := c.writable(ctx, key, version)
+	if err != nil {
+		return Object{}, err
+	}
+	body, err := json.Marshal(WriteRequest{Version: number, Value: raw})
 	if err != nil {
 		return Object{}, fmt.Errorf("put %s: %w", key, err)
 	}
@@ -116,33 +145,59 @@
 
 // Delete removes the object if it is at version.
 func (c *Client) Delete(ctx context.Context, key string, version int64) error {
-	query := url.Values{"version": {strconv.FormatInt(version, 10)}}
-	_, err := c.write(ctx, http.MethodDelete, key, ObjectsPath+key+"?"+query.Encode(), nil)
+	number, err := c.writable(ctx, key, version)
+	if err != nil {
+		return err
+	}
+	query := url.Values{"version": {strconv.FormatInt(number, 10)}}
+	_, err = c.write(ctx, http.MethodDelete, key, ObjectsPath+key+"?"+query.Encode(), nil)
 	return err
 }
 
-func (c *Client) read(ctx context.Context, path string, out any) error {
+// writable returns the number that a write on a version has to name. If the service has come back from a
+// copy since the version, its own numbers may have been given out again: then the write is in conflict
+// with what the service holds now, or makes the object anew if there is none.
+func (c *Client) writable(ctx context.Context, key string, version int64) (number int64, err error) {
+	era, number := split(version)
+	latest, _ := c.eras.now()
+	if number == 0 || era >= latest {
+		return number, nil
+	}
+	current, err := c.Get(ctx, key)
+	switch {
+	case errors.Is(err, ErrNotFound):
+		return 0, nil
+	case err != nil:
+		return 0, err
+	default:
+		return 0, &ConflictError{Key: key, Current: current}
+	}
+}
+
+// read makes a call and decodes its answer into out. It returns the era that the answer names.
+func (c *Client) read(ctx context.Context, path string, out any) (era int64, err error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
-		return fmt.Errorf("%w: %w", ErrUnavailable, err)
+		return 0, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
 	defer drainBody(resp.Body)
+	era = c.eras.note(resp.Header)
 	switch resp.StatusCode {
 	case http.StatusOK:
 	case http.StatusNotFound:
-		return ErrNotFound
+		return era, ErrNotFound
 	default:
-		return fmt.Errorf("%w: status %d", ErrUnavailable, resp.StatusCode)
+		return era, fmt.Errorf("%w: status %d", ErrUnavailable, resp.StatusCode)
 	}
 	err = json.NewDecoder(io.LimitReader(resp.Body, maxAnswerBytes)).Decode(out)
 	if err != nil {
-		return fmt.Errorf("%w: decode: %w", ErrUnavailable, err)
+		return era, fmt.Errorf("%w: decode: %w", ErrUnavailable, err)
 	}
-	return nil
+	return era, nil
 }
 
 func (c *Client) write(ctx context.Context, method, key, path string, body []byte) (Object, error) {
@@ -160,7 +215,7 @@
 		return Object{}, fmt.Errorf("write %s: %w: %w", key, writeFailure(err), err)
 	}
 	defer drainBody(resp.Body)
-	return decodeWrite(key, resp)
+	return decodeWrite(key, resp, c.eras.note(resp.Header))
 }
 
 // writeFailure tells whether a write whose call failed can have reached the
@@ -173,7 +228,7 @@
 	return ErrUncertain
 }
 
-func decodeWrite(key string, resp *http.Response) (Object, error) {
+func decodeWrite(key string, resp *http.Response, era int64) (Object, error) {
 	var obj Object
 	switch resp.StatusCode {
 	case http.StatusOK:
@@ -181,13 +236,13 @@
 		if err != nil {
 			return Object{}, fmt.Errorf("write %s: %w: %w", key, ErrUncertain, err)
 		}
-		return obj, nil
+		return obj.in(era), nil
 	case http.StatusConflict:
 		err := json.NewDecoder(resp.Body).Decode(&obj)
 		if err != nil {
 			return Object{}, fmt.Errorf("write %s: %w: %w", key, ErrUnavailable, err)
 		}
-		return Object{}, &ConflictError{Key: key, Current: obj}
+		return Object{}, &ConflictError{Key: key, Current: obj.in(era)}
 	case http.StatusRequestEntityTooLarge:
 		return Object{}, fmt.Errorf("write %s: %w", key, ErrTooLarge)
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
--- a/objectstore/client_test.go
+++ b/objectstore/client_test.go
@@ -101,3 +101,69 @@
 	t.Cleanup(func() { _ = ln.Close() })
 	return ln.Addr().String()
 }
+
+// TestRestoredService checks that versions grow across a return of the service from a copy, that no write on a
+// version of before takes effect on what has that number now, that a lost object is made anew, and that a
+// watch from before, pending or not, brings all that there is.
+func TestRestoredService(t *testing.T) {
+	ctx := context.Background()
+	store := platformstore.NewStore()
+	ts := httptest.NewServer(platformstore.NewServer(store, platformstore.Limits{}).Handler())
+	c := objectstore.NewClient(ts.URL, 2*time.Second)
+	t.Cleanup(func() {
+		c.Close()
+		ts.CloseClientConnections()
+		ts.Close()
+	})
+	put := func(key string, version int64, value any) objectstore.Object {
+		o, err := c.Put(ctx, key, version, value)
+		require.NoError(t, err)
+		return o
+	}
+	kept := put("a/kept", 0, 1)
+	copied := store.Copy()
+	later := put("a/kept", kept.Version, 2)
+	lost := put("a/lost", 0, 3)
+	pending := make(chan objectstore.Listing, 1)
+	go func() {
+		listing, err := c.Watch(ctx, []string{"a/"}, lost.Version, time.Minute)
+		require.NoError(t, err)
+		pending <- listing
+	}()
+	store.Restore(copied)
+	// Another client writes as often as before the return.
+	other := objectstore.NewClient(ts.URL, 2*time.Second)
+	t.Cleanup(other.Close)
+	held, err := other.Get(ctx, "a/kept")
+	require.NoError(t, err)
+	require.Greater(t, held.Version, lost.Version)
+	for range 2 {
+		held, err = other.Put(ctx, "a/kept", held.Version, 9)
+		require.NoError(t, err)
+	}
+	seen, err := c.Get(ctx, "a/kept")
+	require.NoError(t, err)
+	require.Equal(t, held, seen)
+	require.True(t, objectstore.IsLaterEra(seen.Version, later.Version))
+	require.False(t, objectstore.IsLaterEra(later.Version, kept.Version))
+	var conflict *objectstore.ConflictError
+	_, err = c.Put(ctx, "a/kept", later.Version, 4)
+	require.ErrorAs(t, err, &conflict)
+	require.Equal(t, held, conflict.Current)
+	require.ErrorAs(t, c.Delete(ctx, "a/kept", later.Version), &conflict)
+	again := put("a/lost", lost.Version, 3)
+	require.Greater(t, again.Version, held.Version)
+	select {
+	case listing := <-pending:
+		require.Contains(t, listing.Objects, held)
+		require.Greater(t, listing.Revision, lost.Version)
+	case <-time.After(10 * time.Second):
+		t.Fatal("the watch goes on waiting")
+	}
+	listing, err := c.Watch(ctx, []string{"a/"}, lost.Version, time.Minute)
+	require.NoError(t, err)
+	require.Len(t, listing.Objects, 2)
+	listing, err = c.Watch(ctx, []string{"a/"}, listing.Revision, time.Millisecond)
+	require.NoError(t, err)
+	require.Empty(t, listing.Objects)
+}
--- a/objectstore/doc.go
+++ b/objectstore/doc.go
@@ -8,6 +8,11 @@
 // A watch returns the objects below some prefixes that changed after a
 // revision, or waits until there is one.
 //
+// The service may come back from a copy of itself: its latest writes are gone,
+// and its counter goes on from the copy's. It is in a new era then. A version
+// that a Client returns holds the era too, so that what is read later has the
+// larger version across eras as well.
+//
 // A write has three results: it took effect, it did not (ConflictError,
 // ErrUnavailable), or the writer cannot know (ErrUncertain), in which case it
 // has to read back and look for a mark of its own.
--- a/objectstore/object.go
+++ b/objectstore/object.go
@@ -18,6 +18,12 @@
 	Deleted bool `json:"deleted,omitempty"`
 }
 
+// in returns the object as it is in an era of the service.
+func (o Object) in(era int64) Object {
+	o.Version = versionOf(era, o.Version)
+	return o
+}
+
 // Listing is the answer to a list or a watch.
 type Listing struct {
 	Objects []Object `json:"objects"`
@@ -26,6 +32,15 @@
 	Revision int64 `json:"revision"`
 }
 
+// in returns the listing as it is in an era of the service.
+func (l Listing) in(era int64) Listing {
+	for i := range l.Objects {
+		l.Objects[i] = l.Objects[i].in(era)
+	}
+	l.Revision = versionOf(era, l.Revision)
+	return l
+}
+
 // WriteRequest is the body of a conditional write.
 type WriteRequest struct {
 	Version int64           `json:"version"`
