Taking a delta in: what comes of a kind's first objects, and of a new era, in functions of their own

No logic changes but for one: the kinds' readiness is noted when their first objects are in force, not at each delta.

--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -44,10 +44,7 @@
 		return false
 	}
 	before := replica.At()
-	var own map[string][]byte
-	if d.Kind == KindTable && d.To.Era != before.Era {
-		own = ownObjects(replica)
-	}
+	own := g.ownObjects(d)
 	changes, ok := replica.Apply(d)
 	if !ok {
 		return false
@@ -55,18 +52,19 @@
 	if source != sourceStore && g.catchUp[d.Kind].Answered() {
 		g.metrics.question(d.Kind, questionAnswered)
 	}
-	if replica.At() == before {
+	at := replica.At()
+	if at == before {
 		return true
 	}
-	g.enterEra(replica.At().Era, source)
+	now := g.clock.Now()
+	g.enterEra(at.Era, source)
 	if before.IsZero() {
 		g.answerAskers(d.Kind)
 	}
 	if before.IsZero() && d.Kind == KindInstances {
-		g.instancesAt = g.clock.Now()
+		g.instancesAt = now
 	}
-	now := g.clock.Now()
-	from := provenance{source: source, revision: replica.At().Revision, restored: !before.IsZero() && before.Era != replica.At().Era}
+	from := provenance{source: source, revision: at.Revision, restored: !before.IsZero() && before.Era != at.Era}
 	if from.restored {
 		g.holdBack(now, d.Kind)
 		g.noteLost(now, own, changes)
@@ -74,28 +72,34 @@
 	if len(changes) > 0 {
 		g.putInForce(now, d.Kind, changes, from)
 	}
-	if before.IsZero() && d.Kind == KindInstances {
-		g.shareOut(g.clock.Now())
-	}
-	switch d.Kind {
-	case KindTargets:
-		g.readiness.knowsTargets.Store(true)
-	case KindRollouts:
-		g.knowRollouts()
+	if before.IsZero() {
+		g.noteKnown(now, d.Kind)
 	}
 	g.noteReady()
-	if !before.IsZero() && (len(changes) > 0 || d.To.Era != before.Era) {
+	if !before.IsZero() && (len(changes) > 0 || from.restored) {
 		if d.Full {
 			d = feed.Difference(d.Kind, before, d.To, changes)
 		}
 		g.passOn(d, source)
 	}
 	if len(changes) > 0 && source != sourceStore {
-		g.watch.missed(d.Kind, g.clock.Now())
+		g.watch.missed(d.Kind, now)
 	}
 	return true
 }
 
+// noteKnown takes in that the first objects of a kind are in force. The caller holds mu.
+func (g *Gateway) noteKnown(now time.Time, kind feed.Kind) {
+	switch kind {
+	case KindInstances:
+		g.shareOut(now)
+	case KindTargets:
+		g.readiness.knowsTargets.Store(true)
+	case KindRollouts:
+		g.knowRollouts()
+	}
+}
+
 // putInForce makes changes count. The caller holds mu.
 func (g *Gateway) putInForce(now time.Time, kind feed.Kind, changes []feed.Change, from provenance) {
 	switch kind {
--- a/gateway/own_objects.go
+++ b/gateway/own_objects.go
@@ -30,8 +30,13 @@
 	writing bool
 }
 
-// ownObjects returns the product's own objects as they are held.
-func ownObjects(replica *feed.Replica) map[string][]byte {
+// ownObjects returns the product's own objects as they are held, if a delta leads to another era of the
+// store, which may lack some of them. The caller holds mu.
+func (g *Gateway) ownObjects(d feed.Delta) map[string][]byte {
+	replica := g.replicas[KindTable]
+	if d.Kind != KindTable || d.To.Era == replica.At().Era {
+		return nil
+	}
 	out := make(map[string][]byte, replica.Len())
 	replica.Objects(func(o feed.Object) { out[o.Name] = o.Value })
 	return out
