An instance listens for signals before it reads its settings

Cause: it began to listen for signals after its settings had been read and its log set up.

What is left is the start of the runtime itself.

--- a/cmd/rainfordd/gateway.go
+++ b/cmd/rainfordd/gateway.go
@@ -41,6 +41,10 @@
 
 // runGateway runs an instance on machines with a platform store.
 func runGateway(args []string, stdout, stderr io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
 	s, err := readGateway(args, stderr)
 	if errors.Is(err, flag.ErrHelp) {
 		return exitOK
@@ -57,16 +61,12 @@
 		return exitUsage
 	}
 	s.Log = slog.New(logqueue.NewHandler(log.Handler(), logqueue.Limit{Message: gateway.RequestMessage, PerSecond: s.logRate}))
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	s.Clock = clock.Real()
 	g, err := gateway.New(s.Config, platform.NewStore(s.store), platform.Codec{}, platform.Headers())
 	if err != nil {
 		s.Log.Error("start", "error", err.Error())
 		return exitFailure
 	}
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
 	go reloadOn(hup, args, g)
 	err = g.Run(ctx)
 	if err != nil {
--- a/cmd/rainfordd/main.go
+++ b/cmd/rainfordd/main.go
@@ -36,6 +36,8 @@
 }
 
 func run(args []string, stderr io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
 	config, err := settings(args, stderr)
 	if errors.Is(err, flag.ErrHelp) {
 		return exitOK
@@ -44,8 +46,6 @@
 		fmt.Fprintln(stderr, err)
 		return exitUsage
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	n, err := node.New(*config)
 	if err != nil {
 		config.Log.Error("start", "error", err.Error())
