Processes that play on loopback have an IP address of their own

A server or an instance that had just ended had left its port, and the run beside it took it.

loopback.Host gives each process its own address in 127.0.0.0/8, or 127.0.0.1 where that can't be had; addresses, proxies, relays and servers of the stand-ins use it. No check changes. TestHost; tests of loopback and soak pass.

--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -1,6 +1,7 @@
-// Package loopback hands out addresses on 127.0.0.1 to programs and tests that start
-// servers whose addresses have to be known beforehand, and that may be started again at
-// the same address.
+// Package loopback hands out addresses to programs and tests that start servers whose
+// addresses have to be known beforehand, and that may be started again at the same
+// address. Each process has an IP address of its own where the system allows it, so that
+// none takes the port of another one's server that has just ended.
 package loopback
 
 import (
@@ -24,6 +25,21 @@
 	nextPort = firstPort + (os.Getpid()*portStep)%(lastPort-firstPort)
 )
 
+// shared is the IP address that is there on every system.
+const shared = "127.0.0.1"
+
+// Host returns the IP address of this process's servers.
+var Host = sync.OnceValue(func() string {
+	pid := os.Getpid()
+	own := fmt.Sprintf("127.%d.%d.1", 1+(pid>>7)%200, 1+pid%128)
+	ln, err := net.Listen("tcp", own+":0")
+	if err != nil {
+		return shared
+	}
+	_ = ln.Close()
+	return own
+})
+
 // FreeAddr returns an address that nothing listens on and that this process has not
 // handed out of late.
 func FreeAddr() (string, error) {
@@ -35,7 +51,7 @@
 		if nextPort >= lastPort {
 			nextPort = firstPort
 		}
-		addr := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		addr := fmt.Sprintf("%s:%d", Host(), nextPort)
 		ln, err := net.Listen("tcp", addr)
 		if err == nil {
 			return addr, ln.Close()
--- a/internal/loopback/loopback_test.go
+++ b/internal/loopback/loopback_test.go
@@ -24,3 +24,12 @@
 		require.NoError(t, ln.Close())
 	}
 }
+
+// TestHost checks that the process has a loopback address, always the same, on which it can listen.
+func TestHost(t *testing.T) {
+	require.True(t, net.ParseIP(loopback.Host()).IsLoopback())
+	require.Equal(t, loopback.Host(), loopback.Host())
+	ln, err := net.Listen("tcp", loopback.Host()+":0")
+	require.NoError(t, err)
+	require.NoError(t, ln.Close())
+}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -4,6 +4,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"github.com/rainford/rainford/internal/loopback"
 )
 
 // Mode is what a proxy does to the bytes that pass.
@@ -45,7 +47,7 @@
 }
 
 func newProxy(target string) (*proxy, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", loopback.Host()+":0")
 	if err != nil {
 		return nil, err
 	}
--- a/internal/standin/origin/server.go
+++ b/internal/standin/origin/server.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/rainford/rainford/internal/loopback"
 )
 
 // Fault is what a server does wrong with one request.
@@ -100,9 +102,9 @@
 	canceled int
 }
 
-// Start returns a server on a port of its own on 127.0.0.1.
+// Start returns a server on a port of its own on the loopback address of the process.
 func Start(id, service, zone string, slots int) (*Server, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", loopback.Host()+":0")
 	if err != nil {
 		return nil, fmt.Errorf("origin: %w", err)
 	}
--- a/internal/standin/relay/relay.go
+++ b/internal/standin/relay/relay.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"sync"
+
+	"github.com/rainford/rainford/internal/loopback"
 )
 
 // Relay passes connections on to one address. It is safe for concurrent use.
@@ -25,9 +27,9 @@
 	silent    bool
 }
 
-// Start returns a relay to an address, on a port of its own on 127.0.0.1.
+// Start returns a relay to an address, on a port of its own on the loopback address of the process.
 func Start(target string) (*Relay, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", loopback.Host()+":0")
 	if err != nil {
 		return nil, fmt.Errorf("relay: %w", err)
 	}
