--- a/gateway/held.go
+++ b/gateway/held.go
@@ -26,10 +26,13 @@
 // it is there again, with a version that has already been found to be bad.
 const ordersHold = 10 * time.Second
 
-// holdTimes are those of the kinds of which something is held back. The entry of a target that has gone
-// goes again once it has not been written three times in a row, for 4.5 s.
+// entryLife is how long the entry of a target that has gone stays in a restored store at most: it goes
+// once it has not been written three times in a row, for 4.5 s.
+const entryLife = 6 * time.Second
+
+// holdTimes are those of the kinds of which something is held back.
 var holdTimes = map[feed.Kind]holdTime{
-	KindTargets:     {removals: writeAgainTime, returns: 6 * time.Second},
+	KindTargets:     {removals: writeAgainTime, returns: entryLife},
 	KindEvacuations: {removals: writeAgainTime, returns: writeAgainTime},
 	KindInstances:   {removals: 2 * maxRegisterSpread},
 	KindRollouts:    {removals: ordersHold, returns: writeAgainTime},
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -235,6 +235,10 @@
 			continue
 		case errors.Is(err, context.Canceled) || ctx.Err() != nil:
 			continue
+		case errors.Is(err, errUnknownKind):
+			g.heardStore()
+			pause.For(ctx, maxPause)
+			continue
 		case errors.Is(err, errNothingNewer) || errors.Is(err, ErrHistoryGone):
 			g.heardStore()
 		default:
@@ -245,9 +249,13 @@
 	}
 }
 
-// errNothingNewer means that a list has not brought the replica forward: the store does not know the
-// kind, or answers as of some time ago.
-var errNothingNewer = errors.New("gateway: list brings nothing newer")
+var (
+	// errUnknownKind means that the store does not know a kind yet, of which nothing is held.
+	errUnknownKind = errors.New("gateway: kind is not known to the store")
+	// errNothingNewer means that a list has not brought the replica forward: the store answers
+	// as of some time ago.
+	errNothingNewer = errors.New("gateway: list brings nothing newer")
+)
 
 // probeLoop finds out whether the store still answers while this instance is a watcher:
 // a pending watch does not tell.
@@ -306,7 +314,8 @@
 	return nil
 }
 
-// list reads the whole kind. It returns errNothingNewer if the replica is not further on for it.
+// list reads the whole kind. It returns errUnknownKind or errNothingNewer if the replica is not further on
+// for it.
 func (g *Gateway) list(ctx context.Context, kind feed.Kind) error {
 	before := g.position(kind)
 	delta, err := g.store.List(ctx, kind)
@@ -319,10 +328,14 @@
 		g.log.Warn(logListBehind, "kind", kind, "ends", delta.To.Revision, "era", delta.To.Era, "revision", before.Revision, "held_era", before.Era)
 	}
 	g.take(delta, sourceStore)
-	if !g.position(kind).After(before) {
+	switch at := g.position(kind); {
+	case at.IsZero():
+		return errUnknownKind
+	case !at.After(before):
 		return errNothingNewer
+	default:
+		return nil
 	}
-	return nil
 }
 
 // noteEra takes in the era that the store's answers name.
