--- a/gateway/deaf_test.go
+++ b/gateway/deaf_test.go
@@ -22,22 +22,7 @@
 	return found[1]
 }
 
-// TestHeardAgain is the story of an instance that is heard and does not hear.
-//
-// What users saw: one instance refused a third of the requests of accounts with a limit as
-// having no owner to ask (503), for as long as it ran.
-//
-// Order of events: the connections of the others to it fall silent for good, by something
-// on the way that still acknowledges what they send. Its own connections to them work, so
-// they take it for alive and go on sending to it over the silent ones: answers to its
-// questions, to its probes, and permits.
-//
-// Cause: a connection is given up by the one that doubts the other, and here that is not
-// the one that holds the silent connection.
-//
-// Evidence: two runs of the soak (seeds 5019 and 5109) in which the way to one instance is
-// silenced: 59 such refusals at it from then on in the one, 29 in the last quarter of the
-// other, none at others meanwhile.
+// TestHeardAgain guards against an instance that is heard by all and hears nobody, for as long as it runs.
 func TestHeardAgain(t *testing.T) {
 	s := newSite(t)
 	s.configure(1, safeRoute)
--- a/gateway/ending_test.go
+++ b/gateway/ending_test.go
@@ -128,23 +128,7 @@
 	return v, instances
 }
 
-// TestEndingRequestIsHeld is the story of a request that ends each target that runs it.
-//
-// What users saw: 37 of 24 targets of a service, which start again after some seconds,
-// ended within 15 s, three times a day. Up to a third of the reads of that service were
-// refused and a fifth was in time, for 15 s each time.
-//
-// Order of events: a read ends the first target of its object. The instance takes that for
-// a fault of the target and sends the read to the second one, which ends too; the caller is
-// told 502. The caller repeats the read at another instance, which knows nothing of it and
-// finds the next two targets, and so on while it comes.
-//
-// Cause: what became of a request is judged within one exchange and forgotten with it.
-//
-// Evidence: in the lines of the instances each attempt of that read ends with the connection
-// 32 to 232 ms after it was sent, at a target of which all connections end in the same
-// millisecond; five of its requests ended two targets each; it was never answered. No line
-// tells of a request, only of targets that are suspected.
+// TestEndingRequestIsHeld guards against a request that ends target after target as nobody remembers it.
 func TestEndingRequestIsHeld(t *testing.T) {
 	v, instances := endingSite(t, "idempotent", isEnding)
 	for i := range 100 {
--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -52,22 +52,7 @@
 	server.SetSays(func(*http.Request) string { return fmt.Sprintf("Server-Limit: %g\r\n", perSecond) })
 }
 
-// TestLimitIsKeptByAll is the story of a target that names how much it takes and gets as much as
-// before.
-//
-// What users saw: a target in need named in its answers that it takes 6.2 requests a second from
-// all instances together. It got 18 to 33 a second, as before, and 111 in 4 s where 42 are
-// allowed; seven instances, in two regions, sent them.
-//
-// Order of events: a target begins to name a limit in its answers, which are successes like the
-// others. Each instance passes these on and goes on sending by the keys' places and the loads
-// that the target tells, which are low: nothing is turned away, and nothing is late.
-//
-// Cause: what the target says was not read, and no instance sees what the others send.
-//
-// Evidence: of the request lines with 'limit_per_s' each is followed by others of the same
-// instance to that target, as the first choice of their keys, at the spaces of before; the
-// number of requests that the target gets a second does not change when it begins to speak.
+// TestLimitIsKeptByAll guards against a target that names how much it takes and gets as much as before.
 func TestLimitIsKeptByAll(t *testing.T) {
 	t.Parallel()
 	for _, c := range []struct {
--- a/gateway/question_test.go
+++ b/gateway/question_test.go
@@ -105,27 +105,7 @@
 	return d.Verdict == upstream.Send
 }
 
-// TestSilentSourceHoldsNobodyBack is the story of a target that was used for over 2.5 s
-// after it had said that it leaves.
-//
-// What users saw: a request reached a target 2.51 s after the store had acknowledged its
-// leaving, and another one after 2.65 s, all from one instance of its region.
-//
-// Order of events: the first watcher of a region loses power; its neighbours' connections
-// to it fall silent. It comes back and reads the store anew, so that its replica has a
-// later revision than theirs, although no target has changed in between. A target leaves.
-// The first watcher pushes that: a change from its own revision on, which leaves a gap at
-// the others. They ask it for what is between, over a silent connection. They go on to ask
-// it with each of its gossip, every 500 ms; the gossip of the second watcher, which has the
-// change too, comes soon after that, while a question is pending, and is passed over.
-//
-// Cause: one source at a time is asked for what is missing, and one that does not answer
-// takes the turn of those that would.
-//
-// Evidence: of 16 simulated days like it, five broke the bound, in all of them the machine
-// that had lost power was the first watcher of its region. In a run of one of these with
-// every question logged, an instance asked that watcher six times in 3.1 s, and neither of
-// the two others that had the change.
+// TestSilentSourceHoldsNobodyBack guards against a change that is kept from an instance as it asks one that never answers.
 func TestSilentSourceHoldsNobodyBack(t *testing.T) {
 	const (
 		// rounds of gossip that fit into the 2.5 s in which a leaving has to be heeded.
--- a/gateway/unanswered_test.go
+++ b/gateway/unanswered_test.go
@@ -26,23 +26,7 @@
 	}
 }
 
-// TestSilentOwnerIsToldToRenew is the story of an instance that hears all others by way of one
-// of them, and is answered by none.
-//
-// What users saw: one instance refused the requests of accounts with a limit as having no owner
-// to ask (503), for as long as it ran, though it took all for alive.
-//
-// Order of events: the connections of the others to it fall silent for good, by something on
-// the way that still acknowledges. One of them opens a new connection soon, for a reason of its
-// own, and passes on the heartbeats of all, so that none is missed and nobody is told to open
-// another connection. The owners of limits answer over the silent ones.
-//
-// Cause: whether a connection carries anything was judged by whether its instance is heard of,
-// by whomever.
-//
-// Evidence: a run of the soak (seed 5109) in which the way to an instance is silenced at the
-// moment at which another one wakes: 36 such refusals at it, up to the end, and no line that
-// another one was told that it is not heard.
+// TestSilentOwnerIsToldToRenew guards against an instance that hears all by way of one, and is answered by none.
 func TestSilentOwnerIsToldToRenew(t *testing.T) {
 	g := newPlain(t)
 	silent := newNeighbour(t, "n0")
--- a/gateway/word_test.go
+++ b/gateway/word_test.go
@@ -114,22 +114,7 @@
 	return instances, servers
 }
 
-// TestLeavingByItsOwnWord is the story of a target that leaves while the store is silent.
-//
-// What users saw: a target said in its answers that it leaves. For 14 s after that 70 more
-// requests of six instances reached it, which each of them would have lost with its end.
-//
-// Order of events: the store falls silent. A target begins to leave; its write of that to
-// the store gets no answer. It says so in each answer, with which the instances do nothing
-// but pass it on. The store is back, takes the write 12.9 s after it was sent, and the
-// instances know.
-//
-// Cause: what a target says of itself in an answer was not read; an instance knew of a
-// leaving from the store's list alone.
-//
-// Evidence: of the request lines with 'leaves' each is followed by others of the same
-// instance to that target, as the first choice of their keys; the lines of the instances
-// have nothing on it before the list's.
+// TestLeavingByItsOwnWord guards against requests to a target that has said in its answers that it leaves.
 func TestLeavingByItsOwnWord(t *testing.T) {
 	for _, c := range []struct {
 		name  string
