Soak: verdicts that nobody can know of, and servers that the stand-in wrote again

Such orders are excused: a restore, and all instances ended less than 5 s after it (TestForgottenVerdict: each of the two alone excuses nothing). RECOVER was the stand-in's: an old server that the platform had stopped and removed, while the restored store lacked it, was written again, and stood in the list for good, so that the only living servers, those of the version, got nothing. A removal now cancels what is to be written again (TestRemovedBeforeItIsWrittenAgain).

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -32,6 +32,7 @@
 	case InstanceReload:
 		in.signal(syscall.SIGHUP, false)
 	case KillAll:
+		s.oracle.allKilled()
 		for _, in := range s.instances {
 			s.oracle.killed(in.name, time.Now())
 			in.signal(syscall.SIGKILL, true)
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -47,6 +47,8 @@
 	words   words
 	// versions are the rollouts of the run.
 	versions []*versionCheck
+	// restoredAt is when the store last came back from a copy.
+	restoredAt time.Time
 	// frozenAt is until when an instance last stood still.
 	frozenAt map[string]time.Time
 }
--- a/internal/soak/rollouts.go
+++ b/internal/soak/rollouts.go
@@ -53,6 +53,9 @@
 	fiftiethAt    time.Time
 	late          bool
 	verdict       string
+	// forgotten says that all instances ended soon after the store had lost what it held of the
+	// order: nobody may know of the verdict, or of the version's bad answers.
+	forgotten bool
 }
 
 func (c *versionCheck) isBad() bool { return c.quality != soundVersion }
@@ -201,7 +204,7 @@
 		if v.At.Before(check.until) {
 			check.all++
 		}
-		if srv.version != check.version || !check.isBad() || !o.inTouch(a.instance, v.At) {
+		if srv.version != check.version || !check.isBad() || check.forgotten || !o.inTouch(a.instance, v.At) {
 			continue
 		}
 		o.checks["EXPOSURE"]++
@@ -219,6 +222,9 @@
 func (o *oracle) judgeVersion(check *versionCheck, state string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if check.forgotten {
+		return
+	}
 	o.checks["VERDICT"]++
 	if check.verdict != "" && check.verdict != "running" && state != check.verdict {
 		o.broken("VERDICT", "the rollout of %s of %s was %s and is %s", check.version, check.service, check.verdict, state)
--- a/internal/soak/rollouts_test.go
+++ b/internal/soak/rollouts_test.go
@@ -77,3 +77,22 @@
 	require.Len(t, o.violations, 1)
 	require.Equal(t, "VERDICT", o.violations[0].Rule)
 }
+
+// TestForgottenVerdict checks that a verdict may change if all instances ended soon after the store had lost
+// it, and not otherwise.
+func TestForgottenVerdict(t *testing.T) {
+	for _, c := range []struct {
+		restored time.Duration
+		killed   bool
+		broken   bool
+	}{{time.Second, true, false}, {time.Second, false, true}, {verdictTime + time.Second, true, true}} {
+		o, check, _ := exposed(soundVersion)
+		check.verdict = "succeeded"
+		o.restoredAt = time.Now().Add(-c.restored)
+		if c.killed {
+			o.allKilled()
+		}
+		o.judgeVersion(check, "rolled_back")
+		require.Equal(t, c.broken, len(o.violations) > 0, "%+v", c)
+	}
+}
--- a/internal/standin/objects/restore_test.go
+++ b/internal/standin/objects/restore_test.go
@@ -66,3 +66,18 @@
 	require.Contains(t, body, fmt.Sprintf(`"revision":%d`, copied+1))
 	require.Contains(t, body, `"spec":3`)
 }
+
+// TestRemovedBeforeItIsWrittenAgain checks that an object that a restore has lost stays away if it is removed
+// before its writer has written it again.
+func TestRemovedBeforeItIsWrittenAgain(t *testing.T) {
+	s := New()
+	s.Set("servers", "i-1", "ready")
+	copied := s.Revision()
+	s.Set("servers", "i-2", "ready")
+	lost := s.RestoreAt(copied)
+	s.Remove("servers", "i-2")
+	for _, w := range lost {
+		s.WriteAgain(w)
+	}
+	require.Equal(t, []string{"i-1"}, s.Names("servers"))
+}
--- a/internal/standin/objects/store.go
+++ b/internal/standin/objects/store.go
@@ -143,6 +143,8 @@
 func (s *Store) Remove(kind, name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	// One that a restore has lost is not to be written again.
+	s.rewritten[objectKey{kind, name}] = true
 	if o := s.kinds[kind][name]; o != nil {
 		s.erase(kind, *o)
 		s.markOutside()
