Positions encode themselves: staticcheck took the field that told the library for unused

A position is an array of era and revision as before. TestPositionArrives, TestPositionsOrder. staticcheck is clean, tests of feed, peer, fleet and platform pass.

--- a/feed/position.go
+++ b/feed/position.go
@@ -1,6 +1,11 @@
 package feed
 
-import "cmp"
+import (
+	"cmp"
+	"errors"
+
+	"github.com/vmihailenco/msgpack/v5"
+)
 
 // Position is a point in the history of the store. The store counts its changes by revisions. When
 // it comes back from a copy it has lost the latest of them, and goes on to count from the copy's: it
@@ -8,8 +13,6 @@
 //
 // The zero value stands before all history. A position at revision 0 of any era is that too.
 type Position struct {
-	_msgpack struct{} `msgpack:",as_array"`
-
 	// Era counts how often the store has come back from a copy. It is 0 where the store does not
 	// tell.
 	Era int64
@@ -45,3 +48,31 @@
 	}
 	return p
 }
+
+// ErrPosition means that a position can't be read.
+var ErrPosition = errors.New("feed: malformed position")
+
+// positionFields is the number of values that encode a position.
+const positionFields = 2
+
+// EncodeMsgpack implements msgpack.CustomEncoder: an array of era and revision.
+func (p Position) EncodeMsgpack(enc *msgpack.Encoder) error {
+	return errors.Join(enc.EncodeArrayLen(positionFields), enc.EncodeInt(p.Era), enc.EncodeInt(p.Revision))
+}
+
+// DecodeMsgpack implements msgpack.CustomDecoder.
+func (p *Position) DecodeMsgpack(dec *msgpack.Decoder) error {
+	n, err := dec.DecodeArrayLen()
+	if err != nil {
+		return err
+	}
+	if n != positionFields {
+		return ErrPosition
+	}
+	p.Era, err = dec.DecodeInt64()
+	if err != nil {
+		return err
+	}
+	p.Revision, err = dec.DecodeInt64()
+	return err
+}
