node: log writes of claims that take longer than a second

Nothing in the log told whether the record of its end was lost, waited behind another write, or was refused again and again. A write of claims that takes longer than a second is now logged as a warning, and once more at its end, with its shard and the number of its conflicts.

--- a/node/claim_batch.go
+++ b/node/claim_batch.go
@@ -59,6 +59,8 @@
 	state := c.shards[id]
 	c.mu.Unlock()
 	uncertain := false
+	delay := writeDelay{log: c.log, shard: id, ops: len(ops), began: time.Now()}
+	defer delay.end()
 	for {
 		next, replies := applyAll(state.shard, ops)
 		obj, err := c.store.Put(ctx, id.ObjectKey(), state.version, next)
@@ -71,6 +73,7 @@
 			// The store has a newer version, so an earlier write that was based on an older
 			// version can no longer take effect.
 			uncertain = false
+			delay.conflict()
 			state = resolveConflict(state, conflict.Current)
 			c.awaitToken(ctx, id.Number)
 		case ctx.Err() != nil:
@@ -82,6 +85,7 @@
 				c.failBatch(id, ops)
 				return
 			}
+			delay.check()
 			pause.For(ctx, retryDelay)
 		}
 	}
