node: a write of claims that waited for its rate limit reads the shard again

Cause: after a conflict the writer took the state that the refusal brought, then waited for its rate limit, and wrote on that state. An instance that isn't its shard's writer may write 2.5 times a second at four instances, so the state was 400 ms old by then. Each retry of the caller makes the shard's present writer store a refusal, every 100 ms, so each of these writes was in conflict again, for as long as the caller asked. The end of an operation lies with another instance than the shard's writer whenever the view of the living instances changes between the claim and its end, as it does when a cut hall is whole again.

Ruled out: a lost end (it is queued again by its origin after 600 ms, and by a writer whose write fails) and a store call that hangs (3 s at most).

Fix: when it had to wait, the writer reads the shard again, so that what it writes on is as old as one read. The platform allows 20 reads for each write (platformstore.DefaultLimits).

--- a/node/claim_batch.go
+++ b/node/claim_batch.go
@@ -75,7 +75,9 @@
 			uncertain = false
 			delay.conflict()
 			state = resolveConflict(state, conflict.Current)
-			c.awaitToken(ctx, id.Number)
+			if c.awaitToken(ctx, id.Number) {
+				state = c.refresh(ctx, id, state)
+			}
 		case ctx.Err() != nil:
 			return
 		default:
@@ -91,17 +93,35 @@
 	}
 }
 
-// awaitToken waits until the rate limit permits another write of a shard with the given number.
-func (c *claimWriter) awaitToken(ctx context.Context, number int) {
+// awaitToken waits until the rate limit permits another write of a shard with the given number. It
+// reports whether it had to wait.
+func (c *claimWriter) awaitToken(ctx context.Context, number int) (waited bool) {
 	for ctx.Err() == nil {
 		c.mu.Lock()
 		ok, wait := c.limiters[number].Allow(time.Now())
 		c.mu.Unlock()
 		if ok {
-			return
+			return waited
 		}
+		waited = true
 		pause.For(ctx, wait)
 	}
+	return waited
+}
+
+// refresh reads a shard again and returns its state in the store, or the known state if that is as new.
+// Without it, a write that has to wait for the rate limit would conflict again and again while another
+// instance writes the shard more often.
+func (c *claimWriter) refresh(ctx context.Context, id claim.ShardID, known shardState) shardState {
+	obj, err := c.store.Get(ctx, id.ObjectKey())
+	if err != nil {
+		c.log.Debug("reading claims failed", "shard", id.ObjectKey(), "error", err.Error())
+		return known
+	}
+	if obj.Version <= known.version {
+		return known
+	}
+	return resolveConflict(known, obj)
 }
 
 // failBatch ends a batch that the store did not accept. Operations that acquire a claim get the
