gateway: a late rejection is no refusal by "not run" if an earlier attempt may have run

What callers saw: 503 with Retry-After, which states that the request has not run, on a request that repeats are allowed for and that a target may have run: the first attempt's response was lost, the second was rejected by its target after the deadline. Its account's permit was given back too.

Cause: afterAttempt looked at the last attempt alone when that ended late.

Looked for elsewhere: the other ends of run, finalRefusal and recheckKey ask whether an outcome is unknown. The refusals of checkQuarantine do so too: what it refuses as held has two crashes or more (suspectCrashes), and with an unknown outcome that is refused by 502 before (maxCrashesPerExchange); a refusal for an account asks by itself.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -99,7 +99,7 @@
 			unsent++
 		}
 		unknown = unknown || a.Outcome == retry.Unknown
-		if stop, result := g.afterAttempt(ex, a); stop {
+		if stop, result := g.afterAttempt(ex, a, unknown); stop {
 			return result, nil
 		}
 		if a.TargetResult.Outcome == upstream.Rejected && decision.SendState.Load < 1 && !a.TargetResult.SelfReport.Restricts() {
@@ -210,15 +210,15 @@
 }
 
 // afterAttempt reports whether the request ends after an attempt without a response, and with which
-// result.
-func (g *Gateway) afterAttempt(ex *exchange, a forward.Attempt) (bool, requestResult) {
+// result. unknown is true if the outcome of this attempt or an earlier one is unknown.
+func (g *Gateway) afterAttempt(ex *exchange, a forward.Attempt, unknown bool) (bool, requestResult) {
 	late := !g.clock.Now().Before(ex.deadline)
 	switch {
 	case ex.ctx.Err() != nil:
 		return true, requestResult{reason: reasonClientLeft}
-	case a.Outcome == retry.NotRun && late:
+	case a.Outcome == retry.NotRun && late && !unknown:
 		return true, notRunResult("late-not-run", defaultRetryAfter)
-	case a.Outcome == retry.NotRun:
+	case a.Outcome == retry.NotRun && !late:
 		return false, requestResult{}
 	case late || errors.Is(a.Err, os.ErrDeadlineExceeded):
 		return true, requestResult{status: http.StatusGatewayTimeout, reason: "timeout"}
--- a/gateway/refusal_test.go
+++ b/gateway/refusal_test.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -72,3 +73,31 @@
 	require.Equal(t, 502, in.send("POST", "/once/", "pay").status)
 	require.Len(t, server.Runs(), runs+2)
 }
+
+// TestLateRefusalAfterLostResponse guards against a 503, which states that a request has not run, if the
+// last attempt was rejected after the deadline but an earlier one may have run.
+func TestLateRefusalAfterLostResponse(t *testing.T) {
+	s := newSite(t)
+	const timeout = 500 * time.Millisecond
+	s.configure(1, route{prefix: "/x/", service: "s", kind: "idempotent", timeout: timeout.String()})
+	first, second := s.server("i-1", "s", "a1"), s.server("i-2", "s", "a1")
+	in := s.instance("n1", "a1")
+	in.awaitStatus("/x/", 200)
+	for range 10 {
+		// Requests earn the budget for retries.
+		in.send("GET", "/x/", "")
+	}
+	var arrivals atomic.Int64
+	began := time.Now()
+	script := func(*http.Request) origin.Fault {
+		if arrivals.Add(1) == 1 {
+			return origin.LostResponse
+		}
+		time.Sleep(time.Until(began.Add(timeout + 20*time.Millisecond)))
+		return origin.Shed
+	}
+	first.SetScript(script)
+	second.SetScript(script)
+	require.Equal(t, http.StatusGatewayTimeout, in.send("GET", "/x/", "").status)
+	require.EqualValues(t, 2, arrivals.Load())
+}
