rollout: a leader that has just started learns a verdict that the store has lost

What callers saw: after a restore of the store that lost a verdict, an instance that started and led began the rollout anew. Callers at it reached the version that had been rolled back (55 more requests in 6 s, every second one failed), and the store said "running" for that time; of a version that had succeeded the verdict did not come back.

Cause: a verdict was known to those instances only that had read it from the store, and written again by the leader alone. A leader without it is the first by name of the watchers, whatever it knows; the others passed its stages over.

Fix: whoever knows the verdict of an order replies with it to a leader that announces a stage of that order (about 16 replies in a large fleet). The leader follows it at once and writes it again. It waits 0.3 s for such replies before the canary phase, and announces its stage at each update meanwhile: its first announcement may reach nobody, since it starts within a millisecond of the start of the process. The split of an order is applied with the order and not at its next update, which could come after the instance was ready.

--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -268,6 +268,7 @@
 	g.receiveDepartures(now, m.Departures)
 	g.receiveLimits(now, m.Limits)
 	g.receiveStages(now, m.Stages)
+	g.receiveVerdicts(now, m.Verdicts)
 	if g.view.Len() != known {
 		g.updateInstanceShares(now)
 	}
--- a/gateway/logs.go
+++ b/gateway/logs.go
@@ -34,6 +34,7 @@
 	logRollout                = "rollout"
 	logRolloutRefused         = "rollout refused"
 	logRolloutLeads           = "rollout led here"
+	logRolloutVerdict         = "rollout verdict known elsewhere"
 	logRolloutStage           = "rollout stage"
 	logRolloutState           = "rollout state written"
 	logEvacuation             = "evacuation"
--- a/gateway/rollouts.go
+++ b/gateway/rollouts.go
@@ -114,9 +114,19 @@
 	known.setRecord(record)
 	g.log.Info(logRollout, "service", record.Service, "version", record.Version, "duration_ms", record.Duration.Milliseconds(),
 		"state", record.State, "source", from.source, "revision", from.revision)
+	g.applySplit(now, known)
 	g.rollouts.put(c.Name, known)
 }
 
+// applySplit applies the traffic split of a rollout at once, since the instance may become ready before
+// the next update of the rollout.
+func (g *Gateway) applySplit(now time.Time, r *serviceRollout) {
+	r.mu.Lock()
+	split, until := r.follower.Split(now)
+	r.mu.Unlock()
+	g.pools.setSplit(now, r, split, until)
+}
+
 // put sets the rollout of a service and wakes rolloutLoop. It does nothing if r is nil.
 func (rs *rollouts) put(service string, r *serviceRollout) {
 	if r == nil {
@@ -249,7 +259,7 @@
 	if r.follower.HandleStage(now, stage) {
 		g.logStage(r, stage)
 	}
-	if changed {
+	if changed || r.leader.AwaitsObjections(now) {
 		go g.broadcast(now, peer.Gossip{Stages: []rollout.Stage{stage}})
 	}
 	g.writeState(ctx, now, r, r.leader.Verdict())
@@ -308,11 +318,12 @@
 	g.log.LogAttrs(context.Background(), slog.LevelInfo, logRolloutStage, attrs...)
 }
 
-// receiveStages handles stages that leaders have sent.
+// receiveStages handles stages that leaders have sent. The caller holds mu of the gateway.
 func (g *Gateway) receiveStages(now time.Time, stages []rollout.Stage) {
 	for _, stage := range stages {
 		for _, r := range g.rollouts.all() {
 			r.mu.Lock()
+			g.objectToStage(r, stage)
 			if r.follower.HandleStage(now, stage) {
 				g.logStage(r, stage)
 			}
--- a/peer/message.go
+++ b/peer/message.go
@@ -128,6 +128,8 @@
 	LimitsChecksum uint32                     `msgpack:"q,omitempty"`
 	// Stages are the current stages of rollouts.
 	Stages []rollout.Stage `msgpack:"g,omitempty"`
+	// Verdicts are the verdicts of rollouts that the receiver leads without knowing them.
+	Verdicts []rollout.Verdict `msgpack:"v,omitempty"`
 	// RelayUntil is the last member of the region to which the receiver relays Quarantine,
 	// Departures, Limits and Stages, or 0 if it relays them to no member. RelayToRegion
 	// asks the receiver to relay them to its whole region.
--- a/rollout/leader.go
+++ b/rollout/leader.go
@@ -50,6 +50,9 @@
 	// maxCanaryShare is the largest share of all requests that is used to reach it.
 	sampleRate     = 60.0
 	maxCanaryShare = 0.5
+	// objectionTime is how long a new leader of a rollout that has not begun waits before the canary
+	// phase. An instance that knows a verdict which the store has lost reports it in that time.
+	objectionTime = 300 * time.Millisecond
 	// minRate is the request rate in 1/s that is assumed for a service without requests.
 	minRate = 0.1
 	// canaryShareFraction and canarySlackFraction are the fractions of the exposure bound that the
@@ -207,7 +210,9 @@
 	}
 	switch l.stage.Phase {
 	case Waiting:
-		l.waitForTargets(elapsed, s)
+		if !l.AwaitsObjections(now) {
+			l.waitForTargets(elapsed, s)
+		}
 	case Canary, Baking:
 		l.bake(elapsed, s)
 	case Moving:
@@ -217,6 +222,12 @@
 	}
 }
 
+// AwaitsObjections reports whether the leader still waits for the verdict that another instance may know.
+// The caller should send the stage to the other instances repeatedly until then.
+func (l *Leader) AwaitsObjections(now time.Time) bool {
+	return l.stage.Phase == Waiting && now.Sub(l.stageStart) < objectionTime
+}
+
 // fraction returns a fraction of the order's duration.
 func (l *Leader) fraction(share float64) time.Duration {
 	return time.Duration(share * float64(l.order.Duration))
