soak: VERDICT is judged by its own bound after a restore

The check read the store once, 5 s after a rollout's end, and took a missing verdict for a violation, whatever had happened to the store just before. The soak's own bound is verdictTime: within 5 s of a restore the instances write again what they know; it was used only for runs in which all are killed.

The check now reads the store every 50 ms from the verdict on. A missing verdict is a violation: without a restore since it was last seen, at the judgement, as before; after a restore, once it has been missing for more than 5 s in which the store accepts writes, wherever in the run that is; an opposite verdict at the judgement, as before. The state is read for the order's own version: a copy may hold that of an earlier order. So it is stricter but for the moment within 5 s of a restore. TestLostVerdictReturns has a case for each, TestRewrittenVerdictIsLostAgain the second loss without a restore; the earlier tests of the check are unchanged.

--- a/internal/soak/restore.go
+++ b/internal/soak/restore.go
@@ -41,6 +41,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.restoredAt = time.Now()
+	for _, check := range o.versions {
+		check.lostFor = 0
+	}
 }
 
 // allKilled records that all instances are killed at once. If the store was restored less than
--- a/internal/soak/rollouts.go
+++ b/internal/soak/rollouts.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"encoding/json"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -54,6 +53,12 @@
 	fiftiethAt time.Time
 	reported   bool
 	verdict    string
+	// verdictAt is when the verdict was last seen in the store.
+	verdictAt time.Time
+	// lostFor is how long the store has lacked the verdict since its last restore while it accepted
+	// writes. lossReported is set once that was reported as a violation.
+	lostFor      time.Duration
+	lossReported bool
 	// stateLost is set if all instances were killed soon after the store lost the state of the
 	// rollout. The verdict and the bad answers of the version may then be lost.
 	stateLost bool
@@ -123,7 +128,7 @@
 // once. After a rollback, or if the rollout has not ended in time, it drains the new servers.
 func (r *runner) awaitVerdict(check *versionCheck) {
 	s := r.site
-	state := s.rolloutState(check.service)
+	state := s.rolloutState(check)
 	if state != "" && state != "running" || time.Now().After(check.until.Add(2*time.Second)) {
 		s.oracle.noteVerdict(check, state)
 		succeeded := state == "succeeded"
@@ -146,10 +151,7 @@
 			}
 			r.drainOnly(srv)
 		}
-		r.later(time.Until(check.until)+rollbackWithin, func() {
-			s.oracle.judgeVersion(check, s.rolloutState(check.service))
-			s.rolling.Store(false)
-		})
+		r.watchVerdict(check)
 		return
 	}
 	r.later(verdictPoll, func() { r.awaitVerdict(check) })
@@ -164,17 +166,6 @@
 	})
 }
 
-// rolloutState returns the state of a service's rollout that the store holds, or the empty
-// string if there is none.
-func (s *site) rolloutState(service string) string {
-	var status objects.RolloutStatus
-	raw := s.store.Status("rollouts", service)
-	if raw == nil || json.Unmarshal(raw, &status) != nil {
-		return ""
-	}
-	return status.State
-}
-
 // badAnswer counts a bad answer of a version.
 func (o *oracle) badAnswer(check *versionCheck) {
 	o.mu.Lock()
@@ -185,16 +176,6 @@
 	}
 }
 
-// noteVerdict records the verdict of a rollout.
-func (o *oracle) noteVerdict(check *versionCheck, verdict string) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	check.verdict = verdict
-	if verdict == "succeeded" && !check.isBad() {
-		o.checks["SUCCEEDED"]++
-	}
-}
-
 // judgeExposure counts a request that reaches a server of a service with a rollout, and checks
 // that a bad version receives none later than rollbackWithin after its fiftieth bad answer.
 // The caller holds mu.
--- a/internal/soak/rollouts_test.go
+++ b/internal/soak/rollouts_test.go
@@ -97,3 +97,61 @@
 		require.Equal(t, c.broken, len(o.violations) > 0, "%+v", c)
 	}
 }
+
+// TestLostVerdictReturns checks that a verdict which a restored store lacks may be missing for verdictTime
+// in which the store accepts writes, that it must not be missing for longer, nor without a restore, and
+// that the opposite verdict is reported at once.
+func TestLostVerdictReturns(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		restored bool
+		state    string
+		// lost is how long the state is missing, and unavailable how much of that time the store
+		// accepts no writes.
+		lost, unavailable time.Duration
+		broken            bool
+	}{
+		{name: "rewritten in time", restored: true, lost: verdictTime},
+		{name: "too late", restored: true, lost: verdictTime + verdictPoll, broken: true},
+		{name: "too late, begun anew", restored: true, state: stateRunning, lost: verdictTime + verdictPoll, broken: true},
+		{name: "store unavailable", restored: true, lost: verdictTime + 4*time.Second, unavailable: 4 * time.Second},
+		{name: "too late after an outage", restored: true, lost: verdictTime + 5*time.Second, unavailable: 4 * time.Second, broken: true},
+		{name: "no restore", lost: verdictPoll, broken: true},
+		{name: "opposite verdict", restored: true, state: stateSucceeded, lost: verdictPoll, broken: true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			o, check, _ := exposed(soundVersion)
+			o.noteVerdict(check, stateRolledBack)
+			if c.restored {
+				o.restored()
+			}
+			mayReturn := true
+			for at := time.Duration(0); at < c.lost; at += verdictPoll {
+				mayReturn = o.observeVerdict(check, c.state, at >= c.unavailable, verdictPoll)
+			}
+			if !mayReturn {
+				o.judgeVersion(check, c.state)
+			} else {
+				require.False(t, o.observeVerdict(check, stateRolledBack, true, verdictPoll))
+				o.judgeVersion(check, stateRolledBack)
+			}
+			require.Equal(t, c.broken, len(o.violations) > 0, o.violations)
+		})
+	}
+}
+
+// TestRewrittenVerdictIsLostAgain checks that each restore gives the instances verdictTime anew, and that a
+// verdict that was written again is not lost without a further restore.
+func TestRewrittenVerdictIsLostAgain(t *testing.T) {
+	o, check, _ := exposed(soundVersion)
+	o.noteVerdict(check, stateRolledBack)
+	for range 3 {
+		o.restored()
+		require.True(t, o.observeVerdict(check, "", true, verdictTime))
+	}
+	require.Empty(t, o.violations)
+	require.False(t, o.observeVerdict(check, stateRolledBack, true, verdictPoll))
+	require.False(t, o.observeVerdict(check, stateRunning, true, verdictPoll))
+	o.judgeVersion(check, stateRunning)
+	require.Len(t, o.violations, 1)
+}
--- a/internal/standin/objects/store.go
+++ b/internal/standin/objects/store.go
@@ -81,6 +81,13 @@
 	s.faults = f
 }
 
+// AcceptsWrites reports whether the store answers all callers. It is false while it is down or silent.
+func (s *Store) AcceptsWrites() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.faults.Down && !s.faults.Silent
+}
+
 // Calls returns the number of HTTP requests received, including those that failed.
 func (s *Store) Calls() int {
 	s.mu.Lock()
