cmd/rainford: TestExplainQuarantinedRequest waits until each crash is confirmed

The refusal is right: the third crash came about under the request's trial, and the trial of a request whose connection broke stays open until the crash of its target is confirmed by a probe, or its time is over (endTrial). Until then no other trial may start, and what is refused by 503 has not run. The gateway had confirmed two crashes, so that the explanation could not name a third. The test was wrong: it expected the probe's result as soon as the interrupted request's 502 was there.

--- a/cmd/rainford/explain_gateway_test.go
+++ b/cmd/rainford/explain_gateway_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -174,17 +175,26 @@
 		"state": "ready", "warmupRemaining": "0ms", "sequence": 1})
 }
 
+// awaitCrash waits until the gateway has confirmed that the target crashed. It does so by a probe after
+// the response to the interrupted request.
+func (w *gatewayFixture) awaitCrash() {
+	line := `"msg":"target ended","instance":"n1","target":"` + w.server.ID + `"`
+	require.Eventually(w.t, func() bool { return strings.Contains(w.log.String(), line) }, 10*time.Second, 5*time.Millisecond)
+}
+
 // TestExplainQuarantinedRequest checks the explanation of a request that is held because targets
-// crash while they run it. It must name the targets that crashed.
+// crash while they run it. It must name the targets that crashed. While the crash of a target is not yet
+// confirmed, its trial is open and the request is refused without naming that target.
 func TestExplainQuarantinedRequest(t *testing.T) {
 	w := newGatewayFixture(t)
 	for i, id := range []string{"i-2", "i-3", "i-4"} {
 		w.setFault(origin.Crash)
 		ends := func() bool { return w.send(fmt.Sprint("end", i)) == 502 }
 		require.Eventually(t, ends, 10*time.Second, 20*time.Millisecond)
+		w.awaitCrash()
 		w.replaceServer(id)
 	}
-	require.Eventually(t, func() bool { return w.send("held") == 503 }, 10*time.Second, 20*time.Millisecond)
+	require.Equal(t, 503, w.send("held"))
 	text := w.explain("held")
 	require.Contains(t, text, "request held: 503, targets end under this request wherever it runs")
 	for _, line := range []string{`"msg":"target ended","instance":"n1","target":"i-1"`, `"target":"i-2"`, `"target":"i-3"`, `"failed_trials":1`} {
