entry: a refusal reaches a caller that is sending its body

What callers saw: an upload of more than 64 kB that an instance refused by 503 "not run" after a wait of more than a second ended for its caller with a reset connection, "may have run". An operation that must run at most once was then of unknown outcome though it had not run, and an upload was not sent again.

Cause: a caller that sends Expect: 100-continue waits a second (two between instances) and then sends its body. An instance that has waited for a slot longer than that refuses without having read it. net/http closes such a connection at once (its wait before a reset applies to bodies without that header only), and a close with unread bytes is a reset, which discards the refusal.

Fix: after a refusal of a request whose body is not read to its end, the instance flushes the response and discards up to 1 MB of what the caller still sends, for a second at most or until the caller closes, which it does when it reads the refusal.

--- a/entry/body.go
+++ b/entry/body.go
@@ -150,6 +150,18 @@
 	}
 }
 
+// discard reads up to the given number of further bytes of the source. Readers that were opened before
+// fail from then on.
+func (b *body) discard(maxBytes int64) {
+	b.mu.Lock()
+	b.discarded, b.buffered, b.current = true, nil, nil
+	b.mu.Unlock()
+	b.reading.Lock()
+	defer b.reading.Unlock()
+	// An error means that the caller has closed the connection or sends no more.
+	_, _ = io.CopyN(io.Discard, b.src, maxBytes)
+}
+
 // Close implements io.Closer. It does not close the caller's body, which another attempt may
 // read.
 func (r *bodyReader) Close() error { return nil }
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -111,11 +111,32 @@
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	if ex.body.unread() {
+	unread := ex.body.unread()
+	if unread {
 		// Close the connection instead of reading the rest of the body.
 		h.Set("Connection", "close")
 	}
 	h.Set("Content-Length", strconv.Itoa(len(body)))
 	ex.w.WriteHeader(res.Status)
 	_, _ = ex.w.Write(body)
+	if unread {
+		ex.awaitDelivery()
+	}
+}
+
+// Bounds on what a caller may still send after it was refused.
+const (
+	maxDiscardTime  = time.Second
+	maxDiscardBytes = 1 << 20
+)
+
+// awaitDelivery sends the refusal and discards what the caller still sends of its body, until the caller
+// closes the connection. Closing a connection with unread bytes resets it, and a reset can overtake the
+// refusal. The caller would then not know that the request has not run.
+func (ex *Exchange) awaitDelivery() {
+	control := http.NewResponseController(ex.w)
+	// Errors mean that the connection has ended.
+	_ = control.Flush()
+	_ = control.SetReadDeadline(time.Now().Add(maxDiscardTime))
+	ex.body.discard(maxDiscardBytes)
 }
