gateway: a refusal before the body reaches a client that sends Expect

Same fault as in package entry, looked for here: the HTTP server closes the connection of a request with the header Expect: 100-continue at once if its body was not read, and with unread bytes that is a reset. A client that sends its body without waiting for the status 100, or has waited for long enough, lost the refusal (413, 429, 503 and others that are decided before the body).

A body without that header is the server's own business: it waits half a second before it closes.

--- a/gateway/refusal_test.go
+++ b/gateway/refusal_test.go
@@ -1,8 +1,13 @@
 package gateway_test
 
 import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -101,3 +106,33 @@
 	require.Equal(t, http.StatusGatewayTimeout, in.send("GET", "/x/", "").status)
 	require.EqualValues(t, 2, arrivals.Load())
 }
+
+// TestRefusalBeforeBodyReachesClient guards against a refusal that is lost because the connection is reset:
+// a client that sends its body without waiting for the status 100 has to get the refusal.
+func TestRefusalBeforeBodyReachesClient(t *testing.T) {
+	s := newSite(t)
+	s.configure(1, idempotentRoute)
+	s.server("i-1", "s", "a1")
+	in := s.instance("n1", "a1")
+	in.awaitStatus("/x/", 200)
+	for _, expect := range []string{"", "Expect: 100-continue\r\n"} {
+		t.Run(expect, func(t *testing.T) {
+			conn, err := net.Dial("tcp", in.config.Listen)
+			require.NoError(t, err)
+			t.Cleanup(func() { _ = conn.Close() })
+			// The body is longer than the configuration allows.
+			_, err = fmt.Fprintf(conn, "POST /x/ HTTP/1.1\r\nHost: h.example\r\nRequest-Id: %s\r\nContent-Length: %d\r\n%s\r\n", s.newID(), 4<<20, expect)
+			require.NoError(t, err)
+			part := strings.Repeat("x", 128<<10)
+			for range 2 {
+				_, err = io.WriteString(conn, part)
+				require.NoError(t, err)
+				time.Sleep(200 * time.Millisecond)
+			}
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			require.NoError(t, err)
+			defer func() { _ = resp.Body.Close() }()
+			require.Equal(t, http.StatusRequestEntityTooLarge, resp.StatusCode)
+		})
+	}
+}
