rollout: only a verdict that the store has held is told to a leader

A rollback that a leader has announced and not yet written was told as a verdict too, and a verdict is never replaced: an instance that was cut off beside such a leader could have kept the rollback although the store holds another leader's success. Found when the change was read; not seen in a run.

--- a/gateway/rollout_verdicts.go
+++ b/gateway/rollout_verdicts.go
@@ -18,7 +18,7 @@
 func (g *Gateway) objectToStage(r *serviceRollout, stage rollout.Stage) {
 	verdict, known := r.follower.KnownVerdict()
 	ownStage := stage.Leader == g.view.Self().PeerAddr
-	if !known || stage.Order != verdict.Order || stage.Phase == rollout.Reverted || ownStage {
+	if !known || stage.Order != verdict.Order || ownStage {
 		return
 	}
 	if g.rand.Float64()*float64(g.view.Len()) > meanObjections {
--- a/rollout/verdict.go
+++ b/rollout/verdict.go
@@ -6,13 +6,10 @@
 	State State `msgpack:"s"`
 }
 
-// KnownVerdict returns the verdict of the order as far as this instance knows: the one that the store
-// has held, or a rollback that a leader has announced. It returns false if there is none.
+// KnownVerdict returns the verdict of the order that the store has held, as far as this instance knows. It
+// returns false if there is none.
 func (f *Follower) KnownVerdict() (Verdict, bool) {
 	state := f.Verdict()
-	if !state.IsFinal() && f.stage.Phase == Reverted {
-		state = RolledBack
-	}
 	return Verdict{Order: f.order.ID(), State: state}, state.IsFinal()
 }
 
