internal/refusal: the delivery of refusals to clients that send, once for both paths

Packages entry and gateway had the same bounds and steps. No change of behaviour; TestRefusalReachesUploadingCaller and TestRefusalBeforeBodyReachesClient pass.

--- a/entry/body.go
+++ b/entry/body.go
@@ -150,16 +150,23 @@
 	}
 }
 
-// discard reads up to the given number of further bytes of the source. Readers that were opened before
-// fail from then on.
-func (b *body) discard(maxBytes int64) {
+// rest returns a reader of what has not been read of the source. Readers that were opened before fail from
+// then on.
+func (b *body) rest() io.Reader {
 	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.discarded, b.buffered, b.current = true, nil, nil
-	b.mu.Unlock()
-	b.reading.Lock()
-	defer b.reading.Unlock()
-	// An error means that the caller has closed the connection or sends no more.
-	_, _ = io.CopyN(io.Discard, b.src, maxBytes)
+	return restReader{b}
+}
+
+// restReader reads the source of a body.
+type restReader struct{ body *body }
+
+// Read implements io.Reader.
+func (r restReader) Read(p []byte) (int, error) {
+	r.body.reading.Lock()
+	defer r.body.reading.Unlock()
+	return r.body.src.Read(p)
 }
 
 // Close implements io.Closer. It does not close the caller's body, which another attempt may
--- a/entry/exchange.go
+++ b/entry/exchange.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/rainford/rainford/internal/refusal"
 	"github.com/rainford/rainford/protocol"
 	"github.com/rainford/rainford/retry"
 	"github.com/rainford/rainford/table"
@@ -100,14 +101,14 @@
 	h.Set("Content-Type", "application/json")
 	h.Set(protocol.HeaderOutcome, res.Outcome.String())
 	protocol.SetRetryAfter(h, res.RetryAfter)
-	refusal := protocol.Refusal{
+	content := protocol.Refusal{
 		Outcome:          res.Outcome.String(),
 		Reason:           res.Reason,
 		Detail:           res.Detail,
 		RetryAfterMillis: res.RetryAfter.Milliseconds(),
 		EarlierStatus:    res.EarlierStatus,
 	}
-	body, err := json.Marshal(refusal)
+	body, err := json.Marshal(content)
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
@@ -120,23 +121,7 @@
 	ex.w.WriteHeader(res.Status)
 	_, _ = ex.w.Write(body)
 	if unread {
-		ex.awaitDelivery()
+		// The caller has to learn that the request has not run.
+		refusal.AwaitDelivery(ex.w, ex.body.rest())
 	}
 }
-
-// Bounds on what a caller may still send after it was refused.
-const (
-	maxDiscardTime  = time.Second
-	maxDiscardBytes = 1 << 20
-)
-
-// awaitDelivery sends the refusal and discards what the caller still sends of its body, until the caller
-// closes the connection. Closing a connection with unread bytes resets it, and a reset can overtake the
-// refusal. The caller would then not know that the request has not run.
-func (ex *Exchange) awaitDelivery() {
-	control := http.NewResponseController(ex.w)
-	// Errors mean that the connection has ended.
-	_ = control.Flush()
-	_ = control.SetReadDeadline(time.Now().Add(maxDiscardTime))
-	ex.body.discard(maxDiscardBytes)
-}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -15,6 +15,7 @@
 	"github.com/rainford/rainford/catalog"
 	"github.com/rainford/rainford/fleet"
 	"github.com/rainford/rainford/forward"
+	"github.com/rainford/rainford/internal/refusal"
 	"github.com/rainford/rainford/quarantine"
 	"github.com/rainford/rainford/ratelimit"
 	"github.com/rainford/rainford/retry"
@@ -291,27 +292,10 @@
 	h.Set("Content-Length", "0")
 	ex.w.WriteHeader(result.status)
 	if ex.body == nil && ex.r.ContentLength != 0 && ex.r.Header.Get("Expect") != "" {
-		ex.awaitDelivery()
+		refusal.AwaitDelivery(ex.w, ex.r.Body)
 	}
 }
 
-// Bounds on what a client may still send of a body that it has announced with the header Expect.
-const (
-	maxDiscardTime  = time.Second
-	maxDiscardBytes = 1 << 20
-)
-
-// awaitDelivery sends the refusal and discards what the client still sends of its body, until the client
-// closes the connection. The HTTP server closes the connection of a request with the header Expect at
-// once. With unread bytes that resets the connection, and a reset can overtake the refusal.
-func (ex *exchange) awaitDelivery() {
-	control := http.NewResponseController(ex.w)
-	// Errors mean that the connection has ended.
-	_ = control.Flush()
-	_ = control.SetReadDeadline(time.Now().Add(maxDiscardTime))
-	_, _ = io.CopyN(io.Discard, ex.r.Body, maxDiscardBytes)
-}
-
 // recordRequest counts and logs a request. It logs each failure, each retried request, and a sample
 // of the rest. The sample is drawn by request ID, so that all instances log the same requests.
 func (g *Gateway) recordRequest(ex *exchange, status int, reason string) {
--- a/internal/standin/objects/store.go
+++ b/internal/standin/objects/store.go
@@ -81,7 +81,7 @@
 	s.faults = f
 }
 
-// AcceptsWrites reports whether the store answers all callers. It is false while it is down or silent.
+// AcceptsWrites reports whether the store answers. It is false while the store is down or silent.
 func (s *Store) AcceptsWrites() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
