gateway: TestRollbackWhileStoreIsUnreachable begins its outage when the new version gets requests

Trace (scratch copy with the instances' logs, 3 of 24 red): in each red run the store was lost 4 to 30 ms after the order, before the entries of the new targets had been read; no request ever reached one, and the leader rolled back for no-targets 3.6 s after the order. That is right. The test expects requests at the new version to have begun and ended, and did not wait for their beginning.

--- a/gateway/rollouts_test.go
+++ b/gateway/rollouts_test.go
@@ -199,6 +199,8 @@
 		failHalf(server)
 	}
 	v.awaitState("running")
+	// An instance that has not read the entries of the new targets before the outage sends them nothing.
+	require.Eventually(t, func() bool { return v.toNew.Load() > 0 }, rolloutTime, poll)
 	v.store.SetFaults(objects.Faults{Down: true})
 	require.Eventually(t, func() bool {
 		before := v.toNew.Load()
