gateway: an instance tells that it has lost its links to all targets, and which reports it passes on

What the record lacked: a line or figure that tells an instance that reaches no target from one whose targets are down, when that began and ended, and how many targets it has told others of as down.

Package reach decides, from failures of requests and from stalls, when to check, and by checks (connections to up to six targets at the same time) whether the targets are lost. The instance logs 'targets lost' and 'targets regained' and has the gauge rainford_targets_lost; rainford_target_reports_total counts reports by direction and content. Nothing is decided by it yet. No connection is opened for it while no target fails.

--- a/forward/client.go
+++ b/forward/client.go
@@ -56,6 +56,7 @@
 	headers Headers
 	codec   Codec
 	clock   *clock.Clock
+	dialer  Dialer
 	idle    idlePool
 	spares  sparePolicy
 }
@@ -63,10 +64,14 @@
 // NewClient returns a client without connections. The deadlines of its requests are times
 // of the clock.
 func NewClient(headers Headers, codec Codec, clock *clock.Clock) *Client {
-	return &Client{headers: headers, codec: codec, clock: clock, idle: idlePool{clock: clock, conns: make(map[string][]*conn)},
+	return &Client{headers: headers, codec: codec, clock: clock, dialer: dialTCP, idle: idlePool{clock: clock, conns: make(map[string][]*conn)},
 		spares: sparePolicy{slowDial: slowDial, targets: make(map[string]*spareState)}}
 }
 
+// SetDialer replaces the way in which connections are opened. It must be called before the first
+// request.
+func (c *Client) SetDialer(dialer Dialer) { c.dialer = dialer }
+
 // CloseExpired closes connections that have been idle for too long. It should be called
 // periodically.
 func (c *Client) CloseExpired(now time.Time) {
@@ -116,7 +121,7 @@
 		return cn, nil
 	}
 	start := c.clock.Now()
-	cn, err := dial(ctx, r.Addr, c.clock.Until(r.Deadline))
+	cn, err := c.dial(ctx, r.Addr, c.clock.Until(r.Deadline))
 	if err == nil {
 		c.spares.recordDial(r.Target, c.clock.Since(start))
 	}
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -12,6 +12,7 @@
 )
 
 const (
+	// maxDialTime is the longest time that opening a connection may take.
 	maxDialTime = 800 * time.Millisecond
 	// unackedTimeout is how long sent bytes may remain unacknowledged before a connection
 	// is closed. The target is then cut off from the network or has lost power.
@@ -38,18 +39,22 @@
 	reused bool
 }
 
+// Dialer opens a TCP connection to an address within a time-out.
+type Dialer func(ctx context.Context, addr string, timeout time.Duration) (net.Conn, error)
+
+// dialTCP is the Dialer of clients that have no other one.
+func dialTCP(ctx context.Context, addr string, timeout time.Duration) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: timeout, KeepAlive: -1, Control: sockopt.UserTimeout(unackedTimeout)}
+	return dialer.DialContext(ctx, "tcp", addr)
+}
+
 // dial opens a connection to a target. It takes at most the remaining time left.
-func dial(ctx context.Context, addr string, left time.Duration) (*conn, error) {
-	dialer := net.Dialer{
-		Timeout:   min(maxDialTime, left),
-		KeepAlive: -1,
-		Control:   sockopt.UserTimeout(unackedTimeout),
-	}
-	c, err := dialer.DialContext(ctx, "tcp", addr)
+func (c *Client) dial(ctx context.Context, addr string, left time.Duration) (*conn, error) {
+	opened, err := c.dialer(ctx, addr, min(maxDialTime, left))
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: c, reader: bufio.NewReaderSize(c, readBuffer), maxIdle: maxIdle}, nil
+	return &conn{Conn: opened, reader: bufio.NewReaderSize(opened, readBuffer), maxIdle: maxIdle}, nil
 }
 
 // isQuiet reports whether the connection is open and nothing has arrived on it since the
--- a/forward/spare.go
+++ b/forward/spare.go
@@ -92,9 +92,10 @@
 	}
 }
 
-// Preconnect opens a connection to a target and keeps it for a later request.
-func (c *Client) Preconnect(target, addr string) error {
-	cn, err := dial(context.Background(), addr, maxDialTime)
+// Preconnect opens a connection to a target and keeps it for a later request. It gives up after the
+// time-out, or after maxDialTime if that is shorter.
+func (c *Client) Preconnect(target, addr string, timeout time.Duration) error {
+	cn, err := c.dial(context.Background(), addr, timeout)
 	if err != nil {
 		return err
 	}
@@ -106,5 +107,5 @@
 func (c *Client) openSpare(target, addr string) {
 	defer c.spares.finishOpening(target)
 	// If this fails, the next request to the target dials itself and reports the error.
-	_ = c.Preconnect(target, addr)
+	_ = c.Preconnect(target, addr, maxDialTime)
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -191,7 +191,8 @@
 
 func (g *Gateway) sendAttempt(ex *exchange, header http.Header, p *pool, d upstream.Decision) forward.Attempt {
 	remaining := g.clock.Until(ex.deadline)
-	return g.targets.Do(ex.ctx, &forward.Request{
+	g.reach.start()
+	a := g.targets.Do(ex.ctx, &forward.Request{
 		Method:        ex.r.Method,
 		URI:           ex.uri,
 		Host:          ex.r.Host,
@@ -207,6 +208,8 @@
 		NonIdempotent: ex.route.Kind != catalog.Idempotent,
 		MaySend:       func() bool { return p.maySend(d) },
 	})
+	g.reach.end(d.Target.ID, a)
+	return a
 }
 
 // afterAttempt reports whether the request ends after an attempt without a response, and with which
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -33,6 +33,7 @@
 	mesh           *peer.Mesh
 	targets        *forward.Client
 	pools          *pools
+	reach          *reachability
 	accountPermits *accountPermits
 	quarantine     *quarantineState
 	// kinds are the kinds of objects that the instance replicates. rollouts holds the rollout
@@ -165,6 +166,7 @@
 	g.mesh = peer.NewMesh(self.PeerAddr, "", g, g.log)
 	g.targetLimitOwner = newTargetLimitOwner(config, g.mesh, g.startedAt, &g.targetLimits)
 	g.targetLimitOwner.onGrant = g.receiveTargetPermitGrant
+	g.reach = newReachability(g)
 	g.pools = newPools(config, g.departures.all, g.targetLimits.all, g.requestPermits)
 	g.accountPermits = newPermits(config, g.mesh, g.startedAt, g.limitOf)
 	g.quarantine = newQuarantineState()
@@ -224,6 +226,7 @@
 	g.startGoroutine(func() { g.keepRegistered(work) })
 	g.startGoroutine(func() { g.gossipLoop(work) })
 	g.startGoroutine(func() { g.maintenanceLoop(work) })
+	g.startGoroutine(func() { g.reach.loop(work) })
 	g.serveClients()
 	g.log.Info(logStart, "version", Version(), "hall", g.config.Hall, "region", g.config.Region,
 		"listen", g.config.Listen, "peer", g.config.PeerListen, "seeds", g.config.Seeds, "log_sample", g.config.LogSample)
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -84,6 +84,7 @@
 		message := g.gossipMessage(now, m.Region)
 		if m.Region == g.config.Region {
 			message.Overloaded = busy
+			g.metrics.reports(reportSent, busy)
 		}
 		message.NotReceiving = settled && g.view.IsMissing(now, m.Name)
 		g.mesh.Send(m.PeerAddr, message)
@@ -262,6 +263,7 @@
 		g.view.Add(*m.Member)
 	}
 	g.view.MergeHeartbeats(now, m.Heartbeats)
+	g.metrics.reports(reportReceived, m.Overloaded)
 	g.pools.applyTargetReports(now, m.Overloaded)
 	g.relayBroadcast(now, m)
 	g.receiveQuarantine(now, m.Quarantine)
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/rainford/rainford/gateway"
 	"github.com/rainford/rainford/internal/loopback"
+	"github.com/rainford/rainford/internal/standin/link"
 	"github.com/rainford/rainford/internal/standin/objects"
 	"github.com/rainford/rainford/internal/standin/origin"
 	"github.com/rainford/rainford/platform"
@@ -36,6 +37,8 @@
 	nextID atomic.Int64
 	// wrapFront wraps the listener for clients of instances that are started later, if it is set.
 	wrapFront func(net.Listener) net.Listener
+	// targetLink is the link to all targets of instances that are started later, if it is set.
+	targetLink *link.Link
 }
 
 func newSite(t *testing.T) *site {
@@ -118,6 +121,9 @@
 	if s.wrapFront != nil {
 		g.WrapFront(s.wrapFront)
 	}
+	if s.targetLink != nil {
+		g.SetTargetDialer(s.targetLink.Dial)
+	}
 	ctx, stop := context.WithCancel(context.Background())
 	in := &instance{site: s, config: c, stop: stop, done: make(chan struct{}), client: &http.Client{Transport: &http.Transport{}}}
 	go func() {
--- a/gateway/logs.go
+++ b/gateway/logs.go
@@ -31,6 +31,8 @@
 	logTargetExpired          = "target lapsed"
 	logTargetEvent            = "target belief"
 	logTargetEvents           = "target beliefs"
+	logTargetsLost            = "targets lost"
+	logTargetsRegained        = "targets regained"
 	logRollout                = "rollout"
 	logRolloutRefused         = "rollout refused"
 	logRolloutLeads           = "rollout led here"
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -26,6 +26,7 @@
 	storeReads      *telemetry.Counter
 	deltaRequests   *telemetry.Counter
 	targetCrashes   *telemetry.Counter
+	targetReports   *telemetry.Counter
 	refusedEntries  *telemetry.Counter
 	rolloutAttempts *telemetry.Counter
 	requestDuration *telemetry.Histogram
@@ -77,6 +78,7 @@
 	counter(&m.refusedEntries, "rainford.entries.refused", "Entries of the store that could not be taken, by the field at fault.", "kind", "field")
 	counter(&m.rolloutAttempts, "rainford.rollout.attempts", "Attempts at targets of a service that a version is brought in of, by version.", "service", "version", "outcome")
 	counter(&m.targetCrashes, "rainford.target.ends", "Targets that ended while they had requests of this instance.")
+	counter(&m.targetReports, "rainford.target.reports", "Reports on targets that instances pass to each other, by direction and content.", "direction", "content")
 	return errors.Join(errs...)
 }
 
@@ -117,6 +119,12 @@
 		func() int64 { requests, _ := g.pipeliningUsage(); return requests })
 	gauge("rainford.requests.ahead.held", "Bytes of answers to such requests that wait for those ahead.",
 		func() int64 { _, held := g.pipeliningUsage(); return held })
+	gauge("rainford.targets.lost", "1 while this instance reaches no target, else 0.", func() int64 {
+		if g.reach.isLost() {
+			return 1
+		}
+		return 0
+	})
 	gauge("rainford.store.era", "Latest era of the store that its answers name, 0 if they name none, -1 before the first.", g.store.Era)
 	gauge("rainford.store.calls", "Calls made to the store.", g.store.Calls)
 	gauge("rainford.peer.sent", "Bytes sent to other instances.", func() int64 { sent, _, _ := g.mesh.Traffic(); return sent })
@@ -293,6 +301,25 @@
 	m.storeReads.Add(1, string(kind), result)
 }
 
+// Directions and contents of reports on targets, as label values.
+const (
+	reportSent     = "sent"
+	reportReceived = "received"
+	reportDown     = "down"
+	reportBusy     = "busy"
+)
+
+// reports counts reports on targets that were sent to, or received from, another instance.
+func (m *metrics) reports(direction string, reports upstream.TargetReports) {
+	for _, r := range reports {
+		content := reportBusy
+		if r.Down {
+			content = reportDown
+		}
+		m.targetReports.Add(1, direction, content)
+	}
+}
+
 // deltaRequest counts a delta request, by kind and result.
 func (m *metrics) deltaRequest(kind feed.Kind, result string) {
 	m.deltaRequests.Add(1, string(kind), result)
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -280,10 +280,13 @@
 	return !ok || (spec.ID == target.ID && spec.Leaving)
 }
 
+// crashProbeTimeout is how long probeTarget waits for a connection.
+const crashProbeTimeout = 800 * time.Millisecond
+
 // probeTarget connects to a target at which a connection broke. If the connection is refused, the
 // target has crashed. A successful connection proves nothing, and is kept for the next request.
 func (g *Gateway) probeTarget(target upstream.Choice) {
-	err := g.targets.Preconnect(target.ID, target.Addr)
+	err := g.targets.Preconnect(target.ID, target.Addr, crashProbeTimeout)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		g.targetCrashed(g.clock.Now(), target.ID)
 	}
--- /dev/null
+++ b/reach/tracker_test.go
@@ -0,0 +1,125 @@
+package reach
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func TestCheckDue(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		setUp func(*Tracker)
+		ms    int
+		due   bool
+	}{
+		{"nothing happened", func(*Tracker) {}, 1000, false},
+		{"one target fails again and again", func(r *Tracker) { r.Failed(at(0), "i-1"); r.Failed(at(10), "i-1") }, 20, false},
+		{"two targets fail", func(r *Tracker) { r.Failed(at(0), "i-1"); r.Failed(at(10), "i-2") }, 20, true},
+		{"two targets fail far apart", func(r *Tracker) { r.Failed(at(0), "i-1"); r.Failed(at(2000), "i-2") }, 2010, false},
+		{"another target was connected to in between", func(r *Tracker) { r.Failed(at(0), "i-1"); r.Connected(); r.Failed(at(10), "i-2") }, 20, false},
+		{"requests stall", func(r *Tracker) { startAll(r, 0, stallRunning) }, 500, true},
+		{"few requests stall", func(r *Tracker) { startAll(r, 0, stallRunning-1) }, 5000, false},
+		{"one of the requests is answered", func(r *Tracker) { startAll(r, 0, stallRunning+1); r.End(at(400), true) }, 600, false},
+		{"one of the requests fails", func(r *Tracker) { startAll(r, 0, stallRunning+1); r.End(at(400), false) }, 600, true},
+		{"the last check found targets just before", func(r *Tracker) {
+			r.Checked(at(0), 6, 1)
+			r.Failed(at(10), "i-1")
+			r.Failed(at(10), "i-2")
+		}, 400, false},
+		{"the last check found targets a while ago", func(r *Tracker) {
+			r.Checked(at(0), 6, 1)
+			r.Failed(at(10), "i-1")
+			r.Failed(at(10), "i-2")
+		}, 500, true},
+		{"lost", func(r *Tracker) { r.Checked(at(0), 6, 0) }, 250, true},
+		{"lost, probed just before", func(r *Tracker) { r.Checked(at(0), 6, 0) }, 200, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := &Tracker{}
+			c.setUp(r)
+			require.Equal(t, c.due, r.CheckDue(at(c.ms)))
+		})
+	}
+}
+
+func startAll(r *Tracker, ms, n int) {
+	for range n {
+		r.Start(at(ms))
+	}
+}
+
+func TestLostAndRegained(t *testing.T) {
+	r := &Tracker{}
+	require.False(t, r.Checked(at(0), 0, 0), "a check of no target shows nothing")
+	require.False(t, r.Checked(at(0), 6, 1))
+	require.Equal(t, CheckTargets, r.CheckSize())
+	require.True(t, r.Checked(at(1000), 6, 0))
+	require.True(t, r.Lost())
+	require.Equal(t, at(1000), r.ChangedAt())
+	require.Equal(t, ProbeTargets, r.CheckSize())
+	require.False(t, r.Checked(at(1250), 2, 1), "one success does not end the loss")
+	require.True(t, r.CheckDue(at(1250)), "it is confirmed at once")
+	require.Equal(t, CheckTargets, r.CheckSize())
+	require.False(t, r.Checked(at(1260), 6, 0))
+	require.False(t, r.CheckDue(at(1270)))
+	require.False(t, r.Checked(at(1510), 2, 2))
+	require.True(t, r.Checked(at(1520), 6, 3))
+	require.False(t, r.Lost())
+	require.Zero(t, r.FailedCount(at(1520)))
+}
+
+// TestTrackerFollowsChecks checks over random sequences that only a check without any connection
+// loses the targets, that only two checks in a row with one regain them, and that a loss is noticed
+// and ended within a bounded time whatever requests show meanwhile.
+func TestTrackerFollowsChecks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := &Tracker{}
+		now, successes, reached := start, 0, true
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			before := r.Lost()
+			switch rapid.IntRange(0, 5).Draw(t, "event") {
+			case 0:
+				r.Start(now)
+			case 1:
+				if r.running > 0 {
+					r.End(now, rapid.Bool().Draw(t, "answered"))
+				}
+			case 2:
+				r.Failed(now, rapid.SampledFrom([]string{"i-1", "i-2", "i-3"}).Draw(t, "target"))
+			case 3:
+				r.Connected()
+			case 4:
+				reached = !reached
+			}
+			require.Equal(t, before, r.Lost(), "only checks change it")
+			if !r.CheckDue(now) {
+				continue
+			}
+			connected := 0
+			if reached {
+				connected = rapid.IntRange(1, r.CheckSize()).Draw(t, "connected")
+				successes++
+			} else {
+				successes = 0
+			}
+			r.Checked(now, r.CheckSize(), connected)
+			switch {
+			case !before:
+				require.Equal(t, !reached, r.Lost())
+				successes = 0
+			case r.Lost():
+				require.Less(t, successes, 2)
+			default:
+				require.Equal(t, 2, successes)
+			}
+		}
+	})
+}
