gateway: an instance that reaches no target hands its requests over to others

Hypothesis 1: there was one way to a target, directly from the instance that the client had reached, and no second one if that failed; hypothesis 4: what a silent link costs was paid for each target anew, up to 3.3 s for a refusal.

Now an instance that has found its targets lost hands each request over to another instance that says that it reaches them, by HTTP on the peer address, and so does one whose targets for a request are all unreachable. Attempts and the retry budget count over both. Bodies stay in home regions.

--- a/fleet/heartbeat.go
+++ b/fleet/heartbeat.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -41,6 +42,29 @@
 // Heartbeats is a list of heartbeats with a compact encoding in messages.
 type Heartbeats []Heartbeat
 
+// With returns the members of the heartbeats in which a flag is set.
+func (h Heartbeats) With(flag Flags) []ID {
+	var out []ID
+	for _, heartbeat := range h {
+		if heartbeat.Flags&flag != 0 {
+			out = append(out, heartbeat.Member)
+		}
+	}
+	return out
+}
+
+// SetFlag sets a flag in the heartbeats of the given members.
+func (h Heartbeats) SetFlag(flag Flags, members []ID) {
+	if len(members) == 0 {
+		return
+	}
+	for i := range h {
+		if slices.Contains(members, h[i].Member) {
+			h[i].Flags |= flag
+		}
+	}
+}
+
 // ErrTruncated is returned when an encoded list of heartbeats is truncated or contains an invalid
 // number.
 var ErrTruncated = errors.New("fleet: heartbeats truncated")
@@ -48,7 +72,8 @@
 const (
 	// idBytes is the length of an encoded ID.
 	idBytes = 4
-	// flagBits is the number of bits for the flags in an encoded heartbeat.
+	// flagBits is the number of bits for the flags in an encoded heartbeat. Messages contain flags
+	// of higher bits in lists of their own, since earlier versions read heartbeats of this form.
 	flagBits = 4
 	flagMask = 1<<flagBits - 1
 	// maxSequence is the largest sequence number.
--- a/fleet/member.go
+++ b/fleet/member.go
@@ -24,6 +24,9 @@
 	StoreUnreachable
 	// Watching is set while the process watches the store.
 	Watching
+	// TargetsLost is set while the process reaches no target, and for a moment after that. An encoded
+	// list of heartbeats does not contain it, see Heartbeats.With.
+	TargetsLost
 )
 
 // State is the state of a member in a view.
@@ -49,5 +52,8 @@
 	Flags Flags
 }
 
+// ReachesTargets reports whether the member can send requests to targets, also for other instances.
+func (s Status) ReachesTargets() bool { return s.Serves() && s.Flags&TargetsLost == 0 }
+
 // Serves reports whether clients may be directed to the member.
 func (s Status) Serves() bool { return s.State == Alive && s.Flags&Ready != 0 }
--- a/gateway/account.go
+++ b/gateway/account.go
@@ -61,6 +61,10 @@
 	if ex.account == nil || router.Config().Version == ex.version {
 		return requestResult{}, true
 	}
+	if ex.handover != nil {
+		// The key was checked by the instance that received it.
+		return requestResult{}, true
+	}
 	key, _ := g.keyOf(ex.r)
 	account := router.Account(key)
 	if account == nil || account.Name != ex.account.Name {
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -39,79 +39,171 @@
 // reasonAnswered is the reason of a request that a target has answered.
 const reasonAnswered = "answered"
 
-// run sends the request to targets until one answers or no further attempt is allowed.
+// run sends the request to targets until one answers or no further attempt is allowed. If this
+// instance reaches no target for it, another instance sends it.
 func (g *Gateway) run(ex *exchange) (requestResult, *forward.Response) {
 	defer g.endTrial(ex)
 	p := g.pools.get(ex.service)
 	if p == nil {
 		return notRunResult("no-target", defaultRetryAfter), nil
 	}
-	p.recordArrival()
+	if ex.handover == nil {
+		p.recordArrival()
+	}
 	request := g.upstreamRequest(ex)
 	header := forward.EndToEndHeaders(ex.r.Header)
-	unknown := false
-	backoff := defaultRetryAfter
-	for sent, unsent := 0, 0; sent < ex.maxAttempts() && unsent <= maxUnsentAttempts; {
-		if result, ok := g.checkQuarantine(ex, unknown); !ok {
-			return result, nil
-		}
-		if sent > 0 && !p.spendRetry() {
-			return p.finalRefusal(request, unknown, "no-budget", backoff), nil
-		}
-		request.Isolated = ex.isTrial()
-		queuedAt := g.clock.Now()
-		decision := p.acquire(ex.ctx, request)
-		g.metrics.queueDuration.Record(g.clock.Since(queuedAt).Seconds(), ex.service)
-		if decision.Action != upstream.Send {
-			return failedResult(unknown, string(decision.Reason), decision.RetryAfter), nil
-		}
-		if result, ok := g.recheckKey(ex); !ok {
-			p.releaseUnsent(decision)
-			if unknown {
-				result = failedResult(unknown, result.reason, 0)
+	state := progress{backoff: defaultRetryAfter}
+	defer func() { ex.recordProgress(state) }()
+	for state.sent < ex.maxAttempts() && state.unsent <= maxUnsentAttempts {
+		if g.reach.isLost() {
+			result, resp, done := g.runElsewhere(ex, p, &state, reasonTargetsLost)
+			if done {
+				return result, resp
 			}
-			return result, nil
-		}
-		if !g.isStillAllowed(ex) {
-			p.releaseUnsent(decision)
-			continue
-		}
-		p.recordSent(decision)
-		a := g.sendAttempt(ex, header, p, decision)
-		a.TargetResult.SendState, a.TargetResult.NotSent = decision.SendState, !a.Sent
-		g.observeLimit(decision, a)
-		p.release(decision.Target.ID, a.TargetResult)
-		g.recordObservation(ex, p, request, decision, a)
-		g.metrics.attempt(ex.service, decision.Target, a.TargetResult)
-		ex.recordAttempt(decision, a)
-		g.observeAttempt(ex, decision.Target, a)
-		if a.TargetResult.SelfReport.Leaving {
-			g.recordDeparture(decision.Target.ID)
 		}
-		if a.Response != nil {
-			ex.answered = true
-			g.bodySizes.record(ex.route.Name, len(ex.body)+len(a.Response.Body))
-			return ex.clientResult(a.Response)
+		result, resp, done := g.attempt(ex, p, &request, header, &state)
+		if done {
+			return result, resp
 		}
-		if a.Sent {
-			sent++
-		} else {
-			unsent++
-		}
-		unknown = unknown || a.Outcome == retry.Unknown
-		if stop, result := g.afterAttempt(ex, a, unknown); stop {
-			return result, nil
+	}
+	if state.unreachable {
+		result, resp, done := g.runElsewhere(ex, p, &state, reasonUnreachable)
+		if done {
+			return result, resp
 		}
-		if a.TargetResult.Outcome == upstream.Rejected && decision.SendState.Load < 1 && !a.TargetResult.SelfReport.Restricts() {
-			// The request may go to the same target again: it was not full, and it probably has the
-			// object cached.
-			backoff = shortRetryAfter
-			continue
+	}
+	return p.finalRefusal(request, state.unknown, "no-attempt-left", state.backoff), nil
+}
+
+// runElsewhere hands the request over to another instance, since this one does not reach its targets.
+// One that was handed over to this instance is refused with the given reason, so that the instance it
+// comes from tries another one. The result is false if no instance takes it.
+func (g *Gateway) runElsewhere(ex *exchange, p *pool, state *progress, reason string) (requestResult, *forward.Response, bool) {
+	if ex.handover != nil {
+		return failedResult(state.unknown, reason, state.backoff), nil, true
+	}
+	if !ex.mayHandOver() || p.isUnreachableElsewhere() {
+		return requestResult{}, nil, false
+	}
+	return g.handOver(ex, p, state)
+}
+
+// attempt chooses a target for the request and sends it there. The result is true if the request ends
+// with it.
+func (g *Gateway) attempt(ex *exchange, p *pool, request *upstream.Request, header http.Header, state *progress) (requestResult, *forward.Response, bool) {
+	if result, ok := g.checkQuarantine(ex, state.unknown); !ok {
+		return result, nil, true
+	}
+	if state.sent > 0 && !p.spendRetry() {
+		return p.finalRefusal(*request, state.unknown, "no-budget", state.backoff), nil, true
+	}
+	decision, result, ok := g.acquireTarget(ex, p, request, state)
+	if !ok {
+		return result.requestResult, result.response, true
+	}
+	if !g.isStillAllowed(ex) {
+		p.releaseUnsent(decision)
+		return requestResult{}, nil, false
+	}
+	p.recordSent(decision)
+	a := g.sendAttempt(ex, header, p, decision)
+	g.recordAttempt(ex, p, *request, decision, a)
+	if a.Response != nil {
+		ex.answered = true
+		g.bodySizes.record(ex.route.Name, len(ex.body)+len(a.Response.Body))
+		result, resp := ex.clientResult(a.Response)
+		return result, resp, true
+	}
+	state.record(a)
+	if stop, result := g.afterAttempt(ex, a, state.unknown); stop {
+		return result, nil, true
+	}
+	if a.TargetResult.Outcome == upstream.Rejected && decision.SendState.Load < 1 && !a.TargetResult.SelfReport.Restricts() {
+		// The request may go to the same target again: it was not full, and it probably has the
+		// object cached.
+		state.backoff = shortRetryAfter
+		return requestResult{}, nil, false
+	}
+	state.backoff = retryAfterAttempt(a)
+	request.Tried = append(request.Tried, decision.Target.ID)
+	return requestResult{}, nil, false
+}
+
+// finalResult is the result of a request that ends, with the response of a target if there is one.
+type finalResult struct {
+	requestResult
+	response *forward.Response
+}
+
+// acquireTarget waits for a target. If there is none, it returns the result of the request and false.
+func (g *Gateway) acquireTarget(ex *exchange, p *pool, request *upstream.Request, state *progress) (upstream.Decision, finalResult, bool) {
+	queuedAt := g.clock.Now()
+	request.Isolated = ex.isTrial()
+	decision := p.acquire(ex.ctx, *request)
+	g.metrics.queueDuration.Record(g.clock.Since(queuedAt).Seconds(), ex.service)
+	if decision.Action != upstream.Send {
+		return decision, g.withoutTarget(ex, p, decision, state), false
+	}
+	result, ok := g.recheckKey(ex)
+	if ok {
+		return decision, finalResult{}, true
+	}
+	p.releaseUnsent(decision)
+	if state.unknown {
+		result = failedResult(true, result.reason, 0)
+	}
+	return decision, finalResult{requestResult: result}, false
+}
+
+// withoutTarget returns the result of a request for which this instance has no target. If that is only
+// because it could not reach any, another instance may have one.
+func (g *Gateway) withoutTarget(ex *exchange, p *pool, decision upstream.Decision, state *progress) finalResult {
+	if decision.Unreachable {
+		result, resp, done := g.runElsewhere(ex, p, state, reasonUnreachable)
+		if done {
+			return finalResult{result, resp}
 		}
-		backoff = retryAfterAttempt(a)
-		request.Tried = append(request.Tried, decision.Target.ID)
 	}
-	return p.finalRefusal(request, unknown, "no-attempt-left", backoff), nil
+	return finalResult{requestResult: failedResult(state.unknown, string(decision.Reason), decision.RetryAfter)}
+}
+
+// recordAttempt records an attempt for the choice of later targets, the analysis of a rollout, the
+// quarantine, the metrics and the log.
+func (g *Gateway) recordAttempt(ex *exchange, p *pool, request upstream.Request, decision upstream.Decision, a forward.Attempt) {
+	a.TargetResult.SendState, a.TargetResult.NotSent = decision.SendState, !a.Sent
+	g.observeLimit(decision, a)
+	p.release(decision.Target.ID, a.TargetResult)
+	g.recordObservation(ex, p, request, decision, a)
+	g.metrics.attempt(ex.service, decision.Target, a.TargetResult)
+	ex.recordAttempt(decision, a)
+	g.observeAttempt(ex, decision.Target, a)
+	if a.TargetResult.SelfReport.Leaving {
+		g.recordDeparture(decision.Target.ID)
+	}
+}
+
+// progress is how far the attempts for a request have come.
+type progress struct {
+	// sent is the number of times that the request was sent to targets, and unsent the number of
+	// attempts without sending.
+	sent, unsent int
+	// unknown is true if the outcome of one of these is unknown.
+	unknown bool
+	// unreachable is true if the last attempt could not connect to its target.
+	unreachable bool
+	// backoff is the Retry-After if no further attempt is made.
+	backoff time.Duration
+}
+
+// record records an attempt without a response.
+func (s *progress) record(a forward.Attempt) {
+	if a.Sent {
+		s.sent++
+	} else {
+		s.unsent++
+	}
+	s.unknown = s.unknown || a.Outcome == retry.Unknown
+	s.unreachable = a.TargetResult.Outcome == upstream.Unreachable
 }
 
 // finalRefusal returns the result of a request that is not sent to another target. If none of the
@@ -158,10 +250,14 @@
 
 // maxAttempts returns how often the request may be sent, to the same target or to different ones.
 func (ex *exchange) maxAttempts() int {
-	if ex.isTrial() {
+	switch {
+	case ex.isTrial():
 		return 1
+	case ex.handover != nil:
+		return min(ex.handover.attempts, ex.route.MaxAttempts)
+	default:
+		return ex.route.MaxAttempts
 	}
-	return ex.route.MaxAttempts
 }
 
 // upstreamRequest returns the requirements that the request has for a target.
@@ -175,6 +271,7 @@
 		Heavy:        g.bodySizes.isHeavy(ex.route.Name, len(ex.body)),
 		Deadline:     ex.deadline,
 		QueueTimeout: defaultQueueTimeout,
+		HandedOver:   ex.handover != nil,
 	}
 	if key == "" {
 		request.Key = ex.id
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -30,10 +30,15 @@
 	headers forward.Headers
 	log     *slog.Logger
 
-	mesh           *peer.Mesh
-	targets        *forward.Client
-	pools          *pools
-	reach          *reachability
+	mesh    *peer.Mesh
+	targets *forward.Client
+	pools   *pools
+	reach   *reachability
+	// helpers are the instances to which requests are handed over if this one reaches no target, and
+	// helperClient sends them. handovers bounds the requests that others hand over to this one.
+	helpers        *helpers
+	helperClient   *forward.Client
+	handovers      handoverRoom
 	accountPermits *accountPermits
 	quarantine     *quarantineState
 	// kinds are the kinds of objects that the instance replicates. rollouts holds the rollout
@@ -55,6 +60,9 @@
 
 	listeners   listeners
 	frontServer *http.Server
+	// handoverServer serves the requests that other instances hand over, on handoverListener.
+	handoverServer   *http.Server
+	handoverListener net.Listener
 	// clientListener accepts the connections of clients and reads pipelined requests from them.
 	clientListener *pipelining.Listener
 
@@ -164,9 +172,12 @@
 	}
 	g.view = fleet.NewView(self, fleet.SequenceAt(g.clock.Now()), fleet.DefaultSettings)
 	g.mesh = peer.NewMesh(self.PeerAddr, "", g, g.log)
+	g.handoverListener = g.mesh.Requests()
 	g.targetLimitOwner = newTargetLimitOwner(config, g.mesh, g.startedAt, &g.targetLimits)
 	g.targetLimitOwner.onGrant = g.receiveTargetPermitGrant
 	g.reach = newReachability(g)
+	g.helpers = newHelpers(config.Region, config.Hall, g.otherMembers)
+	g.helperClient = forward.NewClient(headers, codec, config.Clock)
 	g.pools = newPools(config, g.departures.all, g.targetLimits.all, g.requestPermits)
 	g.accountPermits = newPermits(config, g.mesh, g.startedAt, g.limitOf)
 	g.quarantine = newQuarantineState()
@@ -273,6 +284,7 @@
 		case <-ticker.C:
 			now := g.clock.Now()
 			g.targets.CloseExpired(now)
+			g.helperClient.CloseExpired(now)
 			g.accountPermits.evictIdle(now)
 			g.quarantine.expire(now)
 			g.departures.expire(now)
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -116,7 +116,9 @@
 
 // gossipMessage returns the gossip for an instance of the given region. The caller holds mu.
 func (g *Gateway) gossipMessage(now time.Time, region string) *peer.Gossip {
-	m := &peer.Gossip{Heartbeats: g.view.HeartbeatsFor(now, region), Positions: make([]feed.Position, 0, len(g.kinds)), QuarantineChecksum: g.quarantineChecksum(), DeparturesChecksum: g.departures.checksum(now), LimitsChecksum: g.targetLimits.checksum(now)}
+	m := newGossip(g.view.HeartbeatsFor(now, region))
+	m.Positions = make([]feed.Position, 0, len(g.kinds))
+	m.QuarantineChecksum, m.DeparturesChecksum, m.LimitsChecksum = g.quarantineChecksum(), g.departures.checksum(now), g.targetLimits.checksum(now)
 	for _, kind := range g.kinds {
 		m.Positions = append(m.Positions, g.replicas[kind].Position())
 	}
@@ -127,6 +129,11 @@
 	return m
 }
 
+// newGossip returns a message with the given heartbeats.
+func newGossip(heartbeats fleet.Heartbeats) *peer.Gossip {
+	return &peer.Gossip{Heartbeats: heartbeats, TargetsLost: heartbeats.With(fleet.TargetsLost)}
+}
+
 // flags returns the flags for the heartbeat of this instance.
 func (g *Gateway) flags() fleet.Flags {
 	var flags fleet.Flags
@@ -142,6 +149,9 @@
 	if g.watch.isWatching() {
 		flags |= fleet.Watching
 	}
+	if g.reach.wasLostRecently(g.clock.Now()) {
+		flags |= fleet.TargetsLost
+	}
 	return flags
 }
 
@@ -196,7 +206,9 @@
 	if m.Reconnect {
 		g.reconnectTo(g.clock.Now(), m.ReplyTo)
 	}
-	g.mesh.Send(m.ReplyTo, &peer.Gossip{Heartbeats: fleet.Heartbeats{g.view.OwnHeartbeat()}, Reply: true})
+	reply := newGossip(fleet.Heartbeats{g.view.OwnHeartbeat()})
+	reply.Reply = true
+	g.mesh.Send(m.ReplyTo, reply)
 }
 
 // reconnectTo replaces the connection to an instance that reports that it does not receive the
@@ -259,6 +271,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	known := g.view.Len()
+	m.Heartbeats.SetFlag(fleet.TargetsLost, m.TargetsLost)
 	if m.Member != nil {
 		g.view.Add(*m.Member)
 	}
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -56,6 +56,8 @@
 type route struct {
 	prefix, service, kind string
 	timeout               string
+	// homes are the home regions of the route's requests.
+	homes []string
 }
 
 func (s *site) configure(version int, routes ...route) {
@@ -66,7 +68,7 @@
 		}
 		spec[fmt.Sprint("r", i)] = objects.Route{
 			Host: "h.example", PathPrefix: r.prefix, RouteType: r.kind, Timeout: r.timeout, TargetLatency: "500ms",
-			Priority: 1, Service: r.service, MaxAttempts: 2, StickySessions: true, AllowedRegions: []string{},
+			Priority: 1, Service: r.service, MaxAttempts: 2, StickySessions: true, AllowedRegions: append([]string{}, r.homes...),
 		}
 	}
 	s.store.Configure(objects.Configuration{
--- a/gateway/logs.go
+++ b/gateway/logs.go
@@ -33,6 +33,7 @@
 	logTargetEvents           = "target beliefs"
 	logTargetsLost            = "targets lost"
 	logTargetsRegained        = "targets regained"
+	logHandoverRejected       = "handover rejected"
 	logRollout                = "rollout"
 	logRolloutRefused         = "rollout refused"
 	logRolloutLeads           = "rollout led here"
@@ -161,6 +162,13 @@
 	return slog.LevelInfo
 }
 
+// otherMembers returns the status of all other instances.
+func (g *Gateway) otherMembers() []fleet.Status {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.view.Others(g.clock.Now())
+}
+
 // contactAge returns the time since the last contact with the store or another instance, or -1 ns
 // if there has been none.
 func (g *Gateway) contactAge(now time.Time) time.Duration {
--- a/gateway/lost_targets_test.go
+++ b/gateway/lost_targets_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/rainford/rainford/fleet"
 	"github.com/rainford/rainford/gateway"
 	"github.com/rainford/rainford/internal/standin/link"
 	"github.com/rainford/rainford/internal/standin/origin"
@@ -26,6 +27,8 @@
 	instances map[string]*instance
 	links     map[string]*link.Link
 	logs      map[string]*lockedBuffer
+	// joining makes a further instance join the others.
+	joining func(*gateway.Config)
 }
 
 func newCutSite(t *testing.T) *cutSite {
@@ -52,10 +55,14 @@
 		})
 		seeds = append(seeds, s.instances[in.name].config.PeerListen)
 	}
+	s.targetLink = nil
+	s.joining = func(c *gateway.Config) { c.Seeds = seeds }
 	for _, in := range s.instances {
 		in.awaitStatus(readPath, 200)
 		require.Eventually(t, func() bool { return in.aliveCount() == "3" }, wait, poll)
 	}
+	// The heartbeats that say that an instance is ready arrive with the next rounds of gossip.
+	time.Sleep(2 * fleet.RoundTime)
 	return s
 }
 
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/rainford/rainford/availability"
 	"github.com/rainford/rainford/catalog"
 	"github.com/rainford/rainford/feed"
+	"github.com/rainford/rainford/retry"
 	"github.com/rainford/rainford/telemetry"
 	"github.com/rainford/rainford/upstream"
 )
@@ -27,6 +28,7 @@
 	deltaRequests   *telemetry.Counter
 	targetCrashes   *telemetry.Counter
 	targetReports   *telemetry.Counter
+	handovers       *telemetry.Counter
 	refusedEntries  *telemetry.Counter
 	rolloutAttempts *telemetry.Counter
 	requestDuration *telemetry.Histogram
@@ -78,6 +80,7 @@
 	counter(&m.refusedEntries, "rainford.entries.refused", "Entries of the store that could not be taken, by the field at fault.", "kind", "field")
 	counter(&m.rolloutAttempts, "rainford.rollout.attempts", "Attempts at targets of a service that a version is brought in of, by version.", "service", "version", "outcome")
 	counter(&m.targetCrashes, "rainford.target.ends", "Targets that ended while they had requests of this instance.")
+	counter(&m.handovers, "rainford.handovers", "Requests handed over to another instance, by direction and what became of them.", "direction", "outcome")
 	counter(&m.targetReports, "rainford.target.reports", "Reports on targets that instances pass to each other, by direction and content.", "direction", "content")
 	return errors.Join(errs...)
 }
@@ -301,6 +304,17 @@
 	m.storeReads.Add(1, string(kind), result)
 }
 
+// Directions of handovers, as label values.
+const (
+	handoverOut = "out"
+	handoverIn  = "in"
+)
+
+// handover counts a request that was handed over to another instance, or by it.
+func (m *metrics) handover(direction string, outcome retry.Outcome) {
+	m.handovers.Add(1, direction, outcome.String())
+}
+
 // Directions and contents of reports on targets, as label values.
 const (
 	reportSent     = "sent"
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -32,6 +32,21 @@
 	clock          *clock.Clock
 	// rollout is the latest rollout of the service, nil if there was none.
 	rollout atomic.Pointer[serviceRollout]
+	// unreachableElsewhere is the time, in nanoseconds of Unix time, at which other instances last did
+	// not reach the targets either.
+	unreachableElsewhere atomic.Int64
+}
+
+// elsewherePause is how long no request is handed over after other instances did not reach its targets
+// either.
+const elsewherePause = 500 * time.Millisecond
+
+// setUnreachableElsewhere records that other instances do not reach the targets either.
+func (p *pool) setUnreachableElsewhere() { p.unreachableElsewhere.Store(p.clock.Now().UnixNano()) }
+
+// isUnreachableElsewhere reports whether other instances recently did not reach the targets either.
+func (p *pool) isUnreachableElsewhere() bool {
+	return p.clock.Since(time.Unix(0, p.unreachableElsewhere.Load())) < elsewherePause
 }
 
 // update changes the pool and wakes the requests that the change grants a target.
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -22,6 +22,10 @@
 	// checkPollInterval is the interval at which a due check is looked for while targets fail or are
 	// lost.
 	checkPollInterval = 50 * time.Millisecond
+	// regainedDelay is how long an instance that reaches targets again still says that it has lost
+	// them. Within that time the others learn that it did, and leave its part of the rate of cold
+	// targets to it again.
+	regainedDelay = 2 * time.Second
 )
 
 // reachability finds out whether this instance has lost its links to all targets. It is safe for
@@ -56,6 +60,13 @@
 // isLost reports whether this instance reaches no target.
 func (r *reachability) isLost() bool { return r.lost.Load() }
 
+// wasLostRecently reports whether this instance reaches no target, or did not until shortly before.
+func (r *reachability) wasLostRecently(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.tracker.Lost() || now.Sub(r.tracker.ChangedAt()) < regainedDelay
+}
+
 // start records that a request is sent to a target.
 func (r *reachability) start() {
 	now := r.clock.Now()
--- a/gateway/rollout_verdicts.go
+++ b/gateway/rollout_verdicts.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/rainford/rainford/fleet"
-	"github.com/rainford/rainford/peer"
 	"github.com/rainford/rainford/rollout"
 )
 
@@ -24,11 +23,9 @@
 	if g.rand.Float64()*float64(g.view.Len()) > meanObjections {
 		return
 	}
-	g.mesh.Send(stage.Leader, &peer.Gossip{
-		Heartbeats: fleet.Heartbeats{g.view.OwnHeartbeat()},
-		Verdicts:   []rollout.Verdict{verdict},
-		Reply:      true,
-	})
+	objection := newGossip(fleet.Heartbeats{g.view.OwnHeartbeat()})
+	objection.Verdicts, objection.Reply = []rollout.Verdict{verdict}, true
+	g.mesh.Send(stage.Leader, objection)
 }
 
 // receiveVerdicts adopts verdicts of rollouts that other instances know.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -69,6 +69,8 @@
 	// answered is true if a target has answered the request. heldForAccount is true if the request
 	// was refused because other requests of its account crash targets.
 	answered, heldForAccount bool
+	// handover is set if another instance has handed the request over to this one.
+	handover *handoverRequest
 }
 
 // attemptRecord describes one attempt in the request's log line.
@@ -76,6 +78,10 @@
 	Target string `json:"target"`
 	Region string `json:"region"`
 	Reason string `json:"reason"`
+	// Helper is the instance that the request was handed over to, and HelperReason why it did not
+	// return a response of a target.
+	Helper       string `json:"helper,omitempty"`
+	HelperReason string `json:"helper_reason,omitempty"`
 	// Load is the number of requests expected at the target, divided by its slots.
 	Load    float64 `json:"load"`
 	Outcome string  `json:"outcome"`
@@ -300,7 +306,9 @@
 // of the rest. The sample is drawn by request ID, so that all instances log the same requests.
 func (g *Gateway) recordRequest(ex *exchange, status int, reason string) {
 	took := g.clock.Since(ex.start)
-	g.metrics.request(ex, status, reason, took)
+	if ex.handover == nil {
+		g.metrics.request(ex, status, reason, took)
+	}
 	ordinary := status/100 == 2 && len(ex.attempts) == 1
 	if ordinary && !isSampled(ex.id, g.config.LogSample) {
 		return
@@ -309,7 +317,7 @@
 	if !ordinary && !isCallerError(status) {
 		level = slog.LevelWarn
 	}
-	g.log.LogAttrs(context.Background(), level, logRequest, append(append(ex.limitAttrs(), ex.contentAttrs()...),
+	g.log.LogAttrs(context.Background(), level, logRequest, append(slices.Concat(ex.limitAttrs(), ex.contentAttrs(), ex.handoverAttrs()),
 		slog.String("request_id", ex.id),
 		slog.String("account", accountName(ex.account)),
 		slog.String("route", routeName(ex.route)),
@@ -325,6 +333,15 @@
 		slog.Any("attempts", ex.attempts))...)
 }
 
+// handoverAttrs returns the log attribute that names the instance that has handed the request over, or
+// none.
+func (ex *exchange) handoverAttrs() []slog.Attr {
+	if ex.handover == nil {
+		return nil
+	}
+	return []slog.Attr{slog.String("handed_over_by", ex.handover.from)}
+}
+
 // limitAttrs returns log attributes on the account's rate limit, or none if the account has no
 // limit.
 func (ex *exchange) limitAttrs() []slog.Attr {
--- a/gateway/stop.go
+++ b/gateway/stop.go
@@ -35,6 +35,14 @@
 	}
 	g.clientListener = pipelining.NewListener(g.frontServer, limitedListener{g.listeners.front, g}, pipeliningLimits)
 	g.startServer(g.frontServer, g.clientListener)
+	g.handoverServer = &http.Server{
+		Handler:           http.HandlerFunc(g.serveHandover),
+		ReadHeaderTimeout: callTimeout,
+		IdleTimeout:       defaultIdleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          errorLog,
+	}
+	g.startServer(g.handoverServer, g.handoverListener)
 	small := func(h http.Handler) *http.Server {
 		return &http.Server{Handler: h, ReadTimeout: callTimeout, WriteTimeout: callTimeout, IdleTimeout: defaultIdleTimeout, ErrorLog: errorLog}
 	}
@@ -67,6 +75,6 @@
 	g.refusing.Store(true)
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(time.Duration((1-exitFraction)*float64(g.config.Grace))))
 	defer cancel()
-	err := g.frontServer.Shutdown(ctx)
+	err := errors.Join(g.frontServer.Shutdown(ctx), g.handoverServer.Shutdown(ctx))
 	g.log.Info(logStop, "took_ms", time.Since(began).Milliseconds(), "in_flight", g.inFlight.Load(), "cut", err != nil)
 }
--- a/peer/doc.go
+++ b/peer/doc.go
@@ -8,6 +8,9 @@
 // connection is closed if a frame is too long, malformed or of an unknown kind, or if the
 // first frame is not a valid Hello. Other connections are not affected.
 //
+// The peer address also accepts HTTP connections, for requests that an instance hands over to
+// another one. Requests returns the listener for them.
+//
 // Sending never blocks. Frames for a peer that does not read are dropped, just as the
 // network may lose them.
 package peer
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -52,11 +52,12 @@
 	receivedBytes atomic.Int64
 	dropped       atomic.Int64
 
-	mu     sync.Mutex
-	links  map[string]*link
-	conns  map[net.Conn]bool
-	closed bool
-	wg     sync.WaitGroup
+	mu       sync.Mutex
+	links    map[string]*link
+	conns    map[net.Conn]bool
+	requests *requestListener
+	closed   bool
+	wg       sync.WaitGroup
 }
 
 // NewMesh returns a mesh that introduces itself to peers as self. ReconnectBoth requires
@@ -94,7 +95,7 @@
 		}
 		go func() {
 			defer m.untrack(conn)
-			m.receive(conn)
+			m.serveConn(conn)
 		}()
 	}
 }
@@ -112,21 +113,57 @@
 	return true
 }
 
+// untrack ends the registration of a received connection, which its user has closed or passed on.
 func (m *Mesh) untrack(conn net.Conn) {
-	_ = conn.Close()
 	m.mu.Lock()
 	delete(m.conns, conn)
 	m.mu.Unlock()
 	m.wg.Done()
 }
 
+// serveConn reads frames from a received connection, or passes it on if it carries HTTP requests.
+func (m *Mesh) serveConn(conn net.Conn) {
+	_ = conn.SetReadDeadline(time.Now().Add(helloTimeout))
+	started := &startedConn{Conn: conn, first: make([]byte, 1)}
+	_, err := io.ReadFull(conn, started.first)
+	switch {
+	case err != nil:
+		m.reject(conn, err)
+	case isRequest(started.first[0]):
+		m.passRequests(started)
+	default:
+		m.receive(started)
+		_ = conn.Close()
+	}
+}
+
+// passRequests passes a connection with HTTP requests to the listener for them.
+func (m *Mesh) passRequests(conn net.Conn) {
+	m.mu.Lock()
+	requests := m.requests
+	m.mu.Unlock()
+	if requests == nil {
+		m.reject(conn, errNoRequests)
+		return
+	}
+	_ = conn.SetReadDeadline(time.Time{})
+	if !requests.pass(conn) {
+		_ = conn.Close()
+	}
+}
+
+// reject closes a received connection because of its first bytes.
+func (m *Mesh) reject(conn net.Conn, reason error) {
+	m.log.Warn("peer connection rejected", "addr", conn.RemoteAddr().String(), "error", refusalReason(reason))
+	_ = conn.Close()
+}
+
 // receive reads frames from a connection until it ends.
 func (m *Mesh) receive(conn net.Conn) {
-	_ = conn.SetReadDeadline(time.Now().Add(helloTimeout))
 	first, err := readFrame(conn, maxHelloBytes)
 	hello, ok := first.(*Hello)
 	if err != nil || !ok || subtle.ConstantTimeCompare([]byte(hello.Secret), []byte(m.secret)) != 1 {
-		m.log.Warn("peer connection rejected", "addr", conn.RemoteAddr().String(), "error", refusalReason(err))
+		m.reject(conn, err)
 		return
 	}
 	counted := &countingReader{r: conn, n: &m.receivedBytes}
@@ -233,6 +270,9 @@
 	for conn := range m.conns {
 		_ = conn.Close()
 	}
+	if m.requests != nil {
+		_ = m.requests.Close()
+	}
 	m.mu.Unlock()
 	m.wg.Wait()
 }
--- a/peer/message.go
+++ b/peer/message.go
@@ -101,6 +101,8 @@
 type Gossip struct {
 	// Heartbeats begin with that of the sender, which identifies it.
 	Heartbeats fleet.Heartbeats `msgpack:"b"`
+	// TargetsLost are the members among Heartbeats that reach no target.
+	TargetsLost []fleet.ID `msgpack:"x,omitempty"`
 	// Member describes the sender, for receivers that may not know it. It is nil in most
 	// messages.
 	Member *fleet.Member `msgpack:"m,omitempty"`
--- a/upstream/next_available.go
+++ b/upstream/next_available.go
@@ -99,6 +99,7 @@
 	}
 	if first.cause != availability.CauseBackoff {
 		refusal.RetryAfter = max(refusal.RetryAfter, left)
+		refusal.Unreachable = first.cause == availability.CauseSuspected
 		return refusal, true
 	}
 	draw := mix.Unit(mix.Combine(r.ID, mix.Combine(p.salt, p.salt)))
--- a/upstream/request.go
+++ b/upstream/request.go
@@ -25,6 +25,9 @@
 	Isolated bool
 	// Priority is the rank of the request in the queue, 0 being the most urgent.
 	Priority int
+	// HandedOver marks requests that another instance has handed over. They wait behind the requests
+	// of this instance's own clients.
+	HandedOver bool
 	// Deadline is when the client needs the response.
 	Deadline time.Time
 	// QueueTimeout is the longest time that the request may wait in the queue.
@@ -99,6 +102,9 @@
 	SendState SendState
 	// RetryAfter is the time after which a refused request should be retried.
 	RetryAfter time.Duration
+	// Unreachable means that a request is refused because this instance could not reach targets that
+	// are in service. Another instance may reach them.
+	Unreachable bool
 }
 
 // Choice is a selected target.
