gateway: suspicions end when the links to the targets are back

What was seen through links that were down says nothing of the targets, so it is forgotten when the links are back.

--- a/availability/state.go
+++ b/availability/state.go
@@ -211,6 +211,14 @@
 	s.recompute()
 }
 
+// EndSuspicion ends the suspicion because the target did not answer.
+func (s *State) EndSuspicion() {
+	if s.conditions != nil {
+		s.conditions.suspicion = timedCondition{}
+		s.recompute()
+	}
+}
+
 // Pause excludes the target until the given time. It does not shorten an earlier pause.
 func (s *State) Pause(now, until time.Time, source Source) {
 	s.mutable().pause.extend(now, source, until)
--- a/gateway/handover_test.go
+++ b/gateway/handover_test.go
@@ -23,7 +23,8 @@
 	for _, name := range names {
 		in := s.instances[name]
 		require.Eventually(t, func() bool {
-			for i := range 5 {
+			// More requests at a time than there are open connections need new ones.
+			for i := range 40 {
 				go in.sendKey(fmt.Sprint(i))
 			}
 			return in.metric("rainford_targets_lost") == 1
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -323,6 +323,13 @@
 	})
 }
 
+// endSuspicions ends the suspicions of all targets.
+func (ps *pools) endSuspicions(now time.Time) {
+	ps.mu.RLock()
+	defer ps.mu.RUnlock()
+	ps.updateAll(func(u *upstream.Pool) []upstream.Grant { return u.EndSuspicions(now) })
+}
+
 // applyTargetReports applies the target reports of another instance.
 func (ps *pools) applyTargetReports(now time.Time, reports upstream.TargetReports) {
 	if len(reports) == 0 {
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -36,6 +36,8 @@
 	// connect opens a connection to a target. sample returns up to n targets that are in service.
 	connect func(spec *catalog.Target) error
 	sample  func(n int) []*catalog.Target
+	// onRegained is called when the instance reaches targets again.
+	onRegained func()
 	// failing wakes the loop after the failure of a target, and after requests have stalled.
 	failing chan struct{}
 	// lost is the state of the tracker, for reading without the lock.
@@ -52,8 +54,9 @@
 		connect: func(spec *catalog.Target) error {
 			return g.targets.Preconnect(spec.ID, spec.Addr, checkTimeout)
 		},
-		sample:  g.sampleTargets,
-		failing: make(chan struct{}, 1),
+		sample:     g.sampleTargets,
+		onRegained: func() { g.pools.endSuspicions(g.clock.Now()) },
+		failing:    make(chan struct{}, 1),
 	}
 }
 
@@ -114,8 +117,9 @@
 			case <-r.failing:
 			}
 		}
-		if size := r.checkSize(); size > 0 {
-			r.check(size)
+		size := r.checkSize()
+		if size > 0 && r.check(size) && !r.isLost() {
+			r.onRegained()
 		}
 	}
 }
@@ -137,9 +141,9 @@
 	return r.tracker.CheckSize()
 }
 
-// check tries to connect to up to n targets, all at the same time, and logs whether the targets have
-// been lost or regained.
-func (r *reachability) check(n int) {
+// check tries to connect to up to n targets, all at the same time. It reports whether the targets have
+// been lost or regained, and logs that.
+func (r *reachability) check(n int) (changed bool) {
 	targets := r.sample(n)
 	results := make(chan error, len(targets))
 	for _, spec := range targets {
@@ -160,14 +164,15 @@
 	defer r.mu.Unlock()
 	failed, since := r.tracker.FailedCount(now), r.tracker.ChangedAt()
 	if !r.tracker.Checked(now, len(targets), connected) {
-		return
+		return false
 	}
 	r.lost.Store(r.tracker.Lost())
 	if r.tracker.Lost() {
 		r.log.Warn(logTargetsLost, "failed", failed, "checked", len(targets), "error", lastErr.Error())
-		return
+		return true
 	}
 	r.log.Info(logTargetsRegained, "lost_ms", now.Sub(since).Milliseconds(), "checked", len(targets), "connected", connected)
+	return true
 }
 
 // sampleTargets returns up to n targets that are in service by the list, chosen at random.
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -296,6 +296,21 @@
 	return newlyLeaving
 }
 
+// EndSuspicions ends the suspicions of all targets, and returns the grants that follow. It is called
+// when the links of this instance, which made the targets appear to be down, work again.
+func (p *Pool) EndSuspicions(now time.Time) []Grant {
+	for _, t := range p.activeTargets {
+		if t.stats.suspectBackoff == 0 && t.stats.failures == 0 {
+			continue
+		}
+		before := t.eventState()
+		t.endSuspicion()
+		p.recordEvent(t, before, Answered)
+		p.count(t)
+	}
+	return p.dispatch(now)
+}
+
 // observeLatency updates the cache model and the target's slowness from the latency of a response.
 func (p *Pool) observeLatency(t *target, r Result) {
 	if r.Outcome != Answered {
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -251,6 +251,13 @@
 	t.state.Suspect(now, now.Add(t.stats.suspectBackoff))
 }
 
+// endSuspicion forgets that the target did not answer.
+func (t *target) endSuspicion() {
+	t.stats.failures, t.stats.suspectBackoff = 0, 0
+	t.stats.downAt = time.Time{}
+	t.state.EndSuspicion()
+}
+
 // applySelfReport applies what the target reported about itself in a response to this instance.
 func (t *target) applySelfReport(now time.Time, report availability.SelfReport) {
 	if report.Leaving {
