upstream, gateway: a target is reported as down only by an instance that has reached another one since

The bound that held, no report if more targets are down than respond, doesn't help while earlier answers count, nor where open connections live on.

A report now needs a proof that the instance's own links work: a connection to any target that was begun after the failure. If no request brings one, the instance opens a connection to one of two others at once. Package reach: requested checks.

TestOwnLinksAreNotReported: 4 reports (silent) and 16 (new connections hang) before, none now; TestDownTargetIsReported passes before and after. TargetReports takes the time of the proof; its tests pass what holds for sound links, and one line more.

--- a/gateway/broken_links_test.go
+++ b/gateway/broken_links_test.go
@@ -9,6 +9,37 @@
 	"github.com/rainford/rainford/internal/standin/link"
 )
 
+// TestOwnLinksAreNotReported guards against targets that get no requests of other instances because one
+// instance could not reach them.
+func TestOwnLinksAreNotReported(t *testing.T) {
+	for _, mode := range link.Modes() {
+		t.Run(mode.String(), func(t *testing.T) {
+			t.Parallel()
+			s := newCutSite(t)
+			s.loadAll(500 * time.Millisecond)
+			s.loseTargets(t, mode, "n1")
+			s.loadAll(time.Second)
+			require.LessOrEqual(t, s.instances["n1"].counted("rainford_target_reports_total", `content="down",direction="sent"`), 0)
+		})
+	}
+}
+
+// TestDownTargetIsReported checks that a target that is down is still reported by the first instance that
+// finds out.
+func TestDownTargetIsReported(t *testing.T) {
+	s := newCutSite(t)
+	s.loadAll(500 * time.Millisecond)
+	s.servers[0].Close()
+	require.Eventually(t, func() bool {
+		s.loadAll(100 * time.Millisecond)
+		sent := 0
+		for _, in := range s.instances {
+			sent += max(0, in.counted("rainford_target_reports_total", `content="down",direction="sent"`))
+		}
+		return sent > 0
+	}, wait, poll)
+}
+
 // TestTargetsAreUsedOnceTheyAreBack guards against targets that stay suspected after the links to them
 // are back.
 func TestTargetsAreUsedOnceTheyAreBack(t *testing.T) {
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -212,13 +212,14 @@
 	}
 }
 
-// targetReports returns the reports on busy targets of all services for gossip.
-func (ps *pools) targetReports(now time.Time) upstream.TargetReports {
+// targetReports returns the reports on targets of all services for gossip. ProvenAt is the latest time
+// at which this instance is known to have reached a target.
+func (ps *pools) targetReports(now, provenAt time.Time) upstream.TargetReports {
 	ps.mu.RLock()
 	defer ps.mu.RUnlock()
 	var out upstream.TargetReports
 	for _, p := range ps.pools {
-		out = append(out, p.targetReports(now)...)
+		out = append(out, p.targetReports(now, provenAt)...)
 	}
 	return out
 }
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -10,7 +10,6 @@
 	"github.com/rainford/rainford/catalog"
 	"github.com/rainford/rainford/forward"
 	"github.com/rainford/rainford/internal/clock"
-	"github.com/rainford/rainford/internal/pause"
 	"github.com/rainford/rainford/reach"
 	"github.com/rainford/rainford/upstream"
 )
@@ -45,6 +44,16 @@
 
 	mu      sync.Mutex
 	tracker reach.Tracker
+	// waiting are the functions that wait for a proof that the instance reaches targets, or for the
+	// opposite.
+	waiting []waitingForProof
+}
+
+// waitingForProof is a function to call once the instance is known to have reached a target at a time
+// after since (with true), or to have lost all targets (with false).
+type waitingForProof struct {
+	since time.Time
+	call  func(reached bool)
 }
 
 func newReachability(g *Gateway) *reachability {
@@ -79,7 +88,7 @@
 	r.wake(now)
 }
 
-// end records the end of an attempt that start was called for.
+// end records the end of an attempt that start was called for, with its result.
 func (r *reachability) end(target string, a forward.Attempt) {
 	now := r.clock.Now()
 	outcome := a.TargetResult.Outcome
@@ -87,17 +96,60 @@
 	defer r.mu.Unlock()
 	r.tracker.End(now, a.Response != nil || outcome == upstream.Rejected || outcome == upstream.Replaced)
 	if a.Sent && !a.Reused {
-		r.tracker.Connected()
+		r.tracker.Connected(now.Add(-a.TargetResult.Latency))
+		r.resolve()
 	}
 	if outcome == upstream.Unreachable || outcome == upstream.Broken {
 		r.tracker.Failed(now, target)
 	}
+	if outcome == upstream.Unreachable {
+		// Others are told that the target is down only if it is not the fault of this instance.
+		r.tracker.RequestCheck(now, true)
+	}
+	r.wake(now)
+}
+
+// verify calls a function with true once a connection to any target shows that the instance itself
+// has not lost its links, or with false if it has. If it is urgent, a connection is opened for that at
+// once.
+func (r *reachability) verify(urgent bool, call func(reached bool)) {
+	now := r.clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.tracker.Lost() {
+		go call(false)
+		return
+	}
+	r.waiting = append(r.waiting, waitingForProof{since: now, call: call})
+	r.tracker.RequestCheck(now, urgent)
 	r.wake(now)
 }
 
+// provenAt returns the latest time at which this instance is known to have reached a target.
+func (r *reachability) provenAt() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.tracker.ProvenAt()
+}
+
+// resolve calls the functions that have waited long enough. The caller holds mu.
+func (r *reachability) resolve() {
+	lost, provenAt := r.tracker.Lost(), r.tracker.ProvenAt()
+	kept := r.waiting[:0]
+	for _, w := range r.waiting {
+		if lost || !provenAt.Before(w.since) {
+			go w.call(!lost)
+			continue
+		}
+		kept = append(kept, w)
+	}
+	clear(r.waiting[len(kept):])
+	r.waiting = kept
+}
+
 // wake wakes the loop if a check is due or may become due soon. The caller holds mu.
 func (r *reachability) wake(now time.Time) {
-	if !r.tracker.CheckDue(now) && r.tracker.FailedCount(now) == 0 {
+	if !r.tracker.CheckDue(now) && r.tracker.IsIdle(now) {
 		return
 	}
 	select {
@@ -109,18 +161,31 @@
 // loop makes the checks that are due, one after the other, until ctx ends.
 func (r *reachability) loop(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !r.isIdle() {
-			pause.For(ctx, checkPollInterval)
-		} else {
+		size := r.checkSize()
+		switch {
+		case size > 0:
+			if r.check(size) && !r.isLost() {
+				r.onRegained()
+			}
+		case r.isIdle():
 			select {
 			case <-ctx.Done():
 			case <-r.failing:
 			}
+		default:
+			r.pause(ctx)
 		}
-		size := r.checkSize()
-		if size > 0 && r.check(size) && !r.isLost() {
-			r.onRegained()
-		}
+	}
+}
+
+// pause waits for checkPollInterval or the next event.
+func (r *reachability) pause(ctx context.Context) {
+	timer := time.NewTimer(checkPollInterval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-r.failing:
+	case <-timer.C:
 	}
 }
 
@@ -128,51 +193,71 @@
 func (r *reachability) isIdle() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !r.tracker.Lost() && r.tracker.FailedCount(r.clock.Now()) == 0
+	return r.tracker.IsIdle(r.clock.Now())
 }
 
 // checkSize returns the number of targets to check now, or 0 if no check is due.
 func (r *reachability) checkSize() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.tracker.CheckDue(r.clock.Now()) {
+	now := r.clock.Now()
+	if !r.tracker.CheckDue(now) {
 		return 0
 	}
-	return r.tracker.CheckSize()
+	return r.tracker.CheckSize(now)
 }
 
-// check tries to connect to up to n targets, all at the same time. It reports whether the targets have
-// been lost or regained, and logs that.
+// check tries to connect to up to n targets, all at the same time, until one is connected. It reports
+// whether the targets have been lost or regained, and logs that.
 func (r *reachability) check(n int) (changed bool) {
-	targets := r.sample(n)
+	c := reach.Check{StartedAt: r.clock.Now(), Size: n}
+	lastErr := r.connectAny(&c, r.sample(n))
+	c.EndedAt = r.clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	failed, since := r.tracker.FailedCount(c.EndedAt), r.tracker.ChangedAt()
+	changed = r.tracker.Checked(c)
+	r.lost.Store(r.tracker.Lost())
+	r.resolve()
+	if c.Tried == 0 {
+		// There is no other target by which to tell, so what was seen counts.
+		r.resolveAll()
+	}
+	switch {
+	case changed && r.tracker.Lost():
+		r.log.Warn(logTargetsLost, "failed", failed, "checked", c.Tried, "error", lastErr.Error())
+	case changed:
+		r.log.Info(logTargetsRegained, "lost_ms", c.EndedAt.Sub(since).Milliseconds())
+	}
+	return changed
+}
+
+// connectAny connects to targets, all at the same time, until one is connected, and records the numbers
+// in c. It returns the last error.
+func (r *reachability) connectAny(c *reach.Check, targets []*catalog.Target) error {
 	results := make(chan error, len(targets))
 	for _, spec := range targets {
 		go func() { results <- r.connect(spec) }()
 	}
-	connected := 0
 	var lastErr error
 	for range targets {
+		c.Tried++
 		err := <-results
-		if err != nil {
-			lastErr = err
-			continue
+		if err == nil {
+			c.Connected++
+			return nil
 		}
-		connected++
+		lastErr = err
 	}
-	now := r.clock.Now()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	failed, since := r.tracker.FailedCount(now), r.tracker.ChangedAt()
-	if !r.tracker.Checked(now, len(targets), connected) {
-		return false
-	}
-	r.lost.Store(r.tracker.Lost())
-	if r.tracker.Lost() {
-		r.log.Warn(logTargetsLost, "failed", failed, "checked", len(targets), "error", lastErr.Error())
-		return true
+	return lastErr
+}
+
+// resolveAll calls all waiting functions with true. The caller holds mu.
+func (r *reachability) resolveAll() {
+	for _, w := range r.waiting {
+		go w.call(true)
 	}
-	r.log.Info(logTargetsRegained, "lost_ms", now.Sub(since).Milliseconds(), "checked", len(targets), "connected", connected)
-	return true
+	r.waiting = nil
 }
 
 // sampleTargets returns up to n targets that are in service by the list, chosen at random.
--- a/reach/tracker.go
+++ b/reach/tracker.go
@@ -13,6 +13,10 @@
 	stallTime    = 500 * time.Millisecond
 	// minCheckInterval is the shortest time between two checks that find targets.
 	minCheckInterval = 500 * time.Millisecond
+	// A requested check is due after requestDelay, or at once if it is urgent. Meanwhile a request may
+	// show the same. minRequestInterval is the shortest time after another check.
+	requestDelay       = 500 * time.Millisecond
+	minRequestInterval = 250 * time.Millisecond
 	// probeInterval is the time between two checks while the targets are lost.
 	probeInterval = 250 * time.Millisecond
 )
@@ -22,7 +26,7 @@
 	// CheckTargets is the number while the targets are not lost. It is large enough for a few
 	// targets that are down, or a hall, not to be mistaken for a fault of the instance.
 	CheckTargets = 6
-	// ProbeTargets is the number while they are lost.
+	// ProbeTargets is the number while they are lost, and for a check that was requested.
 	ProbeTargets = 2
 )
 
@@ -40,6 +44,13 @@
 	progressAt time.Time
 	// checkedAt is the time of the last check.
 	checkedAt time.Time
+	// provenAt is the time at which the last connection to a target was begun, as far as is known.
+	provenAt time.Time
+	// requestedAt is the time of the earliest request for a check that is still open, and requestDue
+	// the time from which the check is due. Both are zero if there is none.
+	requestedAt, requestDue time.Time
+	// doubtful is true after a requested check that found no target. A larger one has to follow.
+	doubtful bool
 	// confirming is true after a check that found a target while the targets were lost. A second
 	// one has to confirm it.
 	confirming bool
@@ -82,10 +93,43 @@
 	t.failed[target] = now
 }
 
-// Connected records that a connection to a target was opened for a request.
-func (t *Tracker) Connected() {
+// Connected records that a connection to a target was opened for a request that began at the given
+// time.
+func (t *Tracker) Connected(at time.Time) {
 	if !t.lost {
-		clear(t.failed)
+		t.prove(at)
+	}
+}
+
+// prove records that a connection that was begun at the given time was opened.
+func (t *Tracker) prove(at time.Time) {
+	if !at.After(t.provenAt) {
+		return
+	}
+	t.provenAt = at
+	for target, failedAt := range t.failed {
+		if !failedAt.After(at) {
+			delete(t.failed, target)
+		}
+	}
+	if !at.Before(t.requestedAt) {
+		t.requestedAt, t.requestDue = time.Time{}, time.Time{}
+	}
+}
+
+// ProvenAt returns the latest time at which the instance is known to have reached a target.
+func (t *Tracker) ProvenAt() time.Time { return t.provenAt }
+
+// RequestCheck requests a check, to find out whether what was seen of a target now is due to the target
+// or to the links of the instance.
+func (t *Tracker) RequestCheck(now time.Time, urgent bool) {
+	due := now.Add(requestDelay)
+	if urgent {
+		due = now
+	}
+	t.requestedAt = now
+	if t.requestDue.IsZero() || due.Before(t.requestDue) {
+		t.requestDue = due
 	}
 }
 
@@ -103,33 +147,60 @@
 	if t.lost {
 		return t.confirming || since >= probeInterval
 	}
-	if since < minCheckInterval {
-		return false
+	if t.doubtful || !t.requestDue.IsZero() && !now.Before(t.requestDue) && since >= minRequestInterval {
+		return true
 	}
+	return since >= minCheckInterval && t.suspicious(now)
+}
+
+// suspicious reports whether requests show that the targets may be lost.
+func (t *Tracker) suspicious(now time.Time) bool {
 	stalled := t.running >= stallRunning && now.Sub(t.progressAt) >= stallTime
 	return stalled || t.FailedCount(now) >= minFailed
 }
 
+// IsIdle reports whether no check becomes due without a further event.
+func (t *Tracker) IsIdle(now time.Time) bool {
+	return !t.lost && !t.doubtful && t.requestDue.IsZero() && t.FailedCount(now) == 0
+}
+
 // CheckSize returns the number of targets that the next check should connect to, at most.
-func (t *Tracker) CheckSize() int {
-	if t.lost && !t.confirming {
+func (t *Tracker) CheckSize(now time.Time) int {
+	switch {
+	case t.lost && !t.confirming, !t.lost && !t.doubtful && !t.suspicious(now):
 		return ProbeTargets
+	default:
+		return CheckTargets
 	}
-	return CheckTargets
 }
 
-// Checked records the result of a check: the number of targets that it tried to connect to, and of
-// those that it connected to. A check of no target shows nothing. Checked reports whether Lost has
-// changed.
-func (t *Tracker) Checked(now time.Time, tried, connected int) (changed bool) {
+// Check is the result of a check.
+type Check struct {
+	StartedAt, EndedAt time.Time
+	// Tried is the number of targets that the check tried to connect to, and Connected the number of
+	// those that it connected to. Size is the number that it was to try.
+	Tried, Connected, Size int
+}
+
+// Checked records the result of a check. A check of no target shows nothing. Checked reports whether
+// Lost has changed.
+func (t *Tracker) Checked(c Check) (changed bool) {
+	now := c.EndedAt
 	t.checkedAt = now
-	if tried == 0 {
+	if c.Tried == 0 {
+		t.doubtful, t.requestedAt, t.requestDue = false, time.Time{}, time.Time{}
 		return false
 	}
+	if c.Connected > 0 {
+		t.prove(c.StartedAt)
+	}
 	before := t.lost
+	connected := c.Connected
 	switch {
+	case !t.lost && connected == 0 && c.Size < CheckTargets:
+		t.doubtful = true
 	case !t.lost:
-		t.lost = connected == 0
+		t.lost, t.doubtful = connected == 0, false
 	case connected == 0:
 		t.confirming = false
 	case t.confirming:
@@ -141,6 +212,7 @@
 		return false
 	}
 	clear(t.failed)
+	t.requestedAt, t.requestDue = time.Time{}, time.Time{}
 	t.progressAt, t.changedAt = now, now
 	return true
 }
--- a/reach/tracker_test.go
+++ b/reach/tracker_test.go
@@ -12,6 +12,11 @@
 
 func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
 
+// check returns the result of a check with as many targets as it was to try.
+func check(ms, tried, connected int) Check {
+	return Check{StartedAt: at(ms), EndedAt: at(ms), Tried: tried, Connected: connected, Size: max(tried, ProbeTargets)}
+}
+
 func TestCheckDue(t *testing.T) {
 	for _, c := range []struct {
 		name  string
@@ -23,23 +28,30 @@
 		{"one target fails again and again", func(r *Tracker) { r.Failed(at(0), "i-1"); r.Failed(at(10), "i-1") }, 20, false},
 		{"two targets fail", func(r *Tracker) { r.Failed(at(0), "i-1"); r.Failed(at(10), "i-2") }, 20, true},
 		{"two targets fail far apart", func(r *Tracker) { r.Failed(at(0), "i-1"); r.Failed(at(2000), "i-2") }, 2010, false},
-		{"another target was connected to in between", func(r *Tracker) { r.Failed(at(0), "i-1"); r.Connected(); r.Failed(at(10), "i-2") }, 20, false},
+		{"another target was connected to in between", func(r *Tracker) { r.Failed(at(0), "i-1"); r.Connected(at(5)); r.Failed(at(10), "i-2") }, 20, false},
 		{"requests stall", func(r *Tracker) { startAll(r, 0, stallRunning) }, 500, true},
 		{"few requests stall", func(r *Tracker) { startAll(r, 0, stallRunning-1) }, 5000, false},
 		{"one of the requests is answered", func(r *Tracker) { startAll(r, 0, stallRunning+1); r.End(at(400), true) }, 600, false},
 		{"one of the requests fails", func(r *Tracker) { startAll(r, 0, stallRunning+1); r.End(at(400), false) }, 600, true},
 		{"the last check found targets just before", func(r *Tracker) {
-			r.Checked(at(0), 6, 1)
+			r.Checked(check(0, 6, 1))
 			r.Failed(at(10), "i-1")
 			r.Failed(at(10), "i-2")
 		}, 400, false},
 		{"the last check found targets a while ago", func(r *Tracker) {
-			r.Checked(at(0), 6, 1)
+			r.Checked(check(0, 6, 1))
 			r.Failed(at(10), "i-1")
 			r.Failed(at(10), "i-2")
 		}, 500, true},
-		{"lost", func(r *Tracker) { r.Checked(at(0), 6, 0) }, 250, true},
-		{"lost, probed just before", func(r *Tracker) { r.Checked(at(0), 6, 0) }, 200, false},
+		{"a check is requested", func(r *Tracker) { r.RequestCheck(at(0), false) }, 400, false},
+		{"a check was requested a while ago", func(r *Tracker) { r.RequestCheck(at(0), false) }, 500, true},
+		{"a requested check is not needed any more", func(r *Tracker) { r.RequestCheck(at(0), false); r.Connected(at(1)) }, 500, false},
+		{"a requested check is still needed", func(r *Tracker) { r.RequestCheck(at(1), false); r.Connected(at(0)) }, 501, true},
+		{"an urgent check is requested", func(r *Tracker) { r.RequestCheck(at(0), false); r.RequestCheck(at(10), true) }, 10, true},
+		{"an urgent check is requested just after another", func(r *Tracker) { r.Checked(check(0, 2, 1)); r.RequestCheck(at(10), true) }, 240, false},
+		{"a small check found none", func(r *Tracker) { r.Checked(check(0, 2, 0)) }, 0, true},
+		{"lost", func(r *Tracker) { r.Checked(check(0, 6, 0)) }, 250, true},
+		{"lost, probed just before", func(r *Tracker) { r.Checked(check(0, 6, 0)) }, 200, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			r := &Tracker{}
@@ -57,20 +69,22 @@
 
 func TestLostAndRegained(t *testing.T) {
 	r := &Tracker{}
-	require.False(t, r.Checked(at(0), 0, 0), "a check of no target shows nothing")
-	require.False(t, r.Checked(at(0), 6, 1))
-	require.Equal(t, CheckTargets, r.CheckSize())
-	require.True(t, r.Checked(at(1000), 6, 0))
+	require.False(t, r.Checked(check(0, 0, 0)), "a check of no target shows nothing")
+	require.False(t, r.Checked(check(0, 6, 1)))
+	require.Equal(t, ProbeTargets, r.CheckSize(at(0)), "nothing is suspicious")
+	require.False(t, r.Checked(check(900, 2, 0)), "a small check does not suffice")
+	require.Equal(t, CheckTargets, r.CheckSize(at(900)))
+	require.True(t, r.Checked(check(1000, 6, 0)))
 	require.True(t, r.Lost())
 	require.Equal(t, at(1000), r.ChangedAt())
-	require.Equal(t, ProbeTargets, r.CheckSize())
-	require.False(t, r.Checked(at(1250), 2, 1), "one success does not end the loss")
+	require.Equal(t, ProbeTargets, r.CheckSize(at(0)))
+	require.False(t, r.Checked(check(1250, 2, 1)), "one success does not end the loss")
 	require.True(t, r.CheckDue(at(1250)), "it is confirmed at once")
-	require.Equal(t, CheckTargets, r.CheckSize())
-	require.False(t, r.Checked(at(1260), 6, 0))
+	require.Equal(t, CheckTargets, r.CheckSize(at(0)))
+	require.False(t, r.Checked(check(1260, 6, 0)))
 	require.False(t, r.CheckDue(at(1270)))
-	require.False(t, r.Checked(at(1510), 2, 2))
-	require.True(t, r.Checked(at(1520), 6, 3))
+	require.False(t, r.Checked(check(1510, 2, 2)))
+	require.True(t, r.Checked(check(1520, 6, 3)))
 	require.False(t, r.Lost())
 	require.Zero(t, r.FailedCount(at(1520)))
 }
@@ -95,25 +109,30 @@
 			case 2:
 				r.Failed(now, rapid.SampledFrom([]string{"i-1", "i-2", "i-3"}).Draw(t, "target"))
 			case 3:
-				r.Connected()
+				r.Connected(now)
 			case 4:
 				reached = !reached
+			case 5:
+				r.RequestCheck(now, rapid.Bool().Draw(t, "urgent"))
 			}
 			require.Equal(t, before, r.Lost(), "only checks change it")
 			if !r.CheckDue(now) {
 				continue
 			}
-			connected := 0
+			connected, size := 0, r.CheckSize(now)
 			if reached {
-				connected = rapid.IntRange(1, r.CheckSize()).Draw(t, "connected")
+				connected = rapid.IntRange(1, size).Draw(t, "connected")
 				successes++
 			} else {
 				successes = 0
 			}
-			r.Checked(now, r.CheckSize(), connected)
+			r.Checked(Check{StartedAt: now, EndedAt: now, Tried: size, Connected: connected, Size: size})
+			if reached {
+				require.Equal(t, now, r.ProvenAt())
+			}
 			switch {
 			case !before:
-				require.Equal(t, !reached, r.Lost())
+				require.Equal(t, !reached && size == CheckTargets, r.Lost())
 				successes = 0
 			case r.Lost():
 				require.Less(t, successes, 2)
--- a/upstream/target_report.go
+++ b/upstream/target_report.go
@@ -112,9 +112,11 @@
 }
 
 // TargetReports returns the reports to send to other instances of the region: the load of targets
-// that are or recently were busy, and the targets that are down. An instance that fails to reach
-// more targets than respond to it reports no target as down, since the fault may be its own.
-func (p *Pool) TargetReports(now time.Time) TargetReports {
+// that are or recently were busy, and the targets that are down. ProvenAt is the latest time at which
+// this instance is known to have reached any target. A target that it could not reach since is not
+// reported as down, since the fault may be the instance's own, nor is any if more targets are down
+// than respond.
+func (p *Pool) TargetReports(now, provenAt time.Time) TargetReports {
 	var busy, down TargetReports
 	responding := 0
 	for _, t := range p.activeTargets {
@@ -125,7 +127,7 @@
 		if !t.inService() {
 			continue
 		}
-		if age := now.Sub(s.downAt); age < targetReportTTL && s.suspectBackoff > 0 {
+		if age := now.Sub(s.downAt); age < targetReportTTL && s.suspectBackoff > 0 && !s.downAt.After(provenAt) {
 			down = append(down, TargetReport{Target: shortID(t.hash), Down: true, Age: age})
 			continue
 		}
--- a/upstream/target_report_test.go
+++ b/upstream/target_report_test.go
@@ -32,23 +32,23 @@
 	releaseWithLoad := func(now time.Time, running, waiting int) {
 		there.Release(now, first, upstream.Result{LoadReport: &upstream.LoadReport{Running: running, Waiting: waiting, Slots: 3}, Latency: time.Second})
 	}
-	require.Empty(t, there.TargetReports(start))
+	require.Empty(t, there.TargetReports(start, start))
 
 	releaseWithLoad(start, 3, 4)
-	reports := there.TargetReports(start)
+	reports := there.TargetReports(start, start)
 	require.Len(t, reports, 1)
 	here.ApplyTargetReports(start.Add(50*time.Millisecond), reports)
 	now := start.Add(100 * time.Millisecond)
 	require.NotEqual(t, first, tryRequest(here, now).Target.ID)
 	require.Equal(t, upstream.ReasonLoad, tryRequest(here, now).Reason)
-	require.Len(t, here.TargetReports(now), 1, "received reports are passed on")
-	require.Empty(t, here.TargetReports(start.Add(2*time.Second)), "old reports are not passed on")
+	require.Len(t, here.TargetReports(now, now), 1, "received reports are passed on")
+	require.Empty(t, here.TargetReports(start.Add(2*time.Second), start.Add(2*time.Second)), "old reports are not passed on")
 	require.Equal(t, first, tryRequest(here, start.Add(4*time.Second)).Target.ID, "the report has expired")
 
 	// From here on the time is before the expiry of the first report.
 	now = start.Add(200 * time.Millisecond)
 	releaseWithLoad(now, 1, 0)
-	after := there.TargetReports(now)
+	after := there.TargetReports(now, now)
 	require.Len(t, after, 1, "a target that is no longer busy is reported too")
 	here.ApplyTargetReports(now, after)
 	here.ApplyTargetReports(now, reports)
@@ -70,11 +70,12 @@
 		return d.Target.ID
 	}
 	first := runRequest(there, start, "k", upstream.Unreachable)
-	require.Empty(t, there.TargetReports(start), "a target is reported as down although no target responds to the instance")
+	require.Empty(t, there.TargetReports(start, start), "a target is reported as down although no target responds to the instance")
 	for _, key := range []string{"l", "m", "n"} {
 		runRequest(there, start, key, upstream.Answered)
 	}
-	reports := there.TargetReports(start)
+	require.Empty(t, there.TargetReports(start, start.Add(-time.Millisecond)), "a target is reported as down although the instance has reached none since")
+	reports := there.TargetReports(start, start)
 	require.Len(t, reports, 1)
 
 	require.Equal(t, first, runRequest(here, start, "k", upstream.Abandoned))
