gateway: a refused connection counts as a crash only if the instance's own links work

Requests that run while an instance loses its links break off, and its new connections are refused: evidence of a crash of each of their targets, which all instances believe. The requests, or their account, were suspected of crashing targets.

Before a refused connection counts, the instance connects to one of two other targets at once (one round trip). If it reaches none, the refusal counts only if no other instance says that it reaches targets.

--- a/gateway/broken_links_test.go
+++ b/gateway/broken_links_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -9,6 +10,33 @@
 	"github.com/rainford/rainford/internal/standin/link"
 )
 
+// TestOwnLinksAreNotTakenForCrashes guards against requests that are held everywhere because one instance
+// lost its links to the targets that ran them.
+func TestOwnLinksAreNotTakenForCrashes(t *testing.T) {
+	s := newCutSite(t)
+	for _, server := range s.servers {
+		server.SetServiceTime(200 * time.Millisecond)
+	}
+	in := s.instances["n1"]
+	for range 4 {
+		for i := range 12 {
+			go in.sendKey(fmt.Sprint(i))
+		}
+		time.Sleep(100 * time.Millisecond)
+		s.links["n1"].Cut(link.Reset, link.All)
+		require.Eventually(t, func() bool {
+			in.sendKey("more")
+			return in.metric("rainford_targets_lost") == 1
+		}, contact, 20*time.Millisecond)
+		s.links["n1"].Restore()
+		require.Eventually(t, func() bool { return in.metric("rainford_targets_lost") == 0 }, contact, 20*time.Millisecond)
+	}
+	for name, in := range s.instances {
+		require.LessOrEqual(t, in.metric("rainford_target_ends_total"), 0, name)
+		require.Zero(t, in.metric("rainford_requests_held"), name)
+	}
+}
+
 // TestOwnLinksAreNotReported guards against targets that get no requests of other instances because one
 // instance could not reach them.
 func TestOwnLinksAreNotReported(t *testing.T) {
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -3,14 +3,17 @@
 import (
 	"errors"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/rainford/rainford/catalog"
+	"github.com/rainford/rainford/fleet"
 	"github.com/rainford/rainford/forward"
 	"github.com/rainford/rainford/quarantine"
+	"github.com/rainford/rainford/reach"
 	"github.com/rainford/rainford/upstream"
 )
 
@@ -190,8 +193,10 @@
 		g.requestAnswered(now, ex, target, a)
 	case a.TargetResult.Outcome == upstream.Rejected:
 		g.targetAnswered(now.Add(-a.TargetResult.Latency), target.ID)
-	case a.TargetResult.Outcome == upstream.Replaced, a.TargetResult.Outcome == upstream.Unreachable && errors.Is(a.Err, syscall.ECONNREFUSED):
+	case a.TargetResult.Outcome == upstream.Replaced:
 		g.targetCrashed(now, target.ID)
+	case a.TargetResult.Outcome == upstream.Unreachable && errors.Is(a.Err, syscall.ECONNREFUSED):
+		g.targetRefused(now, target.ID)
 	case a.TargetResult.Outcome == upstream.Broken && a.Sent:
 		g.requestInterrupted(now, ex, target)
 	}
@@ -288,10 +293,28 @@
 func (g *Gateway) probeTarget(target upstream.Choice) {
 	err := g.targets.Preconnect(target.ID, target.Addr, crashProbeTimeout)
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		g.targetCrashed(g.clock.Now(), target.ID)
+		g.targetRefused(g.clock.Now(), target.ID)
 	}
 }
 
+// targetRefused records that a target has refused a connection. It has crashed, unless the links of this
+// instance are what failed: then other instances still reach targets.
+func (g *Gateway) targetRefused(now time.Time, target string) {
+	if !g.quarantine.nonEmpty.Load() {
+		return
+	}
+	g.reach.verify(reach.AtOnce, func(reached bool) {
+		if reached || !g.othersReachTargets() {
+			g.targetCrashed(now, target)
+		}
+	})
+}
+
+// othersReachTargets reports whether another instance says that it reaches targets.
+func (g *Gateway) othersReachTargets() bool {
+	return slices.ContainsFunc(g.otherMembers(), fleet.Status.ReachesTargets)
+}
+
 // targetCrashed records that a target has crashed.
 func (g *Gateway) targetCrashed(now time.Time, target string) {
 	if !g.quarantine.nonEmpty.Load() {
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -104,15 +104,15 @@
 	}
 	if outcome == upstream.Unreachable {
 		// Others are told that the target is down only if it is not the fault of this instance.
-		r.tracker.RequestCheck(now, true)
+		r.tracker.RequestCheck(now, reach.Soon)
 	}
 	r.wake(now)
 }
 
 // verify calls a function with true once a connection to any target shows that the instance itself
-// has not lost its links, or with false if it has. If it is urgent, a connection is opened for that at
-// once.
-func (r *reachability) verify(urgent bool, call func(reached bool)) {
+// has not lost its links, or with false if it has. Without a request that shows it, the instance opens
+// a connection after the given delay.
+func (r *reachability) verify(delay time.Duration, call func(reached bool)) {
 	now := r.clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -121,7 +121,7 @@
 		return
 	}
 	r.waiting = append(r.waiting, waitingForProof{since: now, call: call})
-	r.tracker.RequestCheck(now, urgent)
+	r.tracker.RequestCheck(now, delay)
 	r.wake(now)
 }
 
--- a/reach/tracker.go
+++ b/reach/tracker.go
@@ -13,10 +13,6 @@
 	stallTime    = 500 * time.Millisecond
 	// minCheckInterval is the shortest time between two checks that find targets.
 	minCheckInterval = 500 * time.Millisecond
-	// A requested check is due after requestDelay, or at once if it is urgent. Meanwhile a request may
-	// show the same. minRequestInterval is the shortest time after another check.
-	requestDelay       = 500 * time.Millisecond
-	minRequestInterval = 250 * time.Millisecond
 	// probeInterval is the time between two checks while the targets are lost.
 	probeInterval = 250 * time.Millisecond
 )
@@ -30,6 +26,16 @@
 	ProbeTargets = 2
 )
 
+// Delays of requested checks. Meanwhile a request may show what the check would.
+const (
+	// AtOnce is for what is waited for.
+	AtOnce time.Duration = 0
+	// Soon is for what others should know in their next round of gossip.
+	Soon = 100 * time.Millisecond
+	// Later is for what is analyzed over seconds.
+	Later = 500 * time.Millisecond
+)
+
 // Tracker tracks whether an instance reaches any target. The zero value reaches them. It is not
 // safe for concurrent use.
 type Tracker struct {
@@ -46,8 +52,8 @@
 	checkedAt time.Time
 	// provenAt is the time at which the last connection to a target was begun, as far as is known.
 	provenAt time.Time
-	// requestedAt is the time of the earliest request for a check that is still open, and requestDue
-	// the time from which the check is due. Both are zero if there is none.
+	// requestedAt is the time of the latest request for a check that is still open, and requestDue the
+	// time from which the check is due. Both are zero if there is none.
 	requestedAt, requestDue time.Time
 	// doubtful is true after a requested check that found no target. A larger one has to follow.
 	doubtful bool
@@ -121,12 +127,9 @@
 func (t *Tracker) ProvenAt() time.Time { return t.provenAt }
 
 // RequestCheck requests a check, to find out whether what was seen of a target now is due to the target
-// or to the links of the instance.
-func (t *Tracker) RequestCheck(now time.Time, urgent bool) {
-	due := now.Add(requestDelay)
-	if urgent {
-		due = now
-	}
+// or to the links of the instance. The check is due after the given delay.
+func (t *Tracker) RequestCheck(now time.Time, delay time.Duration) {
+	due := now.Add(delay)
 	t.requestedAt = now
 	if t.requestDue.IsZero() || due.Before(t.requestDue) {
 		t.requestDue = due
@@ -147,7 +150,7 @@
 	if t.lost {
 		return t.confirming || since >= probeInterval
 	}
-	if t.doubtful || !t.requestDue.IsZero() && !now.Before(t.requestDue) && since >= minRequestInterval {
+	if t.doubtful || !t.requestDue.IsZero() && !now.Before(t.requestDue) {
 		return true
 	}
 	return since >= minCheckInterval && t.suspicious(now)
