gateway: an instance that reaches no target leaves its part of the rate of cold targets to the others of its hall

The rate of a cold target is divided among the known instances of its hall. One whose links were cut sent none of its part, so that cold targets warmed up slower for the clients of all. If all of a hall say so, nothing changes. TestLostInstanceLeavesItsWarmupQuota could not be written before: nothing told who reaches none.

--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -257,10 +257,42 @@
 	if g.replicas[KindInstances].Position().IsZero() {
 		return
 	}
-	members := make(map[string][]string)
 	all := g.view.All(now)
+	g.pools.setInstances(sendersByHall(all), len(all))
+}
+
+// sendersByHall returns the names of the instances of each hall that send requests to its cold targets.
+// Those that reach no target say so and send none. If all instances of a hall say so, they are
+// returned.
+func sendersByHall(all []fleet.Status) map[string][]string {
+	senders, others := make(map[string][]string), make(map[string][]string)
 	for _, s := range all {
-		members[s.Hall] = append(members[s.Hall], s.Name)
+		if s.Flags&fleet.TargetsLost != 0 {
+			others[s.Hall] = append(others[s.Hall], s.Name)
+			continue
+		}
+		senders[s.Hall] = append(senders[s.Hall], s.Name)
+	}
+	for hall, names := range others {
+		if len(senders[hall]) == 0 {
+			senders[hall] = names
+		}
+	}
+	return senders
+}
+
+// updateLostMembers updates the shares of the instances when another set of members of the own hall
+// reaches no target. The caller holds mu.
+func (g *Gateway) updateLostMembers(now time.Time) {
+	lost := ""
+	for _, s := range g.view.All(now) {
+		if s.Hall == g.config.Hall && s.Flags&fleet.TargetsLost != 0 {
+			lost += s.Name + " "
+		}
+	}
+	if lost == g.lostMembers {
+		return
 	}
-	g.pools.setInstances(members, len(all))
+	g.lostMembers = lost
+	g.updateInstanceShares(now)
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -84,6 +84,8 @@
 	// reconnectedAt is the time of the last reconnection to each instance that reported that it
 	// does not receive this one's messages. The keys are peer addresses.
 	reconnectedAt map[string]time.Time
+	// lostMembers names the members of the own hall that reach no target.
+	lostMembers string
 	// gossipRounds is the number of gossip rounds so far.
 	gossipRounds int
 	deltaCache   deltaCache
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -76,6 +76,7 @@
 	}
 	g.view.SetFlags(g.flags())
 	g.view.AdvanceHeartbeat(now)
+	g.updateLostMembers(now)
 	g.gossipRounds++
 	partners := g.partners(now, wide)
 	settled := now.Sub(g.startedAt) >= heartbeatsExpectedAfter
--- a/gateway/warmup_quota_test.go
+++ b/gateway/warmup_quota_test.go
@@ -37,3 +37,36 @@
 	g.updateInstanceShares(time.Now())
 	require.Equal(t, []string{"n0", "n1"}, g.pools.instancesByHall["a1"])
 }
+
+// TestLostInstanceLeavesItsWarmupQuota guards against cold targets that get too little because their rate
+// is divided among instances that do not reach them.
+func TestLostInstanceLeavesItsWarmupQuota(t *testing.T) {
+	g := newSender(t)
+	now := time.Now()
+	require.True(t, g.applyDelta(feed.Delta{Kind: KindInstances, To: feed.At(0, 7), Full: true}, sourceStore))
+	g.view.Add(fleet.Member{Name: "n1", Hall: "a1", Region: "a"}, fleet.Member{Name: "n2", Hall: "a2", Region: "a"})
+	g.updateInstanceShares(now)
+	next := fleet.SequenceAt(now)
+	hear := func(lost ...string) {
+		next++
+		for _, name := range []string{"n1", "n2"} {
+			h := fleet.Heartbeats{{Member: fleet.IDOf(name), Sequence: next, Flags: fleet.Ready}}
+			for _, l := range lost {
+				h.SetFlag(fleet.TargetsLost, []fleet.ID{fleet.IDOf(l)})
+			}
+			g.view.MergeHeartbeats(now, h)
+		}
+		g.updateLostMembers(now)
+	}
+	hear()
+	require.Equal(t, []string{"n0", "n1"}, g.pools.instancesByHall["a1"])
+	hear("n1")
+	require.Equal(t, []string{"n0"}, g.pools.instancesByHall["a1"])
+	hear()
+	require.Equal(t, []string{"n0", "n1"}, g.pools.instancesByHall["a1"])
+	g.view.SetFlags(fleet.TargetsLost)
+	hear()
+	require.Equal(t, []string{"n1"}, g.pools.instancesByHall["a1"], "an instance that has lost the targets itself sends none")
+	hear("n1")
+	require.Equal(t, []string{"n0", "n1"}, g.pools.instancesByHall["a1"], "the rate is not divided among other halls")
+}
