soak: cuts of the links between instances and servers

A fault of its own random source, so that recorded plans stay: the links of one instance, of those of a hall or of all but one, to all servers, to those of a hall or to every second one; silent, reset, or with open connections that live on while new ones are refused or hang; 6 to 9 s. Processes can't be cut off from outside without the others, so the program is built with the tag soaklinks, in which its connections to targets go through internal/standin/link.

WAY is the users' bound: of the first attempts from 4 s after the beginning of a cut of all links, two thirds as many are served as at the others, unless 10 + 1 in 50 fail at most. While an instance is cut, another may send what it received: checks that blame the sender of a request for what it was told (WORD, NEWS, REST, NAMED LIMIT) pass these over, those with a time bound (DRAIN, EVAC, GONE, ENDING, EXPOSURE) hold if all instances are in touch.

--- a/cmd/rainfordd/gateway.go
+++ b/cmd/rainfordd/gateway.go
@@ -14,6 +14,7 @@
 
 	"github.com/peterbourgon/ff/v3"
 
+	"github.com/rainford/rainford/forward"
 	"github.com/rainford/rainford/gateway"
 	"github.com/rainford/rainford/internal/clock"
 	"github.com/rainford/rainford/internal/logqueue"
@@ -24,6 +25,9 @@
 // gatewayCommand is the first argument of a call that runs a gateway.
 const gatewayCommand = "gateway"
 
+// targetDialer opens the connections to targets if it is set. Only a build for the fault soak sets it.
+var targetDialer forward.Dialer
+
 // defaultLogRate is the default limit on log lines for requests, in lines per second.
 const defaultLogRate = 100
 
@@ -65,6 +69,7 @@
 	}
 	s.Log = slog.New(logqueue.NewHandler(log.Handler(), logqueue.Limit{Message: gateway.RequestMessage, PerSecond: s.logRate}))
 	s.Clock = clock.Real()
+	s.TargetDialer = targetDialer
 	g, err := gateway.New(s.Config, platform.NewStore(s.store), platform.Codec{}, platform.Headers())
 	if err != nil {
 		s.Log.Error("start failed", "error", err.Error())
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/rainford/rainford/forward"
 	"github.com/rainford/rainford/internal/clock"
 	"github.com/rainford/rainford/ratelimit"
 	"github.com/rainford/rainford/rollout"
@@ -54,6 +55,9 @@
 	// DefaultDeadline is the time allowed for a request that does not state any.
 	DefaultDeadline time.Duration
 
+	// TargetDialer opens the connections to targets. If it is nil, TCP connections are opened.
+	TargetDialer forward.Dialer
+
 	// LogSample logs one in so many ordinary successful requests, or none if it is 0.
 	LogSample int
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -156,6 +156,9 @@
 		unregistered: make(chan struct{}, 1),
 		rand:         rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), rand.Uint64())),
 	}
+	if config.TargetDialer != nil {
+		g.targets.SetDialer(config.TargetDialer)
+	}
 	g.kinds, g.rollouts = kindsOf(config), newRollouts()
 	for _, kind := range g.kinds {
 		g.replicas[kind] = feed.NewReplica(kind)
--- a/internal/soak/attempt.go
+++ b/internal/soak/attempt.go
@@ -19,6 +19,8 @@
 	// account and key are those of the client, both empty for a probe.
 	account, key string
 	hot          bool
+	// repeated is set for a client's second attempt at a request.
+	repeated bool
 
 	// connAt is when the connection that carried the attempt was opened.
 	connAt         time.Time
--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -147,13 +147,13 @@
 	body := bytes.Repeat([]byte{byte('a' + kind)}, size)
 	uri := path + strconv.Itoa(c.rnd.IntN(1000)) + "//%2fx?q=" + strconv.Itoa(kind)
 	deadline := time.Now().Add(clientTimeout)
-	for range 2 {
+	for n := range 2 {
 		c.lookup(ctx)
 		addr := c.pick()
 		if addr == "" {
 			return
 		}
-		retry, after := c.attempt(ctx, addr, method, uri, body, deadline)
+		retry, after := c.attempt(ctx, addr, method, uri, body, deadline, n > 0)
 		if !retry || time.Until(deadline) < 2*after || ctx.Err() != nil {
 			return
 		}
@@ -162,9 +162,10 @@
 }
 
 // attempt sends one attempt. It reports whether the client may retry, and after what time.
-func (c *client) attempt(ctx context.Context, addr, method, uri string, body []byte, deadline time.Time) (bool, time.Duration) {
+func (c *client) attempt(ctx context.Context, addr, method, uri string, body []byte, deadline time.Time, repeated bool) (bool, time.Duration) {
 	a := c.site.oracle.begin(c.site.instanceAt(addr), method, uri, body)
 	a.account, a.key, a.hot = c.account.name, c.site.keys.use(c.account.name), c.account.hot
+	a.repeated = repeated
 	leaves := c.rnd.IntN(leaveOneIn) == 0
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
--- a/internal/soak/crashing.go
+++ b/internal/soak/crashing.go
@@ -124,7 +124,7 @@
 		return
 	}
 	o.checks["ENDING"]++
-	if v.At.Sub(e.at[crashesBeforeStop-1]) <= contact || !o.connected(a.instance, v.At) {
+	if v.At.Sub(e.at[crashesBeforeStop-1]) <= contact || !o.senderConnected(o.senderOf(a, v.At), v.At) {
 		return
 	}
 	e.late++
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -47,6 +47,8 @@
 		r.evacuate(f)
 	case KeyChange:
 		r.changeKeys(f)
+	case TargetLinks:
+		r.cutTargetLinks(f)
 	case LinkSilence:
 		s.oracle.disturbed(in.name, time.Now())
 		silenced := []*proxy{in.front, in.peer, in.store}[f.How%3]
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -52,6 +52,8 @@
 	restoredAt time.Time
 	// pausedUntil holds when the last pause of each instance ended or will end.
 	pausedUntil map[string]time.Time
+	// linkCuts are the cuts of links to servers.
+	linkCuts []*linkCut
 }
 
 func newOracle(keys *keyring) *oracle {
@@ -227,7 +229,7 @@
 // judgeTimes checks the time bounds for draining servers, evacuated halls and requests that
 // their client canceled. The caller holds mu.
 func (o *oracle) judgeTimes(a *attempt, v origin.Arrival) {
-	touched := o.connected(a.instance, v.At)
+	touched := o.senderConnected(o.senderOf(a, v.At), v.At)
 	if at, ok := o.draining[v.Server.ID]; ok && touched {
 		o.checks["DRAIN"]++
 		if v.At.Sub(at) > drainTimeout {
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -47,6 +47,7 @@
 	ServerLimits      FaultKind = "server-names-limit"
 	Rollout           FaultKind = "rollout"
 	StoreRestored     FaultKind = "store-restored"
+	TargetLinks       FaultKind = "links-to-servers"
 )
 
 // silenceKinds are drawn from a random source of their own. A kind that is added to baseKinds
@@ -150,6 +151,12 @@
 				Which: restores.IntN(1 << 16), How: restores.IntN(1 << 16)})
 		}
 	}
+	links := rand.New(rand.NewPCG(seed, 16))
+	for at := 1200 * time.Millisecond; at < last; {
+		f := Fault{At: at, For: minCutTime + time.Duration(links.Int64N(int64(minCutTime/2))), Kind: TargetLinks, Which: links.IntN(1 << 16), How: links.IntN(1 << 16)}
+		out = append(out, f)
+		at += f.For + time.Duration(links.Int64N(int64(minCutTime)))
+	}
 	sort.SliceStable(out, func(i, j int) bool { return out[i].At < out[j].At })
 	return out
 }
--- a/internal/soak/rollouts.go
+++ b/internal/soak/rollouts.go
@@ -188,7 +188,7 @@
 		if v.At.Before(check.until) {
 			check.all++
 		}
-		if srv.version != check.version || !check.isBad() || check.stateLost || !o.connected(a.instance, v.At) {
+		if srv.version != check.version || !check.isBad() || check.stateLost || !o.senderConnected(o.senderOf(a, v.At), v.At) {
 			continue
 		}
 		o.checks["EXPOSURE"]++
--- a/internal/soak/signals.go
+++ b/internal/soak/signals.go
@@ -177,6 +177,9 @@
 // judgeSignals checks an arrival by the signals of its server, and records the back-off that
 // the server requests with it. The caller holds mu.
 func (o *oracle) judgeSignals(a *attempt, v origin.Arrival) {
+	if o.senderOf(a, v.At) == "" {
+		return
+	}
 	o.judgeDeparture(a, v)
 	o.judgeLimit(a, v)
 	o.judgeBackoffs(a, v)
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -333,7 +333,7 @@
 	}
 	cmd := exec.Command(in.site.program, in.args()...)
 	cmd.Stdout, cmd.Stderr = in.log, in.log
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH")}
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), linkFileVariable + "=" + in.linkFile()}
 	err := cmd.Start()
 	if err != nil {
 		return err
--- a/internal/standin/link/link_test.go
+++ b/internal/standin/link/link_test.go
@@ -108,3 +108,21 @@
 	require.Error(t, exchange(conn, 2*UnackedTimeout))
 	require.Less(t, time.Since(began), UnackedTimeout+time.Second)
 }
+
+func TestTextOfCuts(t *testing.T) {
+	for _, mode := range Modes() {
+		got, affects, err := ParseCut(FormatCut(mode, nil))
+		require.NoError(t, err)
+		require.Equal(t, mode, got)
+		require.True(t, affects("a:1"))
+		_, affects, err = ParseCut(FormatCut(mode, []string{"a:1", "b:2"}))
+		require.NoError(t, err)
+		require.True(t, affects("b:2"))
+		require.False(t, affects("c:3"))
+	}
+	_, affects, err := ParseCut("")
+	require.NoError(t, err)
+	require.Nil(t, affects)
+	_, _, err = ParseCut("none all")
+	require.Error(t, err)
+}
