gateway: what breaks off through an instance's own broken links says nothing of a new version

A good version was rolled back because one instance lost its links now and then while it was brought in: what broke off there counted against it.

--- a/gateway/broken_links_test.go
+++ b/gateway/broken_links_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rainford/rainford/internal/standin/link"
+	"github.com/rainford/rainford/platform"
 )
 
 // TestOwnLinksAreNotTakenForCrashes guards against requests that are held everywhere because one instance
@@ -86,3 +87,34 @@
 		require.Equal(t, c.sent, c.served, name)
 	}
 }
+
+// TestOwnLinksAreNotTakenForBadVersion guards against a version that is rolled back because one instance
+// loses its links now and then while the version is brought in.
+func TestOwnLinksAreNotTakenForBadVersion(t *testing.T) {
+	t.Parallel()
+	v := newRolloutSite(t, 2)
+	l, err := link.New()
+	require.NoError(t, err)
+	t.Cleanup(l.Close)
+	v.targetLink = l
+	cut := v.join(platform.NewStore(v.addr), "n2")
+	cut.awaitStatus("/x/", 200)
+	stop := v.load()
+	defer stop()
+	for range 3 {
+		// Most requests are at the instance whose links are cut.
+		v.instances = append(v.instances, cut)
+	}
+	v.startRollout()
+	for _, server := range append(v.old, v.new...) {
+		server.SetServiceTime(30 * time.Millisecond)
+	}
+	v.awaitState("running")
+	for v.state().State == "running" {
+		l.Cut(link.Reset, link.All)
+		time.Sleep(400 * time.Millisecond)
+		l.Restore()
+		time.Sleep(200 * time.Millisecond)
+	}
+	require.Equal(t, "succeeded", v.state().State)
+}
--- a/gateway/rollout_observations.go
+++ b/gateway/rollout_observations.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/rainford/rainford/forward"
 	"github.com/rainford/rainford/internal/mix"
+	"github.com/rainford/rainford/reach"
 	"github.com/rainford/rainford/rollout"
 	"github.com/rainford/rainford/upstream"
 )
@@ -40,11 +41,25 @@
 		Outcome: outcome,
 		Cold:    d.Target.Cold,
 	}
+	if outcome != rollout.Unanswered {
+		r.observe(d.SendState.NewVersion, o)
+		return
+	}
+	// The links of this instance may be what failed.
+	g.reach.verify(reach.Soon, func(reached bool) {
+		if reached {
+			r.observe(d.SendState.NewVersion, o)
+		}
+	})
+}
+
+// observe records an observation if the rollout is ongoing.
+func (r *serviceRollout) observe(isNew bool, o rollout.Observation) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
 	case !r.isOngoing():
-	case d.SendState.NewVersion:
+	case isNew:
 		r.follower.RecordNew(o)
 	default:
 		r.follower.RecordOld(o)
--- a/reach/tracker.go
+++ b/reach/tracker.go
@@ -32,8 +32,6 @@
 	AtOnce time.Duration = 0
 	// Soon is for what others should know in their next round of gossip.
 	Soon = 100 * time.Millisecond
-	// Later is for what is analyzed over seconds.
-	Later = 500 * time.Millisecond
 )
 
 // Tracker tracks whether an instance reaches any target. The zero value reaches them. It is not
--- a/reach/tracker_test.go
+++ b/reach/tracker_test.go
@@ -43,11 +43,11 @@
 			r.Failed(at(10), "i-1")
 			r.Failed(at(10), "i-2")
 		}, 500, true},
-		{"a check is requested", func(r *Tracker) { r.RequestCheck(at(0), Later) }, 400, false},
-		{"a check was requested a while ago", func(r *Tracker) { r.RequestCheck(at(0), Later) }, 500, true},
-		{"a requested check is not needed any more", func(r *Tracker) { r.RequestCheck(at(0), Later); r.Connected(at(1)) }, 500, false},
-		{"a requested check is still needed", func(r *Tracker) { r.RequestCheck(at(1), Later); r.Connected(at(0)) }, 501, true},
-		{"an urgent check is requested", func(r *Tracker) { r.RequestCheck(at(0), Later); r.RequestCheck(at(10), AtOnce) }, 10, true},
+		{"a check is requested", func(r *Tracker) { r.RequestCheck(at(0), Soon) }, 90, false},
+		{"a check was requested a while ago", func(r *Tracker) { r.RequestCheck(at(0), Soon) }, 100, true},
+		{"a requested check is not needed any more", func(r *Tracker) { r.RequestCheck(at(0), Soon); r.Connected(at(1)) }, 500, false},
+		{"a requested check is still needed", func(r *Tracker) { r.RequestCheck(at(1), Soon); r.Connected(at(0)) }, 101, true},
+		{"an urgent check is requested", func(r *Tracker) { r.RequestCheck(at(0), Soon); r.RequestCheck(at(10), AtOnce) }, 10, true},
 		{"a small check found none", func(r *Tracker) { r.Checked(check(0, 2, 0)) }, 0, true},
 		{"lost", func(r *Tracker) { r.Checked(check(0, 6, 0)) }, 250, true},
 		{"lost, probed just before", func(r *Tracker) { r.Checked(check(0, 6, 0)) }, 200, false},
@@ -112,7 +112,7 @@
 			case 4:
 				reached = !reached
 			case 5:
-				r.RequestCheck(now, rapid.SampledFrom([]time.Duration{AtOnce, Soon, Later}).Draw(t, "delay"))
+				r.RequestCheck(now, rapid.SampledFrom([]time.Duration{AtOnce, Soon}).Draw(t, "delay"))
 			}
 			require.Equal(t, before, r.Lost(), "only checks change it")
 			if !r.CheckDue(now) {
