soak, explain: what a cut of links did to callers, and the way of a request that was handed over

The soak's report names the first attempts that were served at cut instances and at the others; -only restricts a plan to one kind of fault.

--- a/cmd/rainford/explain.go
+++ b/cmd/rainford/explain.go
@@ -48,6 +48,8 @@
 	NewsAgeMs   int64        `json:"news_age_ms"`
 	Attempts    []logAttempt `json:"attempts"`
 	Target      string       `json:"target"`
+	// HandedOverBy is the instance that has handed the request over to that of the line.
+	HandedOverBy string `json:"handed_over_by"`
 	// Content is the digest of a request's content, which is the same for all requests that
 	// are alike. Contents holds the digests of several requests. HeldAs is the digest of the
 	// quarantined client account because of which a request was held.
@@ -78,6 +80,10 @@
 	Outcome string  `json:"outcome"`
 	Error   string  `json:"error"`
 	TookMs  int64   `json:"took_ms"`
+	// Helper is the instance that the request was handed over to, and HelperReason why it did
+	// not return a response of a target.
+	Helper       string `json:"helper"`
+	HelperReason string `json:"helper_reason"`
 	// Reused is set if the connection was open before the request arrived.
 	Reused bool `json:"reused"`
 	// Leaves, RestMs and Limit are the notices in the target's response: that it is leaving,
@@ -311,10 +317,11 @@
 	for _, r := range s.requests {
 		fmt.Fprintf(w, "%s %s: route %s, service %s, configuration %d, news %d ms old, %d of %d ms\n",
 			r.Time.Format(time.RFC3339Nano), r.Instance, r.Route, r.Service, r.Config, r.NewsAgeMs, r.TookMs, r.BudgetMs)
+		if r.HandedOverBy != "" {
+			fmt.Fprintf(w, "  handed over by %s\n", r.HandedOverBy)
+		}
 		for i, t := range r.Attempts {
-			fmt.Fprintf(w, "  attempt %d: target %s in %s (%s, load %.2f): %s after %d ms %s\n",
-				i+1, t.Target, t.Region, t.Reason, t.Load, t.Outcome, t.TookMs, t.Error)
-			t.printNotices(w)
+			t.print(w, i+1)
 		}
 		r.printAccount(w)
 		fmt.Fprintf(w, "  answer %d: %s\n", r.Status, r.Reason)
@@ -330,6 +337,18 @@
 	}
 }
 
+// print writes the attempt with its number.
+func (t *logAttempt) print(w io.Writer, number int) {
+	if t.Helper != "" {
+		fmt.Fprintf(w, "  attempt %d: handed over to %s, target %q: %s after %d ms %s %s\n",
+			number, t.Helper, t.Target, t.Outcome, t.TookMs, t.HelperReason, t.Error)
+		return
+	}
+	fmt.Fprintf(w, "  attempt %d: target %s in %s (%s, load %.2f): %s after %d ms %s\n",
+		number, t.Target, t.Region, t.Reason, t.Load, t.Outcome, t.TookMs, t.Error)
+	t.printNotices(w)
+}
+
 // printNotices prints the notices about itself that the target sent in its response.
 func (t *logAttempt) printNotices(w io.Writer) {
 	if t.Leaves {
@@ -387,6 +406,9 @@
 	"over-limit":           "its account was beyond its limit; it did not run",
 	"ends-targets":         "targets end under this request wherever it runs: it was held back, or not sent to another one",
 	"account-ends-targets": "targets end under different requests of its account, and it was not answered before: it was held back",
+	"targets-lost":         "the instance that it was handed over to reached no target either; it did not run",
+	"targets-unreachable":  "the instance that it was handed over to reached none of its targets either; it did not run",
+	"helper-full":          "the instance that it was handed over to had no room for it; it did not run",
 	"no-limit-owner":       "no instance that keeps its account's limit could be asked; it did not run",
 }
 
--- a/cmd/rainford/explain_test.go
+++ b/cmd/rainford/explain_test.go
@@ -88,3 +88,19 @@
 	require.Contains(t, text, "request q2: 401, no account of the configuration has its key")
 	require.Contains(t, text, "configuration in force", "the configuration that rejected the key must be shown")
 }
+
+const handoverLog = `{"time":"2026-01-01T00:00:01Z","level":"WARN","msg":"targets lost","instance":"n1","failed":3}
+{"time":"2026-01-01T00:00:02Z","level":"INFO","msg":"request","instance":"n2","handed_over_by":"n1","request_id":"q1","route":"r","service":"s","config":4,"status":200,"reason":"answered","took_ms":19,"attempts":[{"target":"i-1","region":"a","reason":"first-choice","load":0.5,"outcome":"ran","took_ms":18}]}
+{"time":"2026-01-01T00:00:02.1Z","level":"INFO","msg":"request","instance":"n1","request_id":"q1","route":"r","service":"s","config":4,"status":200,"reason":"answered","took_ms":22,"attempts":[{"target":"","region":"","reason":"handed-over","helper":"n3","helper_reason":"targets-lost","outcome":"not-run","took_ms":1},{"target":"i-1","region":"a","reason":"handed-over","helper":"n2","outcome":"ran","took_ms":20}]}
+`
+
+// TestExplainHandover checks that the explanation of a request names the instances on its way.
+func TestExplainHandover(t *testing.T) {
+	text, code := explain(t, handoverLog, "q1", "-")
+	require.Zero(t, code, text)
+	require.Contains(t, text, "request q1: 200, a target answered")
+	require.Contains(t, text, "handed over by n1")
+	require.Contains(t, text, `attempt 1: handed over to n3, target "": not-run after 1 ms targets-lost`)
+	require.Contains(t, text, `attempt 2: handed over to n2, target "i-1": ran after 20 ms`)
+	require.Contains(t, text, "targets lost")
+}
--- a/cmd/rainford/summary.go
+++ b/cmd/rainford/summary.go
@@ -99,7 +99,21 @@
 	return out
 }
 
+// add adds a line on a request. A request that was handed over has a line at each of two instances: the
+// line at the instance that received it from its client counts as a request, and that at the other one
+// as attempts.
 func (row *summaryRow) add(l logLine) {
+	if l.HandedOverBy == "" {
+		row.addRequest(l)
+	}
+	for _, a := range l.Attempts {
+		if a.Helper == "" {
+			row.attempt(l, a)
+		}
+	}
+}
+
+func (row *summaryRow) addRequest(l logLine) {
 	row.requests++
 	row.tookMs = append(row.tookMs, l.TookMs)
 	switch {
@@ -110,9 +124,6 @@
 	case l.ObjectiveMs > 0 && l.TookMs > l.ObjectiveMs:
 		row.late++
 	}
-	for _, a := range l.Attempts {
-		row.attempt(l, a)
-	}
 }
 
 func (row *summaryRow) attempt(l logLine, a logAttempt) {
--- a/cmd/rainford/summary_test.go
+++ b/cmd/rainford/summary_test.go
@@ -1,7 +1,9 @@
 package main
 
 import (
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -39,3 +41,17 @@
 	require.Equal(t, 1, since)
 	require.Equal(t, []string{"b", "a"}, recent)
 }
+
+// TestSummaryCountsHandoversOnce checks that a request that was handed over counts as one request with
+// one attempt.
+func TestSummaryCountsHandoversOnce(t *testing.T) {
+	s := summary{interval: time.Second}
+	require.NoError(t, s.read(strings.NewReader(handoverLog)))
+	requests, attempts := 0, 0
+	for _, row := range s.rows() {
+		requests += row.requests
+		attempts += row.attempts
+	}
+	require.Equal(t, 1, requests)
+	require.Equal(t, 1, attempts)
+}
--- a/cmd/rainfordsoak/main.go
+++ b/cmd/rainfordsoak/main.go
@@ -42,6 +42,7 @@
 	processes := fs.Int("processes", 6, "instances")
 	clients := fs.Int("clients", 24, "clients")
 	program := fs.String("program", "bin/rainfordd", "the gateway program")
+	only := fs.String("only", "", "the one kind of faults to inject, all if it is empty")
 	keep := fs.String("keep", "", "folder for the logs")
 	quiet := fs.Bool("quiet", false, "no line for each fault")
 	err := ff.Parse(fs, args, ff.WithEnvVarPrefix("RAINFORDSOAK"))
@@ -65,7 +66,7 @@
 	code := exitOK
 	for i := range *seeds {
 		report, err := soak.Run(ctx, soak.Options{Seed: *seed + uint64(i), Duration: *duration, Program: *program,
-			Instances: *processes, Clients: *clients, Keep: *keep, Progress: progress})
+			Instances: *processes, Clients: *clients, Only: soak.FaultKind(*only), Keep: *keep, Progress: progress})
 		if err != nil {
 			fmt.Fprintln(stderr, "rainfordsoak:", err)
 			return exitUsage
--- a/internal/soak/oracle.go
+++ b/internal/soak/oracle.go
@@ -54,6 +54,8 @@
 	pausedUntil map[string]time.Time
 	// linkCuts are the cuts of links to servers.
 	linkCuts []*linkCut
+	// cutResults tell, for each cut of all links, how many first attempts were served.
+	cutResults []string
 }
 
 func newOracle(keys *keyring) *oracle {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -18,6 +18,8 @@
 	Program string
 	// Instances and Clients are the numbers of gateway processes and of clients.
 	Instances, Clients int
+	// Only restricts the plan to faults of one kind, unless it is empty.
+	Only FaultKind
 	// Keep is the folder for the logs. If it is empty, the logs are removed after the run.
 	Keep     string
 	Progress io.Writer
@@ -36,8 +38,11 @@
 	PeakFiles  int            `json:"peak_files"`
 	Processes  int            `json:"processes"`
 	// Ended holds the number of servers that crashed under each request that crashes servers.
-	Ended  map[string]int `json:"ended"`
-	Broken []Violation    `json:"broken"`
+	Ended map[string]int `json:"ended"`
+	// Cuts holds, for each cut of all links of instances to servers, the first attempts that were
+	// served at these instances and at the others.
+	Cuts   []string    `json:"cuts"`
+	Broken []Violation `json:"broken"`
 }
 
 const (
@@ -139,6 +144,9 @@
 func (r *runner) injectAll(ctx context.Context) {
 	began := time.Now()
 	for _, f := range Plan(r.options.Seed, r.options.Duration) {
+		if r.options.Only != "" && f.Kind != r.options.Only {
+			continue
+		}
 		r.sleep(ctx, time.Until(began.Add(f.At)))
 		if ctx.Err() != nil {
 			return
@@ -174,6 +182,6 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	r.report.Seconds = time.Since(began).Seconds()
-	r.report.Checks = o.checks
+	r.report.Checks, r.report.Cuts = o.checks, o.cutResults
 	r.report.Broken = append([]Violation{}, o.violations...)
 }
--- a/internal/soak/target_links.go
+++ b/internal/soak/target_links.go
@@ -32,6 +32,8 @@
 	// whole is true if the links to all servers are cut.
 	whole     bool
 	instances map[string]bool
+	// text is the cut as the processes read it.
+	text string
 }
 
 // linkFile returns the path of the file that tells the processes of the instance which of their links to
@@ -82,10 +84,10 @@
 	if !cut.whole && len(addrs) == 0 {
 		return
 	}
-	text := link.FormatCut(mode, addrs)
+	cut.text = link.FormatCut(mode, addrs)
 	s.oracle.cutLinks(cut)
 	for _, in := range affected {
-		in.setLinks(text)
+		in.setLinks(cut.text)
 	}
 	r.later(f.For, func() {
 		for _, in := range affected {
@@ -148,6 +150,7 @@
 			count.served++
 		}
 	}
+	o.cutResults = append(o.cutResults, fmt.Sprintf("%s at %d instances: %d of %d, others %d of %d", cut.text, len(cut.instances), atCut.served, atCut.all, atOthers.served, atOthers.all))
 	if atCut.all == 0 || atOthers.all == 0 {
 		return
 	}
