gateway: a request waits for one connection that can't be opened, not for several

Of an instance that reaches some targets only, requests that may go nowhere else found several targets that were suspected due to be tried again, waited 0.8 s for each and ran out of time: 4 of 50 (links to a region silent, home region there). After one target that can't be connected to, a request is no longer the one that tries another suspected target; another instance sends it if one can. TestPartialCut: silent failed before (46 of 50), all four ways pass.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -105,6 +105,15 @@
 		p.releaseUnsent(decision)
 		return requestResult{}, nil, false
 	}
+	if state.unreachable && decision.SendState.Probe {
+		// One connection that can't be opened is enough: the request would find out that another
+		// target is still down.
+		result, resp, done := g.runElsewhere(ex, p, state, reasonUnreachable)
+		if done {
+			p.releaseUnsent(decision)
+			return result, resp, true
+		}
+	}
 	p.recordSent(decision)
 	a := g.sendAttempt(ex, header, p, decision)
 	g.recordAttempt(ex, p, *request, decision, a)
--- a/gateway/without_targets_test.go
+++ b/gateway/without_targets_test.go
@@ -143,3 +143,38 @@
 		}
 	}
 }
+
+// TestPartialCut checks that clients of an instance that reaches some targets only are served: by these,
+// or through another instance if their requests may not go there.
+func TestPartialCut(t *testing.T) {
+	for _, mode := range link.Modes() {
+		t.Run(mode.String(), func(t *testing.T) {
+			t.Parallel()
+			s := newCutSite(t)
+			s.configure(2, idempotentRoute, route{prefix: oncePath, service: "s", kind: "non_idempotent"},
+				route{prefix: "/home/", service: "s", kind: "idempotent", homes: []string{"a"}})
+			in := s.instances["n1"]
+			in.awaitStatus("/home/", 200)
+			s.loadAll(500 * time.Millisecond)
+			cut := make(map[string]bool)
+			for _, server := range s.servers {
+				cut[server.Addr()] = server.Zone != "b1"
+			}
+			s.links["n1"].Cut(mode, func(addr string) bool { return cut[addr] })
+			during := s.loadAll(contact)
+			requireServed(t, in.load(1500*time.Millisecond), "n1 while it reaches one region")
+			served := 0
+			for range 50 {
+				if in.send("GET", "/home/", "").status == 200 {
+					served++
+				}
+			}
+			require.GreaterOrEqual(t, served, 49, "requests with a home region that the instance does not reach")
+			require.Zero(t, in.metric("rainford_targets_lost"))
+			s.links["n1"].Restore()
+			s.loadAll(time.Second)
+			requireServed(t, in.load(time.Second), "n1 after the cut")
+			s.requireTrueOutcomes(t, during)
+		})
+	}
+}
--- a/upstream/cache_model.go
+++ b/upstream/cache_model.go
@@ -34,6 +34,8 @@
 	FirstChoice bool
 	// Load is the number of requests expected at the target, divided by its slots.
 	Load float64
+	// Probe means that the request finds out whether the target answers again.
+	Probe bool
 	// GrantedAt is when the target was granted.
 	GrantedAt time.Time
 	// PermitExpiry is when the permit for the target expires, zero if the target had no rate limit.
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -197,6 +197,7 @@
 func (p *Pool) send(now time.Time, r *Request, c candidate) Decision {
 	t := c.target
 	sent := SendState{NewVersion: t.cohort == newCohort, KeyKnown: t.hasKey(now, r.Key), FirstChoice: c.firstChoice, Load: t.load(now) / float64(max(t.spec.Slots, 1))}
+	sent.Probe = t.stats.suspectBackoff > 0
 	cold := t.cold(now)
 	sent.GrantedAt, sent.PermitExpiry = now, p.spendPermit(now, t)
 	p.retryForecast.countSend(now)
