gateway: while the targets are lost, no request waits for a new connection

Where no instance could take a request, it dialled up to four targets for 0.8 s each, or was sent into a connection that had fallen silent, before it was refused: 41 s for 20 requests one after the other. It is refused at once now, unless an open connection is idle; those are closed at the loss if nothing has been answered over them for half a second. A connection is opened by the checks until one works. TestHandoverIsNotPassedOn (silent) failed before.

--- a/forward/client.go
+++ b/forward/client.go
@@ -38,6 +38,7 @@
 	ErrMismatched = errors.New("forward: only responses to other requests arrived")
 	ErrEncoded    = errors.New("forward: response body has a content encoding")
 	ErrWithheld   = errors.New("forward: target became unavailable before the request was sent")
+	ErrNoIdleConn = errors.New("forward: no open connection to the target is idle")
 )
 
 // Codec parses what responses contain in the format of the targets.
@@ -79,6 +80,9 @@
 	c.spares.expire(now)
 }
 
+// CloseIdle closes all idle connections.
+func (c *Client) CloseIdle() { c.idle.closeEverything() }
+
 // Do sends a request and reads the response. It stops early if ctx is canceled.
 func (c *Client) Do(ctx context.Context, r *Request) Attempt {
 	start := c.clock.Now()
@@ -86,7 +90,7 @@
 	if err != nil {
 		a := Attempt{Outcome: retry.NotRun, Err: err}
 		a.TargetResult.Outcome = upstream.Unreachable
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || errors.Is(err, ErrNoIdleConn) {
 			a.TargetResult.Outcome = upstream.Abandoned
 		}
 		return a
@@ -114,12 +118,15 @@
 		limit = maxIdleNonIdempotent
 	}
 	cn := c.idle.take(r.endpoint(), limit)
-	if c.idle.size(r.endpoint()) < minIdleConns && c.spares.startOpening(c.clock.Now(), r.Target) {
+	if !r.IdleConnOnly && c.idle.size(r.endpoint()) < minIdleConns && c.spares.startOpening(c.clock.Now(), r.Target) {
 		go c.openSpare(r.Target, r.Addr)
 	}
 	if cn != nil {
 		return cn, nil
 	}
+	if r.IdleConnOnly {
+		return nil, ErrNoIdleConn
+	}
 	start := c.clock.Now()
 	cn, err := c.dial(ctx, r.Addr, c.clock.Until(r.Deadline))
 	if err == nil {
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -146,6 +146,19 @@
 	}
 }
 
+// closeEverything closes all idle connections.
+func (i *idlePool) closeEverything() {
+	i.mu.Lock()
+	all := i.conns
+	i.conns = make(map[string][]*conn)
+	i.mu.Unlock()
+	for _, list := range all {
+		for _, c := range list {
+			_ = c.Close()
+		}
+	}
+}
+
 // expire closes the connections that have been idle for too long.
 func (i *idlePool) expire(now time.Time) {
 	i.mu.Lock()
--- a/forward/message.go
+++ b/forward/message.go
@@ -61,6 +61,9 @@
 	// NonIdempotent marks a request that must not run twice. It is not sent over a
 	// connection that has been idle for so long that the target may have closed it.
 	NonIdempotent bool
+	// IdleConnOnly means that the request is sent over an idle connection or not at all, since new
+	// connections can't be opened.
+	IdleConnOnly bool
 }
 
 // endpoint returns the key of the request's connections. It contains the address because
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -312,6 +312,7 @@
 		Timeout:       remaining - targetMargin,
 		Deadline:      ex.deadline.Add(lateResponseMargin),
 		NonIdempotent: ex.route.Kind != catalog.Idempotent,
+		IdleConnOnly:  g.reach.isLost(),
 		MaySend:       func() bool { return p.maySend(d) },
 	})
 	g.reach.end(d.Target.ID, a)
--- a/gateway/handover_test.go
+++ b/gateway/handover_test.go
@@ -93,25 +93,31 @@
 }
 
 // TestHandoverIsNotPassedOn guards against requests that travel between instances that all reach no
-// target.
+// target, and against clients that wait for connections that can't be opened.
 func TestHandoverIsNotPassedOn(t *testing.T) {
-	s := newCutSite(t)
-	s.loseTargets(t, link.Reset, "n1", "n2", "n3")
-	before := 0
-	for _, in := range s.instances {
-		before += in.handedOver()
-	}
-	began := time.Now()
-	const requests = 20
-	for range requests {
-		require.Equal(t, 503, s.instances["n1"].send("GET", readPath, "").status)
-	}
-	require.Less(t, time.Since(began), requests*100*time.Millisecond, "a request that nobody can serve is refused at once")
-	after := 0
-	for _, in := range s.instances {
-		after += in.handedOver()
+	for _, mode := range []link.Mode{link.Silent, link.Reset} {
+		t.Run(mode.String(), func(t *testing.T) {
+			t.Parallel()
+			s := newCutSite(t)
+			s.loadAll(300 * time.Millisecond)
+			s.loseTargets(t, mode, "n1", "n2", "n3")
+			before := 0
+			for _, in := range s.instances {
+				before += in.handedOver()
+			}
+			began := time.Now()
+			const requests = 20
+			for range requests {
+				require.Equal(t, 503, s.instances["n1"].send("GET", readPath, "").status)
+			}
+			require.Less(t, time.Since(began), requests*100*time.Millisecond, "a request that nobody can serve is refused at once")
+			after := 0
+			for _, in := range s.instances {
+				after += in.handedOver()
+			}
+			require.LessOrEqual(t, after-before, 3*requests)
+		})
 	}
-	require.LessOrEqual(t, after-before, 3*requests)
 }
 
 // TestClientLeavesDuringHandover guards against targets that go on working for a client that has left.
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -35,8 +35,9 @@
 	// connect opens a connection to a target. sample returns up to n targets that are in service.
 	connect func(spec *catalog.Target) error
 	sample  func(n int) []*catalog.Target
-	// onRegained is called when the instance reaches targets again.
-	onRegained func()
+	// onRegained is called when the instance reaches targets again, and onSilent when it has lost them
+	// and open connections don't work either.
+	onRegained, onSilent func()
 	// failing wakes the loop after the failure of a target, and after requests have stalled.
 	failing chan struct{}
 	// lost is the state of the tracker, for reading without the lock.
@@ -65,6 +66,7 @@
 		},
 		sample:     g.sampleTargets,
 		onRegained: func() { g.pools.endSuspicions(g.clock.Now()) },
+		onSilent:   g.targets.CloseIdle,
 		failing:    make(chan struct{}, 1),
 	}
 }
@@ -215,7 +217,7 @@
 	c.EndedAt = r.clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	failed, since := r.tracker.FailedCount(c.EndedAt), r.tracker.ChangedAt()
+	failed, since, silent := r.tracker.FailedCount(c.EndedAt), r.tracker.ChangedAt(), r.tracker.IsSilent(c.EndedAt)
 	changed = r.tracker.Checked(c)
 	r.lost.Store(r.tracker.Lost())
 	r.resolve()
@@ -225,7 +227,10 @@
 	}
 	switch {
 	case changed && r.tracker.Lost():
-		r.log.Warn(logTargetsLost, "failed", failed, "checked", c.Tried, "error", lastErr.Error())
+		r.log.Warn(logTargetsLost, "failed", failed, "checked", c.Tried, "silent", silent, "error", lastErr.Error())
+		if silent {
+			r.onSilent()
+		}
 	case changed:
 		r.log.Info(logTargetsRegained, "lost_ms", c.EndedAt.Sub(since).Milliseconds())
 	}
--- a/reach/tracker.go
+++ b/reach/tracker.go
@@ -156,10 +156,15 @@
 
 // suspicious reports whether requests show that the targets may be lost.
 func (t *Tracker) suspicious(now time.Time) bool {
-	stalled := t.running >= stallRunning && now.Sub(t.progressAt) >= stallTime
+	stalled := t.running >= stallRunning && t.IsSilent(now)
 	return stalled || t.FailedCount(now) >= minFailed
 }
 
+// IsSilent reports whether requests are at targets and none has been answered for a while.
+func (t *Tracker) IsSilent(now time.Time) bool {
+	return t.running > 0 && now.Sub(t.progressAt) >= stallTime
+}
+
 // IsIdle reports whether no check becomes due without a further event.
 func (t *Tracker) IsIdle(now time.Time) bool {
 	return !t.lost && !t.doubtful && t.requestDue.IsZero() && t.FailedCount(now) == 0
--- a/reach/tracker_test.go
+++ b/reach/tracker_test.go
@@ -141,3 +141,13 @@
 		}
 	})
 }
+
+func TestIsSilent(t *testing.T) {
+	r := &Tracker{}
+	require.False(t, r.IsSilent(at(1000)), "no request is at a target")
+	startAll(r, 1000, 2)
+	require.False(t, r.IsSilent(at(1400)))
+	require.True(t, r.IsSilent(at(1500)))
+	r.End(at(1500), true)
+	require.False(t, r.IsSilent(at(1900)))
+}
