gateway, reach: final results in one type, handovers in smaller steps; no check without a pause

A check that was requested while another one ran began at once after it, again and again while targets failed: it waits 0.1 s now.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -56,20 +56,20 @@
 	defer func() { ex.recordProgress(state) }()
 	for state.sent < ex.maxAttempts() && state.unsent <= maxUnsentAttempts {
 		if g.reach.isLost() {
-			result, resp, done := g.runElsewhere(ex, p, &state, reasonTargetsLost)
+			final, done := g.runElsewhere(ex, p, &state, reasonTargetsLost)
 			if done {
-				return result, resp
+				return final.requestResult, final.response
 			}
 		}
-		result, resp, done := g.attempt(ex, p, &request, header, &state)
+		final, done := g.attempt(ex, p, &request, header, &state)
 		if done {
-			return result, resp
+			return final.requestResult, final.response
 		}
 	}
 	if state.unreachable {
-		result, resp, done := g.runElsewhere(ex, p, &state, reasonUnreachable)
+		final, done := g.runElsewhere(ex, p, &state, reasonUnreachable)
 		if done {
-			return result, resp
+			return final.requestResult, final.response
 		}
 	}
 	return p.finalRefusal(request, state.unknown, "no-attempt-left", state.backoff), nil
@@ -78,40 +78,40 @@
 // runElsewhere hands the request over to another instance, since this one does not reach its targets.
 // One that was handed over to this instance is refused with the given reason, so that the instance it
 // comes from tries another one. The result is false if no instance takes it.
-func (g *Gateway) runElsewhere(ex *exchange, p *pool, state *progress, reason string) (requestResult, *forward.Response, bool) {
+func (g *Gateway) runElsewhere(ex *exchange, p *pool, state *progress, reason string) (finalResult, bool) {
 	if ex.handover != nil {
-		return failedResult(state.unknown, reason, state.backoff), nil, true
+		return withoutResponse(failedResult(state.unknown, reason, state.backoff)), true
 	}
 	if !ex.mayHandOver() || p.isUnreachableElsewhere() {
-		return requestResult{}, nil, false
+		return finalResult{}, false
 	}
 	return g.handOver(ex, p, state)
 }
 
 // attempt chooses a target for the request and sends it there. The result is true if the request ends
 // with it.
-func (g *Gateway) attempt(ex *exchange, p *pool, request *upstream.Request, header http.Header, state *progress) (requestResult, *forward.Response, bool) {
+func (g *Gateway) attempt(ex *exchange, p *pool, request *upstream.Request, header http.Header, state *progress) (finalResult, bool) {
 	if result, ok := g.checkQuarantine(ex, state.unknown); !ok {
-		return result, nil, true
+		return withoutResponse(result), true
 	}
 	if state.sent > 0 && !p.spendRetry() {
-		return p.finalRefusal(*request, state.unknown, "no-budget", state.backoff), nil, true
+		return withoutResponse(p.finalRefusal(*request, state.unknown, "no-budget", state.backoff)), true
 	}
-	decision, result, ok := g.acquireTarget(ex, p, request, state)
+	decision, final, ok := g.acquireTarget(ex, p, request, state)
 	if !ok {
-		return result.requestResult, result.response, true
+		return final, true
 	}
 	if !g.isStillAllowed(ex) {
 		p.releaseUnsent(decision)
-		return requestResult{}, nil, false
+		return finalResult{}, false
 	}
 	if state.unreachable && decision.SendState.Probe {
 		// One connection that can't be opened is enough: the request would find out that another
 		// target is still down.
-		result, resp, done := g.runElsewhere(ex, p, state, reasonUnreachable)
+		final, done := g.runElsewhere(ex, p, state, reasonUnreachable)
 		if done {
 			p.releaseUnsent(decision)
-			return result, resp, true
+			return final, true
 		}
 	}
 	p.recordSent(decision)
@@ -120,22 +120,21 @@
 	if a.Response != nil {
 		ex.answered = true
 		g.bodySizes.record(ex.route.Name, len(ex.body)+len(a.Response.Body))
-		result, resp := ex.clientResult(a.Response)
-		return result, resp, true
+		return ex.clientResult(a.Response), true
 	}
 	state.record(a)
 	if stop, result := g.afterAttempt(ex, a, state.unknown); stop {
-		return result, nil, true
+		return withoutResponse(result), true
 	}
 	if a.TargetResult.Outcome == upstream.Rejected && decision.SendState.Load < 1 && !a.TargetResult.SelfReport.Restricts() {
 		// The request may go to the same target again: it was not full, and it probably has the
 		// object cached.
 		state.backoff = shortRetryAfter
-		return requestResult{}, nil, false
+		return finalResult{}, false
 	}
 	state.backoff = retryAfterAttempt(a)
 	request.Tried = append(request.Tried, decision.Target.ID)
-	return requestResult{}, nil, false
+	return finalResult{}, false
 }
 
 // finalResult is the result of a request that ends, with the response of a target if there is one.
@@ -144,6 +143,9 @@
 	response *forward.Response
 }
 
+// withoutResponse returns the final result of a request without the response of a target.
+func withoutResponse(result requestResult) finalResult { return finalResult{requestResult: result} }
+
 // acquireTarget waits for a target. If there is none, it returns the result of the request and false.
 func (g *Gateway) acquireTarget(ex *exchange, p *pool, request *upstream.Request, state *progress) (upstream.Decision, finalResult, bool) {
 	queuedAt := g.clock.Now()
@@ -161,19 +163,19 @@
 	if state.unknown {
 		result = failedResult(true, result.reason, 0)
 	}
-	return decision, finalResult{requestResult: result}, false
+	return decision, withoutResponse(result), false
 }
 
 // withoutTarget returns the result of a request for which this instance has no target. If that is only
 // because it could not reach any, another instance may have one.
 func (g *Gateway) withoutTarget(ex *exchange, p *pool, decision upstream.Decision, state *progress) finalResult {
 	if decision.Unreachable {
-		result, resp, done := g.runElsewhere(ex, p, state, reasonUnreachable)
+		final, done := g.runElsewhere(ex, p, state, reasonUnreachable)
 		if done {
-			return finalResult{result, resp}
+			return final
 		}
 	}
-	return finalResult{requestResult: failedResult(state.unknown, string(decision.Reason), decision.RetryAfter)}
+	return withoutResponse(failedResult(state.unknown, string(decision.Reason), decision.RetryAfter))
 }
 
 // recordAttempt records an attempt for the choice of later targets, the analysis of a rollout, the
@@ -230,11 +232,11 @@
 // request needs care: clients take some statuses of an instance as a promise that the request has
 // not run, and repeat it. The target has not made that promise, so the instance sends 502 in place
 // of such a status.
-func (ex *exchange) clientResult(answer *forward.Response) (requestResult, *forward.Response) {
+func (ex *exchange) clientResult(answer *forward.Response) finalResult {
 	if ex.route.Kind != catalog.Idempotent && impliesNotRun(answer.Status) {
-		return requestResult{status: http.StatusBadGateway, reason: "false-promise"}, nil
+		return withoutResponse(requestResult{status: http.StatusBadGateway, reason: "false-promise"})
 	}
-	return requestResult{reason: reasonAnswered}, answer
+	return finalResult{requestResult{reason: reasonAnswered}, answer}
 }
 
 // impliesNotRun reports whether clients take a status to mean that the request has not run.
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rainford/rainford/catalog"
+	"github.com/rainford/rainford/fleet"
 	"github.com/rainford/rainford/forward"
 	"github.com/rainford/rainford/peer"
 	"github.com/rainford/rainford/protocol"
@@ -73,9 +74,9 @@
 
 // handOver hands the request over to other instances, one after the other, until one has sent it to a
 // target or knows that none can run it. The result is false if no instance takes it.
-func (g *Gateway) handOver(ex *exchange, p *pool, state *progress) (requestResult, *forward.Response, bool) {
+func (g *Gateway) handOver(ex *exchange, p *pool, state *progress) (finalResult, bool) {
 	tried := make(map[string]bool)
-	unreachable := 0
+	unreachable := false
 	for len(tried) < maxHelpers && state.sent < ex.maxAttempts() {
 		helper, ok := g.helpers.acquire(g.clock.Now(), ex.homeRegions, tried)
 		if !ok {
@@ -84,42 +85,49 @@
 		tried[helper.Name] = true
 		if state.sent > 0 && !p.spendRetry() {
 			g.helpers.release(g.clock.Now(), helper.Name, 0)
-			return failedResult(state.unknown, "no-budget", state.backoff), nil, true
+			return withoutResponse(failedResult(state.unknown, "no-budget", state.backoff)), true
 		}
-		a := g.sendToHelper(ex, helper.Name, helper.PeerAddr, ex.maxAttempts()-state.sent)
-		r := parseHandover(a)
-		a.Outcome = r.outcome
-		pause, otherMay := helperPause(r.reason)
-		if a.Response == nil && r.outcome == retry.NotRun {
-			pause, otherMay = unreachableHelperPause, true
-		}
-		g.helpers.release(g.clock.Now(), helper.Name, pause)
-		g.metrics.handover(handoverOut, r.outcome)
-		ex.recordHandover(helper.Name, a, r)
-		state.sent += r.attempts
-		state.unknown = state.unknown || r.outcome == retry.Unknown
-		if r.response != nil {
-			ex.answered = true
-			return requestResult{reason: reasonAnswered}, r.response, true
-		}
-		if stop, result := g.afterAttempt(ex, a, state.unknown); stop {
-			return result, nil, true
-		}
-		if r.outcome == retry.NotRun && !otherMay {
-			return failedResult(state.unknown, r.reason, r.retryAfter), nil, true
-		}
-		if r.reason == reasonUnreachable {
-			unreachable++
+		r, final, done := g.tryHelper(ex, helper, state)
+		if done {
+			return final, true
 		}
+		unreachable = unreachable || r.reason == reasonUnreachable
 	}
-	if unreachable > 0 {
+	if unreachable {
 		p.setUnreachableElsewhere()
 	}
-	return requestResult{}, nil, false
+	return finalResult{}, false
+}
+
+// tryHelper hands the request over to one instance. The result is true if the request ends with it.
+func (g *Gateway) tryHelper(ex *exchange, helper fleet.Member, state *progress) (handoverResult, finalResult, bool) {
+	a := g.sendToHelper(ex, helper, ex.maxAttempts()-state.sent)
+	r := parseHandover(a)
+	a.Outcome = r.outcome
+	pause, otherMay := helperPause(r.reason)
+	if a.Response == nil && r.outcome == retry.NotRun {
+		pause, otherMay = unreachableHelperPause, true
+	}
+	g.helpers.release(g.clock.Now(), helper.Name, pause)
+	g.metrics.handover(handoverOut, r.outcome)
+	ex.recordHandover(helper.Name, a, r)
+	state.sent += r.attempts
+	state.unknown = state.unknown || r.outcome == retry.Unknown
+	if r.response != nil {
+		ex.answered = true
+		return r, finalResult{requestResult{reason: reasonAnswered}, r.response}, true
+	}
+	if stop, result := g.afterAttempt(ex, a, state.unknown); stop {
+		return r, withoutResponse(result), true
+	}
+	if r.outcome == retry.NotRun && !otherMay {
+		return r, withoutResponse(failedResult(state.unknown, r.reason, r.retryAfter)), true
+	}
+	return r, finalResult{}, false
 }
 
 // sendToHelper sends the request to a helper and reads the response.
-func (g *Gateway) sendToHelper(ex *exchange, name, addr string, attempts int) forward.Attempt {
+func (g *Gateway) sendToHelper(ex *exchange, helper fleet.Member, attempts int) forward.Attempt {
 	header := forward.EndToEndHeaders(ex.r.Header)
 	header[headerAttempts] = []string{strconv.Itoa(attempts)}
 	header[protocol.HeaderConfig] = []string{strconv.FormatInt(int64(ex.version), 10)}
@@ -133,62 +141,15 @@
 		Body:          ex.body,
 		ID:            ex.id,
 		Account:       accountName(ex.account),
-		Target:        name,
-		TargetName:    name,
-		Addr:          addr,
+		Target:        helper.Name,
+		TargetName:    helper.Name,
+		Addr:          helper.PeerAddr,
 		Timeout:       g.clock.Until(ex.deadline) - targetMargin,
 		Deadline:      ex.deadline.Add(lateResponseMargin + helperMargin),
 		NonIdempotent: ex.route.Kind != catalog.Idempotent,
 	})
 }
 
-// handoverResult is what the response of a helper says.
-type handoverResult struct {
-	outcome retry.Outcome
-	// response is the response of a target, nil if there is none.
-	response *forward.Response
-	// target and region are those of the last target that the helper tried, or empty.
-	target, region string
-	// attempts is the number of times that the request was sent to targets. If the helper did not
-	// say, it counts as one if it may have run.
-	attempts   int
-	reason     string
-	retryAfter time.Duration
-}
-
-// parseHandover returns the result of an attempt to hand over a request.
-func parseHandover(a forward.Attempt) handoverResult {
-	if a.Response == nil {
-		r := handoverResult{outcome: a.Outcome}
-		if a.Outcome != retry.NotRun {
-			r.attempts = 1
-		}
-		return r
-	}
-	h := a.Response.Header
-	r := handoverResult{outcome: retry.ParseOutcome(h.Get(protocol.HeaderOutcome)), reason: h.Get(headerReason),
-		target: h.Get(protocol.HeaderTarget), region: h.Get(protocol.HeaderRegion)}
-	n, err := strconv.Atoi(h.Get(headerAttempts))
-	switch {
-	case err == nil && n >= 0:
-		r.attempts = n
-	case r.outcome != retry.NotRun:
-		r.attempts = 1
-	}
-	seconds, err := strconv.ParseFloat(h.Get(headerRetryAfter), 64)
-	if err == nil && seconds > 0 {
-		r.retryAfter = time.Duration(seconds * float64(time.Second))
-	}
-	if r.outcome != retry.Ran {
-		return r
-	}
-	r.response = a.Response
-	for _, name := range handoverHeaders {
-		delete(h, name)
-	}
-	return r
-}
-
 // recordHandover records an attempt to hand over the request, for its log line.
 func (ex *exchange) recordHandover(helper string, a forward.Attempt, r handoverResult) {
 	h := attemptRecord{Helper: helper, Target: r.target, Region: r.region, Reason: reasonHandedOver, Outcome: r.outcome.String(),
--- a/reach/tracker.go
+++ b/reach/tracker.go
@@ -200,14 +200,17 @@
 	if c.Connected > 0 {
 		t.prove(c.StartedAt)
 	}
+	if !t.requestDue.IsZero() {
+		// What was requested meanwhile is not checked without a pause.
+		t.requestDue = t.requestedAt.Add(Soon)
+	}
 	before := t.lost
-	connected := c.Connected
 	switch {
-	case !t.lost && connected == 0 && c.Size < CheckTargets:
+	case !t.lost && c.Connected == 0 && c.Size < CheckTargets:
 		t.doubtful = true
 	case !t.lost:
-		t.lost, t.doubtful = connected == 0, false
-	case connected == 0:
+		t.lost, t.doubtful = c.Connected == 0, false
+	case c.Connected == 0:
 		t.confirming = false
 	case t.confirming:
 		t.lost, t.confirming = false, false
--- a/reach/tracker_test.go
+++ b/reach/tracker_test.go
@@ -48,6 +48,11 @@
 		{"a requested check is not needed any more", func(r *Tracker) { r.RequestCheck(at(0), Soon); r.Connected(at(1)) }, 500, false},
 		{"a requested check is still needed", func(r *Tracker) { r.RequestCheck(at(1), Soon); r.Connected(at(0)) }, 101, true},
 		{"an urgent check is requested", func(r *Tracker) { r.RequestCheck(at(0), Soon); r.RequestCheck(at(10), AtOnce) }, 10, true},
+		{"a check is requested during another one", func(r *Tracker) {
+			r.RequestCheck(at(0), AtOnce)
+			r.RequestCheck(at(2), AtOnce)
+			r.Checked(Check{StartedAt: at(1), EndedAt: at(3), Tried: 2, Connected: 1, Size: 2})
+		}, 50, false},
 		{"a small check found none", func(r *Tracker) { r.Checked(check(0, 2, 0)) }, 0, true},
 		{"lost", func(r *Tracker) { r.Checked(check(0, 6, 0)) }, 250, true},
 		{"lost, probed just before", func(r *Tracker) { r.Checked(check(0, 6, 0)) }, 200, false},
