--- a/cmd/rainford/explain.go
+++ b/cmd/rainford/explain.go
@@ -406,8 +406,8 @@
 	"over-limit":           "its account was beyond its limit; it did not run",
 	"ends-targets":         "targets end under this request wherever it runs: it was held back, or not sent to another one",
 	"account-ends-targets": "targets end under different requests of its account, and it was not answered before: it was held back",
-	"targets-lost":         "the instance that it was handed over to reached no target either; it did not run",
-	"targets-unreachable":  "the instance that it was handed over to reached none of its targets either; it did not run",
+	"targets-lost":         "the instance reached no target, and no other one that may run it took it; it did not run",
+	"targets-unreachable":  "the instance reached none of its targets; it did not run",
 	"helper-full":          "the instance that it was handed over to had no room for it; it did not run",
 	"no-limit-owner":       "no instance that keeps its account's limit could be asked; it did not run",
 }
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -72,7 +72,11 @@
 			return final.requestResult, final.response
 		}
 	}
-	return p.finalRefusal(request, state.unknown, "no-attempt-left", state.backoff), nil
+	reason := "no-attempt-left"
+	if g.reach.isLost() {
+		reason = reasonTargetsLost
+	}
+	return p.finalRefusal(request, state.unknown, reason, state.backoff), nil
 }
 
 // runElsewhere hands the request over to another instance, since this one does not reach its targets.
