gateway: a connection that takes long to open is looked into, and no request waits for two

The loss was noticed only when connections had failed, and requests that were waiting for one went on waiting.

A connection that takes longer than 0.15 s to open makes the instance check others (0.3 s for each check), and when the targets are lost, all connections that are being opened for requests are given up. Where only some targets can't be reached, a request that has waited 0.4 s or more for a connection goes to another instance rather than wait for a second one.

--- a/forward/client.go
+++ b/forward/client.go
@@ -83,6 +83,9 @@
 // CloseIdle closes all idle connections.
 func (c *Client) CloseIdle() { c.idle.closeEverything() }
 
+// HasIdle reports whether a connection to a target is idle.
+func (c *Client) HasIdle(target, addr string) bool { return c.idle.size(endpointKey(target, addr)) > 0 }
+
 // Do sends a request and reads the response. It stops early if ctx is canceled.
 func (c *Client) Do(ctx context.Context, r *Request) Attempt {
 	start := c.clock.Now()
@@ -128,13 +131,27 @@
 		return nil, ErrNoIdleConn
 	}
 	start := c.clock.Now()
-	cn, err := c.dial(ctx, r.Addr, c.clock.Until(r.Deadline))
+	cn, err := c.dialFor(ctx, r)
 	if err == nil {
 		c.spares.recordDial(r.Target, c.clock.Since(start))
 	}
 	return cn, err
 }
 
+// dialFor opens a connection for a request.
+func (c *Client) dialFor(ctx context.Context, r *Request) (*conn, error) {
+	if r.DialContext != nil {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithCancel(ctx)
+		defer cancel()
+		defer context.AfterFunc(r.DialContext, cancel)()
+	}
+	if r.OnSlowDial != nil {
+		defer time.AfterFunc(slowDialNotice, r.OnSlowDial).Stop()
+	}
+	return c.dial(ctx, r.Addr, c.clock.Until(r.Deadline))
+}
+
 // exchange writes the request and reads the response. It keeps the connection only if it
 // can be used again. Closing it otherwise also makes the target cancel the request.
 func (c *Client) exchange(ctx context.Context, cn *conn, r *Request) Attempt {
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -14,6 +14,9 @@
 const (
 	// maxDialTime is the longest time that opening a connection may take.
 	maxDialTime = 800 * time.Millisecond
+	// slowDialNotice is the time after which the opening of a connection is reported as slow. A round
+	// trip takes up to 120 ms between regions.
+	slowDialNotice = 150 * time.Millisecond
 	// unackedTimeout is how long sent bytes may remain unacknowledged before a connection
 	// is closed. The target is then cut off from the network or has lost power.
 	unackedTimeout = 2 * time.Second
--- a/forward/message.go
+++ b/forward/message.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"context"
 	"net/http"
 	"net/textproto"
 	"strings"
@@ -64,6 +65,10 @@
 	// IdleConnOnly means that the request is sent over an idle connection or not at all, since new
 	// connections can't be opened.
 	IdleConnOnly bool
+	// DialContext ends the opening of a connection when it is done, if it is not nil. OnSlowDial, if it
+	// is not nil, is called when that takes longer than slowDialNotice.
+	DialContext context.Context
+	OnSlowDial  func()
 }
 
 // endpoint returns the key of the request's connections. It contains the address because
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -109,9 +109,7 @@
 		p.releaseUnsent(decision)
 		return finalResult{}, false
 	}
-	if state.unreachable && decision.SendState.Probe {
-		// One connection that can't be opened is enough: the request would find out that another
-		// target is still down.
+	if g.wouldWaitAgain(decision, state) {
 		final, done := g.runElsewhere(ex, p, state, reasonUnreachable)
 		if done {
 			p.releaseUnsent(decision)
@@ -119,6 +117,7 @@
 		}
 	}
 	p.recordSent(decision)
+	startedAt := g.clock.Now()
 	a := g.sendAttempt(ex, header, p, decision)
 	g.recordAttempt(ex, p, *request, decision, a)
 	if a.Response != nil {
@@ -126,7 +125,7 @@
 		g.bodySizes.record(ex.route.Name, len(ex.body)+len(a.Response.Body))
 		return ex.clientResult(a.Response), true
 	}
-	state.record(a)
+	state.record(a, g.clock.Since(startedAt))
 	if stop, result := g.afterAttempt(ex, a, state.unknown); stop {
 		return withoutResponse(result), true
 	}
@@ -141,6 +140,19 @@
 	return finalResult{}, false
 }
 
+// wouldWaitAgain reports whether a request that has waited for a connection that could not be opened would
+// have to open one again, or would find out whether a target that is suspected is still down.
+func (g *Gateway) wouldWaitAgain(decision upstream.Decision, state *progress) bool {
+	switch {
+	case !state.unreachable:
+		return false
+	case decision.SendState.Probe:
+		return true
+	default:
+		return state.waited && !g.targets.HasIdle(decision.Target.ID, decision.Target.Addr)
+	}
+}
+
 // finalResult is the result of a request that ends, with the response of a target if there is one.
 type finalResult struct {
 	requestResult
@@ -204,14 +216,19 @@
 	sent, unsent int
 	// unknown is true if the outcome of one of these is unknown.
 	unknown bool
-	// unreachable is true if the last attempt could not connect to its target.
-	unreachable bool
+	// unreachable is true if the last attempt could not connect to its target, and waited if it took
+	// longer than longDial to find that out.
+	unreachable, waited bool
 	// backoff is the Retry-After if no further attempt is made.
 	backoff time.Duration
 }
 
-// record records an attempt without a response.
-func (s *progress) record(a forward.Attempt) {
+// longDial is the time for a connection that can't be opened from which on a request should not wait for
+// another one.
+const longDial = 400 * time.Millisecond
+
+// record records an attempt without a response that took the given time.
+func (s *progress) record(a forward.Attempt, took time.Duration) {
 	if a.Sent {
 		s.sent++
 	} else {
@@ -219,6 +236,7 @@
 	}
 	s.unknown = s.unknown || a.Outcome == retry.Unknown
 	s.unreachable = a.TargetResult.Outcome == upstream.Unreachable
+	s.waited = s.unreachable && took >= longDial
 }
 
 // finalRefusal returns the result of a request that is not sent to another target. If none of the
@@ -319,6 +337,8 @@
 		Deadline:      ex.deadline.Add(lateResponseMargin),
 		NonIdempotent: ex.route.Kind != catalog.Idempotent,
 		IdleConnOnly:  g.reach.isLost(),
+		DialContext:   g.reach.dialContext(),
+		OnSlowDial:    g.reach.dialIsSlow,
 		MaySend:       func() bool { return p.maySend(d) },
 	})
 	g.reach.end(d.Target.ID, a)
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -17,7 +17,7 @@
 const (
 	// checkTimeout is how long a check waits for a connection to a target. Most are established
 	// within one round trip, which takes up to 120 ms between regions.
-	checkTimeout = 400 * time.Millisecond
+	checkTimeout = 300 * time.Millisecond
 	// checkPollInterval is the interval at which a due check is looked for while targets fail or are
 	// lost.
 	checkPollInterval = 50 * time.Millisecond
@@ -45,6 +45,10 @@
 
 	mu      sync.Mutex
 	tracker reach.Tracker
+	// dialing is canceled when the targets are lost, which ends the opening of connections for
+	// requests.
+	dialing       context.Context
+	cancelDialing context.CancelFunc
 	// waiting are the functions that wait for a proof that the instance reaches targets, or for the
 	// opposite.
 	waiting []waitingForProof
@@ -58,9 +62,12 @@
 }
 
 func newReachability(g *Gateway) *reachability {
+	dialing, cancel := context.WithCancel(context.Background())
 	return &reachability{
-		clock: g.clock,
-		log:   g.log,
+		dialing:       dialing,
+		cancelDialing: cancel,
+		clock:         g.clock,
+		log:           g.log,
 		connect: func(spec *catalog.Target) error {
 			return g.targets.Preconnect(spec.ID, spec.Addr, checkTimeout)
 		},
@@ -81,6 +88,22 @@
 	return r.tracker.Lost() || now.Sub(r.tracker.ChangedAt()) < regainedDelay
 }
 
+// dialContext returns the context of connections that are opened for requests.
+func (r *reachability) dialContext() context.Context {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.dialing
+}
+
+// dialIsSlow records that the opening of a connection to a target takes long.
+func (r *reachability) dialIsSlow() {
+	now := r.clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tracker.RequestCheck(now, reach.AtOnce)
+	r.wake(now)
+}
+
 // start records that a request is sent to a target.
 func (r *reachability) start() {
 	now := r.clock.Now()
@@ -228,10 +251,12 @@
 	switch {
 	case changed && r.tracker.Lost():
 		r.log.Warn(logTargetsLost, "failed", failed, "checked", c.Tried, "silent", silent, "error", lastErr.Error())
+		r.cancelDialing()
 		if silent {
 			r.onSilent()
 		}
 	case changed:
+		r.dialing, r.cancelDialing = context.WithCancel(context.Background())
 		r.log.Info(logTargetsRegained, "lost_ms", c.EndedAt.Sub(since).Milliseconds())
 	}
 	return changed
