reach, gateway: a check connects to targets that answered last, besides drawn ones

With two thirds of the targets out of reach, one check in eleven would at large sites. If any target is reached, it is likely to be one that has answered just before: half of a check's targets, three at most, are these now.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -341,7 +341,7 @@
 		OnSlowDial:    g.reach.dialIsSlow,
 		MaySend:       func() bool { return p.maySend(d) },
 	})
-	g.reach.end(d.Target.ID, a)
+	g.reach.end(d.Target, a)
 	return a
 }
 
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/rainford/rainford/catalog"
 	"github.com/rainford/rainford/forward"
 	"github.com/rainford/rainford/internal/clock"
 	"github.com/rainford/rainford/reach"
@@ -33,8 +33,8 @@
 	clock *clock.Clock
 	log   *slog.Logger
 	// connect opens a connection to a target. sample returns up to n targets that are in service.
-	connect func(spec *catalog.Target) error
-	sample  func(n int) []*catalog.Target
+	connect func(t checkedTarget) error
+	sample  func(n int) []checkedTarget
 	// onRegained is called when the instance reaches targets again, and onSilent when it has lost them
 	// and open connections don't work either.
 	onRegained, onSilent func()
@@ -45,6 +45,8 @@
 
 	mu      sync.Mutex
 	tracker reach.Tracker
+	// answered are the targets that have answered last, the latest first.
+	answered []checkedTarget
 	// dialing is canceled when the targets are lost, which ends the opening of connections for
 	// requests.
 	dialing       context.Context
@@ -54,6 +56,13 @@
 	waiting []waitingForProof
 }
 
+// checkedTarget is a target that a check connects to.
+type checkedTarget struct{ id, addr string }
+
+// maxAnswered is the number of targets that answered last that a check connects to. If any target is
+// reached, it is likely to be one of these. The others are drawn, since all of these may be down.
+const maxAnswered = 3
+
 // waitingForProof is a function to call once the instance is known to have reached a target at a time
 // after since (with true), or to have lost all targets (with false).
 type waitingForProof struct {
@@ -68,8 +77,8 @@
 		cancelDialing: cancel,
 		clock:         g.clock,
 		log:           g.log,
-		connect: func(spec *catalog.Target) error {
-			return g.targets.Preconnect(spec.ID, spec.Addr, checkTimeout)
+		connect: func(t checkedTarget) error {
+			return g.targets.Preconnect(t.id, t.addr, checkTimeout)
 		},
 		sample:     g.sampleTargets,
 		onRegained: func() { g.pools.endSuspicions(g.clock.Now()) },
@@ -114,18 +123,22 @@
 }
 
 // end records the end of an attempt that start was called for, with its result.
-func (r *reachability) end(target string, a forward.Attempt) {
+func (r *reachability) end(target upstream.Choice, a forward.Attempt) {
 	now := r.clock.Now()
 	outcome := a.TargetResult.Outcome
+	answered := a.Response != nil || outcome == upstream.Rejected || outcome == upstream.Replaced
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.tracker.End(now, a.Response != nil || outcome == upstream.Rejected || outcome == upstream.Replaced)
+	r.tracker.End(now, answered)
+	if answered {
+		r.rememberAnswer(checkedTarget{target.ID, target.Addr})
+	}
 	if a.Sent && !a.Reused {
 		r.tracker.Connected(now.Add(-a.TargetResult.Latency))
 		r.resolve()
 	}
 	if outcome == upstream.Unreachable || outcome == upstream.Broken {
-		r.tracker.Failed(now, target)
+		r.tracker.Failed(now, target.ID)
 	}
 	if outcome == upstream.Unreachable {
 		// Others are told that the target is down only if it is not the fault of this instance.
@@ -134,6 +147,27 @@
 	r.wake(now)
 }
 
+// rememberAnswer moves a target to the front of those that have answered last. The caller holds mu.
+func (r *reachability) rememberAnswer(t checkedTarget) {
+	r.answered = slices.DeleteFunc(r.answered, func(other checkedTarget) bool { return other == t })
+	r.answered = slices.Insert(r.answered, 0, t)
+	r.answered = r.answered[:min(len(r.answered), maxAnswered)]
+}
+
+// targetsToCheck returns up to n targets: half of them at most have answered last, and the others are
+// drawn.
+func (r *reachability) targetsToCheck(n int) []checkedTarget {
+	r.mu.Lock()
+	out := slices.Clone(r.answered[:min(len(r.answered), n/2)])
+	r.mu.Unlock()
+	for _, t := range r.sample(n) {
+		if len(out) < n && !slices.Contains(out, t) {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
 // verify calls a function with true once a connection to any target shows that the instance itself
 // has not lost its links, or with false if it has. Without a request that shows it, the instance opens
 // a connection after the given delay.
@@ -236,7 +270,7 @@
 // whether the targets have been lost or regained, and logs that.
 func (r *reachability) check(n int) (changed bool) {
 	c := reach.Check{StartedAt: r.clock.Now(), Size: n}
-	lastErr := r.connectAny(&c, r.sample(n))
+	lastErr := r.connectAny(&c, r.targetsToCheck(n))
 	c.EndedAt = r.clock.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -264,10 +298,10 @@
 
 // connectAny connects to targets, all at the same time, until one is connected, and records the numbers
 // in c. It returns the last error.
-func (r *reachability) connectAny(c *reach.Check, targets []*catalog.Target) error {
+func (r *reachability) connectAny(c *reach.Check, targets []checkedTarget) error {
 	results := make(chan error, len(targets))
-	for _, spec := range targets {
-		go func() { results <- r.connect(spec) }()
+	for _, t := range targets {
+		go func() { results <- r.connect(t) }()
 	}
 	var lastErr error
 	for range targets {
@@ -291,17 +325,17 @@
 }
 
 // sampleTargets returns up to n targets that are in service by the list, chosen at random.
-func (g *Gateway) sampleTargets(n int) []*catalog.Target {
+func (g *Gateway) sampleTargets(n int) []checkedTarget {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	out := make([]*catalog.Target, 0, n)
+	out := make([]checkedTarget, 0, n)
 	// The iteration begins at a random entry.
 	for _, spec := range g.targetList.specs {
 		if len(out) == n {
 			break
 		}
 		if !spec.Leaving && !g.evacuated[spec.Hall] {
-			out = append(out, spec)
+			out = append(out, checkedTarget{spec.ID, spec.Addr})
 		}
 	}
 	return out
