forward: TestWithheldRequest opens no spare connection

A target that takes 10 ms or more to connect to gets a spare connection, and on a busy machine one on loopback takes that now and then.

--- a/forward/self_report_test.go
+++ b/forward/self_report_test.go
@@ -88,6 +88,8 @@
 // connection is established, and that the next request uses that connection.
 func TestWithheldRequest(t *testing.T) {
 	s, client := startTarget(t, origin.None)
+	// No spare connection is opened, however long the first one took to open.
+	client.SetSlowDial(time.Hour)
 	r := newRequest(s)
 	maySendCalls := 0
 	r.MaySend = func() bool {
