gateway: targets that start again while all are lost are used at once

The end of all targets of an instance was taken for the loss of its own links. While targets are lost, requests use open connections only, so that targets that had started again, as the instance knew from the store, got nothing until two checks had passed, up to 0.25 s later.

A target that is listed for the first time while the targets are lost is now checked at once, and requests may open connections to it. TestRestartedTargetsAreUsedAtOnce fails without this change.

TestHandoverStaysInHomeRegions counted handovers of requests that loseTargets had left under way. loseTargets now waits for them.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -336,8 +336,8 @@
 		Timeout:       remaining - targetMargin,
 		Deadline:      ex.deadline.Add(lateResponseMargin),
 		NonIdempotent: ex.route.Kind != catalog.Idempotent,
-		IdleConnOnly:  g.reach.isLost(),
-		DialContext:   g.reach.dialContext(),
+		IdleConnOnly:  !g.reach.mayDial(d.Target.ID),
+		DialContext:   g.reach.dialContext(d.Target.ID),
 		OnSlowDial:    g.reach.dialIsSlow,
 		MaySend:       func() bool { return p.maySend(d) },
 	})
--- a/gateway/handover_test.go
+++ b/gateway/handover_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -15,8 +16,11 @@
 	"github.com/rainford/rainford/internal/standin/origin"
 )
 
-// loseTargets cuts the links of instances and waits until each has noticed it.
+// loseTargets cuts the links of instances and waits until each has noticed it. The requests by which they
+// notice it have been answered when it returns, so that none of them is counted later.
 func (s *cutSite) loseTargets(t *testing.T, mode link.Mode, names ...string) {
+	var sent sync.WaitGroup
+	defer sent.Wait()
 	for _, name := range names {
 		s.links[name].Cut(mode, link.All)
 	}
@@ -25,7 +29,7 @@
 		require.Eventually(t, func() bool {
 			// More requests at a time than there are open connections need new ones.
 			for i := range 40 {
-				go in.sendKey(fmt.Sprint(i))
+				sent.Go(func() { in.sendKey(fmt.Sprint(i)) })
 			}
 			return in.metric("rainford_targets_lost") == 1
 		}, contact, 50*time.Millisecond)
--- a/gateway/incarnation_test.go
+++ b/gateway/incarnation_test.go
@@ -88,6 +88,41 @@
 	require.NotEmpty(t, again.Runs())
 }
 
+// TestRestartedTargetsAreUsedAtOnce guards against requests that are refused because the end of all targets
+// was taken for the loss of the instance's own links, although the instance knows that the targets have
+// started again.
+func TestRestartedTargetsAreUsedAtOnce(t *testing.T) {
+	for _, targets := range []int{1, 2, 3, 9} {
+		t.Run(fmt.Sprint(targets), func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t)
+			s.configure(1, idempotentRoute)
+			var first []*origin.Server
+			for i := range targets {
+				first = append(first, s.startIncarnation(fmt.Sprint("i-", i), 1000))
+			}
+			in := s.instance("n1", "a1")
+			in.awaitStatus("/x/", 200)
+			for _, server := range first {
+				server.Close()
+			}
+			require.Eventually(t, func() bool {
+				in.sendKey("k")
+				return in.metric("rainford_targets_lost") == 1
+			}, wait, poll)
+			last := int64(0)
+			for i := range targets {
+				server := s.startIncarnation(fmt.Sprint("i-", i), 2000)
+				last = s.recordIncarnation(server, objects.Ready, 2001)
+			}
+			in.awaitTargets(last)
+			for i := range 10 {
+				require.Equal(t, 200, in.sendKey(fmt.Sprint("k", i)).status)
+			}
+		})
+	}
+}
+
 // foreignEntries are entries of other writers, which are invalid as entries of targets.
 var foreignEntries = []any{
 	map[string]any{"service": "s"},
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -47,6 +47,9 @@
 	tracker reach.Tracker
 	// answered are the targets that have answered last, the latest first.
 	answered []checkedTarget
+	// started are the targets that were first listed while the targets were lost. They have started since,
+	// so that what was seen of the others says nothing of them.
+	started []checkedTarget
 	// dialing is canceled when the targets are lost, which ends the opening of connections for
 	// requests.
 	dialing       context.Context
@@ -97,10 +100,13 @@
 	return r.tracker.Lost() || now.Sub(r.tracker.ChangedAt()) < regainedDelay
 }
 
-// dialContext returns the context of connections that are opened for requests.
-func (r *reachability) dialContext() context.Context {
+// dialContext returns the context of connections that are opened to a target for requests.
+func (r *reachability) dialContext(id string) context.Context {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.tracker.Lost() && r.hasStarted(id) {
+		return context.Background()
+	}
 	return r.dialing
 }
 
@@ -154,11 +160,44 @@
 	r.answered = r.answered[:min(len(r.answered), maxAnswered)]
 }
 
-// targetsToCheck returns up to n targets: half of them at most have answered last, and the others are
-// drawn.
+// targetStarted records that a target has been listed for the first time. While the targets are lost it is
+// checked at once, and requests may open connections to it.
+func (r *reachability) targetStarted(t checkedTarget) {
+	now := r.clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.tracker.Lost() {
+		return
+	}
+	r.started = append(r.started, t)
+	r.tracker.TargetStarted()
+	r.wake(now)
+}
+
+// mayDial reports whether a request may open a connection to a target: if the targets are not lost, or if
+// the target has started since they were.
+func (r *reachability) mayDial(id string) bool {
+	if !r.isLost() {
+		return true
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.hasStarted(id)
+}
+
+// hasStarted reports whether a target has started since the targets were lost. The caller holds mu.
+func (r *reachability) hasStarted(id string) bool {
+	return slices.ContainsFunc(r.started, func(t checkedTarget) bool { return t.id == id })
+}
+
+// targetsToCheck returns up to n targets: half of them at most have just started or answered last, and the
+// others are drawn.
 func (r *reachability) targetsToCheck(n int) []checkedTarget {
 	r.mu.Lock()
-	out := slices.Clone(r.answered[:min(len(r.answered), n/2)])
+	out := slices.Clone(r.started[max(0, len(r.started)-n/2):])
+	if len(out) == 0 {
+		out = slices.Clone(r.answered[:min(len(r.answered), n/2)])
+	}
 	r.mu.Unlock()
 	for _, t := range r.sample(n) {
 		if len(out) < n && !slices.Contains(out, t) {
@@ -286,11 +325,13 @@
 	case changed && r.tracker.Lost():
 		r.log.Warn(logTargetsLost, "failed", failed, "checked", c.Tried, "silent", silent, "error", lastErr.Error())
 		r.cancelDialing()
+		r.started = nil
 		if silent {
 			r.onSilent()
 		}
 	case changed:
 		r.dialing, r.cancelDialing = context.WithCancel(context.Background())
+		r.started = nil
 		r.log.Info(logTargetsRegained, "lost_ms", c.EndedAt.Sub(since).Milliseconds())
 	}
 	return changed
--- a/gateway/targets.go
+++ b/gateway/targets.go
@@ -228,6 +228,9 @@
 		if ok {
 			changed = append(changed, spec)
 		}
+		if ok && (old == nil || old.ID != spec.ID) {
+			g.reach.targetStarted(checkedTarget{spec.ID, spec.Addr})
+		}
 		if old != nil && (!ok || old.ID != spec.ID) {
 			removed = append(removed, old.ID)
 		}
--- a/reach/tracker.go
+++ b/reach/tracker.go
@@ -55,6 +55,8 @@
 	requestedAt, requestDue time.Time
 	// doubtful is true after a requested check that found no target. A larger one has to follow.
 	doubtful bool
+	// targetStarted is true if a target has started since the last check.
+	targetStarted bool
 	// confirming is true after a check that found a target while the targets were lost. A second
 	// one has to confirm it.
 	confirming bool
@@ -134,6 +136,10 @@
 	}
 }
 
+// TargetStarted records that a target has started. Its previous incarnation may have been the reason why
+// the targets are lost, so that the next check is due at once.
+func (t *Tracker) TargetStarted() { t.targetStarted = t.lost }
+
 func (t *Tracker) expire(now time.Time) {
 	for target, at := range t.failed {
 		if now.Sub(at) >= failureWindow {
@@ -146,7 +152,7 @@
 func (t *Tracker) CheckDue(now time.Time) bool {
 	since := now.Sub(t.checkedAt)
 	if t.lost {
-		return t.confirming || since >= probeInterval
+		return t.confirming || t.targetStarted || since >= probeInterval
 	}
 	if t.doubtful || !t.requestDue.IsZero() && !now.Before(t.requestDue) {
 		return true
@@ -192,7 +198,7 @@
 // Lost has changed.
 func (t *Tracker) Checked(c Check) (changed bool) {
 	now := c.EndedAt
-	t.checkedAt = now
+	t.checkedAt, t.targetStarted = now, false
 	if c.Tried == 0 {
 		t.doubtful, t.requestedAt, t.requestDue = false, time.Time{}, time.Time{}
 		return false
