gateway: the line of a configuration is written before its use

TestExplainRevokedKey failed once: a request was judged by configuration 5, and the line "configuration in force" of version 5 came after the line of the request, so that rainford explain did not show it as a cause. Gateway.applyConfig stored the router first and wrote the line last.

The line is now written before the router is stored.

--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -167,10 +167,11 @@
 		g.log.Error(logConfigRefused, "version", config.Version, "error", err.Error(), "source", from.source, "revision", from.revision)
 		return
 	}
+	// The line precedes the lines of all requests that are judged by the configuration.
+	g.log.Info(logConfig, "version", config.Version, "routes", len(config.Routes), "source", from.source, "revision", from.revision)
 	g.router.Store(router)
 	g.pools.setServices(config.Services)
 	g.pools.setHomeShares(config.HomeRegionShares())
-	g.log.Info(logConfig, "version", config.Version, "routes", len(config.Routes), "source", from.source, "revision", from.revision)
 }
 
 // applyTable applies an object of KindTable. The rows of the operators' table replace the shares
