loopback: a start is repeated if another process took its address

TestExplainOverLimit failed once with "address already in use".

loopback.Start repeats a start whose address was taken, with other addresses; the fixture, the harness of the gateway's tests and the demonstration use it. Host reserves its IP address by a listener that stays open, so that two processes never share one and an address of FreeAddr is safe for processes that are started with it (the soak). The signal test needs no address and uses port 0.

--- a/cmd/rainford/explain_gateway_test.go
+++ b/cmd/rainford/explain_gateway_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"log/slog"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -16,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rainford/rainford/gateway"
+	"github.com/rainford/rainford/internal/loopback"
 	"github.com/rainford/rainford/internal/standin/objects"
 	"github.com/rainford/rainford/internal/standin/origin"
 	"github.com/rainford/rainford/platform"
@@ -70,15 +70,17 @@
 	c.Name, c.Hall, c.Region, c.RegionOf = "n1", "a1", "a", map[string]string{"a1": "a"}
 	c.Grace = 200 * time.Millisecond
 	c.Log = slog.New(slog.NewJSONHandler(&w.log, nil))
-	for _, addr := range []*string{&c.Listen, &c.LookupListen, &c.ReadyListen, &c.PeerListen, &c.AdminListen} {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		require.NoError(t, err)
-		*addr = ln.Addr().String()
-		require.NoError(t, ln.Close())
-	}
-	w.addr, w.admin = c.Listen, c.AdminListen
-	g, err := gateway.New(c, platform.NewStore(store.Listener.Addr().String()), platform.Codec{}, platform.Headers())
+	var g *gateway.Gateway
+	err = loopback.Start(func() error {
+		for _, addr := range []*string{&c.Listen, &c.LookupListen, &c.ReadyListen, &c.PeerListen, &c.AdminListen} {
+			*addr, err = loopback.FreeAddr()
+			require.NoError(t, err)
+		}
+		g, err = gateway.New(c, platform.NewStore(store.Listener.Addr().String()), platform.Codec{}, platform.Headers())
+		return err
+	})
 	require.NoError(t, err)
+	w.addr, w.admin = c.Listen, c.AdminListen
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -105,8 +105,8 @@
 	return s.instanceOf(platform.NewStore(s.addr), name, hall, change...)
 }
 
-// instanceOf starts an instance that uses the given client of the store.
-func (s *site) instanceOf(store gateway.Store, name, hall string, change ...func(*gateway.Config)) *instance {
+// settings returns the settings of an instance at free addresses, with the given changes.
+func (s *site) settings(name, hall string, change []func(*gateway.Config)) gateway.Config {
 	c := gateway.Defaults()
 	c.Name, c.Hall, c.Region, c.RegionOf = name, hall, halls[hall], halls
 	for _, addr := range []*string{&c.Listen, &c.LookupListen, &c.ReadyListen, &c.PeerListen, &c.AdminListen} {
@@ -121,7 +121,19 @@
 	for _, f := range change {
 		f(&c)
 	}
-	g, err := gateway.New(c, store, platform.Codec{}, platform.Headers())
+	return c
+}
+
+// instanceOf starts an instance that uses the given client of the store.
+func (s *site) instanceOf(store gateway.Store, name, hall string, change ...func(*gateway.Config)) *instance {
+	var c gateway.Config
+	var g *gateway.Gateway
+	err := loopback.Start(func() error {
+		c = s.settings(name, hall, change)
+		var err error
+		g, err = gateway.New(c, store, platform.Codec{}, platform.Headers())
+		return err
+	})
 	require.NoError(s.t, err)
 	if s.wrapFront != nil {
 		g.WrapFront(s.wrapFront)
--- a/internal/demo/gateway.go
+++ b/internal/demo/gateway.go
@@ -169,17 +169,21 @@
 	c := gateway.Defaults()
 	c.Name, c.Hall, c.Region, c.RegionOf = "edge-"+hall, hall, region, gatewayHalls
 	c.Grace = 2 * time.Second
-	for _, addr := range []*string{&c.Listen, &c.LookupListen, &c.ReadyListen, &c.PeerListen, &c.AdminListen} {
-		free, err := loopback.FreeAddr()
-		if err != nil {
-			return err
-		}
-		*addr = free
-	}
 	for _, other := range e.instances {
 		c.Seeds = append(c.Seeds, other.config.PeerListen)
 	}
-	g, err := gateway.New(c, platform.NewStore(e.storeAddr), platform.Codec{}, platform.Headers())
+	var g *gateway.Gateway
+	err := loopback.Start(func() error {
+		var err error
+		for _, addr := range []*string{&c.Listen, &c.LookupListen, &c.ReadyListen, &c.PeerListen, &c.AdminListen} {
+			*addr, err = loopback.FreeAddr()
+			if err != nil {
+				return err
+			}
+		}
+		g, err = gateway.New(c, platform.NewStore(e.storeAddr), platform.Codec{}, platform.Headers())
+		return err
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/e2e/signal_test.go
+++ b/internal/e2e/signal_test.go
@@ -8,8 +8,6 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
-
-	"github.com/rainford/rainford/internal/loopback"
 )
 
 // TestSignalWhileSettingsAreRead sends SIGHUP and SIGTERM to a gateway that is still reading its settings file.
@@ -24,10 +22,8 @@
 	require.NoError(t, p.Process.Signal(syscall.SIGHUP))
 	require.NoError(t, p.Process.Signal(syscall.SIGTERM))
 	for _, name := range []string{"listen", "lookup-listen", "ready-listen", "peer-listen", "admin-listen"} {
-		addr, err := loopback.FreeAddr()
-		require.NoError(t, err)
 		// A write fails if the gateway has ended. The exit code shows whether that was correct.
-		_, _ = fmt.Fprintln(settings, name, addr)
+		_, _ = fmt.Fprintln(settings, name, anyPort)
 	}
 	_, _ = fmt.Fprintln(settings, "name n1\nhall a1\nregion a\nhalls a1=a\nstore 127.0.0.1:1")
 	require.NoError(t, settings.Close())
--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -5,10 +5,12 @@
 package loopback
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"os"
 	"sync"
+	"syscall"
 )
 
 // The ports are below the range from which the kernel assigns ports to outgoing connections.
@@ -29,17 +31,56 @@
 // rest of 127.0.0.0/8 can't be used.
 const defaultHost = "127.0.0.1"
 
+// reservedPort is the port on which a process listens, without accepting connections, to reserve an
+// IP address for itself. It is outside the range of FreeAddr.
+const reservedPort = firstPort - 1
+
+// maxHosts is the largest number of IP addresses that reserveHost tries.
+const maxHosts = 64
+
+// reservation is an IP address with the listener that reserves it.
+type reservation struct {
+	listener net.Listener
+	host     string
+}
+
+// own is the reservation of this process. It is kept until the process ends, since a listener that is
+// no longer referenced is closed.
+var own = sync.OnceValue(func() reservation { return reserveHost(os.Getpid()) })
+
 // Host returns the IP address for the servers of this process. It always returns the same one.
-var Host = sync.OnceValue(func() string {
-	pid := os.Getpid()
-	host := fmt.Sprintf("127.%d.%d.1", 1+(pid>>7)%200, 1+pid%128)
-	ln, err := net.Listen("tcp", host+":0")
-	if err != nil {
-		return defaultHost
+func Host() string { return own().host }
+
+// reserveHost reserves an IP address that no other process uses through this package. The first address
+// that it tries depends on the process ID. If it can't reserve any, it returns the address that exists
+// on every system, without a listener.
+func reserveHost(pid int) reservation {
+	for n := pid; n < pid+maxHosts; n++ {
+		host := fmt.Sprintf("127.%d.%d.1", 1+(n>>7)%200, 1+n%128)
+		ln, err := net.Listen("tcp", fmt.Sprintf("%s:%d", host, reservedPort))
+		if err == nil {
+			return reservation{listener: ln, host: host}
+		}
 	}
-	_ = ln.Close()
-	return host
-})
+	return reservation{host: defaultHost}
+}
+
+// maxStarts is the largest number of calls by Start.
+const maxStarts = 8
+
+// Start calls start, which starts a server at addresses of FreeAddr. If another process has begun to
+// listen on one of them in the meantime, Start calls start again, so that start can get other
+// addresses. It returns the last error.
+func Start(start func() error) error {
+	var err error
+	for range maxStarts {
+		err = start()
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			return err
+		}
+	}
+	return err
+}
 
 // FreeAddr returns an address on which nothing listens. It returns an address again only after
 // trying all other ports of the range. It returns the last error if it can listen on none of them.
--- a/internal/loopback/loopback_test.go
+++ b/internal/loopback/loopback_test.go
@@ -1,6 +1,7 @@
 package loopback_test
 
 import (
+	"errors"
 	"net"
 	"testing"
 
@@ -34,3 +35,33 @@
 	require.NoError(t, err)
 	require.NoError(t, ln.Close())
 }
+
+// TestStart checks that a server whose address another process takes before it listens gets another
+// address, and that any other error ends the start at once.
+func TestStart(t *testing.T) {
+	var foreign, own net.Listener
+	starts := 0
+	err := loopback.Start(func() error {
+		starts++
+		addr, err := loopback.FreeAddr()
+		require.NoError(t, err)
+		if starts == 1 {
+			foreign, err = net.Listen("tcp", addr)
+			require.NoError(t, err)
+		}
+		own, err = net.Listen("tcp", addr)
+		return err
+	})
+	require.NoError(t, err)
+	require.Equal(t, 2, starts)
+	require.NoError(t, foreign.Close())
+	require.NoError(t, own.Close())
+
+	other := errors.New("other")
+	starts = 0
+	require.Equal(t, other, loopback.Start(func() error {
+		starts++
+		return other
+	}))
+	require.Equal(t, 1, starts)
+}
