upstream, gateway: the shares of regions are logged with their inputs

upstream.Pool.TakeShares returns the shares that have changed by 0.01 or more, and every 10 s those that move, with the slots, the wanted shares and the number of calibrated keys; at most once a second. The gateway's maintenance loop writes them in one line "shares" for each service. The status and `rainford status -gateways` show all shares in force, and `rainford explain` the lines of the request's service.

--- a/cmd/rainford/explain.go
+++ b/cmd/rainford/explain.go
@@ -262,7 +262,7 @@
 // mayExplain reports whether the change of state in l may have caused the result of the
 // request. Such a line comes from an instance that handled the request, was logged within
 // explainWindow before the request ended, and concerns one of the request's targets or no
-// target at all. For a request that found no target, it may also concern another target, see
+// target at all. A line on the shares of regions concerns one service. For a request that found no target, it may also concern another target, see
 // explainsNoTarget. A line on requests with the same content may come from any instance and
 // any earlier time, because instances gossip crash records and keep them for a long time.
 func (s *explanation) mayExplain(l logLine) bool {
@@ -276,6 +276,9 @@
 		if l.Instance != r.Instance || l.Time.After(r.Time) || r.Time.Sub(l.Time) > explainWindow {
 			continue
 		}
+		if l.Message == sharesMessage && l.Service != r.Service {
+			continue
+		}
 		if l.Target == "" || l.explainsNoTarget(r) {
 			return true
 		}
@@ -288,6 +291,9 @@
 	return false
 }
 
+// sharesMessage is the message of log lines on the division of a service's requests between regions.
+const sharesMessage = "shares"
+
 // sharesContent reports whether l is about requests with the content of request r, or about
 // the quarantined client account because of which r was held.
 func (l logLine) sharesContent(r logLine) bool {
--- a/cmd/rainford/explain_test.go
+++ b/cmd/rainford/explain_test.go
@@ -104,3 +104,17 @@
 	require.Contains(t, text, `attempt 2: handed over to n2, target "i-1": ran after 20 ms`)
 	require.Contains(t, text, "targets lost")
 }
+
+const sharesLog = `{"time":"2026-01-01T00:00:01Z","level":"INFO","msg":"shares","instance":"n1","service":"s","divisions":[{"in_force":{"a":0.5,"b":0.5}}]}
+{"time":"2026-01-01T00:00:01Z","level":"INFO","msg":"shares","instance":"n1","service":"other","divisions":[{"in_force":{"a":1}}]}
+{"time":"2026-01-01T00:00:02Z","level":"INFO","msg":"request","instance":"n1","request_id":"q1","route":"r","service":"s","config":4,"status":200,"reason":"answered"}
+`
+
+// TestExplainShares checks that the explanation of a request shows how the requests of its service
+// were divided between regions, and not those of other services.
+func TestExplainShares(t *testing.T) {
+	text, code := explain(t, sharesLog, "q1", "-")
+	require.Zero(t, code, text)
+	require.Contains(t, text, `{"in_force":{"a":0.5,"b":0.5}}`)
+	require.NotContains(t, text, "other")
+}
--- a/cmd/rainford/gateways.go
+++ b/cmd/rainford/gateways.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"text/tabwriter"
 	"time"
@@ -80,6 +83,9 @@
 		for _, t := range s.Limited {
 			fmt.Fprintf(tw, "  %s\t%s\t%s\ttakes %g/s by %s\t%s, %.1f/s from here, permits by %s\n", t.Target, t.Hall, t.Service, t.PerSecond, t.Source, formatTimes(t.ForMs, 0), t.UsedRate, t.Owner)
 		}
+		for _, d := range s.Shares {
+			fmt.Fprintf(tw, "  %s\tshares of %s\t%s\t%s, %d keys\n", d.Service, formatHomes(d.HomeRegions), formatShares(d.InForce), formatWanted(d), d.CalibratedKeys)
+		}
 		for _, r := range s.Rollouts {
 			fmt.Fprintf(tw, "  %s\tversion %s\t%s\t%s%s\t%.3g of the requests, for %s of %s%s\n", r.Service, r.Version, stateName(r.State), r.Stage, formatReason(r.Reason), r.Share,
 				time.Duration(r.ForMs)*time.Millisecond, time.Duration(r.DurationMs)*time.Millisecond, formatLeader(r))
@@ -102,6 +108,31 @@
 	}
 }
 
+// formatHomes formats the home regions of requests.
+func formatHomes(regions []string) string {
+	if len(regions) == 0 {
+		return "any region"
+	}
+	return "home " + strings.Join(regions, ",")
+}
+
+// formatShares formats the shares of regions in the order of the regions.
+func formatShares(shares map[string]float64) string {
+	var parts []string
+	for _, region := range slices.Sorted(maps.Keys(shares)) {
+		parts = append(parts, fmt.Sprintf("%s %.3f", region, shares[region]))
+	}
+	return strings.Join(parts, ", ")
+}
+
+// formatWanted formats the shares that those in force are moving to.
+func formatWanted(d gateway.RegionShares) string {
+	if !d.Moving {
+		return "settled"
+	}
+	return "moving to " + formatShares(d.Wanted)
+}
+
 // formatTimes formats the time that a condition has lasted and the time until it ends, both
 // in milliseconds. A time that is not positive is unknown and is left out.
 func formatTimes(forMs, leftMs int64) string {
--- a/cmd/rainford/gateways_test.go
+++ b/cmd/rainford/gateways_test.go
@@ -30,6 +30,7 @@
 		return text
 	}
 	require.Contains(t, status(), "1 targets, 0 of them get nothing")
+	require.Regexp(t, `s +shares of any region +a 1\.000 +settled`, status())
 	w.server.SetRetryAfter(time.Now().Add(time.Minute), 30*time.Second)
 	w.send("asks")
 	text := status()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -295,6 +295,7 @@
 			g.departures.expire(now)
 			g.expireLimits(now)
 			g.reviewTargetLimits(now)
+			g.pools.logShares(now)
 			g.expireTombstones(now)
 			g.removeLostInstance(ctx, now)
 			g.removeExpiredRecord(ctx, now)
--- a/gateway/logs.go
+++ b/gateway/logs.go
@@ -42,6 +42,7 @@
 	logRolloutState           = "rollout state written"
 	logEvacuation             = "evacuation"
 	logTable                  = "table in force"
+	logShares                 = "shares"
 	logTableRefused           = "table refused"
 	logMember                 = "member"
 	logMembers                = "members"
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -30,6 +30,8 @@
 	Unavailable []UnavailableTarget `json:"unavailable"`
 	// Limited lists the targets that have announced a rate limit.
 	Limited []LimitedTarget `json:"limited"`
+	// Shares lists how the requests of each service are divided between regions.
+	Shares []RegionShares `json:"shares,omitempty"`
 	// Held lists the requests and client accounts that are suspected of crashing targets, or
 	// held for that reason.
 	Held []HeldRequest `json:"held"`
@@ -113,6 +115,7 @@
 	}
 	s.Targets, s.Unavailable = g.pools.unavailableTargets(now)
 	s.Limited = g.pools.limitedTargets(now)
+	s.Shares = g.pools.shares()
 	s.Held = g.quarantine.heldRequests(now)
 	s.Rollouts = g.rollouts.statuses(now)
 	return s
--- a/locality/ramp.go
+++ b/locality/ramp.go
@@ -78,10 +78,14 @@
 }
 
 // distance returns the fraction of the requests that would change its region.
-func (r *Ramp) distance(want []Share) float64 {
-	current := byRegion(r.shares)
+func (r *Ramp) distance(want []Share) float64 { return Distance(r.shares, want) }
+
+// Distance returns the fraction of the requests that change their region if shares change from one
+// set to another. It is the sum of the increases.
+func Distance(from, to []Share) float64 {
+	current := byRegion(from)
 	moved := 0.0
-	for _, s := range want {
+	for _, s := range to {
 		if s.Fraction > current[s.Region] {
 			moved += s.Fraction - current[s.Region]
 		}
--- a/upstream/plan.go
+++ b/upstream/plan.go
@@ -19,8 +19,9 @@
 
 // plan is the division of requests between regions for one set of home regions.
 type plan struct {
-	ramp  locality.Ramp
-	slots map[string]float64
+	homeRegions []string
+	ramp        locality.Ramp
+	slots       map[string]float64
 	// keyShares are the wanted shares of the keys. wantedShares are the shares of the hash space
 	// that result in keyShares, and shares are those in force.
 	keyShares    []locality.Share
@@ -32,9 +33,11 @@
 	settled   bool
 	stale     bool
 	// points holds the hashes of the observed keys. calibratedAt is when wantedShares were last
-	// fitted to them.
-	points       locality.Points
-	calibratedAt time.Time
+	// fitted to them, and calibratedKeys their number then.
+	points         locality.Points
+	calibratedAt   time.Time
+	calibratedKeys int
+	reported       reportedShares
 }
 
 // invalidatePlans makes the next request compute its plan again.
@@ -52,7 +55,7 @@
 	}
 	pl := p.plans[key]
 	if pl == nil {
-		pl = &plan{ramp: locality.Ramp{Step: p.config.ShiftStep, Window: p.config.ShiftWindow}, stale: true}
+		pl = &plan{homeRegions: slices.Clone(r.Regions), ramp: locality.Ramp{Step: p.config.ShiftStep, Window: p.config.ShiftWindow}, stale: true}
 		p.plans[key] = pl
 	}
 	if pl.stale {
@@ -72,7 +75,9 @@
 // calibrate fits the shares of the hash space to the observed keys, so that each region gets its
 // share of the keys.
 func (p *Pool) calibrate(now time.Time, pl *plan) {
-	fitted := locality.Calibrate(p.config.Region, pl.keyShares, pl.points.Sorted(now))
+	points := pl.points.Sorted(now)
+	fitted := locality.Calibrate(p.config.Region, pl.keyShares, points)
+	pl.calibratedKeys = len(points)
 	pl.settled = pl.settled && slices.Equal(fitted, pl.wantedShares)
 	pl.wantedShares, pl.calibratedAt = fitted, now
 }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -58,8 +58,10 @@
 	// groups numbers the halls within each region.
 	groups map[string]int
 	// plans holds the division of requests between regions for each set of home regions.
-	plans map[string]*plan
-	queue queue
+	// sharesTakenAt is when TakeShares last returned any.
+	plans         map[string]*plan
+	sharesTakenAt time.Time
+	queue         queue
 	// departures holds the targets that announced that they leave, including targets that are not
 	// in the pool. The target list, whether older or newer, does not revoke an announcement.
 	departures availability.Departures
