soak: one-way cuts between halls, and halls without power

links-between-halls cuts the links of one hall's instances to another hall's servers one way (a new mode of the stand-in for links): requests arrive, responses do not come back. It takes the place of a third of the cuts of links to servers, since an instance has one cut at a time. HALL judges that the instances serve nine tenths as many first attempts as the others from 4 s on.

hall-without-power ends a hall's instances and servers at the same time, without a word to their connections; both start again after 6 to 9 s, the servers cold and under their IDs. It is in every second plan. POWER judges that two thirds as many first attempts are served from 4 s on as before.

The table unlikeSettings gives instances unlike settings. It is empty for now.

--- a/internal/soak/entries.go
+++ b/internal/soak/entries.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/rainford/rainford/internal/standin/objects"
-	"github.com/rainford/rainford/internal/standin/origin"
 )
 
 // foreignEntries are values that another program may write under the key of a server's entry.
@@ -54,15 +53,5 @@
 	}
 	srv.proxy.close()
 	srv.Close()
-	r.later(f.For, func() {
-		if s.isRejected(srv.version) {
-			s.store.Remove(objects.KindServers, srv.ID)
-			return
-		}
-		o, err := origin.Start(srv.ID, srv.Service, srv.place.hall, serverSlots)
-		if err != nil {
-			return
-		}
-		_, _ = s.serve(o, srv.place, true, srv.version)
-	})
+	r.later(f.For, func() { s.startAgain(srv) })
 }
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -49,6 +49,10 @@
 		r.changeKeys(f)
 	case TargetLinks:
 		r.cutTargetLinks(f)
+	case HallLinks:
+		r.cutHallLinks(f)
+	case HallPower:
+		r.cutPower(f)
 	case LinkSilence:
 		s.oracle.disturbed(in.name, time.Now())
 		silenced := []*proxy{in.front, in.peer, in.store}[f.How%3]
@@ -82,8 +86,11 @@
 	}
 }
 
-// stopInstance stops an instance gracefully, unless it is already stopping.
+// stopInstance stops an instance gracefully, unless it is already stopping or has no power.
 func (r *runner) stopInstance(in *instance) {
+	if in.isHeld() {
+		return
+	}
 	o := r.site.oracle
 	o.mu.Lock()
 	_, already := o.stopping[in.name]
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -48,6 +48,8 @@
 	Rollout           FaultKind = "rollout"
 	StoreRestored     FaultKind = "store-restored"
 	TargetLinks       FaultKind = "links-to-servers"
+	HallLinks         FaultKind = "links-between-halls"
+	HallPower         FaultKind = "hall-without-power"
 )
 
 // silenceKinds are drawn from a random source of their own. A kind that is added to baseKinds
@@ -152,11 +154,21 @@
 		}
 	}
 	links := rand.New(rand.NewPCG(seed, 16))
+	linkKinds := rand.New(rand.NewPCG(seed, 18))
 	for at := 1200 * time.Millisecond; at < last; {
 		f := Fault{At: at, For: minCutTime + time.Duration(links.Int64N(int64(minCutTime/2))), Kind: TargetLinks, Which: links.IntN(1 << 16), How: links.IntN(1 << 16)}
+		// One cut of an instance's links at a time can be brought about.
+		if linkKinds.IntN(3) == 0 {
+			f.Kind = HallLinks
+		}
 		out = append(out, f)
 		at += f.For + time.Duration(links.Int64N(int64(minCutTime)))
 	}
+	outages := rand.New(rand.NewPCG(seed, 20))
+	if outages.IntN(2) == 0 {
+		at := 2*time.Second + time.Duration(outages.Int64N(int64(max(last/2, 1))))
+		out = append(out, Fault{At: at, For: minOutageTime + time.Duration(outages.Int64N(int64(minOutageTime/2))), Kind: HallPower, Which: outages.IntN(1 << 16), How: outages.IntN(1 << 16)})
+	}
 	sort.SliceStable(out, func(i, j int) bool { return out[i].At < out[j].At })
 	return out
 }
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -25,6 +25,8 @@
 	// target to the client, until the mode changes.
 	StallUp
 	StallDown
+	// Off forwards nothing, and new connections get no answer.
+	Off
 )
 
 const (
@@ -80,6 +82,18 @@
 	}
 }
 
+// powerOff makes the proxy answer nothing any more, on open connections and on new ones.
+func (p *proxy) powerOff() {
+	p.silence()
+	p.set(Off)
+}
+
+// powerOn ends the connections from before powerOff and makes new ones work.
+func (p *proxy) powerOn() {
+	p.reset()
+	p.set(Pass)
+}
+
 func (p *proxy) isSilenced(c net.Conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -128,6 +142,9 @@
 	p.track(client, true)
 	defer p.track(client, false)
 	defer func() { _ = client.Close() }()
+	for p.current() == Off {
+		time.Sleep(modePoll)
+	}
 	p.mu.Lock()
 	target := p.target
 	p.mu.Unlock()
@@ -183,7 +200,7 @@
 func (p *proxy) next(left int, deaf Mode) int {
 	for {
 		switch mode := p.current(); mode {
-		case Stall, deaf:
+		case Stall, Off, deaf:
 			time.Sleep(modePoll)
 		case Delay:
 			time.Sleep(delayTime)
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -52,6 +52,10 @@
 	return strings.Join(out, ",")
 }
 
+// unlikeSettings holds settings of instances that are not alike, such as their limits of processor time
+// and bandwidth. They are assigned to the instances in turn. All instances are alike if it is empty.
+var unlikeSettings [][]string
+
 // site holds the store, the servers and the instances of a run.
 type site struct {
 	program string
@@ -140,6 +144,7 @@
 	site               *site
 	name               string
 	place              place
+	settings           []string
 	front, peer, store *proxy
 	listen, lookup     string
 	ready, peerListen  string
@@ -150,6 +155,8 @@
 	log     *os.File
 	runs    int
 	stopped bool
+	// heldUntil is the time before which no process is started.
+	heldUntil time.Time
 	// expected is set while the process is meant to exit.
 	expected bool
 	ended    chan struct{}
@@ -175,6 +182,9 @@
 		if err != nil {
 			return s, err
 		}
+		if len(unlikeSettings) > 0 {
+			in.settings = unlikeSettings[i%len(unlikeSettings)]
+		}
 		s.instances = append(s.instances, in)
 	}
 	for _, in := range s.instances {
@@ -316,11 +326,11 @@
 			seeds = append(seeds, other.peer.addr())
 		}
 	}
-	return []string{"gateway", "-name", in.name, "-hall", in.place.hall, "-region", in.place.region, "-halls", hallsSetting(),
+	return append([]string{"gateway", "-name", in.name, "-hall", in.place.hall, "-region", in.place.region, "-halls", hallsSetting(),
 		"-listen", in.listen, "-lookup-listen", in.lookup, "-ready-listen", in.ready, "-peer-listen", in.peerListen, "-admin-listen", in.admin,
 		"-advertise-front", in.front.addr(), "-advertise-peer", in.peer.addr(), "-store", in.store.addr(),
 		"-peers", strings.Join(seeds, ","), "-grace", grace.String(), "-lookup-ttl", "1s",
-		"-canary-share", fmt.Sprint(exposedShare), "-canary-slack", fmt.Sprint(exposedSlack)}
+		"-canary-share", fmt.Sprint(exposedShare), "-canary-slack", fmt.Sprint(exposedSlack)}, in.settings...)
 }
 
 // start starts a process of the instance. Whenever the process exits before the end of the
@@ -356,9 +366,27 @@
 		return
 	}
 	time.Sleep(restartAfter)
+	in.mu.Lock()
+	held := time.Until(in.heldUntil)
+	in.mu.Unlock()
+	time.Sleep(held)
 	_ = in.start()
 }
 
+// holdUntil delays the next start of a process until the given time.
+func (in *instance) holdUntil(until time.Time) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	in.heldUntil = until
+}
+
+// isHeld reports whether the next start of a process is delayed.
+func (in *instance) isHeld() bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return time.Now().Before(in.heldUntil)
+}
+
 // signal sends a signal to the process. The argument ends states that the signal makes the
 // process exit.
 func (in *instance) signal(sig syscall.Signal, ends bool) {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -89,7 +89,7 @@
 			require.Less(t, f.At, time.Minute)
 		}
 	}
-	require.Len(t, kinds, len(baseKinds)+len(silenceKinds)+len(entryKinds)+3+3+1+1, "each kind of fault is drawn")
+	require.Len(t, kinds, len(baseKinds)+len(silenceKinds)+len(entryKinds)+3+3+1+1+2, "each kind of fault is drawn")
 }
 
 // TestProxyModes checks that each mode that forwards bytes leaves them unchanged, and that
--- a/internal/soak/target_links.go
+++ b/internal/soak/target_links.go
@@ -26,11 +26,17 @@
 	failedSlack  = 10
 )
 
+// cutModes are the modes of cutTargetLinks. A mode that is added here would change the cuts of every
+// recorded seed.
+var cutModes = []link.Mode{link.Silent, link.Reset, link.RefuseNew, link.HangNew}
+
 // linkCut is a cut of instances' links to servers.
 type linkCut struct {
 	from, until time.Time
 	// whole is true if the links to all servers are cut.
-	whole     bool
+	whole bool
+	// hall is true if the links to the servers of another hall are cut one way.
+	hall      bool
 	instances map[string]bool
 	// text is the cut as the processes read it.
 	text string
@@ -57,7 +63,7 @@
 // There is one such fault at a time.
 func (r *runner) cutTargetLinks(f Fault) {
 	s := r.site
-	mode := link.Modes()[f.How%len(link.Modes())]
+	mode := cutModes[f.How%len(cutModes)]
 	scope, part := f.How/4%4, f.How/16%4
 	first := s.instances[f.Which%len(s.instances)]
 	cut := &linkCut{from: time.Now(), until: time.Now().Add(f.For), whole: part < 2, instances: make(map[string]bool)}
@@ -85,15 +91,20 @@
 		return
 	}
 	cut.text = link.FormatCut(mode, addrs)
-	s.oracle.cutLinks(cut)
+	r.applyCut(cut, affected)
+}
+
+// applyCut cuts the links of the affected instances until the end of the cut, and then judges it.
+func (r *runner) applyCut(cut *linkCut, affected []*instance) {
+	r.site.oracle.cutLinks(cut)
 	for _, in := range affected {
 		in.setLinks(cut.text)
 	}
-	r.later(f.For, func() {
+	r.later(time.Until(cut.until), func() {
 		for _, in := range affected {
 			in.setLinks("")
 		}
-		s.oracle.judgeCut(cut)
+		r.site.oracle.judgeCut(cut)
 	})
 }
 
@@ -129,16 +140,21 @@
 	return true
 }
 
-// judgeCut checks at the end of a cut of all links that clients were served at cut instances.
+// judgeCut checks at the end of a cut of all links, or of those to another hall, that clients were
+// served at cut instances.
 func (o *oracle) judgeCut(cut *linkCut) {
-	if !cut.whole {
+	if !cut.whole && !cut.hall {
 		return
 	}
+	rule, minShare := "WAY", minCutShare
+	if cut.hall {
+		rule, minShare = "HALL", minHallShare
+	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	var atCut, atOthers struct{ served, all int }
 	for _, a := range o.attempts {
-		if a.probe > 0 || a.hot || a.repeated || !a.connected || !a.leftAt.IsZero() || a.doneAt.IsZero() || a.at.Before(cut.from.Add(contact)) || !a.at.Before(cut.until) {
+		if !a.countsAsFirst() || !a.connected || a.at.Before(cut.from.Add(contact)) || !a.at.Before(cut.until) {
 			continue
 		}
 		count := &atOthers
@@ -146,7 +162,7 @@
 			count = &atCut
 		}
 		count.all++
-		if a.result.err == nil && a.result.status == 200 {
+		if a.isServed() {
 			count.served++
 		}
 	}
@@ -154,10 +170,10 @@
 	if atCut.all == 0 || atOthers.all == 0 {
 		return
 	}
-	o.checks["WAY"]++
+	o.checks[rule]++
 	failed := atCut.all - atCut.served
 	rare := float64(failed) <= failedSlack+failedFactor*float64(atCut.all+atOthers.all)
-	if !rare && float64(atCut.served)*float64(atOthers.all) < minCutShare*float64(atOthers.served)*float64(atCut.all) {
-		o.violated("WAY", "instances without links to servers served %d of %d first attempts, the others %d of %d", atCut.served, atCut.all, atOthers.served, atOthers.all)
+	if !rare && float64(atCut.served)*float64(atOthers.all) < minShare*float64(atOthers.served)*float64(atCut.all) {
+		o.violated(rule, "instances with cut links to servers served %d of %d first attempts, the others %d of %d", atCut.served, atCut.all, atOthers.served, atOthers.all)
 	}
 }
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -31,6 +32,9 @@
 	RefuseNew
 	// HangNew drops the packets of new connections. Open ones work.
 	HangNew
+	// OneWay delivers what the instance sends on open connections and drops what targets send. The
+	// acknowledgements are dropped too, so that opening a connection times out.
+	OneWay
 	modes
 )
 
@@ -45,7 +49,7 @@
 
 // String returns the name of the mode.
 func (m Mode) String() string {
-	return [...]string{"silent", "reset", "refuse-new", "hang-new"}[m]
+	return [...]string{"silent", "reset", "refuse-new", "hang-new", "one-way"}[m]
 }
 
 // UnackedTimeout is how long sent bytes may remain unacknowledged in the mode Silent before the
@@ -167,8 +171,8 @@
 	l.mu.Lock()
 	l.pairs[p] = true
 	l.mu.Unlock()
-	go l.copy(p, far, near)
-	go l.copy(p, near, far)
+	go l.copy(p, far, near, Silent)
+	go l.copy(p, near, far, Silent, OneWay)
 	return outer, nil
 }
 
@@ -187,8 +191,8 @@
 	}
 }
 
-// copy relays the bytes of one direction until the connection ends.
-func (l *Link) copy(p *pair, to, from net.Conn) {
+// copy relays the bytes of one direction until the connection ends. They are held in the given modes.
+func (l *Link) copy(p *pair, to, from net.Conn, held ...Mode) {
 	defer func() {
 		p.close()
 		l.mu.Lock()
@@ -198,7 +202,7 @@
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
-		if !l.awaitDelivery(p) {
+		if !l.awaitDelivery(p, held) {
 			return
 		}
 		if n > 0 {
@@ -213,14 +217,14 @@
 	}
 }
 
-// awaitDelivery waits while the link drops the packets of open connections. It returns false after
+// awaitDelivery waits while the link is in one of the modes in which it drops the packets. It returns false after
 // UnackedTimeout, when the connection has been reset.
-func (l *Link) awaitDelivery(p *pair) bool {
+func (l *Link) awaitDelivery(p *pair, held []Mode) bool {
 	timer := time.NewTimer(UnackedTimeout)
 	defer timer.Stop()
 	for {
 		mode, cut, changed := l.state(p.addr)
-		if !cut || mode != Silent {
+		if !cut || !slices.Contains(held, mode) {
 			return true
 		}
 		select {
--- a/internal/standin/link/link_test.go
+++ b/internal/standin/link/link_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"syscall"
 	"testing"
 	"time"
@@ -51,7 +52,7 @@
 		// open and refused state whether open connections work, and whether new ones are refused
 		// at once rather than timing out.
 		open, refused bool
-	}{{Silent, false, false}, {Reset, false, true}, {RefuseNew, true, true}, {HangNew, true, false}} {
+	}{{Silent, false, false}, {Reset, false, true}, {RefuseNew, true, true}, {HangNew, true, false}, {OneWay, false, false}} {
 		t.Run(c.mode.String(), func(t *testing.T) {
 			l, err := New()
 			require.NoError(t, err)
@@ -91,6 +92,37 @@
 	require.NoError(t, err)
 }
 
+// TestOneWay checks that a one-way cut delivers requests and holds responses until its end.
+func TestOneWay(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = ln.Close() }()
+	l, err := New()
+	require.NoError(t, err)
+	defer l.Close()
+	near, err := l.Dial(context.Background(), ln.Addr().String(), time.Second)
+	require.NoError(t, err)
+	far, err := ln.Accept()
+	require.NoError(t, err)
+	defer func() { _ = far.Close() }()
+	l.Cut(OneWay, All)
+	received := make([]byte, 1)
+	_, err = near.Write([]byte("x"))
+	require.NoError(t, err)
+	_, err = far.Read(received)
+	require.NoError(t, err, "the request must arrive")
+	_, err = far.Write([]byte("y"))
+	require.NoError(t, err)
+	require.NoError(t, near.SetReadDeadline(time.Now().Add(50*time.Millisecond)))
+	_, err = near.Read(received)
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded, "the response must not come back")
+	l.Restore()
+	require.NoError(t, near.SetReadDeadline(time.Now().Add(time.Second)))
+	_, err = near.Read(received)
+	require.NoError(t, err)
+	require.Equal(t, "y", string(received))
+}
+
 // TestSilentConnection checks that bytes that are held by a short cut are delivered after it, and that
 // a long one breaks the connection.
 func TestSilentConnection(t *testing.T) {
