endpoints: look-ups name an instance of another hall and of another region

Clients of a hall got only the addresses of that hall while half of it served. If the hall lost power, all addresses that a client held were unusable (TestClientSurvivesLostHall fails on: the response never names the other hall's instance).

The decision moves from gateway.addressesFor to the new pure package endpoints. A response repeats the instances of the client's hall by weight and adds one of another hall and one of another region. The composition is logged when it changes and the addresses are counted by place.

The lookup cache was keyed by the hall only, so that a client that stated another region got the response of the first, and it grew with each hall that a client stated. The key holds both, and the cache is bounded.

Ran: go test ./endpoints ./fleet ./deploy ./cmd/rainford ./cmd/rainfordd; go test ./gateway -run 'TestAddresses|TestCachedLookup|TestPlannedStop|TestClientSurvivesLostHall': all pass.

--- a/fleet/member.go
+++ b/fleet/member.go
@@ -1,5 +1,7 @@
 package fleet
 
+import "time"
+
 // Member identifies an instance. Its name stays the same when its process restarts.
 type Member struct {
 	Name   string `msgpack:"n" json:"name"`
@@ -50,6 +52,9 @@
 	Member
 	State State
 	Flags Flags
+	// HeardAt is the time at which the latest heartbeat arrived, or zero if none has. It is zero
+	// for the own member.
+	HeardAt time.Time
 }
 
 // ReachesTargets reports whether the member can send requests to targets, also for other instances.
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -277,7 +277,7 @@
 func (v *View) Others(now time.Time) []Status {
 	out := make([]Status, 0, len(v.byName)+1)
 	for _, r := range v.byName {
-		out = append(out, Status{Member: r.member, State: v.state(now, r), Flags: r.heartbeat.Flags})
+		out = append(out, Status{Member: r.member, State: v.state(now, r), Flags: r.heartbeat.Flags, HeardAt: r.heardAt})
 	}
 	return out
 }
--- a/gateway/logs.go
+++ b/gateway/logs.go
@@ -45,6 +45,7 @@
 	logTableRefused           = "table refused"
 	logMember                 = "member"
 	logMembers                = "members"
+	logLookupComposition      = "look-up composition"
 	logWatching               = "watching"
 	logStoreLost              = "store lost"
 	logStoreRegained          = "store regained"
--- a/gateway/lookup.go
+++ b/gateway/lookup.go
@@ -1,24 +1,17 @@
 package gateway
 
 import (
-	"math/rand/v2"
+	"context"
+	"log/slog"
 	"net/http"
-	"sort"
 	"sync"
 	"time"
 
+	"github.com/rainford/rainford/endpoints"
 	"github.com/rainford/rainford/fleet"
 )
 
 const (
-	// maxAddresses bounds the addresses in a lookup response.
-	maxAddresses = 64
-	// The clients of a hall are directed to the instances of that hall alone if at least
-	// minHallInstances of them serve, and at least the fraction minHallFraction of the hall's known
-	// instances. Otherwise the few remaining instances would have to carry the load of the whole
-	// hall.
-	minHallInstances = 2
-	minHallFraction  = 0.5
 	// discoveryTime is the time after its start during which an instance assumes that unknown and
 	// unready instances serve. When all instances start together, each discovers the others one by
 	// one. If clients were directed only to the first few that are known, these would be
@@ -26,17 +19,22 @@
 	discoveryTime = 8 * fleet.RoundTime
 	// lookupCacheTTL is how long a cached lookup response is used.
 	lookupCacheTTL = 200 * time.Millisecond
+	// maxCachedLookups bounds the cached responses. Clients may state any hall.
+	maxCachedLookups = 128
 )
 
-// lookupCache holds lookup responses by hall.
+// lookupCache holds lookup responses by the client's hall and region.
 type lookupCache struct {
-	mu      sync.Mutex
-	answers map[string]lookupEntry
+	mu        sync.Mutex
+	responses map[endpoints.Query]*cachedLookup
 }
 
-type lookupEntry struct {
+// cachedLookup is a lookup response with the number of clients that it was sent to.
+type cachedLookup struct {
+	endpoints.Response
 	body      []byte
 	createdAt time.Time
+	served    int64
 }
 
 // serveLookup returns the addresses of the instances that a client should use.
@@ -46,7 +44,7 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
-	body := g.lookup(region, hall)
+	body := g.lookup(endpoints.Query{Region: region, Hall: hall})
 	if body == nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -55,70 +53,96 @@
 	_, _ = w.Write(body)
 }
 
-func (g *Gateway) lookup(region, hall string) []byte {
+// lookup returns the encoded response to a client of a hall, or nil if no instance is known to serve.
+func (g *Gateway) lookup(q endpoints.Query) []byte {
 	now := g.clock.Now()
 	g.lookups.mu.Lock()
 	defer g.lookups.mu.Unlock()
-	entry, ok := g.lookups.answers[hall]
-	if ok && now.Sub(entry.createdAt) < lookupCacheTTL {
-		return entry.body
+	cached := g.lookups.responses[q]
+	if cached == nil || now.Sub(cached.createdAt) >= lookupCacheTTL {
+		next := g.newLookup(now, q)
+		if next == nil {
+			return nil
+		}
+		g.replaceLookup(q, cached, next)
+		cached = next
 	}
-	g.mu.Lock()
-	addrs := addressesFor(g.view.All(now), region, hall, now.Sub(g.startedAt) < discoveryTime)
-	g.mu.Unlock()
-	body, err := g.codec.LookupAnswer(addrs, g.config.LookupTTL)
+	cached.served++
+	return cached.body
+}
+
+// newLookup returns the response to clients of a hall at the given time, or nil if it cannot be
+// encoded.
+func (g *Gateway) newLookup(now time.Time, q endpoints.Query) *cachedLookup {
+	response := g.chooseEndpoints(now, q)
+	body, err := g.codec.LookupAnswer(response.Addresses, g.config.LookupTTL)
 	if err != nil {
 		return nil
 	}
-	if g.lookups.answers == nil {
-		g.lookups.answers = make(map[string]lookupEntry)
-	}
-	g.lookups.answers[hall] = lookupEntry{body: body, createdAt: now}
-	return body
+	return &cachedLookup{Response: response, body: body, createdAt: now}
 }
 
-// addressesFor returns the addresses of the instances that clients of a hall should use: those of
-// the hall, also those of its region if the hall has few, and those of other regions only if the
-// region has none. discovering is true while this instance is still discovering the others.
-func addressesFor(members []fleet.Status, region, hall string, discovering bool) []string {
-	var sameHall, sameRegion, otherRegions []string
-	knownInHall := 0
-	for _, m := range members {
-		if m.Hall == hall {
-			knownInHall++
-		}
-		switch {
-		case !m.Serves() && !(discovering && mayServe(m)):
-		case m.Hall == hall:
-			sameHall = append(sameHall, m.FrontAddr)
-		case m.Region == region:
-			sameRegion = append(sameRegion, m.FrontAddr)
-		default:
-			otherRegions = append(otherRegions, m.FrontAddr)
+// replaceLookup replaces a cached response, which may be nil. It counts the addresses that clients
+// received by it, and logs a change of the composition. The caller holds the lock of the cache.
+func (g *Gateway) replaceLookup(q endpoints.Query, old, next *cachedLookup) {
+	if g.lookups.responses == nil {
+		g.lookups.responses = make(map[endpoints.Query]*cachedLookup)
+	}
+	if old == nil && len(g.lookups.responses) >= maxCachedLookups {
+		for _, evicted := range g.lookups.responses {
+			g.metrics.lookup(evicted)
 		}
+		clear(g.lookups.responses)
 	}
-	out := sameHall
-	if len(out) < minHallInstances || float64(len(out)) < minHallFraction*float64(knownInHall) {
-		out = append(out, sameRegion...)
+	before := endpoints.OwnHall
+	if old != nil {
+		g.metrics.lookup(old)
+		before = old.Composition
 	}
-	if len(out) == 0 {
-		out = otherRegions
+	g.lookups.responses[q] = next
+	if _, known := g.config.RegionOf[q.Hall]; known && next.Composition != before {
+		g.log.Log(context.Background(), compositionLevel(next.Composition), logLookupComposition, "hall", q.Hall, "composition", next.Composition,
+			"before", before, "same_hall", next.SameHall, "same_region", next.SameRegion, "other_region", next.OtherRegion)
 	}
-	return sampleAddresses(out)
 }
 
-// mayServe reports whether a member may be serving, as far as an instance that has just started can
-// know.
-func mayServe(m fleet.Status) bool { return m.State == fleet.Unknown || m.State == fleet.Alive }
+// compositionLevel returns the level at which a new composition is logged.
+func compositionLevel(c endpoints.Composition) slog.Level {
+	if c == endpoints.Isolated || c == endpoints.OtherRegions {
+		return slog.LevelWarn
+	}
+	return slog.LevelInfo
+}
 
-// sampleAddresses returns a random sample of at most maxAddresses addresses, sorted.
-func sampleAddresses(addrs []string) []string {
-	if len(addrs) > maxAddresses {
-		rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
-		addrs = addrs[:maxAddresses]
+// chooseEndpoints returns the addresses for clients of a hall.
+func (g *Gateway) chooseEndpoints(now time.Time, q endpoints.Query) endpoints.Response {
+	isolated := g.isIsolated(now)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	state := endpoints.State{
+		Addr:        g.view.Self().FrontAddr,
+		Hall:        g.config.Hall,
+		Discovering: now.Sub(g.startedAt) < discoveryTime,
+		Isolated:    isolated,
+	}
+	return endpoints.Choose(now, q, endpointsOf(g.view.All(now)), state)
+}
+
+// endpointsOf returns the members as candidates for lookup responses.
+func endpointsOf(members []fleet.Status) []endpoints.Instance {
+	out := make([]endpoints.Instance, 0, len(members))
+	for _, m := range members {
+		out = append(out, endpoints.Instance{
+			Addr:       m.FrontAddr,
+			Hall:       m.Hall,
+			Region:     m.Region,
+			Serves:     m.Serves(),
+			MayServe:   m.State == fleet.Unknown || m.State == fleet.Alive,
+			ServedLast: m.Flags&fleet.Ready != 0 && m.Flags&fleet.Leaving == 0,
+			HeardAt:    m.HeardAt,
+		})
 	}
-	sort.Strings(addrs)
-	return addrs
+	return out
 }
 
 // serveReady handles the platform's readiness checks.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -31,6 +31,7 @@
 	handovers       *telemetry.Counter
 	refusedEntries  *telemetry.Counter
 	rolloutAttempts *telemetry.Counter
+	lookupAddresses *telemetry.Counter
 	requestDuration *telemetry.Histogram
 	queueDuration   *telemetry.Histogram
 	attemptDuration *telemetry.Histogram
@@ -81,6 +82,7 @@
 	counter(&m.rolloutAttempts, "rainford.rollout.attempts", "Attempts at targets of a service that a version is brought in of, by version.", "service", "version", "outcome")
 	counter(&m.targetCrashes, "rainford.target.ends", "Targets that ended while they had requests of this instance.")
 	counter(&m.handovers, "rainford.handovers", "Requests handed over to another instance, by direction and what became of them.", "direction", "outcome")
+	counter(&m.lookupAddresses, "rainford.lookup.addresses", "Addresses in responses to look-ups, by where the instance is, as seen from the client.", "composition", "place")
 	counter(&m.targetReports, "rainford.target.reports", "Reports on targets that instances pass to each other, by direction and content.", "direction", "content")
 	return errors.Join(errs...)
 }
@@ -339,6 +341,22 @@
 	m.deltaRequests.Add(1, string(kind), result)
 }
 
+// Places of instances as seen from a client, as label values.
+const (
+	placeSameHall    = "same-hall"
+	placeSameRegion  = "same-region"
+	placeOtherRegion = "other-region"
+)
+
+// lookup counts the addresses that clients have received by a response.
+func (m *metrics) lookup(c *cachedLookup) {
+	for place, n := range map[string]int{placeSameHall: c.SameHall, placeSameRegion: c.SameRegion, placeOtherRegion: c.OtherRegion} {
+		if n > 0 {
+			m.lookupAddresses.Add(c.served*int64(n), string(c.Composition), place)
+		}
+	}
+}
+
 func (m *metrics) handler() http.Handler { return m.telemetry.Handler() }
 
 // routeName returns the name of a route, or "" if r is nil.
