gateway: instances state their capacity, and look-ups weigh them by it

Look-ups named all instances alike, although some carry five times as much as others. The settings cpu-cores, cpu-share and link-mbps give the capacity, which is a field of fleet.Member and so known from the store and from gossip. An instance whose entry states another capacity writes it again, since instances of other regions know it mainly from the store (TestCapacityIsKnown fails without that).

The platform's name for the limit of a link is not known here; the template does not fill in link-mbps.

--- a/fleet/member.go
+++ b/fleet/member.go
@@ -11,6 +11,9 @@
 	FrontAddr string `msgpack:"f" json:"front_addr"`
 	// PeerAddr is the address for messages of other instances.
 	PeerAddr string `msgpack:"p" json:"peer_addr"`
+	// Capacity is the number of requests per second that the instance can carry by its limits, or 0
+	// if these are unknown.
+	Capacity int `msgpack:"c,omitempty" json:"capacity,omitempty"`
 }
 
 // Flags are the properties that a process reports of itself.
--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -244,6 +244,8 @@
 		return &catalog.EntryError{Field: "hall", Problem: "is not in the settings, or belongs to another region there"}
 	case m.PeerAddr == "" || m.FrontAddr == "":
 		return &catalog.EntryError{Field: "address", Problem: "is missing"}
+	case m.Capacity < 0:
+		return &catalog.EntryError{Field: "capacity", Problem: "is negative"}
 	default:
 		return nil
 	}
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -3,10 +3,12 @@
 import (
 	"errors"
 	"log/slog"
+	"math"
 	"net"
 	"strconv"
 	"time"
 
+	"github.com/rainford/rainford/endpoints"
 	"github.com/rainford/rainford/forward"
 	"github.com/rainford/rainford/internal/clock"
 	"github.com/rainford/rainford/ratelimit"
@@ -52,6 +54,10 @@
 	// Rollouts bounds the requests that a bad new version may receive during its rollout.
 	// If its share is 0, there are no rollout orders, and all versions receive requests alike.
 	Rollouts rollout.ExposureBound
+	// CPUCores is the number of cores that the instance may use, and CPUShare the fraction of them,
+	// where the platform states the two separately. LinkMbps is the bandwidth of its link in Mbit/s.
+	// Each is 0 if it is unknown; an unknown CPUShare means all of CPUCores.
+	CPUCores, CPUShare, LinkMbps float64
 	// DefaultDeadline is the time allowed for a request that does not state any.
 	DefaultDeadline time.Duration
 
@@ -147,12 +153,30 @@
 	if c.Rollouts.Slack < 0 {
 		add("canary-slack", "must not be negative")
 	}
+	for _, limit := range []struct {
+		field string
+		value float64
+	}{{"cpu-cores", c.CPUCores}, {"cpu-share", c.CPUShare}, {"link-mbps", c.LinkMbps}} {
+		if !(limit.value >= 0) || math.IsInf(limit.value, 0) {
+			add(limit.field, "must be a number of at least 0")
+		}
+	}
 	if c.LogSample < 0 {
 		add("log-sample", "must not be negative")
 	}
 	return findings
 }
 
+// capacity returns the requests per second that the instance can carry by its limits, or 0 if these
+// are unknown.
+func (c *Config) capacity() int {
+	cores := c.CPUCores
+	if c.CPUShare > 0 {
+		cores *= c.CPUShare
+	}
+	return endpoints.Capacity(cores, c.LinkMbps)
+}
+
 // rolloutsEnabled reports whether new versions of services are rolled out by orders.
 func (c *Config) rolloutsEnabled() bool { return c.Rollouts.Share > 0 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -174,6 +174,7 @@
 		Region:    config.Region,
 		FrontAddr: firstNonEmpty(config.AdvertiseFront, g.listeners.front.Addr().String()),
 		PeerAddr:  firstNonEmpty(config.AdvertisePeer, g.listeners.peer.Addr().String()),
+		Capacity:  config.capacity(),
 	}
 	g.view = fleet.NewView(self, fleet.SequenceAt(g.clock.Now()), fleet.DefaultSettings)
 	g.mesh = peer.NewMesh(self.PeerAddr, "", g, g.log)
@@ -245,7 +246,7 @@
 	g.startGoroutine(func() { g.reach.loop(work) })
 	g.serveClients()
 	g.log.Info(logStart, "version", Version(), "hall", g.config.Hall, "region", g.config.Region,
-		"listen", g.config.Listen, "peer", g.config.PeerListen, "seeds", g.config.Seeds, "log_sample", g.config.LogSample)
+		"listen", g.config.Listen, "peer", g.config.PeerListen, "seeds", g.config.Seeds, "capacity", g.config.capacity(), "log_sample", g.config.LogSample)
 	<-ctx.Done()
 	g.stop()
 	return nil
--- a/gateway/lookup.go
+++ b/gateway/lookup.go
@@ -136,6 +136,7 @@
 			Addr:       m.FrontAddr,
 			Hall:       m.Hall,
 			Region:     m.Region,
+			Capacity:   m.Capacity,
 			Serves:     m.Serves(),
 			MayServe:   m.State == fleet.Unknown || m.State == fleet.Alive,
 			ServedLast: m.Flags&fleet.Ready != 0 && m.Flags&fleet.Leaving == 0,
--- a/gateway/start.go
+++ b/gateway/start.go
@@ -145,6 +145,7 @@
 	}
 	for ctx.Err() == nil {
 		g.register(ctx)
+		g.updateRegisteredCapacity(ctx)
 		select {
 		case <-ctx.Done():
 			return
