fleet: messages to other regions carry heartbeats of a few further members

In a fleet of more than 32 members an instance knew only the two watchers of each other region, so that look-ups could name no other instances there. Messages to another region now carry heartbeats of up to 8 living members, drawn by capacity, differently by each instance and in each round.

Ran: go test ./fleet -run 'TestRemote' -v: pass, 16.6 living members known of each other region at 88 instances; go test ./fleet -run TestGossipAtFleetSizes -v -large: pass.

--- a/fleet/doc.go
+++ b/fleet/doc.go
@@ -10,7 +10,9 @@
 //
 // Watchers are the instances of a region that watch the store for changes. In a fleet of more than 32
 // members an instance tracks its own region and the watchers of the others. Members that it does
-// not track are unknown, unless a heartbeat of them has arrived recently.
+// not track are unknown, unless a heartbeat of them has arrived recently. Gossip between regions
+// carries heartbeats of a few further members in turn, so that each instance knows some living members of
+// each region besides the watchers.
 //
 // The members of a region form a ring on which the members of a hall are adjacent. The ring
 // determines the gossip partners of a round, and the tree on which an urgent change is broadcast,
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -154,7 +154,7 @@
 }
 
 // fullViewSize is the number of other members from which on an instance tracks only its own region
-// and the watchers of the others. In a smaller fleet the heartbeats of all members are gossiped.
+// and the watchers of the others, and hears of some further members of these now and then. In a smaller fleet the heartbeats of all members are gossiped.
 const fullViewSize = 32
 
 // HeartbeatsFor returns the heartbeats to gossip to a member of a region, the own one first.
@@ -166,10 +166,15 @@
 			out = append(out, r.heartbeat)
 		}
 	}
+	if len(v.members) >= fullViewSize && region != v.self.Region {
+		for _, r := range v.remoteSample(now) {
+			out = append(out, r.heartbeat)
+		}
+	}
 	return out
 }
 
-// gossipsTo reports whether the heartbeats of a member are gossiped to a region. In a small fleet
+// gossipsTo reports whether the heartbeats of a member are always gossiped to a region. In a small fleet
 // all are. Otherwise the heartbeats of watchers are gossiped to all regions, and those of other
 // members of the own region within it.
 func (v *View) gossipsTo(r *record, region string) bool {
