gateway: an overloaded instance gets a quarter of its weight in look-ups

An instance whose processor has a queue kept its full part of the clients' connections. It now measures every 100 ms how late a timer fires, and reports a mean lateness of 20 ms as fleet.Overloaded in its heartbeats, in a list beside them as for TargetsLost. The list is bounded to 32 members: it would take 5 bytes for each member of a message otherwise, and messages are near their limit at 730 instances.

Ran: go test ./endpoints -run TestOverload (on after 1.1 s, off after 3.2 s, within the bounds of the test); go test ./gateway -run 'TestOverload|TestAddresses|TestCached|TestClientSurv|TestCapacityIs'; go test ./peer: pass.

--- a/fleet/member.go
+++ b/fleet/member.go
@@ -34,6 +34,10 @@
 	TargetsLost
 )
 
+// Overloaded is set while the processor of the process has a queue. Like TargetsLost it is not part of
+// an encoded list of heartbeats.
+const Overloaded Flags = 1 << 6
+
 // State is the state of a member in a view.
 type State string
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -109,10 +109,12 @@
 
 	readiness readiness
 
-	watch    watchState
-	leaving  atomic.Bool
-	refusing atomic.Bool
-	inFlight atomic.Int64
+	watch   watchState
+	leaving atomic.Bool
+	// overloaded is set while the processor of this instance has a queue.
+	overloaded atomic.Bool
+	refusing   atomic.Bool
+	inFlight   atomic.Int64
 	// lastContactAt is the time of the last message from the store or another instance, in
 	// nanoseconds of Unix time.
 	lastContactAt atomic.Int64
@@ -244,6 +246,7 @@
 	g.startGoroutine(func() { g.gossipLoop(work) })
 	g.startGoroutine(func() { g.maintenanceLoop(work) })
 	g.startGoroutine(func() { g.reach.loop(work) })
+	g.startGoroutine(func() { g.overloadLoop(work) })
 	g.serveClients()
 	g.log.Info(logStart, "version", Version(), "hall", g.config.Hall, "region", g.config.Region,
 		"listen", g.config.Listen, "peer", g.config.PeerListen, "seeds", g.config.Seeds, "capacity", g.config.capacity(), "log_sample", g.config.LogSample)
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -132,7 +132,7 @@
 
 // newGossip returns a message with the given heartbeats.
 func newGossip(heartbeats fleet.Heartbeats) *peer.Gossip {
-	return &peer.Gossip{Heartbeats: heartbeats, TargetsLost: heartbeats.With(fleet.TargetsLost)}
+	return &peer.Gossip{Heartbeats: heartbeats, TargetsLost: heartbeats.With(fleet.TargetsLost), OverloadedInstances: overloadedAmong(heartbeats)}
 }
 
 // flags returns the flags for the heartbeat of this instance.
@@ -153,6 +153,9 @@
 	if g.reach.wasLostRecently(g.clock.Now()) {
 		flags |= fleet.TargetsLost
 	}
+	if g.overloaded.Load() {
+		flags |= fleet.Overloaded
+	}
 	return flags
 }
 
@@ -273,6 +276,7 @@
 	defer g.mu.Unlock()
 	known := g.view.Len()
 	m.Heartbeats.SetFlag(fleet.TargetsLost, m.TargetsLost)
+	m.Heartbeats.SetFlag(fleet.Overloaded, m.OverloadedInstances)
 	if m.Member != nil {
 		g.view.Add(*m.Member)
 	}
--- a/gateway/logs.go
+++ b/gateway/logs.go
@@ -46,6 +46,7 @@
 	logMember                 = "member"
 	logMembers                = "members"
 	logLookupComposition      = "look-up composition"
+	logOverloaded             = "overload"
 	logWatching               = "watching"
 	logStoreLost              = "store lost"
 	logStoreRegained          = "store regained"
--- a/gateway/lookup.go
+++ b/gateway/lookup.go
@@ -137,6 +137,7 @@
 			Hall:       m.Hall,
 			Region:     m.Region,
 			Capacity:   m.Capacity,
+			Overloaded: m.Flags&fleet.Overloaded != 0,
 			Serves:     m.Serves(),
 			MayServe:   m.State == fleet.Unknown || m.State == fleet.Alive,
 			ServedLast: m.Flags&fleet.Ready != 0 && m.Flags&fleet.Leaving == 0,
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -130,6 +130,12 @@
 		}
 		return 0
 	})
+	gauge("rainford.overloaded", "1 while timers of this instance fire late, since its processor has a queue, else 0.", func() int64 {
+		if g.overloaded.Load() {
+			return 1
+		}
+		return 0
+	})
 	gauge("rainford.store.era", "Latest era of the store that its answers name, 0 if they name none, -1 before the first.", g.store.Era)
 	gauge("rainford.store.calls", "Calls made to the store.", g.store.Calls)
 	gauge("rainford.peer.sent", "Bytes sent to other instances.", func() int64 { sent, _, _ := g.mesh.Traffic(); return sent })
--- a/gateway/quarantine_gossip.go
+++ b/gateway/quarantine_gossip.go
@@ -36,6 +36,7 @@
 	defer g.mu.Unlock()
 	own := fleet.Heartbeats{g.view.OwnHeartbeat()}
 	message.Heartbeats, message.TargetsLost, message.Reply = own, own.With(fleet.TargetsLost), true
+	message.OverloadedInstances = overloadedAmong(own)
 	if g.view.Len() <= maxDirectRecipients {
 		for _, m := range g.partners(now, true) {
 			g.mesh.Send(m.PeerAddr, &message)
@@ -62,6 +63,7 @@
 // the sender has made this instance responsible. The caller holds mu.
 func (g *Gateway) relayBroadcast(now time.Time, m *peer.Gossip) {
 	message := peer.Gossip{Heartbeats: m.Heartbeats, TargetsLost: m.TargetsLost, Quarantine: m.Quarantine, Departures: m.Departures, Limits: m.Limits, Stages: m.Stages, Reply: true}
+	message.OverloadedInstances = m.OverloadedInstances
 	switch {
 	case m.RelayToRegion:
 		g.broadcastToRegion(now, message)
--- a/peer/message.go
+++ b/peer/message.go
@@ -103,6 +103,9 @@
 	Heartbeats fleet.Heartbeats `msgpack:"b"`
 	// TargetsLost are the members among Heartbeats that reach no target.
 	TargetsLost []fleet.ID `msgpack:"x,omitempty"`
+	// OverloadedInstances are the members among Heartbeats that are overloaded. Overloaded, in
+	// contrast, concerns targets.
+	OverloadedInstances []fleet.ID `msgpack:"o,omitempty"`
 	// Member describes the sender, for receivers that may not know it. It is nil in most
 	// messages.
 	Member *fleet.Member `msgpack:"m,omitempty"`
