--- a/cmd/rainford/gateways.go
+++ b/cmd/rainford/gateways.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"text/tabwriter"
 	"time"
@@ -74,6 +75,7 @@
 			continue
 		}
 		fmt.Fprintf(tw, "%s\t%s\tconfiguration %d\t%s\t%d targets, %d of them get nothing\n", s.Instance, s.Hall, s.ConfigVersion, gatewayState(s), s.Targets, len(s.Unavailable))
+		fmt.Fprintf(tw, "  look-ups\t%s\t%s\n", s.Lookups.Composition, formatLookup(s.Lookups.Entries))
 		for _, t := range s.Unavailable {
 			fmt.Fprintf(tw, "  %s\t%s\t%s\t%s by %s\t%s\n", t.Target, t.Hall, t.Service, t.Cause, t.Source, formatTimes(t.ForMs, t.RemainingMs))
 		}
@@ -91,6 +93,19 @@
 	_ = tw.Flush()
 }
 
+// formatLookup formats the instances that look-ups name, with the numbers of their entries.
+func formatLookup(entries []gateway.LookupEntry) string {
+	var parts []string
+	for _, e := range entries {
+		text := fmt.Sprintf("%s (%s) %d", e.Instance, e.Hall, e.Entries)
+		if e.Overloaded {
+			text += " overloaded"
+		}
+		parts = append(parts, text)
+	}
+	return strings.Join(parts, ", ")
+}
+
 func gatewayState(s *gateway.Status) string {
 	switch {
 	case s.Leaving:
--- a/cmd/rainford/gateways_test.go
+++ b/cmd/rainford/gateways_test.go
@@ -36,6 +36,8 @@
 	require.Regexp(t, `i-1 +a1 +s +resting by word`, text)
 	require.Regexp(t, `until in 29\.\d+s`, text)
 	require.Contains(t, text, "127.0.0.1:1  no answer")
+	require.Regexp(t, `look-ups +own-hall|look-ups +complemented`, text)
+	require.Regexp(t, `look-ups +\S+ +n1 \(a1\) 1`, text)
 	w.server.SetRetryAfter(time.Now(), 0)
 
 	limited := newGatewayFixture(t)
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -267,12 +267,32 @@
 	return state == Suspect || state == Unknown
 }
 
-// All returns the status of every member, including the own one, sorted by name.
-func (v *View) All(now time.Time) []Status {
+// own returns the status of the own member.
+func (v *View) own() Status {
 	own := Status{Member: v.self, State: Alive, Flags: v.heartbeat.Flags}
 	if v.heartbeat.Flags&Leaving != 0 {
 		own.State = Stopping
 	}
+	return own
+}
+
+// Each calls f with the status of every member, the own one first and the others sorted by name. It
+// makes no copy of the members.
+func (v *View) Each(now time.Time, f func(Status)) {
+	f(v.own())
+	for _, r := range v.byName {
+		f(v.status(now, r))
+	}
+}
+
+// status returns the status of a member.
+func (v *View) status(now time.Time, r *record) Status {
+	return Status{Member: r.member, State: v.state(now, r), Flags: r.heartbeat.Flags, HeardAt: r.heardAt}
+}
+
+// All returns the status of every member, including the own one, sorted by name.
+func (v *View) All(now time.Time) []Status {
+	own := v.own()
 	out := v.Others(now)
 	at := sort.Search(len(out), func(i int) bool { return out[i].Name > v.self.Name })
 	return slices.Insert(out, at, own)
@@ -282,7 +302,7 @@
 func (v *View) Others(now time.Time) []Status {
 	out := make([]Status, 0, len(v.byName)+1)
 	for _, r := range v.byName {
-		out = append(out, Status{Member: r.member, State: v.state(now, r), Flags: r.heartbeat.Flags, HeardAt: r.heardAt})
+		out = append(out, v.status(now, r))
 	}
 	return out
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/rainford/rainford/catalog"
+	"github.com/rainford/rainford/endpoints"
 	"github.com/rainford/rainford/feed"
 	"github.com/rainford/rainford/fleet"
 	"github.com/rainford/rainford/forward"
@@ -70,7 +71,7 @@
 	clock     *clock.Clock
 	startedAt time.Time
 
-	// mu guards the replicas, the view and the other state of the fields from here to reporter.
+	// mu guards the replicas, the view and the other state of the fields from here to endpoints.
 	mu         sync.Mutex
 	replicas   map[feed.Kind]*feed.Replica
 	view       *fleet.View
@@ -106,6 +107,8 @@
 	// lostOwnObjects holds the objects written by rainford itself that a restored store has lost.
 	lostOwnObjects lostObjects
 	reporter       reporter
+	// endpoints is the space for the candidates of a lookup response.
+	endpoints []endpoints.Instance
 
 	readiness readiness
 
--- a/gateway/lookup.go
+++ b/gateway/lookup.go
@@ -125,26 +125,24 @@
 		Discovering: now.Sub(g.startedAt) < discoveryTime,
 		Isolated:    isolated,
 	}
-	return endpoints.Choose(now, q, endpointsOf(g.view.All(now)), state)
+	g.endpoints = g.endpoints[:0]
+	g.view.Each(now, func(m fleet.Status) { g.endpoints = append(g.endpoints, endpointOf(m)) })
+	return endpoints.Choose(now, q, g.endpoints, state)
 }
 
-// endpointsOf returns the members as candidates for lookup responses.
-func endpointsOf(members []fleet.Status) []endpoints.Instance {
-	out := make([]endpoints.Instance, 0, len(members))
-	for _, m := range members {
-		out = append(out, endpoints.Instance{
-			Addr:       m.FrontAddr,
-			Hall:       m.Hall,
-			Region:     m.Region,
-			Capacity:   m.Capacity,
-			Overloaded: m.Flags&fleet.Overloaded != 0,
-			Serves:     m.Serves(),
-			MayServe:   m.State == fleet.Unknown || m.State == fleet.Alive,
-			ServedLast: m.Flags&fleet.Ready != 0 && m.Flags&fleet.Leaving == 0,
-			HeardAt:    m.HeardAt,
-		})
+// endpointOf returns a member as a candidate for lookup responses.
+func endpointOf(m fleet.Status) endpoints.Instance {
+	return endpoints.Instance{
+		Addr:       m.FrontAddr,
+		Hall:       m.Hall,
+		Region:     m.Region,
+		Capacity:   m.Capacity,
+		Overloaded: m.Flags&fleet.Overloaded != 0,
+		Serves:     m.Serves(),
+		MayServe:   m.State == fleet.Unknown || m.State == fleet.Alive,
+		ServedLast: m.Flags&fleet.Ready != 0 && m.Flags&fleet.Leaving == 0,
+		HeardAt:    m.HeardAt,
 	}
-	return out
 }
 
 // serveReady handles the platform's readiness checks.
--- a/gateway/lookup_test.go
+++ b/gateway/lookup_test.go
@@ -57,7 +57,11 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			response := endpoints.Choose(time.Now(), endpoints.Query{Region: "a", Hall: "a1"}, endpointsOf(c.members), endpoints.State{Addr: "self", Hall: "a1", Discovering: c.discovering})
+			var candidates []endpoints.Instance
+			for _, m := range c.members {
+				candidates = append(candidates, endpointOf(m))
+			}
+			response := endpoints.Choose(time.Now(), endpoints.Query{Region: "a", Hall: "a1"}, candidates, endpoints.State{Addr: "self", Hall: "a1", Discovering: c.discovering})
 			got, seen := map[string]int{}, map[string]bool{}
 			for _, addr := range response.Addresses {
 				if !seen[addr] {
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -35,6 +35,8 @@
 	Held []HeldRequest `json:"held"`
 	// Rollouts lists the latest rollout order of each service, in progress or ended.
 	Rollouts []RolloutStatus `json:"rollouts,omitempty"`
+	// Lookups is what clients of the instance's hall are told.
+	Lookups LookupStatus `json:"lookups"`
 }
 
 // RolloutStatus is the state of a rollout as an instance knows it.
@@ -115,6 +117,7 @@
 	s.Limited = g.pools.limitedTargets(now)
 	s.Held = g.quarantine.heldRequests(now)
 	s.Rollouts = g.rollouts.statuses(now)
+	s.Lookups = g.lookupStatus(now)
 	return s
 }
 
