--- a/fleet/remote_sample.go
+++ b/fleet/remote_sample.go
@@ -16,7 +16,7 @@
 	maxRemoteSample = 8
 	// remoteSampleTotal bounds the sum of the samples over all other regions. An instance with many
 	// of them hears of enough members altogether, and its messages are near the limit on bytes.
-	remoteSampleTotal = 18
+	remoteSampleTotal = 16
 )
 
 // remoteSampleSize returns the size of the sample in a message to another region.
