--- a/endpoints/weights.go
+++ b/endpoints/weights.go
@@ -19,7 +19,8 @@
 	// instance of average weight in each response.
 	samplesPerInstance = 2
 	// sampleCycle is the time in which the offset of samples passes through all its values. Within
-	// lookups' TTL of 2 s, one in 16 entries of a sample moves on to the next instance.
+	// the TTL of lookups of 2 s, the offset moves by a sixteenth of the distance between entries, so
+	// that few of them pass to the next instance.
 	sampleCycle = 32 * time.Second
 )
 
--- a/gateway/lookup_test.go
+++ b/gateway/lookup_test.go
@@ -1,7 +1,10 @@
 package gateway
 
 import (
+	"bytes"
 	"fmt"
+	"log/slog"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -97,3 +100,28 @@
 	}
 	require.LessOrEqual(t, len(g.lookups.responses), maxCachedLookups)
 }
+
+// TestLookupCompositionIsLogged guards against a change of where clients are directed that no log line
+// and no metric shows.
+func TestLookupCompositionIsLogged(t *testing.T) {
+	var out bytes.Buffer
+	g := newTestGateway(t)
+	g.codec, g.log = lookupCodec{}, slog.New(slog.NewTextHandler(&out, nil))
+	g.startedAt = g.clock.Now().Add(-time.Minute)
+	g.view.SetFlags(fleet.Ready)
+	other := fleet.Member{Name: "n2", Hall: "a1", Region: "a", FrontAddr: "10.0.0.2:1", PeerAddr: "10.0.0.2:2"}
+	far := fleet.Member{Name: "n3", Hall: "a2", Region: "a", FrontAddr: "10.0.0.3:1", PeerAddr: "10.0.0.3:2"}
+	g.view.Add(other, far)
+	g.view.MergeHeartbeats(g.clock.Now(), fleet.Heartbeats{
+		{Member: fleet.IDOf("n2"), Sequence: 9, Flags: fleet.Ready}, {Member: fleet.IDOf("n3"), Sequence: 9, Flags: fleet.Ready}})
+	q := endpoints.Query{Region: "a", Hall: "a1"}
+	require.NotNil(t, g.lookup(q))
+	require.NotContains(t, out.String(), logLookupComposition)
+	g.markRefused("10.0.0.2:2")
+	g.lookups.responses[q].createdAt = time.Time{}
+	require.NotNil(t, g.lookup(q))
+	require.Contains(t, out.String(), `msg="look-up composition" hall=a1 composition=complemented before=own-hall`)
+	recorder := httptest.NewRecorder()
+	g.metrics.handler().ServeHTTP(recorder, httptest.NewRequest("GET", "/", nil))
+	require.Regexp(t, `rainford_lookup_addresses_total\{composition="own-hall"[^}]*place="same-hall"[^}]*\} 30`, recorder.Body.String())
+}
