--- a/fleet/model_test.go
+++ b/fleet/model_test.go
@@ -33,6 +33,8 @@
 	partitioned func(a, b string) bool
 	bytes       int
 	rounds      int
+	// overloaded names the members that report that they are.
+	overloaded map[string]bool
 }
 
 // large enables the model of the largest fleet, which takes a minute.
@@ -91,6 +93,9 @@
 		if v.ShouldWatch(m.now) {
 			flags |= fleet.Watching
 		}
+		if m.overloaded[name] {
+			flags |= fleet.Overloaded
+		}
 		v.SetFlags(flags)
 		v.AdvanceHeartbeat(m.now)
 		for _, partner := range v.Partners(m.now, m.rng) {
--- a/fleet/remote_sample_test.go
+++ b/fleet/remote_sample_test.go
@@ -102,3 +102,34 @@
 		}
 	}
 }
+
+// TestOverloadIsKnownSoon guards against weights of an overloaded instance that its region keeps: all
+// members of the region know of it within 2 s. A member of another region of a large fleet, which hears
+// of it only now and then, knows of it after 4 s or does not take it for alive.
+func TestOverloadIsKnownSoon(t *testing.T) {
+	for _, size := range []int{12, 88, 295} {
+		m := newModel(size, 3, 1)
+		for range 16 {
+			m.round()
+		}
+		busy := m.names()[size/2]
+		m.overloaded = map[string]bool{busy: true}
+		for elapsed := round; elapsed <= 4*time.Second; elapsed += round {
+			m.round()
+			for _, name := range m.names() {
+				if elapsed >= 4*time.Second || (elapsed >= 2*time.Second && m.members[name].Region == m.members[busy].Region) {
+					requireFlag(t, m, name, busy)
+				}
+			}
+		}
+	}
+}
+
+// requireFlag checks that an instance takes a member for overloaded if it takes it for alive.
+func requireFlag(t *testing.T, m *model, name, busy string) {
+	for _, s := range m.views[name].Others(m.now) {
+		if s.Name == busy && s.State == fleet.Alive {
+			require.NotZero(t, s.Flags&fleet.Overloaded, "%s of %d does not know", name, len(m.members))
+		}
+	}
+}
