--- a/fleet/member.go
+++ b/fleet/member.go
@@ -1,5 +1,7 @@
 package fleet
 
+import "time"
+
 // Member identifies an instance. Its name stays the same when its process restarts.
 type Member struct {
 	Name   string `msgpack:"n" json:"name"`
@@ -9,6 +11,9 @@
 	FrontAddr string `msgpack:"f" json:"front_addr"`
 	// PeerAddr is the address for messages of other instances.
 	PeerAddr string `msgpack:"p" json:"peer_addr"`
+	// Capacity is the number of requests per second that the instance can carry by its limits, or 0
+	// if these are unknown.
+	Capacity int `msgpack:"c,omitempty" json:"capacity,omitempty"`
 }
 
 // Flags are the properties that a process reports of itself.
@@ -29,6 +34,10 @@
 	TargetsLost
 )
 
+// Overloaded is set while the processor of the process has a queue. Like TargetsLost it is not part of
+// an encoded list of heartbeats.
+const Overloaded Flags = 1 << 6
+
 // State is the state of a member in a view.
 type State string
 
@@ -50,6 +59,9 @@
 	Member
 	State State
 	Flags Flags
+	// HeardAt is the time at which the latest heartbeat arrived, or zero if none has. It is zero
+	// for the own member.
+	HeardAt time.Time
 }
 
 // ReachesTargets reports whether the member can send requests to targets, also for other instances.
--- a/fleet/view.go
+++ b/fleet/view.go
@@ -154,7 +154,7 @@
 }
 
 // fullViewSize is the number of other members from which on an instance tracks only its own region
-// and the watchers of the others. In a smaller fleet the heartbeats of all members are gossiped.
+// and the watchers of the others, and hears of some further members of these now and then. In a smaller fleet the heartbeats of all members are gossiped.
 const fullViewSize = 32
 
 // HeartbeatsFor returns the heartbeats to gossip to a member of a region, the own one first.
@@ -166,10 +166,15 @@
 			out = append(out, r.heartbeat)
 		}
 	}
+	if len(v.members) >= fullViewSize && region != v.self.Region {
+		for _, r := range v.remoteSample(now) {
+			out = append(out, r.heartbeat)
+		}
+	}
 	return out
 }
 
-// gossipsTo reports whether the heartbeats of a member are gossiped to a region. In a small fleet
+// gossipsTo reports whether the heartbeats of a member are always gossiped to a region. In a small fleet
 // all are. Otherwise the heartbeats of watchers are gossiped to all regions, and those of other
 // members of the own region within it.
 func (v *View) gossipsTo(r *record, region string) bool {
@@ -262,12 +267,32 @@
 	return state == Suspect || state == Unknown
 }
 
-// All returns the status of every member, including the own one, sorted by name.
-func (v *View) All(now time.Time) []Status {
+// own returns the status of the own member.
+func (v *View) own() Status {
 	own := Status{Member: v.self, State: Alive, Flags: v.heartbeat.Flags}
 	if v.heartbeat.Flags&Leaving != 0 {
 		own.State = Stopping
 	}
+	return own
+}
+
+// Each calls f with the status of every member, the own one first and the others sorted by name. It
+// makes no copy of the members.
+func (v *View) Each(now time.Time, f func(Status)) {
+	f(v.own())
+	for _, r := range v.byName {
+		f(v.status(now, r))
+	}
+}
+
+// status returns the status of a member.
+func (v *View) status(now time.Time, r *record) Status {
+	return Status{Member: r.member, State: v.state(now, r), Flags: r.heartbeat.Flags, HeardAt: r.heardAt}
+}
+
+// All returns the status of every member, including the own one, sorted by name.
+func (v *View) All(now time.Time) []Status {
+	own := v.own()
 	out := v.Others(now)
 	at := sort.Search(len(out), func(i int) bool { return out[i].Name > v.self.Name })
 	return slices.Insert(out, at, own)
@@ -277,7 +302,7 @@
 func (v *View) Others(now time.Time) []Status {
 	out := make([]Status, 0, len(v.byName)+1)
 	for _, r := range v.byName {
-		out = append(out, Status{Member: r.member, State: v.state(now, r), Flags: r.heartbeat.Flags})
+		out = append(out, v.status(now, r))
 	}
 	return out
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/rainford/rainford/catalog"
+	"github.com/rainford/rainford/endpoints"
 	"github.com/rainford/rainford/feed"
 	"github.com/rainford/rainford/fleet"
 	"github.com/rainford/rainford/forward"
@@ -70,7 +71,7 @@
 	clock     *clock.Clock
 	startedAt time.Time
 
-	// mu guards the replicas, the view and the other state of the fields from here to reporter.
+	// mu guards the replicas, the view and the other state of the fields from here to endpoints.
 	mu         sync.Mutex
 	replicas   map[feed.Kind]*feed.Replica
 	view       *fleet.View
@@ -106,13 +107,17 @@
 	// lostOwnObjects holds the objects written by rainford itself that a restored store has lost.
 	lostOwnObjects lostObjects
 	reporter       reporter
+	// endpoints is the space for the candidates of a lookup response.
+	endpoints []endpoints.Instance
 
 	readiness readiness
 
-	watch    watchState
-	leaving  atomic.Bool
-	refusing atomic.Bool
-	inFlight atomic.Int64
+	watch   watchState
+	leaving atomic.Bool
+	// overloaded is set while the processor of this instance has a queue.
+	overloaded atomic.Bool
+	refusing   atomic.Bool
+	inFlight   atomic.Int64
 	// lastContactAt is the time of the last message from the store or another instance, in
 	// nanoseconds of Unix time.
 	lastContactAt atomic.Int64
@@ -174,6 +179,7 @@
 		Region:    config.Region,
 		FrontAddr: firstNonEmpty(config.AdvertiseFront, g.listeners.front.Addr().String()),
 		PeerAddr:  firstNonEmpty(config.AdvertisePeer, g.listeners.peer.Addr().String()),
+		Capacity:  config.capacity(),
 	}
 	g.view = fleet.NewView(self, fleet.SequenceAt(g.clock.Now()), fleet.DefaultSettings)
 	g.mesh = peer.NewMesh(self.PeerAddr, "", g, g.log)
@@ -243,9 +249,10 @@
 	g.startGoroutine(func() { g.gossipLoop(work) })
 	g.startGoroutine(func() { g.maintenanceLoop(work) })
 	g.startGoroutine(func() { g.reach.loop(work) })
+	g.startGoroutine(func() { g.overloadLoop(work) })
 	g.serveClients()
 	g.log.Info(logStart, "version", Version(), "hall", g.config.Hall, "region", g.config.Region,
-		"listen", g.config.Listen, "peer", g.config.PeerListen, "seeds", g.config.Seeds, "log_sample", g.config.LogSample)
+		"listen", g.config.Listen, "peer", g.config.PeerListen, "seeds", g.config.Seeds, "capacity", g.config.capacity(), "log_sample", g.config.LogSample)
 	<-ctx.Done()
 	g.stop()
 	return nil
--- a/gateway/logs.go
+++ b/gateway/logs.go
@@ -46,6 +46,8 @@
 	logTableRefused           = "table refused"
 	logMember                 = "member"
 	logMembers                = "members"
+	logLookupComposition      = "look-up composition"
+	logOverloaded             = "overload"
 	logWatching               = "watching"
 	logStoreLost              = "store lost"
 	logStoreRegained          = "store regained"
