reach: Halls tracks the loss of the links to each hall

An instance that is cut off from some halls finds out of each target there by itself, so that requests wait for connections and deadlines at every one of them. Halls decides for all targets of a hall together: at least three different ones fail or leave requests unanswered, and a check confirms it. A failed check during which the process did not run is repeated, also one of Tracker.

Not used by the gateway yet.

--- /dev/null
+++ b/reach/hall_checks.go
@@ -0,0 +1,166 @@
+package reach
+
+import "time"
+
+const (
+	// maxProbeRate is the number of connections per second that probe lost halls, at most. Several lost
+	// halls take turns.
+	maxProbeRate = 16
+	// responseCheckInterval is the time between two checks of a hall by response.
+	responseCheckInterval = time.Second
+	// lateCheckTime is how much longer than its time-out a failed check may take. A check that takes
+	// longer shows that the process did not run meanwhile, and nothing of the targets.
+	lateCheckTime = 100 * time.Millisecond
+)
+
+// HallCheck is a check of one hall that should be made.
+type HallCheck struct {
+	Hall string
+	// ByResponse means that a target has to respond to a health request. Otherwise it is enough to
+	// connect to one.
+	ByResponse bool
+	// Size is the number of targets to try, at most.
+	Size int
+}
+
+// HallResult is the result of a HallCheck.
+type HallResult struct {
+	HallCheck
+	StartedAt, EndedAt time.Time
+	// Timeout is the time after which the check gave up.
+	Timeout time.Duration
+	// Tried is the number of targets that were tried, and Succeeded the number of those that could be
+	// connected to or responded.
+	Tried, Succeeded int
+}
+
+// NextCheck returns the next check that is due. Until Checked is called with its result, no other check
+// of the same hall is due. The result is false if none is due.
+func (h *Halls) NextCheck(now time.Time) (HallCheck, bool) {
+	name, ok := h.mostUrgent(now)
+	if !ok {
+		return HallCheck{}, false
+	}
+	s := h.halls[name]
+	c := HallCheck{Hall: name, ByResponse: s.unproven || s.loss.ByResponse, Size: CheckTargets}
+	switch {
+	case c.ByResponse || s.confirming:
+		c.Size = 1
+	case s.isLost():
+		c.Size = ProbeTargets
+	}
+	s.checking = true
+	if s.isLost() && !c.ByResponse {
+		h.probedUntil = now.Add(time.Duration(c.Size) * time.Second / maxProbeRate)
+	}
+	return c, true
+}
+
+// mostUrgent returns the hall whose check is due. Of several it is one that is confirmed to be back, or
+// else the one whose last check was the earliest.
+func (h *Halls) mostUrgent(now time.Time) (string, bool) {
+	best := ""
+	for name, s := range h.halls {
+		if s.checking || !h.isDue(now, name, s) {
+			continue
+		}
+		if best == "" || s.precedes(h.halls[best]) {
+			best = name
+		}
+	}
+	return best, best != ""
+}
+
+func (s *hall) precedes(other *hall) bool {
+	if s.confirming != other.confirming {
+		return s.confirming
+	}
+	return s.checkedAt.Before(other.checkedAt)
+}
+
+// isDue reports whether a check of a hall is due.
+func (h *Halls) isDue(now time.Time, name string, s *hall) bool {
+	switch since := now.Sub(s.checkedAt); {
+	case s.isLost() && s.loss.ByResponse:
+		return now.Sub(s.respondingAt) >= responseCheckInterval
+	case s.isLost():
+		return !now.Before(h.probedUntil) && (s.confirming || since >= probeInterval)
+	case s.unproven && now.Sub(s.respondingAt) < responseCheckInterval:
+		return false
+	case s.unproven || s.repeat || since >= minCheckInterval:
+		return h.isSuspicious(now, name, s)
+	default:
+		return false
+	}
+}
+
+// Checked records the result of a check. It reports whether the hall has been lost or regained by it.
+func (h *Halls) Checked(r HallResult) (changed bool) {
+	s := h.hall(r.Hall)
+	s.checking, s.repeat = false, false
+	s.checkedAt = r.EndedAt
+	if r.ByResponse {
+		s.respondingAt = r.EndedAt
+	}
+	late := isLate(r.StartedAt, r.EndedAt, r.Timeout)
+	switch {
+	case r.Tried == 0:
+		// Without targets nothing can be lost.
+		changed = s.isLost()
+		s.regain()
+	case r.Succeeded == 0 && late:
+		s.repeat = true
+		if r.ByResponse {
+			s.respondingAt = time.Time{}
+		}
+	case s.isLost():
+		changed = s.probed(r.Succeeded > 0)
+	case r.Succeeded == 0:
+		changed = s.lose(h.evidence(r.EndedAt, r.Hall, s), r)
+	default:
+		h.succeeded(r, s)
+	}
+	return changed
+}
+
+// probed records the result of a probe of a lost hall, and reports whether the loss has ended.
+func (s *hall) probed(succeeded bool) (ended bool) {
+	if !succeeded || !s.confirming {
+		s.confirming = succeeded
+		return false
+	}
+	s.regain()
+	return true
+}
+
+func (s *hall) regain() {
+	s.loss = Loss{}
+	s.unproven, s.confirming, s.abandoned = false, false, false
+	s.clearFailures(func(hallTarget) bool { return true })
+}
+
+// lose records that a check has confirmed the evidence. It reports false if a target has succeeded during
+// the check, so that the evidence does not suffice any more.
+func (s *hall) lose(evidence Loss, r HallResult) bool {
+	if !s.suffices(evidence) {
+		s.unproven = false
+		return false
+	}
+	evidence.At, evidence.ByResponse, evidence.Checked = r.EndedAt, r.ByResponse, r.Tried
+	s.loss = evidence
+	s.unproven, s.confirming, s.abandoned = false, false, false
+	return true
+}
+
+// succeeded records a successful check of a hall that is not lost. A connection does not show that
+// targets respond.
+func (h *Halls) succeeded(r HallResult, s *hall) {
+	s.connect(r.StartedAt)
+	if !r.ByResponse {
+		s.unproven = h.isSuspicious(r.EndedAt, r.Hall, s)
+		return
+	}
+	s.unproven = false
+	h.respond(r.EndedAt, r.Hall)
+	s.clearFailures(func(hallTarget) bool { return true })
+}
--- /dev/null
+++ b/reach/halls.go
@@ -0,0 +1,348 @@
+package reach
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// minHallFailed is the number of different targets of a hall that must have failed, without a
+	// success in the hall since, before the hall is checked. A hall with fewer targets is checked once
+	// all of them have failed.
+	minHallFailed = 3
+	// hallFailureWindow is how long a failure counts. It is long because an instance of a large fleet
+	// seldom sends requests to a small hall.
+	hallFailureWindow = 10 * time.Second
+)
+
+// Failure is what a request shows of a target that fails.
+type Failure int
+
+// The failures.
+const (
+	// Unconnected means that no connection could be opened, or that opening it takes long.
+	Unconnected Failure = iota
+	// Unanswered means that a request was sent and no response has arrived.
+	Unanswered
+)
+
+// hallTarget is what the requests to one target show.
+type hallTarget struct {
+	running int
+	// waitingSince is when the target last responded, or when running last rose from 0.
+	waitingSince time.Time
+	// failedAt is the time of the last failure without a success in the hall since, or zero.
+	failedAt time.Time
+	failure  Failure
+}
+
+// hall is the state of one hall.
+type hall struct {
+	size    int
+	targets map[string]hallTarget
+	// running is the number of requests at the targets, and failing that of targets with failedAt.
+	running, failing int
+	// waitingSince is when running last rose from 0. respondedAt is when a target of the hall last
+	// responded, and connectedAt the time at which the last successful connection was begun.
+	waitingSince, respondedAt, connectedAt time.Time
+
+	loss Loss
+	// checking is true during a check. checkedAt is the time of the last check, and respondingAt that
+	// of the last one by response.
+	checking                bool
+	checkedAt, respondingAt time.Time
+	// unproven is true after a check by connection that succeeded although requests remain without a
+	// response. A check by response has to follow.
+	unproven bool
+	// repeat is true after a check during which the process did not run.
+	repeat bool
+	// confirming is true after a successful check of a lost hall.
+	confirming bool
+	// abandoned is true once the requests at the targets of the lost hall have been abandoned.
+	abandoned bool
+}
+
+// Loss describes a lost hall and the evidence that decided.
+type Loss struct {
+	// At is when the hall was found to be lost. It is zero if the hall is not lost.
+	At time.Time
+	// Since is when the first of the failures was seen.
+	Since time.Time
+	// ByResponse is true if connections could be opened but no response arrived.
+	ByResponse bool
+	// Unconnected, Unanswered and Stalled are the numbers of different targets to which no connection
+	// could be opened, which ended a request without a response, and at which requests are waiting for
+	// a response.
+	Unconnected, Unanswered, Stalled int
+	// Checked is the number of targets of the check that confirmed the loss.
+	Checked int
+}
+
+// Halls tracks the halls to whose targets an instance has lost its links. In the zero value none is
+// lost. It is not safe for concurrent use.
+type Halls struct {
+	halls map[string]*hall
+	// probedUntil is the time until which the connections of the last probe use up the rate of probes.
+	probedUntil time.Time
+	// respondedAt is when a target last responded, and respondedIn its hall. beforeAt is when a target
+	// of another hall last responded before that.
+	respondedAt, beforeAt time.Time
+	respondedIn           string
+}
+
+func (h *Halls) hall(name string) *hall {
+	s := h.halls[name]
+	if s == nil {
+		if h.halls == nil {
+			h.halls = make(map[string]*hall)
+		}
+		s = &hall{targets: make(map[string]hallTarget)}
+		h.halls[name] = s
+	}
+	return s
+}
+
+// SetSizes sets the number of targets that each hall has.
+func (h *Halls) SetSizes(sizes map[string]int) {
+	for _, s := range h.halls {
+		s.size = 0
+	}
+	for name, n := range sizes {
+		h.hall(name).size = n
+	}
+}
+
+// IsLost reports whether a hall is lost.
+func (h *Halls) IsLost(name string) bool {
+	s := h.halls[name]
+	return s != nil && s.isLost()
+}
+
+// Lost returns the names of the lost halls in order.
+func (h *Halls) Lost() []string {
+	var out []string
+	for name, s := range h.halls {
+		if s.isLost() {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// AllLostBut reports whether all halls with targets except for the given one are lost, and at least
+// one hall is.
+func (h *Halls) AllLostBut(except string) bool {
+	any := false
+	for name, s := range h.halls {
+		if name == except || s.size == 0 {
+			continue
+		}
+		if !s.isLost() {
+			return false
+		}
+		any = true
+	}
+	return any
+}
+
+// Loss returns the loss of a hall, which is the zero value if the hall is not lost.
+func (h *Halls) Loss(name string) Loss { return h.hall(name).loss }
+
+// ConnectedAt returns the time at which the last connection to a target of the hall that succeeded
+// was begun.
+func (h *Halls) ConnectedAt(name string) time.Time { return h.hall(name).connectedAt }
+
+// Reset forgets the failures and ends all losses. It is called when the tracker of all targets decides
+// for all halls together.
+func (h *Halls) Reset() {
+	for _, s := range h.halls {
+		s.loss = Loss{}
+		s.clearFailures(func(hallTarget) bool { return true })
+		s.unproven, s.repeat, s.confirming, s.abandoned = false, false, false, false
+	}
+}
+
+func (s *hall) isLost() bool { return !s.loss.At.IsZero() }
+
+// Start records that a request is sent to a target.
+func (h *Halls) Start(now time.Time, name, target string) {
+	s := h.hall(name)
+	t := s.targets[target]
+	if t.running == 0 {
+		t.waitingSince = now
+	}
+	if s.running == 0 {
+		s.waitingSince = now
+	}
+	t.running++
+	s.running++
+	s.targets[target] = t
+}
+
+// End records that a request at a target has ended, with or without a response.
+func (h *Halls) End(now time.Time, name, target string, answered bool) {
+	s := h.hall(name)
+	t := s.targets[target]
+	t.running--
+	s.running--
+	if answered {
+		t.waitingSince = now
+		h.respond(now, name)
+	}
+	s.put(target, t)
+	if answered {
+		s.clearFailures(func(t hallTarget) bool { return t.failure == Unanswered })
+	}
+}
+
+// put stores the state of a target, or drops it if there is nothing to keep.
+func (s *hall) put(target string, t hallTarget) {
+	if t.running <= 0 && t.failedAt.IsZero() {
+		delete(s.targets, target)
+		return
+	}
+	s.targets[target] = t
+}
+
+// respond records a response of a target of a hall.
+func (h *Halls) respond(now time.Time, name string) {
+	h.hall(name).respondedAt = now
+	if name != h.respondedIn {
+		h.beforeAt = h.respondedAt
+	}
+	h.respondedAt, h.respondedIn = now, name
+}
+
+// othersRespondedAt returns when a target of another hall last responded.
+func (h *Halls) othersRespondedAt(name string) time.Time {
+	if name != h.respondedIn {
+		return h.respondedAt
+	}
+	return h.beforeAt
+}
+
+// Failed records a failure of a target.
+func (h *Halls) Failed(now time.Time, name, target string, failure Failure) {
+	s := h.hall(name)
+	t := s.targets[target]
+	if t.failedAt.IsZero() {
+		s.failing++
+	}
+	t.failedAt, t.failure = now, failure
+	s.targets[target] = t
+}
+
+// Connected records that a connection to a target, which was begun at the given time, was opened.
+func (h *Halls) Connected(at time.Time, name, target string) {
+	s := h.hall(name)
+	t, ok := s.targets[target]
+	if ok && !t.failedAt.IsZero() && t.failure == Unconnected {
+		s.clearFailure(target, t)
+	}
+	s.connect(at)
+}
+
+// connect records that a connection that was begun at the given time was opened.
+func (s *hall) connect(at time.Time) {
+	if !at.After(s.connectedAt) {
+		return
+	}
+	s.connectedAt = at
+	s.clearFailures(func(t hallTarget) bool { return t.failure == Unconnected && !t.failedAt.After(at) })
+}
+
+func (s *hall) clearFailures(cleared func(hallTarget) bool) {
+	if s.failing == 0 {
+		return
+	}
+	for target, t := range s.targets {
+		if !t.failedAt.IsZero() && cleared(t) {
+			s.clearFailure(target, t)
+		}
+	}
+}
+
+// clearFailure forgets the failure of a target.
+func (s *hall) clearFailure(target string, t hallTarget) {
+	s.failing--
+	t.failedAt = time.Time{}
+	s.put(target, t)
+}
+
+// evidence returns the failures of a hall's targets that count at a time, as a Loss without At.
+func (h *Halls) evidence(now time.Time, name string, s *hall) Loss {
+	var e Loss
+	s.clearFailures(func(t hallTarget) bool { return now.Sub(t.failedAt) >= hallFailureWindow })
+	others := h.othersRespondedAt(name)
+	for _, t := range s.targets {
+		at := t.failedAt
+		stalledSince := later(t.waitingSince, s.respondedAt)
+		switch {
+		case !t.failedAt.IsZero() && t.failure == Unconnected:
+			e.Unconnected++
+		case !t.failedAt.IsZero():
+			e.Unanswered++
+		case t.running > 0 && now.Sub(stalledSince) >= stallTime && others.After(stalledSince):
+			e.Stalled++
+			at = stalledSince
+		default:
+			continue
+		}
+		if e.Since.IsZero() || at.Before(e.Since) {
+			e.Since = at
+		}
+	}
+	return e
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// suffices reports whether so many targets of a hall fail that it may be lost.
+func (s *hall) suffices(e Loss) bool {
+	return e.Unconnected+e.Unanswered+e.Stalled >= min(minHallFailed, max(s.size, 1))
+}
+
+// isSuspicious reports whether so many targets of a hall fail that the hall may be lost.
+func (h *Halls) isSuspicious(now time.Time, name string, s *hall) bool {
+	return s.suffices(h.evidence(now, name, s))
+}
+
+// NeedsAttention reports whether a check of a hall may become due without a further event.
+func (h *Halls) NeedsAttention(now time.Time, name string) bool {
+	return h.hall(name).needsAttention(now)
+}
+
+func (s *hall) needsAttention(now time.Time) bool {
+	return s.isLost() || s.failing > 0 || s.running > 0 && now.Sub(later(s.waitingSince, s.respondedAt)) >= stallTime/2
+}
+
+// IsIdle reports whether no check of any hall becomes due without a further event.
+func (h *Halls) IsIdle(now time.Time) bool {
+	for _, s := range h.halls {
+		if s.needsAttention(now) {
+			return false
+		}
+	}
+	return true
+}
+
+// Abandon returns the lost halls at whose targets requests are running that will not be answered: none
+// was for stallTime. Each loss is returned once.
+func (h *Halls) Abandon(now time.Time) []string {
+	var out []string
+	for _, name := range slices.Sorted(maps.Keys(h.halls)) {
+		s := h.halls[name]
+		if s.isLost() && !s.abandoned && s.running > 0 && now.Sub(later(s.respondedAt, s.loss.Since)) >= stallTime {
+			s.abandoned = true
+			out = append(out, name)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/reach/isolation.go
@@ -0,0 +1,28 @@
+package reach
+
+import "time"
+
+// isolationTime is the time without a heartbeat of any member of another hall after which an instance may
+// be isolated. Two rounds of gossip pass in it.
+const isolationTime = time.Second
+
+// Contacts are an instance's last contacts with what is outside its hall.
+type Contacts struct {
+	// MembersAt is when a heartbeat of a member of another hall last arrived, or zero if none has since
+	// the start. StoreAt is when the store last responded.
+	MembersAt, StoreAt time.Time
+	// HallsLost is true if the targets of all other halls are lost.
+	HallsLost bool
+}
+
+// MayBeIsolated reports whether an instance is isolated, that is, cut off from everything outside its hall,
+// unless the store responds. The caller should then find out whether it does.
+func (c Contacts) MayBeIsolated(now time.Time) bool {
+	return c.HallsLost && !c.MembersAt.IsZero() && now.Sub(c.MembersAt) >= isolationTime
+}
+
+// IsIsolated reports whether an instance is isolated. If the store has responded since the members of other
+// halls were last heard from, these are down.
+func (c Contacts) IsIsolated(now time.Time) bool {
+	return c.MayBeIsolated(now) && !c.StoreAt.After(c.MembersAt)
+}
--- a/reach/tracker.go
+++ b/reach/tracker.go
@@ -189,14 +189,31 @@
 // Check is the result of a check.
 type Check struct {
 	StartedAt, EndedAt time.Time
+	// Timeout is the time after which the check gave up.
+	Timeout time.Duration
 	// Tried is the number of targets that the check tried to connect to, and Connected the number of
 	// those that it connected to. Size is the number that it was to try.
 	Tried, Connected, Size int
 }
 
-// Checked records the result of a check. A check of no target shows nothing. Checked reports whether
-// Lost has changed.
+// isLate reports whether a failed check took so long that the process did not run meanwhile, which shows
+// nothing of the targets.
+func (c Check) isLate() bool {
+	return c.Connected == 0 && isLate(c.StartedAt, c.EndedAt, c.Timeout)
+}
+
+// isLate reports whether a failed check with a time-out ended much later than that.
+func isLate(startedAt, endedAt time.Time, timeout time.Duration) bool {
+	return timeout > 0 && endedAt.Sub(startedAt) > timeout+lateCheckTime
+}
+
+// Checked records the result of a check. A check of no target shows nothing. One during which the process
+// did not run is repeated. Checked reports whether Lost has changed.
 func (t *Tracker) Checked(c Check) (changed bool) {
+	if c.Tried > 0 && c.isLate() {
+		t.checkedAt = time.Time{}
+		return false
+	}
 	now := c.EndedAt
 	t.checkedAt, t.targetStarted = now, false
 	if c.Tried == 0 {
