upstream: targets in unreachable halls get no requests

SetUnreachableHalls excludes the targets of halls to which the instance has lost its links, with a cause of its own: they stay in service, so that shares of regions don't change, and are not reported as down. A region without a usable target is divided over the others by key and slots, alike on all instances, where all its requests went to one other region before. Refusals say whether another instance may have a target.

go test ./upstream ./availability ./locality ./affinity: passes.

--- a/availability/state.go
+++ b/availability/state.go
@@ -6,7 +6,8 @@
 type Cause string
 
 // The causes of a Verdict, the most persistent first. A State does not return the last three. They
-// are set by the code that counts the requests at the target. CauseProbing: one request probes
+// are set by the code that counts the requests at the target. CauseUnreachable: this instance has lost its
+// links to the target's hall, which says nothing of the target. CauseProbing: one request probes
 // whether a suspected target has recovered. CauseCold: a cold target has received its admissible
 // rate. CauseRateLimited: the rate limit that the target announced is used up.
 const (
@@ -15,6 +16,7 @@
 	CauseGone        Cause = "gone"
 	CauseLeaving     Cause = "leaving"
 	CauseEvacuated   Cause = "evacuated"
+	CauseUnreachable Cause = "unreachable"
 	CauseBackoff     Cause = "resting"
 	CauseSuspected   Cause = "suspected"
 	CausePaused      Cause = "paused"
@@ -97,11 +99,12 @@
 // State holds the conditions of one incarnation of a target. The zero value has no conditions. A
 // State is not safe for concurrent use.
 type State struct {
-	// persistent reports whether a persistent condition is active, and until is the latest end of
-	// the timed conditions. For most targets only these two fields are read. They come first, so
-	// that they share a cache line with the field that precedes a State.
-	persistent bool
-	until      time.Time
+	// persistent reports whether a persistent condition is active, unreachable whether this instance
+	// reaches the target's hall, and until is the latest end of the timed conditions. For most targets
+	// only these fields are read. They come first, so that they share a cache line with the field that
+	// precedes a State.
+	persistent, unreachable bool
+	until                   time.Time
 
 	// conditions is nil as long as no condition has been set, and after the last persistent one is
 	// cleared if there was never a timed one. This saves memory, since nearly all of the
@@ -114,6 +117,8 @@
 	backoff, suspicion, pause timedCondition
 
 	replaced, gone, evacuated condition
+	// unreachable excludes the target without taking it out of service.
+	unreachable condition
 	// The three sources for a target being about to leave.
 	listedLeaving, announcedLeaving, drained condition
 }
@@ -148,6 +153,7 @@
 func (s *State) recompute() {
 	conds := s.current()
 	s.persistent = conds.replaced.active || conds.gone.active || conds.evacuated.active || conds.listedLeaving.active || conds.announcedLeaving.active || conds.drained.active
+	s.unreachable = conds.unreachable.active
 	s.until = conds.backoff.until
 	if conds.suspicion.until.After(s.until) {
 		s.until = conds.suspicion.until
@@ -155,7 +161,7 @@
 	if conds.pause.until.After(s.until) {
 		s.until = conds.pause.until
 	}
-	if !s.persistent && s.until.IsZero() {
+	if !s.persistent && !s.unreachable && s.until.IsZero() {
 		s.conditions = nil
 	}
 }
@@ -182,6 +188,12 @@
 	s.setCondition(now, SourceList, evacuated, func(conds *conditions) *condition { return &conds.evacuated })
 }
 
+// SetUnreachable records whether this instance has lost its links to the target's hall. The target remains
+// in service.
+func (s *State) SetUnreachable(now time.Time, unreachable bool) {
+	s.setCondition(now, SourceLocal, unreachable, func(conds *conditions) *condition { return &conds.unreachable })
+}
+
 // SetReplaced records that another target has answered at the address.
 func (s *State) SetReplaced(now time.Time) {
 	s.setCondition(now, SourceLocal, true, func(conds *conditions) *condition { return &conds.replaced })
@@ -226,12 +238,14 @@
 }
 
 // InService reports whether no persistent condition excludes the target. Timed conditions do not
-// count.
+// count, nor do lost links to its hall.
 func (s *State) InService() bool { return !s.persistent }
 
 // Available reports whether the target may be sent a request now. It is a faster form of
 // Verdict(now).OK().
-func (s *State) Available(now time.Time) bool { return !s.persistent && !now.Before(s.until) }
+func (s *State) Available(now time.Time) bool {
+	return !s.persistent && !s.unreachable && !now.Before(s.until)
+}
 
 // Verdict returns whether the target may be sent a request now. If not, it returns the first
 // persistent cause in the order of the causes, or if there is none the timed cause that ends last.
@@ -239,6 +253,9 @@
 	if s.persistent {
 		return s.persistentVerdict()
 	}
+	if s.unreachable {
+		return Verdict{Cause: CauseUnreachable, Source: SourceLocal, Since: s.current().unreachable.since}
+	}
 	if !now.Before(s.until) {
 		return Verdict{}
 	}
@@ -274,6 +291,13 @@
 // SuspectedUntil returns the end of the suspicion because the target did not answer.
 func (s *State) SuspectedUntil() time.Time { return s.current().suspicion.until }
 
+// SuspectedSince returns the time from which the target has been suspected without interruption until
+// SuspectedUntil.
+func (s *State) SuspectedSince() time.Time { return s.current().suspicion.since }
+
+// Unreachable reports whether this instance has lost its links to the target's hall.
+func (s *State) Unreachable() bool { return s.unreachable }
+
 // PausedUntil returns the end of the pause.
 func (s *State) PausedUntil() time.Time { return s.current().pause.until }
 
--- a/upstream/choose.go
+++ b/upstream/choose.go
@@ -47,7 +47,8 @@
 }
 
 // chooseAnywhere selects a target in the region drawn for the request, or in another region if no
-// target there can be used. Full targets do not send a request to another region, since that would
+// target there can be used. All instances try the other regions in the same order for a key, by which
+// each of them gets a part of the keys in proportion to its slots. Full targets do not send a request to another region, since that would
 // shift traffic faster than ShiftStep allows. If rate limits make the targets of the drawn region
 // unusable, a target in another region gets the request only if it has capacity to spare.
 func (p *Pool) chooseAnywhere(now time.Time, r *Request) candidate {
@@ -61,10 +62,7 @@
 	if !r.Isolated && p.blockedByLimitIn(now, r, drawn) {
 		chooseIn = p.chooseSpare
 	}
-	for _, region := range pl.regions {
-		if region == drawn {
-			continue
-		}
+	for _, region := range pl.substitutes(r.Key, drawn) {
 		c = chooseIn(now, r, region)
 		if c.found || c.reason == ReasonFull || c.reason == ReasonLimited {
 			return c
@@ -96,9 +94,9 @@
 }
 
 // keyFilter returns the predicate of the targets that keep their keys. Most of the time no target
-// has requested a back-off, and then these are the targets in service.
+// has requested a back-off and no hall is unreachable, and then these are the targets in service.
 func (p *Pool) keyFilter(now time.Time) func(*target) bool {
-	if !now.Before(p.backoffUntil) {
+	if !now.Before(p.backoffUntil) && len(p.unreachable) == 0 {
 		return (*target).inService
 	}
 	return func(t *target) bool { return t.keepsKeys(now) }
--- a/upstream/next_available.go
+++ b/upstream/next_available.go
@@ -29,7 +29,7 @@
 			return
 		}
 		cause, until := t.availableAt(now)
-		soon = !r.wasTried(t.spec.ID) && until.Sub(now) <= r.QueueTimeout
+		soon = cause != availability.CauseUnreachable && !r.wasTried(t.spec.ID) && until.Sub(now) <= r.QueueTimeout
 		if !first.inService || until.Before(first.until) {
 			first = nextAvailable{inService: true, cause: cause, until: until}
 		}
@@ -49,6 +49,8 @@
 		return availability.CauseRateLimited, later(now, t.permits.DeniedUntil(t.rateLimit.name))
 	}
 	switch verdict.Cause {
+	case availability.CauseUnreachable:
+		return verdict.Cause, now.Add(unreachableRetryAfter)
 	case availability.CauseNone, availability.CauseProbing, availability.CauseCold:
 		return verdict.Cause, now
 	default:
@@ -100,7 +102,7 @@
 	if first.cause != availability.CauseBackoff {
 		refusal.RetryAfter = max(refusal.RetryAfter, left)
 		refusal.Unreachable = first.cause == availability.CauseSuspected
-		return refusal, true
+		return p.markUnreachable(&r, refusal), true
 	}
 	draw := mix.Unit(mix.Combine(r.ID, mix.Combine(p.salt, p.salt)))
 	refusal.Reason = ReasonBackoff
--- a/upstream/plan.go
+++ b/upstream/plan.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"cmp"
 	"slices"
 	"sort"
 	"strings"
@@ -26,7 +27,7 @@
 	keyShares    []locality.Share
 	wantedShares []locality.Share
 	shares       []locality.Share
-	// regions lists all regions with slots, in an order that depends on the instance's region.
+	// regions lists all regions with slots, ordered by name.
 	regions   []string
 	updatedAt time.Time
 	settled   bool
@@ -89,9 +90,22 @@
 	for region := range pl.slots {
 		pl.regions = append(pl.regions, region)
 	}
-	sort.Slice(pl.regions, func(i, j int) bool {
-		return mix.Pair(pl.regions[i], p.config.Region) < mix.Pair(pl.regions[j], p.config.Region)
-	})
+	sort.Strings(pl.regions)
+}
+
+// substitutes returns the regions other than the one drawn for a key, in the order in which they are to
+// replace it (rendezvous hashing weighted by slots).
+func (pl *plan) substitutes(key, drawn string) []string {
+	out := make([]string, 0, len(pl.regions))
+	score := make(map[string]float64, len(pl.regions))
+	for _, region := range pl.regions {
+		if region != drawn {
+			score[region] = mix.RendezvousScore(mix.Pair(key, region), max(pl.slots[region], 1))
+			out = append(out, region)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b string) int { return cmp.Compare(score[b], score[a]) })
+	return out
 }
 
 const (
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -60,6 +60,8 @@
 	// plans holds the division of requests between regions for each set of home regions.
 	plans map[string]*plan
 	queue queue
+	// unreachable holds the halls to which this instance has lost its links.
+	unreachable map[string]bool
 	// departures holds the targets that announced that they leave, including targets that are not
 	// in the pool. The target list, whether older or newer, does not revoke an announcement.
 	departures availability.Departures
@@ -189,7 +191,7 @@
 		return Decision{Action: Refuse, Reason: ReasonLate, RetryAfter: p.retryAfter(r.ID)}
 	}
 	if !p.queue.add(r) {
-		return Decision{Action: Refuse, Reason: ReasonQueueFull, RetryAfter: p.retryAfter(r.ID)}
+		return p.markUnreachable(&r, Decision{Action: Refuse, Reason: ReasonQueueFull, RetryAfter: p.retryAfter(r.ID)})
 	}
 	return Decision{Action: Wait, Reason: c.reason}
 }
@@ -301,17 +303,22 @@
 // when the links of this instance, which made the targets appear to be down, work again.
 func (p *Pool) EndSuspicions(now time.Time) []Grant {
 	for _, t := range p.activeTargets {
-		if t.stats.suspectBackoff == 0 && t.stats.failures == 0 {
-			continue
-		}
-		before := t.eventState()
-		t.endSuspicion()
-		p.recordEvent(t, before, Answered)
-		p.count(t)
+		p.endSuspicion(t)
 	}
 	return p.dispatch(now)
 }
 
+// endSuspicion ends the suspicion of a target, if there is one.
+func (p *Pool) endSuspicion(t *target) {
+	if t.stats.suspectBackoff == 0 && t.stats.failures == 0 {
+		return
+	}
+	before := t.eventState()
+	t.endSuspicion()
+	p.recordEvent(t, before, Answered)
+	p.count(t)
+}
+
 // observeLatency updates the cache model and the target's slowness from the latency of a response.
 func (p *Pool) observeLatency(t *target, r Result) {
 	if r.Outcome != Answered {
--- a/upstream/rate_limit.go
+++ b/upstream/rate_limit.go
@@ -284,7 +284,7 @@
 func (p *Pool) refuse(now time.Time, r *Request, reason Reason) Decision {
 	d := Decision{Action: Refuse, Reason: reason, RetryAfter: p.retryAfter(r.ID)}
 	if reason != ReasonNoTarget && reason != ReasonLimited || len(p.rateLimits) == 0 || !p.blockedByLimit(now, r) {
-		return d
+		return p.markUnreachable(r, d)
 	}
 	d.Reason = ReasonLimited
 	d.RetryAfter = max(d.RetryAfter, p.retryForecast.nextRetry(now))
--- a/upstream/request.go
+++ b/upstream/request.go
@@ -85,7 +85,10 @@
 	ReasonFirstChoice Reason = "first-choice"
 	ReasonLoad        Reason = "by-load"
 	ReasonNoTarget    Reason = "no-target"
-	ReasonBackoff     Reason = "targets-rest"
+	// ReasonHallsLost means that there would be targets in halls to which this instance has lost its
+	// links.
+	ReasonHallsLost Reason = "halls-lost"
+	ReasonBackoff   Reason = "targets-rest"
 	// ReasonLimited means that the rate limits of the targets are used up.
 	ReasonLimited   Reason = "targets-limited"
 	ReasonFull      Reason = "targets-full"
@@ -102,8 +105,9 @@
 	SendState SendState
 	// RetryAfter is the time after which a refused request should be retried.
 	RetryAfter time.Duration
-	// Unreachable means that a request is refused because this instance could not reach targets that
-	// are in service. Another instance may reach them.
+	// Unreachable means that a request is refused because this instance does not reach targets that are
+	// in service: it could not connect to them, or has lost its links to their hall. Another instance
+	// may reach them.
 	Unreachable bool
 }
 
--- a/upstream/state.go
+++ b/upstream/state.go
@@ -17,6 +17,8 @@
 	StateCold State = "cold"
 	// StateSuspect targets get no requests for a while, or one request at a time.
 	StateSuspect State = "suspect"
+	// StateUnreachable targets are in a hall to which this instance has lost its links.
+	StateUnreachable State = "unreachable"
 	// StateBackoff targets have requested to get no requests for a while.
 	StateBackoff State = "resting"
 	// StateLeaving targets have announced that they leave, are drained, or are not listed any more.
@@ -61,6 +63,8 @@
 		return StateLeaving
 	case availability.CauseEvacuated:
 		return StateEvacuated
+	case availability.CauseUnreachable:
+		return StateUnreachable
 	case availability.CauseBackoff:
 		return StateBackoff
 	case availability.CauseSuspected, availability.CausePaused:
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -108,11 +108,11 @@
 func (t *target) inService() bool { return t.state.InService() }
 
 // keepsKeys reports whether the target stays in the ranking of its keys although it may be unusable
-// for a moment. A back-off lasts seconds, so that meanwhile the keys are ranked over the other
-// targets and have two of these. With only one substitute, that target would have to load as many
-// objects again.
+// for a moment. A back-off or the loss of the links to a hall lasts seconds, so that meanwhile the
+// keys are ranked over the other targets and have two of these. With only one substitute, that target
+// would have to load as many objects again.
 func (t *target) keepsKeys(now time.Time) bool {
-	return t.inService() && !now.Before(t.state.BackoffUntil())
+	return t.inService() && !t.state.Unreachable() && !now.Before(t.state.BackoffUntil())
 }
 
 // usable reports whether a request may be sent now, regardless of the target's load.
--- a/upstream/target_report.go
+++ b/upstream/target_report.go
@@ -124,7 +124,7 @@
 		if now.Sub(s.answeredAt) < targetReportTTL {
 			responding++
 		}
-		if !t.inService() {
+		if !t.inService() || t.state.Unreachable() {
 			continue
 		}
 		if age := now.Sub(s.downAt); age < targetReportTTL && s.suspectBackoff > 0 && !s.downAt.After(provenAt) {
