--- a/fleet/member.go
+++ b/fleet/member.go
@@ -27,6 +27,9 @@
 	// TargetsLost is set while the process reaches no target, and for a moment after that. An encoded
 	// list of heartbeats does not contain it, see Heartbeats.With.
 	TargetsLost
+	// HallsLost is set while the process reaches no target of some hall. Like TargetsLost, an encoded
+	// list of heartbeats does not contain it.
+	HallsLost
 )
 
 // State is the state of a member in a view.
@@ -55,5 +58,8 @@
 // ReachesTargets reports whether the member can send requests to targets, also for other instances.
 func (s Status) ReachesTargets() bool { return s.Serves() && s.Flags&TargetsLost == 0 }
 
+// ReachesAllHalls reports whether the member can send requests to the targets of every hall.
+func (s Status) ReachesAllHalls() bool { return s.ReachesTargets() && s.Flags&HallsLost == 0 }
+
 // Serves reports whether clients may be directed to the member.
 func (s Status) Serves() bool { return s.State == Alive && s.Flags&Ready != 0 }
--- a/fleet/targets_lost_test.go
+++ b/fleet/targets_lost_test.go
@@ -34,4 +34,12 @@
 	require.True(t, others[0].Serves())
 	require.False(t, others[0].ReachesTargets())
 	require.True(t, others[1].ReachesTargets())
+	require.True(t, others[1].ReachesAllHalls())
+
+	now = now.Add(RoundTime)
+	view.MergeHeartbeats(now, Heartbeats{{Member: IDOf("n1"), Sequence: 9, Flags: Ready | TargetsLost}, {Member: IDOf("n2"), Sequence: 10, Flags: Ready | HallsLost}})
+	others = view.Others(now)
+	require.False(t, others[0].ReachesAllHalls())
+	require.True(t, others[1].ReachesTargets())
+	require.False(t, others[1].ReachesAllHalls())
 }
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -132,7 +132,7 @@
 
 // newGossip returns a message with the given heartbeats.
 func newGossip(heartbeats fleet.Heartbeats) *peer.Gossip {
-	return &peer.Gossip{Heartbeats: heartbeats, TargetsLost: heartbeats.With(fleet.TargetsLost)}
+	return &peer.Gossip{Heartbeats: heartbeats, TargetsLost: heartbeats.With(fleet.TargetsLost), HallsLost: heartbeats.With(fleet.HallsLost)}
 }
 
 // flags returns the flags for the heartbeat of this instance.
@@ -153,6 +153,9 @@
 	if g.reach.wasLostRecently(g.clock.Now()) {
 		flags |= fleet.TargetsLost
 	}
+	if g.reach.hasLostHalls() {
+		flags |= fleet.HallsLost
+	}
 	return flags
 }
 
@@ -273,6 +276,7 @@
 	defer g.mu.Unlock()
 	known := g.view.Len()
 	m.Heartbeats.SetFlag(fleet.TargetsLost, m.TargetsLost)
+	m.Heartbeats.SetFlag(fleet.HallsLost, m.HallsLost)
 	if m.Member != nil {
 		g.view.Add(*m.Member)
 	}
--- a/gateway/quarantine_gossip.go
+++ b/gateway/quarantine_gossip.go
@@ -35,7 +35,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	own := fleet.Heartbeats{g.view.OwnHeartbeat()}
-	message.Heartbeats, message.TargetsLost, message.Reply = own, own.With(fleet.TargetsLost), true
+	message.Heartbeats, message.Reply = own, true
+	message.TargetsLost, message.HallsLost = own.With(fleet.TargetsLost), own.With(fleet.HallsLost)
 	if g.view.Len() <= maxDirectRecipients {
 		for _, m := range g.partners(now, true) {
 			g.mesh.Send(m.PeerAddr, &message)
@@ -61,7 +62,7 @@
 // relayBroadcast relays the updates of a message to the instances of the broadcast tree for which
 // the sender has made this instance responsible. The caller holds mu.
 func (g *Gateway) relayBroadcast(now time.Time, m *peer.Gossip) {
-	message := peer.Gossip{Heartbeats: m.Heartbeats, TargetsLost: m.TargetsLost, Quarantine: m.Quarantine, Departures: m.Departures, Limits: m.Limits, Stages: m.Stages, Reply: true}
+	message := peer.Gossip{Heartbeats: m.Heartbeats, TargetsLost: m.TargetsLost, HallsLost: m.HallsLost, Quarantine: m.Quarantine, Departures: m.Departures, Limits: m.Limits, Stages: m.Stages, Reply: true}
 	switch {
 	case m.RelayToRegion:
 		g.broadcastToRegion(now, message)
--- a/internal/standin/link/link.go
+++ b/internal/standin/link/link.go
@@ -11,6 +11,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -31,11 +32,21 @@
 	RefuseNew
 	// HangNew drops the packets of new connections. Open ones work.
 	HangNew
+	// OneWay delivers what the instance sends on open connections and drops all packets to the instance.
+	// A connection breaks as in the mode Silent, and opening one times out.
+	OneWay
+	// AcceptAndDrop accepts new connections in the place of the address, as a middlebox may, and drops all
+	// that is sent on any. A connection that has dropped bytes delivers none after the end of the cut.
+	AcceptAndDrop
 	modes
 )
 
-// Modes returns all modes.
-func Modes() []Mode {
+// Modes returns the modes in which connections fail, so that a link to all addresses is seen to be cut by
+// connecting.
+func Modes() []Mode { return []Mode{Silent, Reset, RefuseNew, HangNew} }
+
+// AllModes returns all modes.
+func AllModes() []Mode {
 	var out []Mode
 	for m := range modes {
 		out = append(out, m)
@@ -45,7 +56,7 @@
 
 // String returns the name of the mode.
 func (m Mode) String() string {
-	return [...]string{"silent", "reset", "refuse-new", "hang-new"}[m]
+	return [...]string{"silent", "reset", "refuse-new", "hang-new", "one-way", "accept-and-drop"}[m]
 }
 
 // UnackedTimeout is how long sent bytes may remain unacknowledged in the mode Silent before the
@@ -68,13 +79,18 @@
 
 // pair is a connection of the instance (near) and the one to the target (far).
 type pair struct {
-	addr      string
+	addr string
+	// far is nil if the connection was opened in the mode AcceptAndDrop.
 	near, far net.Conn
+	// dropped is set once bytes have been dropped in that mode.
+	dropped atomic.Bool
 }
 
 func (p *pair) close() {
 	_ = p.near.Close()
-	_ = p.far.Close()
+	if p.far != nil {
+		_ = p.far.Close()
+	}
 }
 
 // reset resets the connection of the instance.
@@ -143,23 +159,35 @@
 
 // Dial opens a connection to an address through the link. It has the signature of forward.Dialer.
 func (l *Link) Dial(ctx context.Context, addr string, timeout time.Duration) (net.Conn, error) {
-	if mode, cut, _ := l.state(addr); cut {
+	mode, cut, _ := l.state(addr)
+	if cut && mode != AcceptAndDrop {
 		return nil, fail(ctx, mode, timeout)
 	}
+	if cut {
+		return l.open(addr, nil)
+	}
 	far, err := (&net.Dialer{Timeout: timeout}).DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
+	near, err := l.open(addr, far)
+	if err != nil {
+		_ = far.Close()
+	}
+	return near, err
+}
+
+// open returns the instance's end of a connection whose bytes are relayed to and from far, or dropped if
+// far is nil.
+func (l *Link) open(addr string, far net.Conn) (net.Conn, error) {
 	l.dialing.Lock()
 	defer l.dialing.Unlock()
 	outer, err := net.Dial("tcp", l.listener.Addr().String())
 	if err != nil {
-		_ = far.Close()
 		return nil, err
 	}
 	near, err := l.listener.Accept()
 	if err != nil {
-		_ = far.Close()
 		_ = outer.Close()
 		return nil, err
 	}
@@ -167,6 +195,11 @@
 	l.mu.Lock()
 	l.pairs[p] = true
 	l.mu.Unlock()
+	if far == nil {
+		p.dropped.Store(true)
+		go l.copy(p, nil, near)
+		return outer, nil
+	}
 	go l.copy(p, far, near)
 	go l.copy(p, near, far)
 	return outer, nil
@@ -187,6 +220,16 @@
 	}
 }
 
+// breakUnacked resets a connection whose sent bytes have not been acknowledged, unless the cut has changed
+// since they were sent.
+func (l *Link) breakUnacked(p *pair, changed <-chan struct{}) {
+	select {
+	case <-changed:
+	default:
+		p.reset()
+	}
+}
+
 // copy relays the bytes of one direction until the connection ends.
 func (l *Link) copy(p *pair, to, from net.Conn) {
 	defer func() {
@@ -198,10 +241,10 @@
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
-		if !l.awaitDelivery(p) {
+		if !l.awaitDelivery(p, from == p.near) {
 			return
 		}
-		if n > 0 {
+		if n > 0 && !p.dropped.Load() {
 			_, writeErr := to.Write(buf[:n])
 			if writeErr != nil {
 				return
@@ -213,14 +256,21 @@
 	}
 }
 
-// awaitDelivery waits while the link drops the packets of open connections. It returns false after
-// UnackedTimeout, when the connection has been reset.
-func (l *Link) awaitDelivery(p *pair) bool {
+// awaitDelivery waits while the link drops the packets of open connections in the given direction. It
+// returns false after UnackedTimeout, when the connection has been reset.
+func (l *Link) awaitDelivery(p *pair, sent bool) bool {
 	timer := time.NewTimer(UnackedTimeout)
 	defer timer.Stop()
 	for {
 		mode, cut, changed := l.state(p.addr)
-		if !cut || mode != Silent {
+		switch {
+		case cut && mode == AcceptAndDrop:
+			p.dropped.Store(true)
+			return true
+		case cut && mode == OneWay && sent:
+			time.AfterFunc(UnackedTimeout, func() { l.breakUnacked(p, changed) })
+			return true
+		case !cut || mode != Silent && mode != OneWay:
 			return true
 		}
 		select {
--- a/internal/standin/link/link_test.go
+++ b/internal/standin/link/link_test.go
@@ -48,10 +48,11 @@
 func TestModes(t *testing.T) {
 	for _, c := range []struct {
 		mode Mode
-		// open and refused state whether open connections work, and whether new ones are refused
-		// at once rather than timing out.
-		open, refused bool
-	}{{Silent, false, false}, {Reset, false, true}, {RefuseNew, true, true}, {HangNew, true, false}} {
+		// open, accepted and refused state whether open connections work, and whether new ones are
+		// accepted, or refused at once rather than timing out.
+		open, accepted, refused bool
+	}{{Silent, false, false, false}, {Reset, false, false, true}, {RefuseNew, true, false, true}, {HangNew, true, false, false},
+		{OneWay, false, false, false}, {AcceptAndDrop, false, true, false}} {
 		t.Run(c.mode.String(), func(t *testing.T) {
 			l, err := New()
 			require.NoError(t, err)
@@ -63,9 +64,12 @@
 			l.Cut(c.mode, All)
 			err = exchange(conn, 100*time.Millisecond)
 			require.Equal(t, c.open, err == nil, "%v", err)
-			_, err = l.Dial(context.Background(), addr, 50*time.Millisecond)
-			require.Error(t, err)
+			dropped, err := l.Dial(context.Background(), addr, 50*time.Millisecond)
+			require.Equal(t, c.accepted, err == nil)
 			require.Equal(t, c.refused, isRefused(err), "%v", err)
+			if c.accepted {
+				require.Error(t, exchange(dropped, 100*time.Millisecond))
+			}
 			l.Restore()
 			conn, err = l.Dial(context.Background(), addr, time.Second)
 			require.NoError(t, err)
@@ -109,8 +113,49 @@
 	require.Less(t, time.Since(began), UnackedTimeout+time.Second)
 }
 
+// TestOneWay checks that what is sent arrives although no response does, and that the connection breaks.
+func TestOneWay(t *testing.T) {
+	l, err := New()
+	require.NoError(t, err)
+	defer l.Close()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = ln.Close() }()
+	received := make(chan string, 1)
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		line, _ := bufio.NewReader(c).ReadString('\n')
+		received <- line
+		_, _ = c.Write([]byte(line))
+	}()
+	conn, err := l.Dial(context.Background(), ln.Addr().String(), time.Second)
+	require.NoError(t, err)
+	l.Cut(OneWay, All)
+	began := time.Now()
+	require.Error(t, exchange(conn, 2*UnackedTimeout))
+	require.Equal(t, "x\n", <-received)
+	require.Less(t, time.Since(began), UnackedTimeout+time.Second)
+}
+
+// TestAcceptAndDropDoesNotHeal checks that a connection that has dropped bytes stays useless.
+func TestAcceptAndDropDoesNotHeal(t *testing.T) {
+	l, err := New()
+	require.NoError(t, err)
+	defer l.Close()
+	addr := echo(t)
+	conn, err := l.Dial(context.Background(), addr, time.Second)
+	require.NoError(t, err)
+	l.Cut(AcceptAndDrop, All)
+	require.Error(t, exchange(conn, 100*time.Millisecond))
+	l.Restore()
+	require.Error(t, exchange(conn, 100*time.Millisecond))
+}
+
 func TestTextOfCuts(t *testing.T) {
-	for _, mode := range Modes() {
+	for _, mode := range AllModes() {
 		got, affects, err := ParseCut(FormatCut(mode, nil))
 		require.NoError(t, err)
 		require.Equal(t, mode, got)
--- a/internal/standin/link/text.go
+++ b/internal/standin/link/text.go
@@ -23,7 +23,7 @@
 	if name == "" {
 		return 0, nil, nil
 	}
-	for _, m := range Modes() {
+	for _, m := range AllModes() {
 		if m.String() != name {
 			continue
 		}
--- a/peer/message.go
+++ b/peer/message.go
@@ -103,6 +103,8 @@
 	Heartbeats fleet.Heartbeats `msgpack:"b"`
 	// TargetsLost are the members among Heartbeats that reach no target.
 	TargetsLost []fleet.ID `msgpack:"x,omitempty"`
+	// HallsLost are the members among Heartbeats that reach no target of some hall.
+	HallsLost []fleet.ID `msgpack:"z,omitempty"`
 	// Member describes the sender, for receivers that may not know it. It is nil in most
 	// messages.
 	Member *fleet.Member `msgpack:"m,omitempty"`
