gateway: pools use no target of a lost hall

Connections being opened and requests that may run more than once end their wait when the hall is lost. A failed target is reported as down, or as crashed, only if another one of its hall can be connected to.

--- a/forward/client.go
+++ b/forward/client.go
@@ -39,6 +39,7 @@
 	ErrEncoded    = errors.New("forward: response body has a content encoding")
 	ErrWithheld   = errors.New("forward: target became unavailable before the request was sent")
 	ErrNoIdleConn = errors.New("forward: no open connection to the target is idle")
+	ErrAbandoned  = errors.New("forward: target is no longer expected to respond")
 )
 
 // Codec parses what responses contain in the format of the targets.
@@ -65,7 +66,7 @@
 // NewClient returns a client without connections. The deadlines of its requests are times
 // of the clock.
 func NewClient(headers Headers, codec Codec, clock *clock.Clock) *Client {
-	return &Client{headers: headers, codec: codec, clock: clock, dialer: dialTCP, idle: idlePool{clock: clock, conns: make(map[string][]*conn)},
+	return &Client{headers: headers, codec: codec, clock: clock, dialer: DialTCP, idle: idlePool{clock: clock, conns: make(map[string][]*conn)},
 		spares: sparePolicy{slowDial: slowDial, targets: make(map[string]*spareState)}}
 }
 
@@ -80,6 +81,9 @@
 	c.spares.expire(now)
 }
 
+// CloseIdleTo closes the idle connections to a target.
+func (c *Client) CloseIdleTo(target, addr string) { c.idle.closeAll(endpointKey(target, addr)) }
+
 // CloseIdle closes all idle connections.
 func (c *Client) CloseIdle() { c.idle.closeEverything() }
 
@@ -93,7 +97,7 @@
 	if err != nil {
 		a := Attempt{Outcome: retry.NotRun, Err: err}
 		a.TargetResult.Outcome = upstream.Unreachable
-		if ctx.Err() != nil || errors.Is(err, ErrNoIdleConn) {
+		if ctx.Err() != nil || isDoneContext(r.DialContext) || errors.Is(err, ErrNoIdleConn) {
 			a.TargetResult.Outcome = upstream.Abandoned
 		}
 		return a
@@ -157,11 +161,16 @@
 func (c *Client) exchange(ctx context.Context, cn *conn, r *Request) Attempt {
 	reused := cn.reused
 	_ = cn.SetDeadline(c.clock.System(r.Deadline))
-	stop := context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
+	interrupt := func() { _ = cn.SetDeadline(time.Unix(1, 0)) }
+	stop := context.AfterFunc(ctx, interrupt)
+	stopAbandoning := func() bool { return true }
+	if r.ExchangeContext != nil {
+		stopAbandoning = context.AfterFunc(r.ExchangeContext, interrupt)
+	}
 	written := c.write(cn, r)
 	resp, err := c.read(cn, r)
 	keep := err == nil && !resp.Close && cn.reader.Buffered() == 0 && isDone(written)
-	if !stop() {
+	if interrupted := !stop(); !stopAbandoning() || interrupted {
 		keep = false
 	}
 	if keep {
@@ -399,6 +408,8 @@
 	switch {
 	case ctx.Err() != nil:
 		a.TargetResult.Outcome = upstream.Abandoned
+	case isDoneContext(r.ExchangeContext) && errors.Is(err, os.ErrDeadlineExceeded):
+		a.TargetResult.Outcome, a.Err = upstream.Abandoned, ErrAbandoned
 	case resp == nil && !c.clock.Now().Before(r.Deadline):
 		a.TargetResult.Outcome = upstream.TimedOut
 	default:
@@ -407,6 +418,9 @@
 	return a
 }
 
+// isDoneContext reports whether a context is done. A nil context is not.
+func isDoneContext(ctx context.Context) bool { return ctx != nil && ctx.Err() != nil }
+
 // keepAliveTimeout returns how long the connection may be idle according to the response,
 // at most maxIdle.
 func keepAliveTimeout(h http.Header) time.Duration {
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -45,8 +45,8 @@
 // Dialer opens a TCP connection to an address within a time-out.
 type Dialer func(ctx context.Context, addr string, timeout time.Duration) (net.Conn, error)
 
-// dialTCP is the Dialer of clients that have no other one.
-func dialTCP(ctx context.Context, addr string, timeout time.Duration) (net.Conn, error) {
+// DialTCP is the Dialer of clients that have no other one.
+func DialTCP(ctx context.Context, addr string, timeout time.Duration) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: timeout, KeepAlive: -1, Control: sockopt.UserTimeout(unackedTimeout)}
 	return dialer.DialContext(ctx, "tcp", addr)
 }
--- a/forward/message.go
+++ b/forward/message.go
@@ -69,6 +69,9 @@
 	// is not nil, is called when that takes longer than slowDialNotice.
 	DialContext context.Context
 	OnSlowDial  func()
+	// ExchangeContext ends the wait for the response when it is done, if it is not nil. The outcome of
+	// the request is then unknown.
+	ExchangeContext context.Context
 }
 
 // endpoint returns the key of the request's connections. It contains the address because
--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -122,6 +122,8 @@
 			g.applyTable(c, from)
 		}
 		g.pools.setTargets(now, g.targetList.specs, g.evacuated)
+		g.updateHallSizes()
+		g.updateHallSizes()
 	case KindInstances:
 		g.applyInstances(now, changes, from)
 		g.updateInstanceShares(now)
@@ -143,6 +145,7 @@
 		g.log.Info(logEvacuation, "hall", c.Name, "evacuated", !c.Removed, "source", from.source, "revision", from.revision)
 	}
 	g.pools.setTargets(now, g.targetList.specs, g.evacuated)
+	g.updateHallSizes()
 	g.scheduleHeldChanges(now, KindEvacuations)
 }
 
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -321,7 +321,7 @@
 
 func (g *Gateway) sendAttempt(ex *exchange, header http.Header, p *pool, d upstream.Decision) forward.Attempt {
 	remaining := g.clock.Until(ex.deadline)
-	g.reach.start()
+	g.reach.start(d.Target)
 	a := g.targets.Do(ex.ctx, &forward.Request{
 		Method:        ex.r.Method,
 		URI:           ex.uri,
@@ -337,9 +337,11 @@
 		Deadline:      ex.deadline.Add(lateResponseMargin),
 		NonIdempotent: ex.route.Kind != catalog.Idempotent,
 		IdleConnOnly:  !g.reach.mayDial(d.Target.ID),
-		DialContext:   g.reach.dialContext(d.Target.ID),
-		OnSlowDial:    g.reach.dialIsSlow,
+		DialContext:   g.reach.dialContext(d.Target),
+		OnSlowDial:    func() { g.reach.dialIsSlow(d.Target) },
 		MaySend:       func() bool { return p.maySend(d) },
+
+		ExchangeContext: g.exchangeContext(ex, d.Target),
 	})
 	g.reach.end(d.Target, a)
 	return a
--- a/gateway/config.go
+++ b/gateway/config.go
@@ -57,6 +57,8 @@
 
 	// TargetDialer opens the connections to targets. If it is nil, TCP connections are opened.
 	TargetDialer forward.Dialer
+	// PeerDialer opens the connections to other instances. If it is nil, TCP connections are opened.
+	PeerDialer forward.Dialer
 
 	// LogSample logs one in so many ordinary successful requests, or none if it is 0.
 	LogSample int
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -183,6 +183,12 @@
 	g.reach = newReachability(g)
 	g.helpers = newHelpers(config.Region, config.Hall, g.otherMembers)
 	g.helperClient = forward.NewClient(headers, codec, config.Clock)
+	helperDialer := forward.Dialer(forward.DialTCP)
+	if config.PeerDialer != nil {
+		helperDialer = config.PeerDialer
+		g.mesh.SetDialer(config.PeerDialer)
+	}
+	g.helperClient.SetDialer(dialHelper(helperDialer))
 	g.pools = newPools(config, g.departures.all, g.targetLimits.all, g.requestPermits)
 	g.accountPermits = newPermits(config, g.mesh, g.startedAt, g.limitOf)
 	g.quarantine = newQuarantineState()
@@ -243,6 +249,7 @@
 	g.startGoroutine(func() { g.gossipLoop(work) })
 	g.startGoroutine(func() { g.maintenanceLoop(work) })
 	g.startGoroutine(func() { g.reach.loop(work) })
+	g.startGoroutine(func() { g.reach.halls.loop(work) })
 	g.serveClients()
 	g.log.Info(logStart, "version", Version(), "hall", g.config.Hall, "region", g.config.Region,
 		"listen", g.config.Listen, "peer", g.config.PeerListen, "seeds", g.config.Seeds, "log_sample", g.config.LogSample)
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -80,7 +80,7 @@
 	g.gossipRounds++
 	partners := g.partners(now, wide)
 	settled := now.Sub(g.startedAt) >= heartbeatsExpectedAfter
-	busy := g.pools.targetReports(now, g.reach.provenAt()).Sample(maxTargetReports, g.rand)
+	busy := g.pools.targetReports(now, g.reach.provenIn).Sample(maxTargetReports, g.rand)
 	for _, m := range partners {
 		message := g.gossipMessage(now, m.Region)
 		if m.Region == g.config.Region {
--- /dev/null
+++ b/gateway/halls.go
@@ -0,0 +1,458 @@
+package gateway
+
+import (
+	"context"
+	"log/slog"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rainford/rainford/catalog"
+	"github.com/rainford/rainford/internal/clock"
+	"github.com/rainford/rainford/reach"
+	"github.com/rainford/rainford/upstream"
+)
+
+// hallLinks finds out which halls this instance has lost its links to. It is safe for concurrent use.
+type hallLinks struct {
+	clock *clock.Clock
+	log   *slog.Logger
+	// connect opens a connection to a target, and respond sends it a health request. sample returns up
+	// to n targets of a hall that are in service.
+	connect, respond func(reach.Target) error
+	sample           func(hall string, n int) []reach.Target
+	// all is the state of the links to all targets. While these are lost, no hall is checked.
+	all *reachability
+	// onLost is called with all lost halls when one has been lost, and onRegained when the given one
+	// has been regained, whose first failures were seen at since. onSilent is called with a lost hall
+	// whose targets don't respond on open connections.
+	onLost     func(lost map[string]bool)
+	onRegained func(lost map[string]bool, hall string, since time.Time)
+	onSilent   func(hall string)
+	failing    chan struct{}
+	// anyLost is true while a hall is lost, for reading without the lock.
+	anyLost atomic.Bool
+
+	// changing is held while a change takes effect, so that changes do so in their order.
+	changing sync.Mutex
+
+	mu      sync.Mutex
+	tracker reach.Halls
+	// recent holds, by hall, the targets that have answered or started last, and responsive the target
+	// to which the last check has connected.
+	recent     map[string]*reach.Recent
+	responsive map[string]reach.Target
+	// proving holds the halls to which a connection is opened to find out whether a failure of a target
+	// is due to the links of this instance.
+	proving map[string]bool
+	// dialing and exchanging hold, by hall, the contexts of connections that are opened for requests and
+	// of requests that wait for their response.
+	dialing, exchanging map[string]cancelable
+}
+
+// cancelable is a context with its cancel function.
+type cancelable struct {
+	context.Context
+	cancel context.CancelFunc
+}
+
+func newHallLinks(g *Gateway, all *reachability) *hallLinks {
+	return &hallLinks{
+		clock:   g.clock,
+		log:     g.log,
+		connect: g.connectTo,
+		respond: g.checkHealth,
+		sample:  g.sampleHall,
+		all:     all,
+		onLost:  func(lost map[string]bool) { g.pools.setUnreachableHalls(g.clock.Now(), lost) },
+		onRegained: func(lost map[string]bool, hall string, since time.Time) {
+			g.pools.endSuspicionsIn(g.clock.Now(), hall, since)
+			g.pools.setUnreachableHalls(g.clock.Now(), lost)
+		},
+		onSilent:   g.closeIdleIn,
+		failing:    make(chan struct{}, 1),
+		recent:     make(map[string]*reach.Recent),
+		responsive: make(map[string]reach.Target),
+		proving:    make(map[string]bool),
+		dialing:    make(map[string]cancelable),
+		exchanging: make(map[string]cancelable),
+	}
+}
+
+// hasLostHalls reports whether this instance has lost its links to any hall.
+func (r *reachability) hasLostHalls() bool { return r.halls.anyLost.Load() }
+
+// exchangeContext returns the context in which a request waits for the response of a target. One that may
+// run more than once ends its wait if the target's hall is lost. Others wait on, since the response may still
+// arrive if the fault is short.
+func (g *Gateway) exchangeContext(ex *exchange, target upstream.Choice) context.Context {
+	if ex.route.Kind != catalog.Idempotent || ex.isTrial() {
+		return nil
+	}
+	return g.reach.halls.exchangeContext(target.Hall)
+}
+
+// isHallLost reports whether this instance has lost its links to a hall, or to all.
+func (r *reachability) isHallLost(hall string) bool {
+	return r.isLost() || r.hasLostHalls() && r.halls.isLost(hall)
+}
+
+// targetSilent records that a target has not responded to a request for longer than others take.
+func (r *reachability) targetSilent(target upstream.Choice) {
+	r.halls.failed(r.clock.Now(), target, reach.Unanswered)
+}
+
+func (h *hallLinks) isLost(hall string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.tracker.IsLost(hall)
+}
+
+// lost returns the lost halls in order of their names.
+func (h *hallLinks) lost() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.tracker.Lost()
+}
+
+// allLostBut reports whether all halls with targets except for the given one are lost.
+func (h *hallLinks) allLostBut(hall string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.tracker.AllLostBut(hall)
+}
+
+func (h *hallLinks) setSizes(sizes map[string]int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.tracker.SetSizes(sizes)
+}
+
+// connectedAt returns the latest time at which this instance is known to have reached a target of a hall.
+func (h *hallLinks) connectedAt(hall string) time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.tracker.ConnectedAt(hall)
+}
+
+// start records that a request is sent to a target.
+func (h *hallLinks) start(now time.Time, target upstream.Choice) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.tracker.Start(now, target.Hall, target.ID)
+	h.wake(now, target.Hall)
+}
+
+// end records the end of an attempt. ConnectedAt is when the connection for it was begun, or zero if an
+// open one was used or none could be opened.
+func (h *hallLinks) end(now time.Time, target upstream.Choice, outcome upstream.Outcome, answered bool, connectedAt time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.tracker.End(now, target.Hall, target.ID, answered)
+	if answered {
+		h.recentIn(target.Hall).Add(checkedTarget(target))
+	}
+	if !connectedAt.IsZero() {
+		h.tracker.Connected(connectedAt, target.Hall, target.ID)
+	}
+	switch outcome {
+	case upstream.Unreachable:
+		h.tracker.Failed(now, target.Hall, target.ID, reach.Unconnected)
+	case upstream.Broken, upstream.TimedOut:
+		h.tracker.Failed(now, target.Hall, target.ID, reach.Unanswered)
+	}
+	h.wake(now, target.Hall)
+}
+
+// failed records the failure of a target while a request is at it.
+func (h *hallLinks) failed(now time.Time, target upstream.Choice, failure reach.Failure) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.tracker.Failed(now, target.Hall, target.ID, failure)
+	h.wake(now, target.Hall)
+}
+
+// targetStarted records that a target has been listed for the first time.
+func (h *hallLinks) targetStarted(t reach.Target) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.tracker.IsLost(t.Hall) {
+		h.recentIn(t.Hall).Add(t)
+	}
+}
+
+// recentIn returns the recent targets of a hall. The caller holds mu.
+func (h *hallLinks) recentIn(hall string) *reach.Recent {
+	if h.recent[hall] == nil {
+		h.recent[hall] = &reach.Recent{}
+	}
+	return h.recent[hall]
+}
+
+// wake wakes the loop if a check of a hall may become due. The caller holds mu.
+func (h *hallLinks) wake(now time.Time, hall string) {
+	if h.tracker.NeedsAttention(now, hall) {
+		signal(h.failing)
+	}
+}
+
+// closeIdleIn closes the idle connections to the targets of a hall.
+func (g *Gateway) closeIdleIn(hall string) {
+	for _, t := range g.targetsByHall()[hall] {
+		g.targets.CloseIdleTo(t.ID, t.Addr)
+	}
+}
+
+// dialContext returns the context of connections that are opened to a hall for requests. It ends with
+// parent, too.
+func (h *hallLinks) dialContext(parent context.Context, hall string) context.Context {
+	return h.contextOf(h.dialing, parent, hall)
+}
+
+// exchangeContext returns the context of requests that wait for a response of a hall and may be sent to
+// another target in its place.
+func (h *hallLinks) exchangeContext(hall string) context.Context {
+	return h.contextOf(h.exchanging, context.Background(), hall)
+}
+
+func (h *hallLinks) contextOf(contexts map[string]cancelable, parent context.Context, hall string) context.Context {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	c, ok := contexts[hall]
+	if !ok || parent.Err() == nil && c.Err() != nil {
+		c.Context, c.cancel = context.WithCancel(parent)
+		contexts[hall] = c
+	}
+	return c
+}
+
+// cancelIn cancels and replaces the context of a hall.
+func (h *hallLinks) cancelIn(contexts map[string]cancelable, hall string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	c, ok := contexts[hall]
+	delete(contexts, hall)
+	if ok {
+		c.cancel()
+	}
+}
+
+// loop makes the checks that are due until ctx ends. Those of different halls overlap.
+func (h *hallLinks) loop(ctx context.Context) {
+	var checks sync.WaitGroup
+	defer checks.Wait()
+	for ctx.Err() == nil {
+		h.abandonRequests()
+		c, due := h.nextCheck()
+		switch {
+		case due:
+			checks.Go(func() { h.check(c) })
+		case h.isIdle():
+			awaitSignal(ctx, h.failing)
+		default:
+			awaitSignalFor(ctx, h.failing, checkPollInterval)
+		}
+	}
+}
+
+func (h *hallLinks) isIdle() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.tracker.IsIdle(h.clock.Now())
+}
+
+func (h *hallLinks) nextCheck() (reach.HallCheck, bool) {
+	if h.all.isLost() {
+		return reach.HallCheck{}, false
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.tracker.NextCheck(h.clock.Now())
+}
+
+// abandonRequests ends the waits for responses of lost halls that will not arrive.
+func (h *hallLinks) abandonRequests() {
+	h.mu.Lock()
+	silent := h.tracker.Abandon(h.clock.Now())
+	h.mu.Unlock()
+	for _, hall := range silent {
+		h.cancelIn(h.exchanging, hall)
+		h.onSilent(hall)
+	}
+}
+
+// check makes a check and applies its result.
+func (h *hallLinks) check(c reach.HallCheck) {
+	r := reach.HallResult{HallCheck: c, StartedAt: h.clock.Now(), Timeout: checkTimeout}
+	targets, try := h.targetsToCheck(c), h.connect
+	if c.ByResponse {
+		try, r.Timeout = h.respond, healthTimeout
+	}
+	reached, lastErr := tryAny(targets, try)
+	r.Tried, r.EndedAt = len(targets), h.clock.Now()
+	if lastErr == nil {
+		r.Succeeded = min(1, r.Tried)
+	}
+	h.changing.Lock()
+	defer h.changing.Unlock()
+	h.mu.Lock()
+	if r.Succeeded > 0 {
+		h.responsive[c.Hall] = reached
+	}
+	before := h.tracker.Loss(c.Hall)
+	changed := h.tracker.Checked(r)
+	after, lost := h.tracker.Loss(c.Hall), h.tracker.Lost()
+	h.mu.Unlock()
+	if changed {
+		h.apply(c.Hall, before, after, lost, lastErr)
+	}
+	signal(h.failing)
+}
+
+// targetsToCheck returns the targets of a check. A check by response asks the target to which the check
+// before has connected, since it is to find out whether targets that can be connected to respond.
+func (h *hallLinks) targetsToCheck(c reach.HallCheck) []reach.Target {
+	drawn := h.sample(c.Hall, c.Size)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if t, ok := h.responsive[c.Hall]; ok && c.ByResponse && !h.tracker.IsLost(c.Hall) {
+		return []reach.Target{t}
+	}
+	return h.recentIn(c.Hall).Pick(c.Size, drawn)
+}
+
+// apply makes a change of a hall's loss take effect, and logs it. The caller holds changing.
+func (h *hallLinks) apply(hall string, before, after reach.Loss, lost []string, err error) {
+	h.anyLost.Store(len(lost) > 0)
+	set := make(map[string]bool, len(lost))
+	for _, name := range lost {
+		set[name] = true
+	}
+	if after.At.IsZero() {
+		h.log.Info(logHallRegained, "hall", hall, "lost_ms", h.clock.Since(before.At).Milliseconds(), "still_lost", lost)
+		h.onRegained(set, hall, before.Since)
+		return
+	}
+	h.log.Warn(logHallLost, "hall", hall, "unconnected", after.Unconnected, "unanswered", after.Unanswered, "stalled", after.Stalled,
+		"checked", after.Checked, "by_response", after.ByResponse, "noticed_ms", after.At.Sub(after.Since).Milliseconds(),
+		"error", err.Error(), "lost", lost)
+	h.onLost(set)
+	h.cancelIn(h.dialing, hall)
+	if h.allLostBut("") {
+		h.all.requestCheck()
+	}
+}
+
+// reset ends all losses of halls, since the state of the links to all targets has changed.
+func (h *hallLinks) reset() {
+	h.changing.Lock()
+	defer h.changing.Unlock()
+	h.mu.Lock()
+	lost := h.tracker.Lost()
+	h.tracker.Reset()
+	h.mu.Unlock()
+	h.anyLost.Store(false)
+	if len(lost) > 0 {
+		h.log.Info(logHallRegained, "hall", "all", "still_lost", []string{})
+		h.onLost(nil)
+	}
+}
+
+// hallVerdictTime is how long verifyIn waits for a verdict about a hall of whose targets none could be
+// connected to. A loss is noticed within about that time.
+const hallVerdictTime = 500 * time.Millisecond
+
+// verifyIn calls a function with true if the failure of a target is its own, since others of its hall can be
+// connected to, and with false if this instance has lost its links to the hall. If neither is found, all
+// targets decide.
+func (r *reachability) verifyIn(target upstream.Choice, delay time.Duration, call func(reached bool)) {
+	time.AfterFunc(delay, func() {
+		if r.isHallLost(target.Hall) || r.proveHall(target) {
+			call(!r.isHallLost(target.Hall))
+			return
+		}
+		time.AfterFunc(hallVerdictTime, func() {
+			if r.isHallLost(target.Hall) {
+				call(false)
+				return
+			}
+			r.verify(reach.AtOnce, call)
+		})
+	})
+}
+
+// proveHall reports whether other targets of a target's hall can be connected to.
+func (r *reachability) proveHall(target upstream.Choice) bool {
+	others := slices.DeleteFunc(r.halls.sample(target.Hall, reach.ProbeTargets+1), func(t reach.Target) bool { return t.ID == target.ID })
+	at := r.clock.Now()
+	if !r.halls.prove(target.Hall, others[:min(len(others), reach.ProbeTargets)]) {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tracker.Connected(at)
+	r.call(r.proofs.Resolve(&r.tracker))
+	return true
+}
+
+// proveSoon finds out whether the failure of a target is due to the links of this instance: others are told
+// that the target is down only if it is not.
+func (r *reachability) proveSoon(target upstream.Choice) {
+	if !r.halls.startProving(target.Hall) {
+		return
+	}
+	time.AfterFunc(reach.Soon, func() {
+		proven := r.isHallLost(target.Hall) || r.proveHall(target)
+		r.halls.endProving(target.Hall)
+		if !proven {
+			r.requestCheck()
+		}
+	})
+}
+
+// provenIn returns the latest time at which this instance is known to have reached a target of a hall, or any
+// target if the hall has only one.
+func (r *reachability) provenIn(hall string) time.Time {
+	if r.halls.size(hall) > 1 {
+		return r.halls.connectedAt(hall)
+	}
+	return r.provenAt()
+}
+
+// startProving reports whether a connection to a hall should be opened for a proof.
+func (h *hallLinks) startProving(hall string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.proving[hall] || h.tracker.IsLost(hall) {
+		return false
+	}
+	h.proving[hall] = true
+	return true
+}
+
+func (h *hallLinks) endProving(hall string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	delete(h.proving, hall)
+}
+
+// size returns the number of targets of a hall.
+func (h *hallLinks) size(hall string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.tracker.Size(hall)
+}
+
+// prove reports whether one of some targets of a hall can be connected to.
+func (h *hallLinks) prove(hall string, targets []reach.Target) bool {
+	at := h.clock.Now()
+	t, err := tryAny(targets, h.connect)
+	if err != nil || len(targets) == 0 {
+		return false
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.tracker.Connected(at, hall, t.ID)
+	return true
+}
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -76,9 +76,11 @@
 // target or knows that none can run it. The result is false if no instance takes it.
 func (g *Gateway) handOver(ex *exchange, p *pool, state *progress) (finalResult, bool) {
 	tried := make(map[string]bool)
+	// If no other instance reaches a lost hall either, the hall itself is down, and nothing is gained.
+	onlyWhole := g.reach.hasLostHalls() && !g.reach.isLost()
 	unreachable := false
 	for len(tried) < maxHelpers && state.sent < ex.maxAttempts() {
-		helper, ok := g.helpers.acquire(g.clock.Now(), ex.homeRegions, tried)
+		helper, ok := g.helpers.acquire(g.clock.Now(), ex.homeRegions, tried, onlyWhole)
 		if !ok {
 			break
 		}
@@ -107,6 +109,10 @@
 	pause, otherMay := helperPause(r.reason)
 	if a.Response == nil && r.outcome == retry.NotRun {
 		pause, otherMay = unreachableHelperPause, true
+		if !a.Sent && g.reach.isHallLost(helper.Hall) {
+			// The whole hall is cut off, rather than its targets.
+			g.helpers.pauseHall(g.clock.Now(), helper.Hall)
+		}
 	}
 	g.helpers.release(g.clock.Now(), helper.Name, pause)
 	g.metrics.handover(handoverOut, r.outcome)
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -73,7 +73,7 @@
 	}
 	s.store.Configure(objects.Configuration{
 		Version: objects.FormatVersion(version), Routes: spec,
-		Services: map[string]objects.Service{"s": {Warmup: "3s", WarmupPerS: 11}},
+		Services: map[string]objects.Service{"s": {HealthCheckPath: origin.HealthPath, Warmup: "3s", WarmupPerS: 11}},
 		Limits:   objects.Limits{MaxBodyBytes: 1 << 20},
 	})
 }
--- a/gateway/helpers_test.go
+++ b/gateway/helpers_test.go
@@ -49,7 +49,7 @@
 			}
 			got := make(map[string]bool)
 			for range 50 {
-				m, ok := h.acquire(now, c.regions, tried)
+				m, ok := h.acquire(now, c.regions, tried, false)
 				require.Equal(t, len(c.want) > 0, ok)
 				if ok {
 					got[m.Name] = true
@@ -69,7 +69,7 @@
 	h := newHelpers("a", "a1", func() []fleet.Status { return all })
 	counts := make(map[string]int)
 	for range 300 {
-		m, ok := h.acquire(now, nil, nil)
+		m, ok := h.acquire(now, nil, nil, false)
 		require.True(t, ok)
 		counts[m.Name]++
 	}
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -222,10 +222,10 @@
 	return p.upstream.ApplyDepartures(now, departures, source)
 }
 
-func (p *pool) targetReports(now, provenAt time.Time) upstream.TargetReports {
+func (p *pool) targetReports(now time.Time, provenIn func(hall string) time.Time) upstream.TargetReports {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.upstream.TargetReports(now, provenAt)
+	return p.upstream.TargetReports(now, provenIn)
 }
 
 func (p *pool) applyTargetReports(now time.Time, seen upstream.TargetReports) {
--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -37,7 +37,9 @@
 	// home region of accounts.
 	homeShares      map[string]float64
 	instancesByHall map[string][]string
-	instanceCount   int
+	// unreachable holds the halls to which this instance has lost its links.
+	unreachable   map[string]bool
+	instanceCount int
 	// plan is the compiled routing table of the operators, nil if there is none.
 	plan *table.Plan
 	// owners are the owners of targets' rate limits, nil until they are known.
@@ -164,6 +166,7 @@
 	if ps.owners != nil {
 		u.SetLimitOwners(ps.owners)
 	}
+	u.SetUnreachableHalls(now, ps.unreachable)
 	p.retryBudget.SetCapacity(ps.config.RetrySlack, ps.instanceCount)
 	if s, ok := ps.splits[service]; ok {
 		p.rollout.Store(s.rollout)
@@ -212,14 +215,14 @@
 	}
 }
 
-// targetReports returns the reports on targets of all services for gossip. ProvenAt is the latest time
-// at which this instance is known to have reached a target.
-func (ps *pools) targetReports(now, provenAt time.Time) upstream.TargetReports {
+// targetReports returns the reports on targets of all services for gossip. ProvenIn returns the latest time
+// at which this instance is known to have reached a target of a hall.
+func (ps *pools) targetReports(now time.Time, provenIn func(hall string) time.Time) upstream.TargetReports {
 	ps.mu.RLock()
 	defer ps.mu.RUnlock()
 	var out upstream.TargetReports
 	for _, p := range ps.pools {
-		out = append(out, p.targetReports(now, provenAt)...)
+		out = append(out, p.targetReports(now, provenIn)...)
 	}
 	return out
 }
@@ -331,6 +334,21 @@
 	ps.updateAll(func(u *upstream.Pool) []upstream.Grant { return u.EndSuspicions(now) })
 }
 
+// setUnreachableHalls sets the halls to which this instance has lost its links.
+func (ps *pools) setUnreachableHalls(now time.Time, halls map[string]bool) {
+	ps.mu.Lock()
+	defer ps.mu.Unlock()
+	ps.unreachable = halls
+	ps.updateAll(func(u *upstream.Pool) []upstream.Grant { return u.SetUnreachableHalls(now, halls) })
+}
+
+// endSuspicionsIn ends the suspicions of the targets of a hall that began at the given time or later.
+func (ps *pools) endSuspicionsIn(now time.Time, hall string, since time.Time) {
+	ps.mu.RLock()
+	defer ps.mu.RUnlock()
+	ps.updateAll(func(u *upstream.Pool) []upstream.Grant { return u.EndSuspicionsIn(now, hall, since) })
+}
+
 // applyTargetReports applies the target reports of another instance.
 func (ps *pools) applyTargetReports(now time.Time, reports upstream.TargetReports) {
 	if len(reports) == 0 {
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -196,7 +196,7 @@
 	case a.TargetResult.Outcome == upstream.Replaced:
 		g.targetCrashed(now, target.ID)
 	case a.TargetResult.Outcome == upstream.Unreachable && errors.Is(a.Err, syscall.ECONNREFUSED):
-		g.targetRefused(now, target.ID)
+		g.targetRefused(now, target)
 	case a.TargetResult.Outcome == upstream.Broken && a.Sent:
 		g.requestInterrupted(now, ex, target)
 	}
@@ -293,19 +293,19 @@
 func (g *Gateway) probeTarget(target upstream.Choice) {
 	err := g.targets.Preconnect(target.ID, target.Addr, crashProbeTimeout)
 	if errors.Is(err, syscall.ECONNREFUSED) {
-		g.targetRefused(g.clock.Now(), target.ID)
+		g.targetRefused(g.clock.Now(), target)
 	}
 }
 
 // targetRefused records that a target has refused a connection. It has crashed, unless the links of this
 // instance are what failed: then other instances still reach targets.
-func (g *Gateway) targetRefused(now time.Time, target string) {
+func (g *Gateway) targetRefused(now time.Time, target upstream.Choice) {
 	if !g.quarantine.nonEmpty.Load() {
 		return
 	}
-	g.reach.verify(reach.AtOnce, func(reached bool) {
+	g.reach.verifyIn(target, reach.AtOnce, func(reached bool) {
 		if reached || !g.othersReachTargets() {
-			g.targetCrashed(now, target)
+			g.targetCrashed(now, target.ID)
 		}
 	})
 }
--- a/gateway/reach_test.go
+++ b/gateway/reach_test.go
@@ -19,19 +19,19 @@
 	g := newTestGateway(t)
 	r := g.reach
 	r.log = slog.New(slog.DiscardHandler)
-	var down []checkedTarget
+	var down []reach.Target
 	for i := range 100 {
-		down = append(down, checkedTarget{id: fmt.Sprint("down", i)})
+		down = append(down, reach.Target{ID: fmt.Sprint("down", i)})
 	}
-	r.sample = func(n int) []checkedTarget { return down[:n] }
-	r.connect = func(c checkedTarget) error {
-		if c.id == "up" {
+	r.sample = func(n int) []reach.Target { return down[:n] }
+	r.connect = func(c reach.Target) error {
+		if c.ID == "up" {
 			return nil
 		}
 		return errors.New("down")
 	}
 	answer := func(id string) {
-		r.start()
+		r.start(upstream.Choice{ID: id})
 		r.end(upstream.Choice{ID: id}, forward.Attempt{Sent: true, Reused: true, Response: &forward.Response{}})
 	}
 	answer("up")
--- a/gateway/rollout_observations.go
+++ b/gateway/rollout_observations.go
@@ -46,7 +46,7 @@
 		return
 	}
 	// The links of this instance may be what failed.
-	g.reach.verify(reach.Soon, func(reached bool) {
+	g.reach.verifyIn(d.Target, reach.Soon, func(reached bool) {
 		if reached {
 			r.observe(d.SendState.NewVersion, o)
 		}
--- a/gateway/targets.go
+++ b/gateway/targets.go
@@ -229,12 +229,13 @@
 			changed = append(changed, spec)
 		}
 		if ok && (old == nil || old.ID != spec.ID) {
-			g.reach.targetStarted(checkedTarget{spec.ID, spec.Addr})
+			g.reach.targetStarted(targetOf(spec))
 		}
 		if old != nil && (!ok || old.ID != spec.ID) {
 			removed = append(removed, old.ID)
 		}
 	}
 	g.pools.changeTargets(now, changed, removed, g.evacuated)
+	g.updateHallSizes()
 	g.applyListChanges(now, changed, removed)
 }
--- a/internal/standin/origin/server.go
+++ b/internal/standin/origin/server.go
@@ -13,6 +13,9 @@
 	"github.com/rainford/rainford/internal/loopback"
 )
 
+// HealthPath is the path of a server's health check, which is not recorded as a run.
+const HealthPath = "/health"
+
 // Fault selects how a server misbehaves for one request.
 type Fault int
 
@@ -298,6 +301,9 @@
 
 // serveRequest serves one request. It returns whether the connection stays open for the next.
 func (s *Server) serveRequest(c net.Conn, req *http.Request) bool {
+	if req.Method == http.MethodGet && req.RequestURI == HealthPath {
+		return writeResponse(c, "200 OK", "", "ok") == nil
+	}
 	id := req.Header.Get("Request-Id")
 	lines := s.extraHeaderLines(req)
 	if expected := req.Header.Get("Expected-Instance"); expected != "" && expected != s.ID {
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -47,6 +47,7 @@
 	secret   string
 	receiver Receiver
 	log      *slog.Logger
+	dial     Dialer
 
 	sentBytes     atomic.Int64
 	receivedBytes atomic.Int64
@@ -68,11 +69,25 @@
 		secret:   secret,
 		receiver: receiver,
 		log:      log,
+		dial:     dialTCP,
 		links:    make(map[string]*link),
 		conns:    make(map[net.Conn]bool),
 	}
 }
 
+// Dialer opens a TCP connection to an address within a time-out.
+type Dialer = func(ctx context.Context, addr string, timeout time.Duration) (net.Conn, error)
+
+// dialTCP is the Dialer of meshes that have no other one.
+func dialTCP(ctx context.Context, addr string, timeout time.Duration) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: timeout, Control: sockopt.UserTimeout(unackedTimeout)}
+	return dialer.DialContext(ctx, "tcp", addr)
+}
+
+// SetDialer replaces the way in which connections are opened. It must be called before the first message
+// is sent.
+func (m *Mesh) SetDialer(dial Dialer) { m.dial = dial }
+
 // Traffic returns the numbers of bytes sent, bytes received and frames dropped. The Hello of
 // a received connection is not counted.
 func (m *Mesh) Traffic() (sent, received, dropped int64) {
@@ -362,8 +377,7 @@
 
 // open establishes a connection and sends the Hello. It reports whether both succeeded.
 func (l *link) open(ctx context.Context) bool {
-	dialer := net.Dialer{Timeout: dialTimeout, Control: sockopt.UserTimeout(unackedTimeout)}
-	conn, err := dialer.DialContext(ctx, "tcp", l.addr)
+	conn, err := l.mesh.dial(ctx, l.addr, dialTimeout)
 	if err != nil {
 		return false
 	}
--- a/reach/halls.go
+++ b/reach/halls.go
@@ -113,6 +113,9 @@
 	}
 }
 
+// Size returns the number of targets of a hall.
+func (h *Halls) Size(name string) int { return h.hall(name).size }
+
 // IsLost reports whether a hall is lost.
 func (h *Halls) IsLost(name string) bool {
 	s := h.halls[name]
--- a/upstream/backoff_model_test.go
+++ b/upstream/backoff_model_test.go
@@ -341,7 +341,7 @@
 // gossip makes an instance send its target reports to modelFanout random instances, which may
 // include itself, in every round.
 func (m *backoffModel) gossip(instance int) {
-	reports := m.pools[instance].TargetReports(m.now, m.now).Sample(modelTargetReports, m.rnd)
+	reports := m.pools[instance].TargetReports(m.now, provenAt(m.now)).Sample(modelTargetReports, m.rnd)
 	for range modelFanout {
 		other := m.rnd.IntN(len(m.pools))
 		m.after(m.delay(m.poolHall[instance], m.poolHall[other]), func() { m.pools[other].ApplyTargetReports(m.now, reports) })
--- a/upstream/pool_test.go
+++ b/upstream/pool_test.go
@@ -418,7 +418,7 @@
 	}
 	require.Equal(t, first, ask("k", time.Second))
 	require.NotEqual(t, first, ask("k", 100*time.Millisecond))
-	reports := p.TargetReports(now, now)
+	reports := p.TargetReports(now, provenAt(now))
 	require.Len(t, reports, 1)
 	require.Greater(t, reports[0].PerSlot, 2.0, "requests at a slow target count several times")
 	now = now.Add(5 * time.Second)
--- a/upstream/target_report.go
+++ b/upstream/target_report.go
@@ -112,11 +112,11 @@
 }
 
 // TargetReports returns the reports to send to other instances of the region: the load of targets
-// that are or recently were busy, and the targets that are down. ProvenAt is the latest time at which
-// this instance is known to have reached any target. A target that it could not reach since is not
-// reported as down, since the fault may be the instance's own, nor is any if more targets are down
-// than respond.
-func (p *Pool) TargetReports(now, provenAt time.Time) TargetReports {
+// that are or recently were busy, and the targets that are down. ProvenIn returns the latest time at which
+// this instance is known to have reached any target of a hall. A target of the hall that it could not
+// reach since is not reported as down, since the fault may be the instance's own, nor is any if more
+// targets are down than respond.
+func (p *Pool) TargetReports(now time.Time, provenIn func(hall string) time.Time) TargetReports {
 	var busy, down TargetReports
 	responding := 0
 	for _, t := range p.activeTargets {
@@ -127,7 +127,7 @@
 		if !t.inService() || t.state.Unreachable() {
 			continue
 		}
-		if age := now.Sub(s.downAt); age < targetReportTTL && s.suspectBackoff > 0 && !s.downAt.After(provenAt) {
+		if age := now.Sub(s.downAt); age < targetReportTTL && s.suspectBackoff > 0 && !s.downAt.After(provenIn(t.spec.Hall)) {
 			down = append(down, TargetReport{Target: shortID(t.hash), Down: true, Age: age})
 			continue
 		}
--- a/upstream/target_report_test.go
+++ b/upstream/target_report_test.go
@@ -10,6 +10,10 @@
 	"github.com/rainford/rainford/upstream"
 )
 
+// provenAt returns the argument of TargetReports for an instance that is known to have reached a target of
+// each hall at a time.
+func provenAt(at time.Time) func(string) time.Time { return func(string) time.Time { return at } }
+
 // TestPeersLearnOfBusyTarget checks that a request goes to its key's second target after another
 // instance reported that the first one is busy. It goes to the first one again after a report that
 // this one is no longer busy, or without reports for a while. Received reports are passed on until
@@ -32,23 +36,23 @@
 	releaseWithLoad := func(now time.Time, running, waiting int) {
 		there.Release(now, first, upstream.Result{LoadReport: &upstream.LoadReport{Running: running, Waiting: waiting, Slots: 3}, Latency: time.Second})
 	}
-	require.Empty(t, there.TargetReports(start, start))
+	require.Empty(t, there.TargetReports(start, provenAt(start)))
 
 	releaseWithLoad(start, 3, 4)
-	reports := there.TargetReports(start, start)
+	reports := there.TargetReports(start, provenAt(start))
 	require.Len(t, reports, 1)
 	here.ApplyTargetReports(start.Add(50*time.Millisecond), reports)
 	now := start.Add(100 * time.Millisecond)
 	require.NotEqual(t, first, tryRequest(here, now).Target.ID)
 	require.Equal(t, upstream.ReasonLoad, tryRequest(here, now).Reason)
-	require.Len(t, here.TargetReports(now, now), 1, "received reports are passed on")
-	require.Empty(t, here.TargetReports(start.Add(2*time.Second), start.Add(2*time.Second)), "old reports are not passed on")
+	require.Len(t, here.TargetReports(now, provenAt(now)), 1, "received reports are passed on")
+	require.Empty(t, here.TargetReports(start.Add(2*time.Second), provenAt(start.Add(2*time.Second))), "old reports are not passed on")
 	require.Equal(t, first, tryRequest(here, start.Add(4*time.Second)).Target.ID, "the report has expired")
 
 	// From here on the time is before the expiry of the first report.
 	now = start.Add(200 * time.Millisecond)
 	releaseWithLoad(now, 1, 0)
-	after := there.TargetReports(now, now)
+	after := there.TargetReports(now, provenAt(now))
 	require.Len(t, after, 1, "a target that is no longer busy is reported too")
 	here.ApplyTargetReports(now, after)
 	here.ApplyTargetReports(now, reports)
@@ -70,12 +74,12 @@
 		return d.Target.ID
 	}
 	first := runRequest(there, start, "k", upstream.Unreachable)
-	require.Empty(t, there.TargetReports(start, start), "a target is reported as down although no target responds to the instance")
+	require.Empty(t, there.TargetReports(start, provenAt(start)), "a target is reported as down although no target responds to the instance")
 	for _, key := range []string{"l", "m", "n"} {
 		runRequest(there, start, key, upstream.Answered)
 	}
-	require.Empty(t, there.TargetReports(start, start.Add(-time.Millisecond)), "a target is reported as down although the instance has reached none since")
-	reports := there.TargetReports(start, start)
+	require.Empty(t, there.TargetReports(start, provenAt(start.Add(-time.Millisecond))), "a target is reported as down although the instance has reached none since")
+	reports := there.TargetReports(start, provenAt(start))
 	require.Len(t, reports, 1)
 
 	require.Equal(t, first, runRequest(here, start, "k", upstream.Abandoned))
--- a/upstream/unreachable_test.go
+++ b/upstream/unreachable_test.go
@@ -52,7 +52,7 @@
 			require.Equal(t, availability.CauseUnreachable, u.Cause)
 			require.True(t, lost[u.Hall])
 		}
-		require.Empty(t, p.TargetReports(start, start.Add(time.Second)))
+		require.Empty(t, p.TargetReports(start, provenAt(start.Add(time.Second))))
 		p.SetUnreachableHalls(start, nil)
 		p.ChangeTargets(start, nil, []string{"b1-new"}, nil)
 		require.Equal(t, before, place(t, p, start, 60))
