gateway: tests of one hall cut off at one instance; isolation, metrics, status

Each mode of link, one way and accept-and-drop: the hall is found to be lost, its requests don't wait, and they return after the end. Requests that stall count also if a connection to another hall was opened since: the other halls need not have requests.

--- a/fleet/view.go
+++ b/fleet/view.go
@@ -282,5 +282,17 @@
 	return out
 }
 
+// OtherHallsHeardAt returns the time at which a heartbeat of a member of another hall last arrived, or the
+// zero time.
+func (v *View) OtherHallsHeardAt() time.Time {
+	var at time.Time
+	for _, r := range v.byName {
+		if r.member.Hall != v.self.Hall && r.heardAt.After(at) {
+			at = r.heardAt
+		}
+	}
+	return at
+}
+
 // Len returns the number of members, including the own one.
 func (v *View) Len() int { return len(v.byName) + 1 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -108,6 +108,7 @@
 	reporter       reporter
 
 	readiness readiness
+	isolation isolation
 
 	watch    watchState
 	leaving  atomic.Bool
@@ -250,6 +251,7 @@
 	g.startGoroutine(func() { g.maintenanceLoop(work) })
 	g.startGoroutine(func() { g.reach.loop(work) })
 	g.startGoroutine(func() { g.reach.halls.loop(work) })
+	g.startGoroutine(func() { g.isolationLoop(work) })
 	g.serveClients()
 	g.log.Info(logStart, "version", Version(), "hall", g.config.Hall, "region", g.config.Region,
 		"listen", g.config.Listen, "peer", g.config.PeerListen, "seeds", g.config.Seeds, "log_sample", g.config.LogSample)
--- a/gateway/halls.go
+++ b/gateway/halls.go
@@ -165,6 +165,13 @@
 	h.wake(now, target.Hall)
 }
 
+// connected records that a connection to a target, which was begun at the given time, was opened.
+func (h *hallLinks) connected(at time.Time, t reach.Target) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.tracker.Connected(at, t.Hall, t.ID)
+}
+
 // failed records the failure of a target while a request is at it.
 func (h *hallLinks) failed(now time.Time, target upstream.Choice, failure reach.Failure) {
 	h.mu.Lock()
@@ -386,7 +393,7 @@
 func (r *reachability) proveHall(target upstream.Choice) bool {
 	others := slices.DeleteFunc(r.halls.sample(target.Hall, reach.ProbeTargets+1), func(t reach.Target) bool { return t.ID == target.ID })
 	at := r.clock.Now()
-	if !r.halls.prove(target.Hall, others[:min(len(others), reach.ProbeTargets)]) {
+	if !r.halls.prove(others[:min(len(others), reach.ProbeTargets)]) {
 		return false
 	}
 	r.mu.Lock()
@@ -444,15 +451,13 @@
 	return h.tracker.Size(hall)
 }
 
-// prove reports whether one of some targets of a hall can be connected to.
-func (h *hallLinks) prove(hall string, targets []reach.Target) bool {
+// prove reports whether one of some targets can be connected to.
+func (h *hallLinks) prove(targets []reach.Target) bool {
 	at := h.clock.Now()
 	t, err := tryAny(targets, h.connect)
 	if err != nil || len(targets) == 0 {
 		return false
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.tracker.Connected(at, hall, t.ID)
+	h.connected(at, t)
 	return true
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -123,10 +123,10 @@
 	gauge("rainford.requests.ahead.held", "Bytes of answers to such requests that wait for those ahead.",
 		func() int64 { _, held := g.pipeliningUsage(); return held })
 	gauge("rainford.targets.lost", "1 while this instance reaches no target, else 0.", func() int64 {
-		if g.reach.isLost() {
-			return 1
-		}
-		return 0
+		return oneIf(g.reach.isLost())
+	})
+	gauge("rainford.isolated", "1 while this instance is cut off from everything outside its hall, else 0.", func() int64 {
+		return oneIf(g.isIsolated(g.clock.Now()))
 	})
 	gauge("rainford.store.era", "Latest era of the store that its answers name, 0 if they name none, -1 before the first.", g.store.Era)
 	gauge("rainford.store.calls", "Calls made to the store.", g.store.Calls)
@@ -144,10 +144,27 @@
 		m.telemetry.Gauges("rainford.replica.revision", "Revision that is held of each kind of object.", []string{"kind"}, g.observeRevisions),
 		m.telemetry.Gauges("rainford.account.use", "What is asked of the parts of limits that this instance owns, over the part, of the accounts that ask most.",
 			[]string{"account"}, g.accountPermits.observeUtilization),
+		m.telemetry.Gauges("rainford.halls.lost", "1 for each hall of whose targets this instance reaches none while it reaches others, else 0.", []string{"hall"},
+			func(observe func(float64, ...string)) {
+				for hall := range g.config.RegionOf {
+					observe(float64(oneIf(g.hasLostHall(hall))), hall)
+				}
+			}),
 		m.telemetry.Gauges("rainford.members", "Instances by state in this instance's view.", []string{"state"}, g.observeMembers))
 	return errors.Join(errs...)
 }
 
+// oneIf returns 1 if set is true, and 0 otherwise.
+func oneIf(set bool) int64 {
+	if set {
+		return 1
+	}
+	return 0
+}
+
+// hasLostHall reports whether this instance has lost its links to a hall while it reaches other targets.
+func (g *Gateway) hasLostHall(hall string) bool { return !g.reach.isLost() && g.reach.halls.isLost(hall) }
+
 // pipeliningUsage returns the number of pipelined requests in flight whose predecessors are still
 // unanswered, and the bytes of their buffered responses.
 func (g *Gateway) pipeliningUsage() (requests, held int64) {
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -269,9 +269,10 @@
 	c := reach.Check{StartedAt: r.clock.Now(), Size: n, Timeout: checkTimeout}
 	targets := r.targetsToCheck(n)
 	c.Tried = len(targets)
-	_, lastErr := tryAny(targets, r.connect)
-	if lastErr == nil {
-		c.Connected = min(1, c.Tried)
+	reached, lastErr := tryAny(targets, r.connect)
+	if lastErr == nil && c.Tried > 0 {
+		c.Connected = 1
+		r.halls.connected(c.StartedAt, reached)
 	}
 	c.EndedAt = r.clock.Now()
 	r.mu.Lock()
--- a/gateway/status.go
+++ b/gateway/status.go
@@ -28,6 +28,11 @@
 	// requests.
 	Targets     int                 `json:"targets"`
 	Unavailable []UnavailableTarget `json:"unavailable"`
+	// TargetsLost is true while the instance reaches no target, and Isolated while it is cut off from
+	// everything outside its hall. HallsLost lists the halls of whose targets it reaches none.
+	TargetsLost bool       `json:"targets_lost,omitempty"`
+	Isolated    bool       `json:"isolated,omitempty"`
+	HallsLost   []LostHall `json:"halls_lost,omitempty"`
 	// Limited lists the targets that have announced a rate limit.
 	Limited []LimitedTarget `json:"limited"`
 	// Held lists the requests and client accounts that are suspected of crashing targets, or
@@ -37,6 +42,15 @@
 	Rollouts []RolloutStatus `json:"rollouts,omitempty"`
 }
 
+// LostHall is a hall of whose targets an instance reaches none.
+type LostHall struct {
+	Hall string `json:"hall"`
+	// ForMs is the time since the loss was noticed, in milliseconds. ByResponse is true if connections
+	// can be opened but nothing responds.
+	ForMs      int64 `json:"for_ms"`
+	ByResponse bool  `json:"by_response,omitempty"`
+}
+
 // RolloutStatus is the state of a rollout as an instance knows it.
 type RolloutStatus struct {
 	Service string `json:"service"`
@@ -112,12 +126,25 @@
 		s.ConfigVersion = router.Config().Version
 	}
 	s.Targets, s.Unavailable = g.pools.unavailableTargets(now)
+	s.TargetsLost, s.Isolated, s.HallsLost = g.reach.isLost(), g.isIsolated(now), g.reach.halls.status(now)
 	s.Limited = g.pools.limitedTargets(now)
 	s.Held = g.quarantine.heldRequests(now)
 	s.Rollouts = g.rollouts.statuses(now)
 	return s
 }
 
+// status returns the lost halls in order of their names.
+func (h *hallLinks) status(now time.Time) []LostHall {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []LostHall
+	for _, hall := range h.tracker.Lost() {
+		loss := h.tracker.Loss(hall)
+		out = append(out, LostHall{Hall: hall, ForMs: now.Sub(loss.At).Milliseconds(), ByResponse: loss.ByResponse})
+	}
+	return out
+}
+
 // serveStatus writes the status as JSON.
 func (g *Gateway) serveStatus(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -395,6 +395,7 @@
 // recordStoreContact records that the store has answered.
 func (g *Gateway) recordStoreContact() {
 	g.recordContact(g.clock.Now())
+	g.isolation.recordStoreResponse(g.clock.Now())
 	if g.watch.setStoreUnreachable(false) {
 		g.log.Info(logStoreRegained)
 	}
--- a/gateway/without_targets_test.go
+++ b/gateway/without_targets_test.go
@@ -18,8 +18,10 @@
 
 // tally counts the results of the requests of a load.
 type tally struct {
-	mu              sync.Mutex
-	sent, served    int
+	mu           sync.Mutex
+	sent, served int
+	// slow is the number of requests that took longer than maxCutAnswerTime.
+	slow            int
 	longest         time.Duration
 	refused, broken []string
 }
@@ -50,6 +52,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.longest = max(c.longest, took)
+	if took > maxCutAnswerTime {
+		c.slow++
+	}
 	switch got.status {
 	case http.StatusOK:
 		c.served++
--- a/reach/hall_checks.go
+++ b/reach/hall_checks.go
@@ -161,6 +161,6 @@
 		return
 	}
 	s.unproven = false
-	h.respond(r.EndedAt, r.Hall)
+	s.respondedAt = r.EndedAt
 	s.clearFailures(func(hallTarget) bool { return true })
 }
--- a/reach/halls.go
+++ b/reach/halls.go
@@ -85,10 +85,6 @@
 	halls map[string]*hall
 	// probedUntil is the time until which the connections of the last probe use up the rate of probes.
 	probedUntil time.Time
-	// respondedAt is when a target last responded, and respondedIn its hall. beforeAt is when a target
-	// of another hall last responded before that.
-	respondedAt, beforeAt time.Time
-	respondedIn           string
 }
 
 func (h *Halls) hall(name string) *hall {
@@ -191,8 +187,7 @@
 	t.running--
 	s.running--
 	if answered {
-		t.waitingSince = now
-		h.respond(now, name)
+		t.waitingSince, s.respondedAt = now, now
 	}
 	s.put(target, t)
 	if answered {
@@ -209,21 +204,15 @@
 	s.targets[target] = t
 }
 
-// respond records a response of a target of a hall.
-func (h *Halls) respond(now time.Time, name string) {
-	h.hall(name).respondedAt = now
-	if name != h.respondedIn {
-		h.beforeAt = h.respondedAt
-	}
-	h.respondedAt, h.respondedIn = now, name
-}
-
-// othersRespondedAt returns when a target of another hall last responded.
-func (h *Halls) othersRespondedAt(name string) time.Time {
-	if name != h.respondedIn {
-		return h.respondedAt
+// othersReachedAt returns when a target of another hall last responded, or was last connected to.
+func (h *Halls) othersReachedAt(name string) time.Time {
+	var at time.Time
+	for other, s := range h.halls {
+		if other != name {
+			at = later(at, later(s.respondedAt, s.connectedAt))
+		}
 	}
-	return h.beforeAt
+	return at
 }
 
 // Failed records a failure of a target.
@@ -278,7 +267,7 @@
 func (h *Halls) evidence(now time.Time, name string, s *hall) Loss {
 	var e Loss
 	s.clearFailures(func(t hallTarget) bool { return now.Sub(t.failedAt) >= hallFailureWindow })
-	others := h.othersRespondedAt(name)
+	others := h.othersReachedAt(name)
 	for _, t := range s.targets {
 		at := t.failedAt
 		stalledSince := later(t.waitingSince, s.respondedAt)
--- a/reach/halls_test.go
+++ b/reach/halls_test.go
@@ -80,6 +80,7 @@
 		{"requests stall", func(h *Halls) { stallAll(h, 0, "a", 3); respond(h, 100, "b") }, 500, true},
 		{"requests stall at two targets", func(h *Halls) { stallAll(h, 0, "a", 2); respond(h, 100, "b") }, 500, false},
 		{"requests have not stalled long", func(h *Halls) { stallAll(h, 0, "a", 3); respond(h, 100, "b") }, 499, false},
+		{"requests stall and another hall is connected to", func(h *Halls) { stallAll(h, 0, "a", 3); h.Connected(at(100), "b", "i-9") }, 500, true},
 		{"requests stall in all halls", func(h *Halls) { stallAll(h, 0, "a", 3) }, 500, false},
 		{"requests stall while the same hall responds", func(h *Halls) { stallAll(h, 0, "a", 3); respond(h, 100, "b"); respond(h, 100, "a") }, 500, false},
 		{"stalled and failed requests add up", func(h *Halls) {
