gateway: an instance that is cut off from everything outside its hall is isolated

Halls to which no requests go are checked as soon as the members are not heard from; without that, hall b1 of the test was never found to be lost, and the instances of a1 did not notice their isolation.

--- a/gateway/halls.go
+++ b/gateway/halls.go
@@ -123,6 +123,19 @@
 	return h.tracker.AllLostBut(hall)
 }
 
+// inspect requests checks of the halls other than the given one none of whose targets has been reached
+// since a time.
+func (h *hallLinks) inspect(halls map[string]string, except string, since time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for hall := range halls {
+		if hall != except {
+			h.tracker.Inspect(hall, since)
+		}
+	}
+	signal(h.failing)
+}
+
 func (h *hallLinks) setSizes(sizes map[string]int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -306,6 +319,10 @@
 	h.mu.Lock()
 	if r.Succeeded > 0 {
 		h.responsive[c.Hall] = reached
+	} else if !c.ByResponse && !r.IsLate() {
+		for _, t := range targets {
+			h.tracker.Failed(r.EndedAt, c.Hall, t.ID, reach.Unconnected)
+		}
 	}
 	before := h.tracker.Loss(c.Hall)
 	changed := h.tracker.Checked(r)
--- a/gateway/isolation.go
+++ b/gateway/isolation.go
@@ -39,6 +39,9 @@
 			g.probeStore(ctx)
 		}
 		contacts := g.contacts()
+		if contacts.MembersLost(g.clock.Now()) && g.reach.hasLostHalls() {
+			g.reach.halls.inspect(g.config.RegionOf, g.config.Hall, contacts.MembersAt)
+		}
 		isolated := contacts.IsIsolated(g.clock.Now()) && ctx.Err() == nil
 		if g.isolation.isolated.Swap(isolated) == isolated {
 			continue
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -163,7 +163,9 @@
 }
 
 // hasLostHall reports whether this instance has lost its links to a hall while it reaches other targets.
-func (g *Gateway) hasLostHall(hall string) bool { return !g.reach.isLost() && g.reach.halls.isLost(hall) }
+func (g *Gateway) hasLostHall(hall string) bool {
+	return !g.reach.isLost() && g.reach.halls.isLost(hall)
+}
 
 // pipeliningUsage returns the number of pipelined requests in flight whose predecessors are still
 // unanswered, and the bytes of their buffered responses.
--- a/reach/hall_checks.go
+++ b/reach/hall_checks.go
@@ -34,6 +34,12 @@
 	Tried, Succeeded int
 }
 
+// IsLate reports whether the check failed and took so long that the process did not run meanwhile. It then
+// shows nothing of the targets.
+func (r HallResult) IsLate() bool {
+	return r.Succeeded == 0 && r.Tried > 0 && isLate(r.StartedAt, r.EndedAt, r.Timeout)
+}
+
 // NextCheck returns the next check that is due. Until Checked is called with its result, no other check
 // of the same hall is due. The result is false if none is due.
 func (h *Halls) NextCheck(now time.Time) (HallCheck, bool) {
@@ -85,6 +91,8 @@
 		return now.Sub(s.respondingAt) >= responseCheckInterval
 	case s.isLost():
 		return !now.Before(h.probedUntil) && (s.confirming || since >= probeInterval)
+	case s.inspecting:
+		return true
 	case s.unproven && now.Sub(s.respondingAt) < responseCheckInterval:
 		return false
 	case s.unproven || s.repeat || since >= minCheckInterval:
@@ -97,24 +105,26 @@
 // Checked records the result of a check. It reports whether the hall has been lost or regained by it.
 func (h *Halls) Checked(r HallResult) (changed bool) {
 	s := h.hall(r.Hall)
-	s.checking, s.repeat = false, false
+	inspected := s.inspecting
+	s.checking, s.repeat, s.inspecting = false, false, false
 	s.checkedAt = r.EndedAt
 	if r.ByResponse {
 		s.respondingAt = r.EndedAt
 	}
-	late := isLate(r.StartedAt, r.EndedAt, r.Timeout)
 	switch {
 	case r.Tried == 0:
 		// Without targets nothing can be lost.
 		changed = s.isLost()
 		s.regain()
-	case r.Succeeded == 0 && late:
-		s.repeat = true
+	case r.IsLate():
+		s.repeat, s.inspecting = true, inspected
 		if r.ByResponse {
 			s.respondingAt = time.Time{}
 		}
 	case s.isLost():
 		changed = s.probed(r.Succeeded > 0)
+	case r.Succeeded == 0 && inspected:
+		s.repeat = true
 	case r.Succeeded == 0:
 		changed = s.lose(h.evidence(r.EndedAt, r.Hall, s), r)
 	default:
--- a/reach/halls.go
+++ b/reach/halls.go
@@ -57,6 +57,8 @@
 	unproven bool
 	// repeat is true after a check during which the process did not run.
 	repeat bool
+	// inspecting is true if the hall is to be checked without evidence.
+	inspecting bool
 	// confirming is true after a successful check of a lost hall.
 	confirming bool
 	// abandoned is true once the requests at the targets of the lost hall have been abandoned.
@@ -159,7 +161,7 @@
 	for _, s := range h.halls {
 		s.loss = Loss{}
 		s.clearFailures(func(hallTarget) bool { return true })
-		s.unproven, s.repeat, s.confirming, s.abandoned = false, false, false, false
+		s.unproven, s.repeat, s.inspecting, s.confirming, s.abandoned = false, false, false, false, false
 	}
 }
 
@@ -312,7 +314,7 @@
 }
 
 func (s *hall) needsAttention(now time.Time) bool {
-	return s.isLost() || s.failing > 0 || s.running > 0 && now.Sub(later(s.waitingSince, s.respondedAt)) >= stallTime/2
+	return s.isLost() || s.inspecting || s.failing > 0 || s.running > 0 && now.Sub(later(s.waitingSince, s.respondedAt)) >= stallTime/2
 }
 
 // IsIdle reports whether no check of any hall becomes due without a further event.
@@ -325,6 +327,15 @@
 	return true
 }
 
+// Inspect requests a check of a hall to which no requests are sent, unless a target there has been reached
+// since the given time. If it finds none, another one has to confirm that.
+func (h *Halls) Inspect(name string, since time.Time) {
+	s := h.hall(name)
+	if !s.isLost() && !s.checking && !s.repeat && s.size > 0 && !later(s.respondedAt, s.connectedAt).After(since) {
+		s.inspecting = true
+	}
+}
+
 // Abandon returns the lost halls at whose targets requests are running that will not be answered: none
 // was for stallTime. Each loss is returned once.
 func (h *Halls) Abandon(now time.Time) []string {
--- a/reach/halls_test.go
+++ b/reach/halls_test.go
@@ -236,6 +236,27 @@
 	}
 }
 
+// TestInspectedHall checks that a hall without requests is lost only after two checks, and that one in which
+// a target was reached is not inspected.
+func TestInspectedHall(t *testing.T) {
+	h := newHalls("a", "b")
+	h.Connected(at(0), "a", "i-1")
+	h.Inspect("a", at(-1))
+	_, due := h.NextCheck(at(10))
+	require.False(t, due)
+	h.Inspect("a", at(5))
+	c, due := h.NextCheck(at(10))
+	require.True(t, due)
+	failAll(h, 10, "a", c.Size, Unconnected)
+	require.False(t, h.Checked(result(10, c, 0)))
+	h.Inspect("a", at(5))
+	c, due = h.NextCheck(at(11))
+	require.True(t, due)
+	h.Inspect("a", at(5))
+	require.True(t, h.Checked(result(11, c, 0)), "further requests do not put the decision off")
+	require.Equal(t, []string{"a"}, h.Lost())
+}
+
 func TestAllLostBut(t *testing.T) {
 	h := newHalls("a", "b", "c")
 	require.False(t, h.AllLostBut("a"))
--- a/reach/isolation.go
+++ b/reach/isolation.go
@@ -15,10 +15,16 @@
 	HallsLost bool
 }
 
+// MembersLost reports whether the members of other halls have been heard from, and none of them for
+// isolationTime.
+func (c Contacts) MembersLost(now time.Time) bool {
+	return !c.MembersAt.IsZero() && now.Sub(c.MembersAt) >= isolationTime
+}
+
 // MayBeIsolated reports whether an instance is isolated, that is, cut off from everything outside its hall,
 // unless the store responds. The caller should then find out whether it does.
 func (c Contacts) MayBeIsolated(now time.Time) bool {
-	return c.HallsLost && !c.MembersAt.IsZero() && now.Sub(c.MembersAt) >= isolationTime
+	return c.HallsLost && c.MembersLost(now)
 }
 
 // IsIsolated reports whether an instance is isolated. If the store has responded since the members of other
