--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -111,6 +111,7 @@
 	endpoints []endpoints.Instance
 
 	readiness readiness
+	isolation isolation
 
 	watch   watchState
 	leaving atomic.Bool
@@ -189,6 +190,12 @@
 	g.reach = newReachability(g)
 	g.helpers = newHelpers(config.Region, config.Hall, g.otherMembers)
 	g.helperClient = forward.NewClient(headers, codec, config.Clock)
+	helperDialer := forward.Dialer(forward.DialTCP)
+	if config.PeerDialer != nil {
+		helperDialer = config.PeerDialer
+		g.mesh.SetDialer(config.PeerDialer)
+	}
+	g.helperClient.SetDialer(dialHelper(helperDialer))
 	g.pools = newPools(config, g.departures.all, g.targetLimits.all, g.requestPermits)
 	g.accountPermits = newPermits(config, g.mesh, g.startedAt, g.limitOf)
 	g.quarantine = newQuarantineState()
@@ -250,6 +257,8 @@
 	g.startGoroutine(func() { g.maintenanceLoop(work) })
 	g.startGoroutine(func() { g.reach.loop(work) })
 	g.startGoroutine(func() { g.overloadLoop(work) })
+	g.startGoroutine(func() { g.reach.halls.loop(work) })
+	g.startGoroutine(func() { g.isolationLoop(work) })
 	g.serveClients()
 	g.log.Info(logStart, "version", Version(), "hall", g.config.Hall, "region", g.config.Region,
 		"listen", g.config.Listen, "peer", g.config.PeerListen, "seeds", g.config.Seeds, "capacity", g.config.capacity(), "log_sample", g.config.LogSample)
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -80,7 +80,7 @@
 	g.gossipRounds++
 	partners := g.partners(now, wide)
 	settled := now.Sub(g.startedAt) >= heartbeatsExpectedAfter
-	busy := g.pools.targetReports(now, g.reach.provenAt()).Sample(maxTargetReports, g.rand)
+	busy := g.pools.targetReports(now, g.reach.provenIn).Sample(maxTargetReports, g.rand)
 	for _, m := range partners {
 		message := g.gossipMessage(now, m.Region)
 		if m.Region == g.config.Region {
@@ -132,7 +132,8 @@
 
 // newGossip returns a message with the given heartbeats.
 func newGossip(heartbeats fleet.Heartbeats) *peer.Gossip {
-	return &peer.Gossip{Heartbeats: heartbeats, TargetsLost: heartbeats.With(fleet.TargetsLost), OverloadedInstances: overloadedAmong(heartbeats)}
+	return &peer.Gossip{Heartbeats: heartbeats, TargetsLost: heartbeats.With(fleet.TargetsLost), HallsLost: heartbeats.With(fleet.HallsLost),
+		OverloadedInstances: overloadedAmong(heartbeats)}
 }
 
 // flags returns the flags for the heartbeat of this instance.
@@ -156,6 +157,9 @@
 	if g.overloaded.Load() {
 		flags |= fleet.Overloaded
 	}
+	if g.reach.hasLostHalls() {
+		flags |= fleet.HallsLost
+	}
 	return flags
 }
 
@@ -277,6 +281,7 @@
 	known := g.view.Len()
 	m.Heartbeats.SetFlag(fleet.TargetsLost, m.TargetsLost)
 	m.Heartbeats.SetFlag(fleet.Overloaded, m.OverloadedInstances)
+	m.Heartbeats.SetFlag(fleet.HallsLost, m.HallsLost)
 	if m.Member != nil {
 		g.view.Add(*m.Member)
 	}
--- a/peer/message.go
+++ b/peer/message.go
@@ -106,6 +106,8 @@
 	// OverloadedInstances are the members among Heartbeats that are overloaded. Overloaded, in
 	// contrast, concerns targets.
 	OverloadedInstances []fleet.ID `msgpack:"o,omitempty"`
+	// HallsLost are the members among Heartbeats that reach no target of some hall.
+	HallsLost []fleet.ID `msgpack:"z,omitempty"`
 	// Member describes the sender, for receivers that may not know it. It is nil in most
 	// messages.
 	Member *fleet.Member `msgpack:"m,omitempty"`
