upstream: shares of regions follow the halls that are reachable

A hall that was lost left its region's keys to the targets that remained there.

The slots of unreachable halls don't count for the shares, which move by the bounded steps of any change, there and back. TestSharesFollowReachableSlots fails without the change.

--- a/upstream/plan.go
+++ b/upstream/plan.go
@@ -148,7 +148,7 @@
 }
 
 // regionSlots returns the slots of the targets in service by region. Suspicions, back-offs and cold
-// targets are temporary and do not change the shares. A target with a rate limit counts only for
+// targets are temporary and do not change the shares. Targets in unreachable halls do not count. A target with a rate limit counts only for
 // the slots that it can use under the limit. During a rollout only the cohort that runs most
 // requests counts.
 func (p *Pool) regionSlots(r *Request) map[string]float64 {
@@ -160,10 +160,31 @@
 			slots[region.name] = counts.slots
 		}
 	}
+	p.subtractUnreachable(slots, majority)
 	for _, t := range p.limitedTargets {
-		if t.placement.serving && t.cohort == majority && r.allows(t.region.name) {
+		if t.placement.serving && t.cohort == majority && !t.state.Unreachable() && r.allows(t.region.name) {
 			slots[t.region.name] -= t.placement.slots - t.capacity(p.typicalLatency)
 		}
 	}
 	return slots
 }
+
+// subtractUnreachable subtracts the slots of targets in halls to which this instance has lost its links, so
+// that the keys of a region follow, by bounded steps, the targets that are left. A region without any
+// keeps its slots: its requests are divided over the others.
+func (p *Pool) subtractUnreachable(slots map[string]float64, majority cohort) {
+	if len(p.unreachable) == 0 {
+		return
+	}
+	lost := make(map[string]float64)
+	for _, t := range p.byID {
+		if t.state.Unreachable() && t.placement.serving && t.cohort == majority {
+			lost[t.region.name] += t.placement.slots
+		}
+	}
+	for region, n := range lost {
+		if n < slots[region] {
+			slots[region] -= n
+		}
+	}
+}
--- a/upstream/unreachable.go
+++ b/upstream/unreachable.go
@@ -22,6 +22,7 @@
 		}
 	}
 	p.unreachable = halls
+	p.invalidatePlans()
 	return p.dispatch(now)
 }
 
--- a/upstream/unreachable_test.go
+++ b/upstream/unreachable_test.go
@@ -156,3 +156,55 @@
 	}
 	require.Equal(t, []string{"a1-0", "a2-0"}, suspected)
 }
+
+// TestSharesFollowReachableSlots guards against a region whose requests are refused by the targets that are
+// left of it while other regions have free slots. The shares follow by steps of ShiftStep at most, there and
+// back.
+func TestSharesFollowReachableSlots(t *testing.T) {
+	const keys, step = 2000, 0.1
+	p := upstream.NewPool(upstream.Config{Service: "s", Self: "i1", Hall: "a1", Region: "a",
+		RegionOf: map[string]string{"a1": "a", "a2": "a", "b1": "b", "c1": "c"}, ShiftStep: step, ShiftWindow: 2 * time.Second})
+	var specs []*catalog.Target
+	for hall, slots := range map[string]int{"a1": 100, "a2": 100, "b1": 200, "c1": 200} {
+		specs = append(specs, &catalog.Target{ID: hall, Service: "s", Addr: "x", Hall: hall, Slots: slots})
+	}
+	now := start
+	p.SetTargets(now, specs, nil)
+	inRegion := func() map[string]bool {
+		out := make(map[string]bool)
+		for key, choice := range place(t, p, now, keys) {
+			if choice.Region == "a" {
+				out[key] = true
+			}
+		}
+		return out
+	}
+	// advance lets 30 s pass and checks each window of 2 s.
+	advance := func() map[string]bool {
+		before := inRegion()
+		for range 15 {
+			now = now.Add(2 * time.Second)
+			after := inRegion()
+			moved := 0
+			for key := range before {
+				if !after[key] {
+					moved++
+				}
+			}
+			require.LessOrEqual(t, float64(moved)/keys, 1.2*step, "%v", now.Sub(start))
+			before = after
+		}
+		return before
+	}
+	whole := len(advance())
+	p.SetUnreachableHalls(now, map[string]bool{"a2": true})
+	require.InDelta(t, whole, len(inRegion()), 1.2*step*keys, "no jump")
+	half := len(advance())
+	require.Less(t, float64(half), 0.75*float64(whole))
+	require.Greater(t, float64(half), 0.35*float64(whole))
+	p.SetUnreachableHalls(now, nil)
+	require.InDelta(t, half, len(inRegion()), 1.2*step*keys, "no jump")
+	require.InEpsilon(t, whole, len(advance()), 0.05)
+	p.SetUnreachableHalls(now, map[string]bool{"a1": true, "a2": true})
+	require.Empty(t, inRegion())
+}
