--- a/cmd/rainford/gateways.go
+++ b/cmd/rainford/gateways.go
@@ -74,6 +74,15 @@
 			continue
 		}
 		fmt.Fprintf(tw, "%s\t%s\tconfiguration %d\t%s\t%d targets, %d of them get nothing\n", s.Instance, s.Hall, s.ConfigVersion, gatewayState(s), s.Targets, len(s.Unavailable))
+		if s.TargetsLost {
+			fmt.Fprintf(tw, "  reaches no target\n")
+		}
+		if s.Isolated {
+			fmt.Fprintf(tw, "  isolated: cut off from everything outside its hall\n")
+		}
+		for _, h := range s.HallsLost {
+			fmt.Fprintf(tw, "  reaches no target of %s\t%s\n", h.Hall, formatTimes(h.ForMs, 0))
+		}
 		for _, t := range s.Unavailable {
 			fmt.Fprintf(tw, "  %s\t%s\t%s\t%s by %s\t%s\n", t.Target, t.Hall, t.Service, t.Cause, t.Source, formatTimes(t.ForMs, t.RemainingMs))
 		}
--- a/gateway/delta_test.go
+++ b/gateway/delta_test.go
@@ -55,7 +55,7 @@
 	g := &Gateway{
 		config:               Config{Name: "n0", Hall: "a1", Region: "a", RegionOf: map[string]string{"a1": "a"}, Log: log},
 		log:                  log,
-		reach:                &reachability{},
+		reach:                &reachability{halls: &hallLinks{}},
 		replicas:             make(map[feed.Kind]*feed.Replica),
 		pendingDeltaRequests: make(map[feed.Kind][]*peer.DeltaRequest),
 		deltaCache:           make(deltaCache),
--- a/gateway/halls.go
+++ b/gateway/halls.go
@@ -3,12 +3,10 @@
 import (
 	"context"
 	"log/slog"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/rainford/rainford/catalog"
 	"github.com/rainford/rainford/internal/clock"
 	"github.com/rainford/rainford/reach"
 	"github.com/rainford/rainford/upstream"
@@ -51,12 +49,6 @@
 	dialing, exchanging map[string]cancelable
 }
 
-// cancelable is a context with its cancel function.
-type cancelable struct {
-	context.Context
-	cancel context.CancelFunc
-}
-
 func newHallLinks(g *Gateway, all *reachability) *hallLinks {
 	return &hallLinks{
 		clock:   g.clock,
@@ -83,16 +75,6 @@
 // hasLostHalls reports whether this instance has lost its links to any hall.
 func (r *reachability) hasLostHalls() bool { return r.halls.anyLost.Load() }
 
-// exchangeContext returns the context in which a request waits for the response of a target. One that may
-// run more than once ends its wait if the target's hall is lost. Others wait on, since the response may still
-// arrive if the fault is short.
-func (g *Gateway) exchangeContext(ex *exchange, target upstream.Choice) context.Context {
-	if ex.route.Kind != catalog.Idempotent || ex.isTrial() {
-		return nil
-	}
-	return g.reach.halls.exchangeContext(target.Hall)
-}
-
 // isHallLost reports whether this instance has lost its links to a hall, or to all.
 func (r *reachability) isHallLost(hall string) bool {
 	return r.isLost() || r.hasLostHalls() && r.halls.isLost(hall)
@@ -217,47 +199,6 @@
 	}
 }
 
-// closeIdleIn closes the idle connections to the targets of a hall.
-func (g *Gateway) closeIdleIn(hall string) {
-	for _, t := range g.targetsByHall()[hall] {
-		g.targets.CloseIdleTo(t.ID, t.Addr)
-	}
-}
-
-// dialContext returns the context of connections that are opened to a hall for requests. It ends with
-// parent, too.
-func (h *hallLinks) dialContext(parent context.Context, hall string) context.Context {
-	return h.contextOf(h.dialing, parent, hall)
-}
-
-// exchangeContext returns the context of requests that wait for a response of a hall and may be sent to
-// another target in its place.
-func (h *hallLinks) exchangeContext(hall string) context.Context {
-	return h.contextOf(h.exchanging, context.Background(), hall)
-}
-
-func (h *hallLinks) contextOf(contexts map[string]cancelable, parent context.Context, hall string) context.Context {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	c, ok := contexts[hall]
-	if !ok || parent.Err() == nil && c.Err() != nil {
-		c.Context, c.cancel = context.WithCancel(parent)
-		contexts[hall] = c
-	}
-	return c
-}
-
-// cancelIn cancels and replaces the context of a hall.
-func (h *hallLinks) cancelIn(contexts map[string]cancelable, hall string) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	c, ok := contexts[hall]
-	delete(contexts, hall)
-	if ok {
-		c.cancel()
-	}
-}
-
 // loop makes the checks that are due until ctx ends. Those of different halls overlap.
 func (h *hallLinks) loop(ctx context.Context) {
 	var checks sync.WaitGroup
@@ -382,99 +323,3 @@
 		h.onLost(nil)
 	}
 }
-
-// hallVerdictTime is how long verifyIn waits for a verdict about a hall of whose targets none could be
-// connected to. A loss is noticed within about that time.
-const hallVerdictTime = 500 * time.Millisecond
-
-// verifyIn calls a function with true if the failure of a target is its own, since others of its hall can be
-// connected to, and with false if this instance has lost its links to the hall. If neither is found, all
-// targets decide.
-func (r *reachability) verifyIn(target upstream.Choice, delay time.Duration, call func(reached bool)) {
-	time.AfterFunc(delay, func() {
-		if r.isHallLost(target.Hall) || r.proveHall(target) {
-			call(!r.isHallLost(target.Hall))
-			return
-		}
-		time.AfterFunc(hallVerdictTime, func() {
-			if r.isHallLost(target.Hall) {
-				call(false)
-				return
-			}
-			r.verify(reach.AtOnce, call)
-		})
-	})
-}
-
-// proveHall reports whether other targets of a target's hall can be connected to.
-func (r *reachability) proveHall(target upstream.Choice) bool {
-	others := slices.DeleteFunc(r.halls.sample(target.Hall, reach.ProbeTargets+1), func(t reach.Target) bool { return t.ID == target.ID })
-	at := r.clock.Now()
-	if !r.halls.prove(others[:min(len(others), reach.ProbeTargets)]) {
-		return false
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.tracker.Connected(at)
-	r.call(r.proofs.Resolve(&r.tracker))
-	return true
-}
-
-// proveSoon finds out whether the failure of a target is due to the links of this instance: others are told
-// that the target is down only if it is not.
-func (r *reachability) proveSoon(target upstream.Choice) {
-	if !r.halls.startProving(target.Hall) {
-		return
-	}
-	time.AfterFunc(reach.Soon, func() {
-		proven := r.isHallLost(target.Hall) || r.proveHall(target)
-		r.halls.endProving(target.Hall)
-		if !proven {
-			r.requestCheck()
-		}
-	})
-}
-
-// provenIn returns the latest time at which this instance is known to have reached a target of a hall, or any
-// target if the hall has only one.
-func (r *reachability) provenIn(hall string) time.Time {
-	if r.halls.size(hall) > 1 {
-		return r.halls.connectedAt(hall)
-	}
-	return r.provenAt()
-}
-
-// startProving reports whether a connection to a hall should be opened for a proof.
-func (h *hallLinks) startProving(hall string) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.proving[hall] || h.tracker.IsLost(hall) {
-		return false
-	}
-	h.proving[hall] = true
-	return true
-}
-
-func (h *hallLinks) endProving(hall string) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	delete(h.proving, hall)
-}
-
-// size returns the number of targets of a hall.
-func (h *hallLinks) size(hall string) int {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.tracker.Size(hall)
-}
-
-// prove reports whether one of some targets can be connected to.
-func (h *hallLinks) prove(targets []reach.Target) bool {
-	at := h.clock.Now()
-	t, err := tryAny(targets, h.connect)
-	if err != nil || len(targets) == 0 {
-		return false
-	}
-	h.connected(at, t)
-	return true
-}
