gateway: requests whose reachable targets are full are handed over; test

targetSilent is left to the part on hedged requests. The states of halls end silently when the state of all targets changes.

go test ./gateway -run TestFullTargetsAreReplaced -count=2: passes.

--- a/gateway/halls.go
+++ b/gateway/halls.go
@@ -80,11 +80,6 @@
 	return r.isLost() || r.hasLostHalls() && r.halls.isLost(hall)
 }
 
-// targetSilent records that a target has not responded to a request for longer than others take.
-func (r *reachability) targetSilent(target upstream.Choice) {
-	r.halls.failed(r.clock.Now(), target, reach.Unanswered)
-}
-
 func (h *hallLinks) isLost(hall string) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -319,7 +314,6 @@
 	h.mu.Unlock()
 	h.anyLost.Store(false)
 	if len(lost) > 0 {
-		h.log.Info(logHallRegained, "hall", "all", "still_lost", []string{})
 		h.onLost(nil)
 	}
 }
--- a/gateway/lost_halls_test.go
+++ b/gateway/lost_halls_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -204,6 +205,35 @@
 	require.Positive(t, in.counted("rainford_refusals_total", `reason="halls-lost"`))
 }
 
+// TestFullTargetsAreReplacedByHelpers guards against requests that are refused because the few targets that an
+// instance reaches are full, while another instance reaches all halls.
+func TestFullTargetsAreReplacedByHelpers(t *testing.T) {
+	t.Parallel()
+	s := newCutSite(t)
+	s.warmUp()
+	in := s.instances["n1"]
+	s.links["n1"].Cut(link.Silent, s.hallIs("a2", "b1"))
+	in.loadUntil(t, noticeTime, readPath, func() bool { return strings.Contains(in.lostHalls(), "a2") })
+	before := s.instances["n2"].handedOver() + s.instances["n3"].handedOver()
+	for _, server := range s.servers {
+		server.SetServiceTime(200 * time.Millisecond)
+	}
+	var served atomic.Int64
+	var wg sync.WaitGroup
+	// Three targets run nine requests at a time and take 23 at most.
+	for i := range 40 {
+		wg.Go(func() {
+			got := in.sendWith(t.Context(), in.site.newID(), "GET", readPath, "", http.Header{"Affinity-Key": {fmt.Sprint("many", i)}})
+			if got.status == http.StatusOK {
+				served.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	require.GreaterOrEqual(t, served.Load(), int64(38))
+	require.Greater(t, s.instances["n2"].handedOver()+s.instances["n3"].handedOver(), before)
+}
+
 // TestFewTargetsDownAreNoLostHall guards against a hall that is taken for lost because two of its targets are
 // down.
 func TestFewTargetsDownAreNoLostHall(t *testing.T) {
