soak: POWER judges how many requests a hall's clients get served

Counting attempts did not show the fault: a client that waits for an instance without power makes few attempts.

POWER now compares the requests per second that the clients of the hall got served from 4 s after the loss with those before, relative to the other halls' clients; opening a connection to an instance without power times out after 1 s at a client.

--- a/internal/soak/attempt.go
+++ b/internal/soak/attempt.go
@@ -19,6 +19,8 @@
 	// account and key are those of the client, both empty for a probe.
 	account, key string
 	hot          bool
+	// clientHall is the hall of the client, or empty for a probe.
+	clientHall string
 	// repeated is set for a client's second attempt at a request.
 	repeated bool
 
--- a/internal/soak/clients.go
+++ b/internal/soak/clients.go
@@ -17,9 +17,10 @@
 )
 
 const (
-	clientTimeout = 3 * time.Second
-	lookupTimeout = time.Second
-	lookupLife    = time.Second
+	clientTimeout  = 3 * time.Second
+	connectTimeout = time.Second
+	lookupTimeout  = time.Second
+	lookupLife     = time.Second
 	// thinkTime bounds the pause of a client between two requests.
 	thinkTime    = 60 * time.Millisecond
 	probeEvery   = 200 * time.Millisecond
@@ -46,8 +47,14 @@
 	return c
 }
 
-// dial opens a connection and records the time.
+// dial opens a connection and records the time. Opening one to an instance without power times out.
 func (c *client) dial(ctx context.Context, network, addr string) (net.Conn, error) {
+	if in := c.site.instanceAt(addr); in != nil && in.front.current() == Off {
+		ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+		defer cancel()
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	conn, err := (&net.Dialer{}).DialContext(ctx, network, addr)
 	if err != nil {
 		return nil, err
@@ -165,7 +172,7 @@
 func (c *client) attempt(ctx context.Context, addr, method, uri string, body []byte, deadline time.Time, repeated bool) (bool, time.Duration) {
 	a := c.site.oracle.begin(c.site.instanceAt(addr), method, uri, body)
 	a.account, a.key, a.hot = c.account.name, c.site.keys.use(c.account.name), c.account.hot
-	a.repeated = repeated
+	a.repeated, a.clientHall = repeated, c.place.hall
 	leaves := c.rnd.IntN(leaveOneIn) == 0
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
--- a/internal/soak/halls.go
+++ b/internal/soak/halls.go
@@ -14,9 +14,11 @@
 	// minHallShare is the fraction of the others' served first attempts that instances must serve
 	// whose links to the servers of one other hall are cut one way. A quarter of the servers is cut.
 	minHallShare = 0.9
-	// minPowerShare is the fraction of the first attempts served before a hall lost power that must be
-	// served while it has none.
+	// minPowerShare is the fraction of the requests that a hall's clients got served before it lost
+	// power, and still do while it has none, relative to the other halls' clients. With fewer than
+	// minOutageRate requests per second before, the fraction is not judged.
 	minPowerShare = 2.0 / 3
+	minOutageRate = 10
 	// minOutageTime is the shortest time for which a hall has no power. Clients must be served for all
 	// but the first four seconds of it.
 	minOutageTime = 6 * time.Second
@@ -53,8 +55,6 @@
 type outage struct {
 	hall        string
 	from, until time.Time
-	// instances are those of the hall.
-	instances map[string]bool
 }
 
 // cutPower ends the instances and the servers of a hall at the same time, without a word to their
@@ -62,12 +62,11 @@
 func (r *runner) cutPower(f Fault) {
 	s := r.site
 	hall := places[f.Which%len(places)].hall
-	lost := &outage{hall: hall, from: time.Now(), until: time.Now().Add(f.For), instances: make(map[string]bool)}
+	lost := &outage{hall: hall, from: time.Now(), until: time.Now().Add(f.For)}
 	var instances []*instance
 	for _, in := range s.instances {
 		if in.place.hall == hall {
 			instances = append(instances, in)
-			lost.instances[in.name] = true
 		}
 	}
 	for _, in := range instances {
@@ -114,37 +113,45 @@
 	_, _ = s.serve(o, srv.place, true, srv.version)
 }
 
-// judgeOutage checks at the end of a power outage that clients were served while it lasted. Attempts at
-// instances of the hall count: after the first four seconds look-ups must name others.
+// servedRates holds the requests of clients served per second before and during a power outage.
+type servedRates struct{ before, during float64 }
+
+// kept returns the fraction of the rate before the outage that is left during it.
+func (r servedRates) kept() float64 { return r.during / r.before }
+
+// judgeOutage checks at the end of a power outage that the hall's clients were served while it lasted.
+// The requests that they got served per second are compared with those before, and with how the other
+// halls' clients fared. The first four seconds do not count: then look-ups must name instances of other
+// halls. Attempts are no measure, since a client that waits for an instance without power makes few.
 func (o *oracle) judgeOutage(lost *outage) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	var before, during struct{ served, all int }
+	var own, others servedRates
+	usable := lost.from.Add(contact)
 	for _, a := range o.attempts {
-		if !a.countsAsFirst() || !a.connected && !lost.instances[a.instance] {
+		if a.clientHall == "" || a.doneAt.IsZero() || !a.isServed() {
 			continue
 		}
-		count := &during
-		switch {
-		case a.at.After(lost.from.Add(-contact)) && a.doneAt.Before(lost.from):
-			count = &before
-		case a.at.Before(lost.from.Add(contact)) || !a.at.Before(lost.until):
-			continue
+		rates := &others
+		if a.clientHall == lost.hall {
+			rates = &own
 		}
-		count.all++
-		if a.isServed() {
-			count.served++
+		switch {
+		case a.doneAt.After(lost.from.Add(-contact)) && a.doneAt.Before(lost.from):
+			rates.before += 1 / contact.Seconds()
+		case a.doneAt.After(usable) && a.doneAt.Before(lost.until):
+			rates.during += 1 / lost.until.Sub(usable).Seconds()
 		}
 	}
-	o.cutResults = append(o.cutResults, fmt.Sprintf("hall %s without power: %d of %d, before %d of %d", lost.hall, during.served, during.all, before.served, before.all))
-	if before.all == 0 || during.all == 0 {
+	o.cutResults = append(o.cutResults, fmt.Sprintf("hall %s without power: its clients %.1f/s of %.1f/s, others %.1f/s of %.1f/s",
+		lost.hall, own.during, own.before, others.during, others.before))
+	if own.before < minOutageRate || others.before < minOutageRate {
 		return
 	}
 	o.checks["POWER"]++
-	failed := float64(during.all - during.served)
-	rare := failed <= failedSlack+failedFactor*float64(during.all)
-	if !rare && float64(during.served)*float64(before.all) < minPowerShare*float64(before.served)*float64(during.all) {
-		o.violated("POWER", "while hall %s had no power %d of %d first attempts were served, before %d of %d", lost.hall, during.served, during.all, before.served, before.all)
+	if own.kept() < minPowerShare*min(1, others.kept()) {
+		o.violated("POWER", "while hall %s had no power its clients were served %.1f requests a second of %.1f, the others %.1f of %.1f",
+			lost.hall, own.during, own.before, others.during, others.before)
 	}
 }
 
--- a/internal/soak/halls_test.go
+++ b/internal/soak/halls_test.go
@@ -13,14 +13,16 @@
 )
 
 // addAttempts adds first attempts of clients that were sent at a time, of which some were served.
-func addAttempts(o *oracle, name string, at time.Time, all, served int) {
+func addAttempts(o *oracle, name string, at time.Time, all, served int) (out []*attempt) {
 	for i := range all {
 		a := o.begin(&instance{name: name}, http.MethodGet, "/read/1", nil)
 		a.at, a.doneAt, a.result.status = at, at.Add(time.Millisecond), http.StatusServiceUnavailable
 		if i < served {
 			a.result.status = http.StatusOK
 		}
+		out = append(out, a)
 	}
+	return out
 }
 
 // TestJudgeHallCut checks that a cut of the links to another hall breaks HALL if clients at the cut
@@ -48,34 +50,42 @@
 	}
 }
 
-// TestJudgeOutage checks that a hall without power breaks POWER if clients are served less than two
-// thirds as often as before and more than a few fail, that attempts at its instances count, and that the
-// first four seconds do not.
+// TestJudgeOutage checks that a hall without power breaks POWER if its clients are served less than two
+// thirds as often as before, relative to other clients, and that the first four seconds do not count.
 func TestJudgeOutage(t *testing.T) {
 	for _, c := range []struct {
-		name                  string
-		early, others, atHall int
-		broken                bool
+		name                         string
+		early, own, others, ownAtAll int
+		broken, unjudged             bool
 	}{
-		{name: "all served", others: 300},
-		{name: "only the first seconds fail", early: 500, others: 300},
-		{name: "two thirds", others: 200},
-		{name: "less than two thirds", others: 199, broken: true},
-		{name: "clients use the hall's instances", others: 300, atHall: 200, broken: true},
-		{name: "few of them do", others: 300, atHall: 16},
+		{name: "all served", own: 200, others: 600, ownAtAll: 200},
+		{name: "two thirds", own: 134, others: 600, ownAtAll: 200},
+		{name: "less than two thirds", own: 133, others: 600, ownAtAll: 200, broken: true},
+		{name: "only the first seconds", early: 200, others: 600, ownAtAll: 200, broken: true},
+		{name: "the others get less too", own: 67, others: 300, ownAtAll: 200},
+		{name: "the others get more", own: 134, others: 900, ownAtAll: 200},
+		{name: "few requests before", others: 600, ownAtAll: 30, unjudged: true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			o := newOracle(newKeyring())
 			now := time.Now()
-			lost := &outage{hall: "a1", from: now.Add(-8 * time.Second), until: now, instances: map[string]bool{"n1": true}}
-			o.disturbed("n1", now)
-			addAttempts(o, "n2", lost.from.Add(-time.Second), 400, 400)
-			addAttempts(o, "n2", lost.from.Add(time.Second), c.early, 0)
-			addAttempts(o, "n2", now.Add(-time.Second), 300, c.others)
-			addAttempts(o, "n1", now.Add(-time.Second), c.atHall, 0)
+			lost := &outage{hall: "a1", from: now.Add(-8 * time.Second), until: now}
+			add := func(hall string, at time.Time, n int) {
+				for _, a := range addAttempts(o, "n2", at, n, n) {
+					a.clientHall = hall
+				}
+				for _, a := range addAttempts(o, "n2", at, 10, 0) {
+					a.clientHall = hall
+				}
+			}
+			add("a1", lost.from.Add(-time.Second), c.ownAtAll)
+			add("b1", lost.from.Add(-time.Second), 600)
+			add("a1", lost.from.Add(time.Second), c.early)
+			add("a1", now.Add(-time.Second), c.own)
+			add("b1", now.Add(-time.Second), c.others)
 			o.judgeOutage(lost)
 			require.Equal(t, c.broken, len(o.violations) > 0, "%v", o.violations)
-			require.Equal(t, 1, o.checks["POWER"])
+			require.Equal(t, c.unjudged, o.checks["POWER"] == 0)
 		})
 	}
 }
