rainfordd lookup: a process that answers look-ups from the responses of instances

The clients of a hall that loses power ask three instances of that hall for addresses and get none. A small process in each hall answers instead; that of another hall is the second nearest. Both modes get -lookup-port-offset, since the platform's templates can't add.

--- a/cmd/rainfordd/gateway.go
+++ b/cmd/rainfordd/gateway.go
@@ -42,6 +42,8 @@
 	logLevel string
 	logRate  int
 	file     string
+	// lookupPortOffset is added to the port of LookupListen.
+	lookupPortOffset int
 }
 
 // runGateway runs a gateway until a signal stops it, and returns the exit code. SIGHUP reloads
@@ -110,6 +112,7 @@
 	fs.StringVar(&s.halls, "halls", "", "all halls with their regions: HALL=REGION, comma separated")
 	fs.StringVar(&s.Listen, "listen", "", "IP:PORT for requests of clients")
 	fs.StringVar(&s.LookupListen, "lookup-listen", "", "IP:PORT for look-ups of clients")
+	fs.IntVar(&s.lookupPortOffset, lookupPortOffsetName, 0, lookupPortOffsetUsage)
 	fs.StringVar(&s.ReadyListen, "ready-listen", "", "IP:PORT for readiness checks")
 	fs.StringVar(&s.PeerListen, "peer-listen", "", "IP:PORT for messages of other instances")
 	fs.StringVar(&s.AdminListen, "admin-listen", "", "IP:PORT for metrics")
@@ -163,6 +166,12 @@
 	if s.store == "" {
 		findings = append(findings, table.Finding{Field: "store", Message: "is missing"})
 	}
+	var offsetFindings table.Findings
+	s.LookupListen, offsetFindings = offsetPort(s.LookupListen, s.lookupPortOffset)
+	findings = append(findings, offsetFindings...)
+	if s.lookupPortOffset != 0 && (s.LookupListen == s.PeerListen || s.LookupListen == s.AdminListen) {
+		findings = append(findings, table.Finding{Field: lookupPortOffsetName, Message: "leads to " + s.LookupListen + ", which is the address for other instances or operators"})
+	}
 	return append(findings, s.Check()...)
 }
 
--- a/cmd/rainfordd/main.go
+++ b/cmd/rainfordd/main.go
@@ -1,13 +1,15 @@
-// Command rainfordd runs one instance of the traffic steering system. It has two modes,
-// which differ in the platform, the external service that stores the configuration and the
-// list of instances:
+// Command rainfordd runs one instance of the traffic steering system, or a process that
+// answers look-ups beside instances. It has three modes. The first two differ in the platform, the
+// external service that stores the configuration and the list of instances:
 //
 //   - By default, it runs an entry instance, package node, on a platform with one service for
 //     objects of any key.
 //   - With "gateway" as the first argument, it runs a gateway, package gateway, on a platform
 //     whose store lists objects by kind.
+//   - With "lookup" as the first argument, it answers the look-ups of clients from the responses of
+//     gateways, package resolver.
 //
-// The program logs to standard error in the first mode and to standard output in the second.
+// The program logs to standard error in the first mode and to standard output in the others.
 // It stops on SIGTERM and SIGINT.
 package main
 
@@ -41,6 +43,9 @@
 	if len(args) > 0 && args[0] == gatewayCommand {
 		os.Exit(runGateway(args[1:], os.Stdout, os.Stderr))
 	}
+	if len(args) > 0 && args[0] == lookupCommand {
+		os.Exit(runLookup(args[1:], os.Stdout, os.Stderr))
+	}
 	os.Exit(run(args, os.Stderr))
 }
 
