rainfordd lookup: test that concurrent look-ups cause one request

The test with processes can't tell a second request for a response that is no longer fresh from one that is not needed. This one stops the clock.

--- a/cmd/rainfordd/lookup_test.go
+++ b/cmd/rainfordd/lookup_test.go
@@ -5,6 +5,8 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -73,6 +75,38 @@
 func (d discardResponse) Write(body []byte) (int, error) { return len(body), nil }
 func (d discardResponse) WriteHeader(int)                {}
 
+// TestConcurrentLookups guards against more than one request to the instance for look-ups of the same
+// query that arrive before its response, and for those that follow while it is fresh.
+func TestConcurrentLookups(t *testing.T) {
+	const lookups = 100
+	var requests atomic.Int64
+	release := make(chan struct{})
+	instance := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		requests.Add(1)
+		<-release
+		_, _ = w.Write([]byte(`{"addresses":["127.0.0.1:80"],"ttl":"5000ms"}`))
+	}))
+	t.Cleanup(instance.Close)
+	s, err := newLookupServer(&lookupSettings{listen: "127.0.0.1:0", instance: instance.Listener.Addr().String()},
+		nil, slog.New(slog.DiscardHandler))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = s.listeners[0].Close() })
+	freezeClock(s)
+	var looking sync.WaitGroup
+	for range lookups {
+		looking.Go(func() {
+			recorder := httptest.NewRecorder()
+			s.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/resolve?region=north&zone=north-1", nil))
+			if recorder.Code != http.StatusOK {
+				t.Errorf("status %d", recorder.Code)
+			}
+		})
+	}
+	close(release)
+	looking.Wait()
+	require.EqualValues(t, 1, requests.Load())
+}
+
 // newCachedLookup returns a server with a cached response, and a request for it.
 func newCachedLookup(t testing.TB) (*lookupServer, *http.Request) {
 	body := []byte(`{"addresses":["10.0.0.1:80"],"ttl":"5000ms"}`)
