--- a/gateway/account_test.go
+++ b/gateway/account_test.go
@@ -198,7 +198,7 @@
 // rawConn is a client's connection to which requests are written as raw bytes.
 type rawConn struct {
 	net.Conn
-	t *testing.T
+	t testing.TB
 }
 
 func (in *instance) dial() rawConn {
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -31,7 +31,7 @@
 
 // site is a store with servers and instances on loopback addresses.
 type site struct {
-	t      *testing.T
+	t      testing.TB
 	store  *objects.Store
 	addr   string
 	nextID atomic.Int64
@@ -41,7 +41,7 @@
 	targetLink *link.Link
 }
 
-func newSite(t *testing.T) *site {
+func newSite(t testing.TB) *site {
 	s := &site{t: t, store: objects.New()}
 	server := httptest.NewServer(s.store)
 	t.Cleanup(func() {
@@ -99,6 +99,8 @@
 	stop   context.CancelFunc
 	done   chan struct{}
 	client *http.Client
+	// handler serves the requests of clients without a connection.
+	handler http.Handler
 }
 
 func (s *site) instance(name, hall string, change ...func(*gateway.Config)) *instance {
@@ -127,7 +129,7 @@
 		g.WrapFront(s.wrapFront)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	in := &instance{site: s, config: c, stop: stop, done: make(chan struct{}), client: &http.Client{Transport: &http.Transport{}}}
+	in := &instance{site: s, config: c, stop: stop, done: make(chan struct{}), client: &http.Client{Transport: &http.Transport{}}, handler: g}
 	go func() {
 		defer close(in.done)
 		_ = g.Run(ctx)
