--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -249,7 +249,11 @@
 	if until := t.state.BackoffUntil(); until.After(p.backoffUntil) {
 		p.backoffUntil = until
 	}
-	p.recordEvent(t, before, r.Outcome)
+	cause := r.Outcome
+	if r.Silent {
+		cause = TimedOut
+	}
+	p.recordEvent(t, before, cause)
 	if r.Outcome == Answered && !full {
 		p.updateTypicalLatency(r.Latency)
 	}
@@ -301,7 +305,7 @@
 // when the links of this instance, which made the targets appear to be down, work again.
 func (p *Pool) EndSuspicions(now time.Time) []Grant {
 	for _, t := range p.activeTargets {
-		if t.stats.suspectBackoff == 0 && t.stats.failures == 0 {
+		if t.stats.suspectBackoff == 0 && t.stats.failures+t.stats.silences == 0 {
 			continue
 		}
 		before := t.eventState()
--- a/upstream/request.go
+++ b/upstream/request.go
@@ -162,6 +162,10 @@
 	ServerError bool
 	// NotSent means that no part of the request was sent to the target.
 	NotSent bool
+	// Silent means that an abandoned attempt had received no byte of a response when a hedge of its
+	// request was answered, or at the deadline. Outpaced means that a hedge was answered first, whether
+	// or not the attempt had received any.
+	Silent, Outpaced bool
 	// Latency is the time from sending the request to the complete response.
 	Latency time.Duration
 	// SendState is the SendState of the decision.
--- a/upstream/target.go
+++ b/upstream/target.go
@@ -20,6 +20,9 @@
 	// failuresToSuspect is the number of consecutive broken exchanges after which a target is
 	// suspected. A single broken exchange does not show that the target is down.
 	failuresToSuspect = 3
+	// silencesToSuspect is the number of silent attempts without a response in between after which a
+	// target is suspected. A single one may be due to the request.
+	silencesToSuspect = 2
 	minSuspectBackoff = 500 * time.Millisecond
 	maxSuspectBackoff = 4 * time.Second
 	// rejectionsToPause is the number of consecutive rejections after which a target is paused
@@ -90,6 +93,8 @@
 	answeredAt, downAt time.Time
 
 	failures int
+	// silences is the number of silent attempts since the last response.
+	silences int
 	// rejections is the number of consecutive rejections.
 	rejections int
 	// suspectBackoff is the length of the last suspicion, 0 after a response.
@@ -218,10 +223,10 @@
 	t.applySelfReport(now, r.SelfReport)
 	switch r.Outcome {
 	case Answered:
-		t.stats.failures, t.stats.suspectBackoff, t.stats.rejections = 0, 0, 0
+		t.stats.failures, t.stats.silences, t.stats.suspectBackoff, t.stats.rejections = 0, 0, 0, 0
 		t.stats.answeredAt = now
 	case Rejected:
-		t.stats.failures, t.stats.suspectBackoff = 0, 0
+		t.stats.failures, t.stats.silences, t.stats.suspectBackoff = 0, 0, 0
 		t.stats.answeredAt = now
 		t.stats.rejections++
 		if full || t.stats.rejections >= rejectionsToPause {
@@ -240,6 +245,19 @@
 			t.suspect(now)
 		}
 	case Abandoned:
+		t.recordSilence(now, r)
+	}
+}
+
+// recordSilence counts an abandoned attempt if it was silent. A target that was full when the request was
+// sent is not held responsible, since requests wait there.
+func (t *target) recordSilence(now time.Time, r Result) {
+	if !r.Silent || r.SendState.Load >= 1 {
+		return
+	}
+	t.stats.silences++
+	if t.stats.silences >= silencesToSuspect || t.stats.suspectBackoff > 0 {
+		t.suspect(now)
 	}
 }
 
@@ -253,7 +271,7 @@
 
 // endSuspicion forgets that the target did not answer.
 func (t *target) endSuspicion() {
-	t.stats.failures, t.stats.suspectBackoff = 0, 0
+	t.stats.failures, t.stats.silences, t.stats.suspectBackoff = 0, 0, 0
 	t.stats.downAt = time.Time{}
 	t.state.EndSuspicion()
 }
