gateway: hedged requests

Nothing tried another target while an attempt hung: idempotent requests waited for a target whose responses are lost until the client's deadline. If an attempt has had no response for longer than nearly all comparable ones take, a second one goes to the key's next target; the first complete response is used, and the other attempt's connection is closed at once. The hedge is paid from the retry budget and a budget of its own, counts against maxAttempts, and is withheld from full, cold and suspected targets, trials, requests that were handed over, and requests under which targets crashed. Two hedges in a row that were answered while the first target sent nothing make that target suspected.

A slow version of a rollout stays visible: an attempt that was outpaced is observed with the time that it had taken.

--- a/forward/client.go
+++ b/forward/client.go
@@ -83,6 +83,9 @@
 // CloseIdle closes all idle connections.
 func (c *Client) CloseIdle() { c.idle.closeEverything() }
 
+// CloseIdleTo closes the idle connections to a target.
+func (c *Client) CloseIdleTo(target, addr string) { c.idle.closeAll(endpointKey(target, addr)) }
+
 // HasIdle reports whether a connection to a target is idle.
 func (c *Client) HasIdle(target, addr string) bool { return c.idle.size(endpointKey(target, addr)) > 0 }
 
@@ -96,11 +99,18 @@
 		if ctx.Err() != nil || errors.Is(err, ErrNoIdleConn) {
 			a.TargetResult.Outcome = upstream.Abandoned
 		}
+		if r.Aborter.Aborted() {
+			a.TargetResult.Outcome, a.Err, a.TargetResult.Latency = upstream.Abandoned, ErrAborted, c.clock.Since(start)
+		}
 		return a
 	}
-	if r.MaySend != nil && !r.MaySend() {
+	withheld := ErrWithheld
+	if r.Aborter.Aborted() {
+		withheld = ErrAborted
+	}
+	if withheld == ErrAborted || r.MaySend != nil && !r.MaySend() {
 		c.idle.release(r.endpoint(), cn)
-		a := Attempt{Outcome: retry.NotRun, Err: ErrWithheld}
+		a := Attempt{Outcome: retry.NotRun, Err: withheld}
 		a.TargetResult.Outcome = upstream.Abandoned
 		return a
 	}
@@ -146,6 +156,15 @@
 		defer cancel()
 		defer context.AfterFunc(r.DialContext, cancel)()
 	}
+	if r.Aborter != nil {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithCancel(ctx)
+		defer cancel()
+		defer r.Aborter.set(nil, nil)
+		if !r.Aborter.set(cancel, nil) {
+			return nil, ErrAborted
+		}
+	}
 	if r.OnSlowDial != nil {
 		defer time.AfterFunc(slowDialNotice, r.OnSlowDial).Stop()
 	}
@@ -158,10 +177,15 @@
 	reused := cn.reused
 	_ = cn.SetDeadline(c.clock.System(r.Deadline))
 	stop := context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
+	cn.received = false
+	if !r.Aborter.set(nil, cn) {
+		_ = cn.SetDeadline(time.Unix(1, 0))
+	}
 	written := c.write(cn, r)
 	resp, err := c.read(cn, r)
 	keep := err == nil && !resp.Close && cn.reader.Buffered() == 0 && isDone(written)
-	if !stop() {
+	aborted := !r.Aborter.set(nil, nil)
+	if !stop() || aborted {
 		keep = false
 	}
 	if keep {
@@ -171,7 +195,8 @@
 		_ = cn.Close()
 	}
 	if err != nil {
-		a := c.failed(ctx, r, resp, err)
+		a := c.failed(ctx, r, resp, err, aborted)
+		a.NoResponse = !cn.received
 		if reused && resp == nil && a.TargetResult.Outcome != upstream.Abandoned {
 			// What made a kept connection silent, or made the target forget it, has usually
 			// affected all connections that were open at the time. New ones may well work.
@@ -286,6 +311,7 @@
 		if err != nil {
 			return nil, err
 		}
+		cn.received = true
 		resp, err := http.ReadResponse(cn.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return nil, err
@@ -390,14 +416,17 @@
 	return a
 }
 
-// failed returns the attempt for a missing or incomplete response.
-func (c *Client) failed(ctx context.Context, r *Request, resp *fullResponse, err error) Attempt {
+// failed returns the attempt for a missing or incomplete response, or one that was aborted.
+func (c *Client) failed(ctx context.Context, r *Request, resp *fullResponse, err error, aborted bool) Attempt {
 	a := Attempt{Outcome: retry.Unknown, Err: err}
+	if aborted {
+		a.Err = ErrAborted
+	}
 	if resp != nil {
 		a.TargetResult.SelfReport = c.selfReport(resp.Response)
 	}
 	switch {
-	case ctx.Err() != nil:
+	case ctx.Err() != nil || aborted:
 		a.TargetResult.Outcome = upstream.Abandoned
 	case resp == nil && !c.clock.Now().Before(r.Deadline):
 		a.TargetResult.Outcome = upstream.TimedOut
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -40,6 +40,8 @@
 	maxIdle time.Duration
 	// reused is set once the connection has been taken from the idle pool.
 	reused bool
+	// received is set once a byte has arrived for the current request.
+	received bool
 }
 
 // Dialer opens a TCP connection to an address within a time-out.
--- a/forward/message.go
+++ b/forward/message.go
@@ -69,6 +69,8 @@
 	// is not nil, is called when that takes longer than slowDialNotice.
 	DialContext context.Context
 	OnSlowDial  func()
+	// Aborter, if it is not nil, ends the attempt when its Abort method is called.
+	Aborter *Aborter
 }
 
 // endpoint returns the key of the request's connections. It contains the address because
@@ -98,6 +100,8 @@
 	Sent bool
 	// Reused is set if the connection was open before the request was made.
 	Reused bool
+	// NoResponse is set if the request was sent and no byte of a response was received.
+	NoResponse bool
 	// Err is why there is no response. It is nil if a response says that the request was
 	// not run.
 	Err error
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -116,27 +116,19 @@
 			return final, true
 		}
 	}
-	p.recordSent(decision)
-	startedAt := g.clock.Now()
-	a := g.sendAttempt(ex, header, p, decision)
-	g.recordAttempt(ex, p, *request, decision, a)
-	if a.Response != nil {
+	last, other := g.sendWithHedge(ex, p, *request, header, state.sent, decision)
+	if a := last.Attempt; a.Response != nil {
 		ex.answered = true
 		g.bodySizes.record(ex.route.Name, len(ex.body)+len(a.Response.Body))
 		return ex.clientResult(a.Response), true
 	}
-	state.record(a, g.clock.Since(startedAt))
-	if stop, result := g.afterAttempt(ex, a, state.unknown); stop {
-		return withoutResponse(result), true
+	if other != nil {
+		state.record(*other, request)
 	}
-	if a.TargetResult.Outcome == upstream.Rejected && decision.SendState.Load < 1 && !a.TargetResult.SelfReport.Restricts() {
-		// The request may go to the same target again: it was not full, and it probably has the
-		// object cached.
-		state.backoff = shortRetryAfter
-		return finalResult{}, false
+	state.record(last, request)
+	if stop, result := g.afterAttempt(ex, last.Attempt, state.unknown); stop {
+		return withoutResponse(result), true
 	}
-	state.backoff = retryAfterAttempt(a)
-	request.Tried = append(request.Tried, decision.Target.ID)
 	return finalResult{}, false
 }
 
@@ -194,51 +186,6 @@
 	return withoutResponse(failedResult(state.unknown, string(decision.Reason), decision.RetryAfter))
 }
 
-// recordAttempt records an attempt for the choice of later targets, the analysis of a rollout, the
-// quarantine, the metrics and the log.
-func (g *Gateway) recordAttempt(ex *exchange, p *pool, request upstream.Request, decision upstream.Decision, a forward.Attempt) {
-	a.TargetResult.SendState, a.TargetResult.NotSent = decision.SendState, !a.Sent
-	g.observeLimit(decision, a)
-	p.release(decision.Target.ID, a.TargetResult)
-	g.recordObservation(ex, p, request, decision, a)
-	g.metrics.attempt(ex.service, decision.Target, a.TargetResult)
-	ex.recordAttempt(decision, a)
-	g.observeAttempt(ex, decision.Target, a)
-	if a.TargetResult.SelfReport.Leaving {
-		g.recordDeparture(decision.Target.ID)
-	}
-}
-
-// progress is how far the attempts for a request have come.
-type progress struct {
-	// sent is the number of times that the request was sent to targets, and unsent the number of
-	// attempts without sending.
-	sent, unsent int
-	// unknown is true if the outcome of one of these is unknown.
-	unknown bool
-	// unreachable is true if the last attempt could not connect to its target, and waited if it took
-	// longer than longDial to find that out.
-	unreachable, waited bool
-	// backoff is the Retry-After if no further attempt is made.
-	backoff time.Duration
-}
-
-// longDial is the time for a connection that can't be opened from which on a request should not wait for
-// another one.
-const longDial = 400 * time.Millisecond
-
-// record records an attempt without a response that took the given time.
-func (s *progress) record(a forward.Attempt, took time.Duration) {
-	if a.Sent {
-		s.sent++
-	} else {
-		s.unsent++
-	}
-	s.unknown = s.unknown || a.Outcome == retry.Unknown
-	s.unreachable = a.TargetResult.Outcome == upstream.Unreachable
-	s.waited = s.unreachable && took >= longDial
-}
-
 // finalRefusal returns the result of a request that is not sent to another target. If none of the
 // targets is available for a while, the result has that as its reason, and its Retry-After is the
 // time until one is available. Otherwise the result has the given reason and Retry-After.
@@ -319,32 +266,6 @@
 	return request
 }
 
-func (g *Gateway) sendAttempt(ex *exchange, header http.Header, p *pool, d upstream.Decision) forward.Attempt {
-	remaining := g.clock.Until(ex.deadline)
-	g.reach.start()
-	a := g.targets.Do(ex.ctx, &forward.Request{
-		Method:        ex.r.Method,
-		URI:           ex.uri,
-		Host:          ex.r.Host,
-		Header:        header,
-		Body:          ex.body,
-		ID:            ex.id,
-		Account:       accountName(ex.account),
-		Target:        d.Target.ID,
-		TargetName:    d.Target.Name,
-		Addr:          d.Target.Addr,
-		Timeout:       remaining - targetMargin,
-		Deadline:      ex.deadline.Add(lateResponseMargin),
-		NonIdempotent: ex.route.Kind != catalog.Idempotent,
-		IdleConnOnly:  !g.reach.mayDial(d.Target.ID),
-		DialContext:   g.reach.dialContext(d.Target.ID),
-		OnSlowDial:    g.reach.dialIsSlow,
-		MaySend:       func() bool { return p.maySend(d) },
-	})
-	g.reach.end(d.Target, a)
-	return a
-}
-
 // afterAttempt reports whether the request ends after an attempt without a response, and with which
 // result. unknown is true if the outcome of this attempt or an earlier one is unknown.
 func (g *Gateway) afterAttempt(ex *exchange, a forward.Attempt, unknown bool) (bool, requestResult) {
@@ -378,27 +299,6 @@
 	return requestResult{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryAfter}
 }
 
-func (ex *exchange) recordAttempt(d upstream.Decision, a forward.Attempt) {
-	h := attemptRecord{
-		Target:    d.Target.ID,
-		Region:    d.Target.Region,
-		Reason:    string(d.Reason),
-		Load:      d.SendState.Load,
-		Outcome:   a.Outcome.String(),
-		Reused:    a.Reused,
-		TookMs:    a.TargetResult.Latency.Milliseconds(),
-		Leaving:   a.TargetResult.SelfReport.Leaving,
-		BackoffMs: a.TargetResult.SelfReport.Backoff.Milliseconds(),
-	}
-	if a.TargetResult.SelfReport.HasLimit {
-		h.Limit = &a.TargetResult.SelfReport.RateLimit
-	}
-	if a.Err != nil {
-		h.Error = a.Err.Error()
-	}
-	ex.attempts = append(ex.attempts, h)
-}
-
 // isSampled reports whether an ordinary request is logged. About one request in the
 // given number is, chosen by its ID, and none if the number is 0.
 func isSampled(id string, one int) bool {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -56,6 +56,7 @@
 	router           atomic.Pointer[catalog.Router]
 	lookups          lookupCache
 	bodySizes        bodySizes
+	hedging          hedgeDelays
 	metrics          *metrics
 
 	listeners   listeners
@@ -292,6 +293,7 @@
 			g.helperClient.CloseExpired(now)
 			g.accountPermits.evictIdle(now)
 			g.quarantine.expire(now)
+			g.hedging.expire(now)
 			g.departures.expire(now)
 			g.expireLimits(now)
 			g.reviewTargetLimits(now)
--- /dev/null
+++ b/gateway/hedging.go
@@ -0,0 +1,146 @@
+package gateway
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rainford/rainford/forward"
+	"github.com/rainford/rainford/upstream"
+)
+
+// Outcomes of hedges, as label values.
+const (
+	hedgeWon    = "won"
+	hedgeLost   = "lost"
+	hedgeFailed = "failed"
+)
+
+// hedgedAttempt is an attempt of which a hedge is sent if it has no response after a delay.
+type hedgedAttempt struct {
+	g       *Gateway
+	ex      *exchange
+	p       *pool
+	header  http.Header
+	request upstream.Request
+	first   upstream.Decision
+	delay   time.Duration
+
+	// mu also guards the exchange from the time at which the hedge is started until both attempts have ended.
+	mu sync.Mutex
+	// firstEnded means that no hedge is started any more. hedgeEnded is nil if none was started, and closed when
+	// it has ended.
+	firstEnded bool
+	hedgeEnded chan struct{}
+	hedge      sentAttempt
+
+	abortFirst, abortHedge forward.Aborter
+}
+
+// sendWithHedge sends the request to a target, and to a second one if the first has not responded when the
+// hedge delay has passed. It returns the attempt that was answered, or the last one, and the other if there was
+// a hedge. The request was sent the given number of times before.
+func (g *Gateway) sendWithHedge(ex *exchange, p *pool, request upstream.Request, header http.Header, sent int, d upstream.Decision) (last sentAttempt, other *sentAttempt) {
+	delay, ok := g.hedgeDelay(ex, sent, d)
+	if !ok {
+		first := g.sendAttempt(ex, header, p, d, nil)
+		g.recordAttempt(ex, p, request, first)
+		return first, nil
+	}
+	h := &hedgedAttempt{g: g, ex: ex, p: p, header: header, request: request, first: d, delay: delay}
+	timer := time.AfterFunc(delay, h.sendHedge)
+	first := g.sendAttempt(ex, header, p, d, &h.abortFirst)
+	if timer.Stop() {
+		g.recordAttempt(ex, p, request, first)
+		return first, nil
+	}
+	return h.join(first)
+}
+
+// sendHedge sends the second attempt unless the first one has ended.
+func (h *hedgedAttempt) sendHedge() {
+	d, ok := h.acquire()
+	if !ok {
+		return
+	}
+	defer close(h.hedgeEnded)
+	hedge := h.g.sendAttempt(h.ex, h.header, h.p, d, &h.abortHedge)
+	hedge.hedgeDelay = h.delay
+	if hedge.Response != nil {
+		h.abortFirst.Abort()
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.hedge = hedge
+	h.g.recordAttempt(h.ex, h.p, h.request, hedge)
+}
+
+// acquire returns the target of the hedge, or false if the request is not hedged.
+func (h *hedgedAttempt) acquire() (upstream.Decision, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.firstEnded || h.ex.ctx.Err() != nil {
+		return upstream.Decision{}, false
+	}
+	d, withheld := h.g.acquireHedge(h.ex, h.p, h.request, h.first)
+	if withheld != "" {
+		h.g.metrics.hedgesWithheld.Add(1, h.ex.service, withheld)
+		return d, false
+	}
+	h.ex.hedged = true
+	h.hedgeEnded = make(chan struct{})
+	return d, true
+}
+
+// join returns the result of both attempts after the first one has ended.
+func (h *hedgedAttempt) join(first sentAttempt) (last sentAttempt, other *sentAttempt) {
+	outpaced := first.Response == nil && h.abortFirst.Aborted()
+	if outpaced {
+		first.TargetResult.Outpaced = true
+		first.TargetResult.Silent = first.NoResponse || !first.Sent
+	}
+	if first.Response != nil {
+		h.abortHedge.Abort()
+	}
+	h.mu.Lock()
+	h.firstEnded = true
+	h.g.recordAttempt(h.ex, h.p, h.request, first)
+	hedgeEnded := h.hedgeEnded
+	h.mu.Unlock()
+	if hedgeEnded == nil {
+		return first, nil
+	}
+	<-hedgeEnded
+	return h.result(first)
+}
+
+// result returns the attempt that was answered, or else the one that ended last, and the other one. It is
+// called when both have ended.
+func (h *hedgedAttempt) result(first sentAttempt) (last sentAttempt, other *sentAttempt) {
+	outcome := hedgeFailed
+	last, other = first, &h.hedge
+	switch {
+	case first.Response != nil:
+		outcome = hedgeLost
+	case h.hedge.Response != nil:
+		outcome = hedgeWon
+		last, other = h.hedge, &first
+	case h.delay+h.hedge.took > first.took:
+		last, other = h.hedge, &first
+	}
+	h.g.metrics.hedges.Add(1, h.ex.service, outcome)
+	if n := len(h.ex.attempts); h.ex.attempts[n-1].Hedge != (last.hedgeDelay > 0) {
+		// The attempt that decides the result comes last.
+		h.ex.attempts[n-1], h.ex.attempts[n-2] = h.ex.attempts[n-2], h.ex.attempts[n-1]
+	}
+	return last, other
+}
+
+// targetSilent records that a target is suspected because attempts there had no response.
+func (r *reachability) targetSilent(target upstream.Choice) {
+	now := r.clock.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tracker.Failed(now, target.ID)
+	r.wake(now)
+}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -29,6 +29,8 @@
 	targetCrashes   *telemetry.Counter
 	targetReports   *telemetry.Counter
 	handovers       *telemetry.Counter
+	hedges          *telemetry.Counter
+	hedgesWithheld  *telemetry.Counter
 	refusedEntries  *telemetry.Counter
 	rolloutAttempts *telemetry.Counter
 	requestDuration *telemetry.Histogram
@@ -80,6 +82,8 @@
 	counter(&m.refusedEntries, "rainford.entries.refused", "Entries of the store that could not be taken, by the field at fault.", "kind", "field")
 	counter(&m.rolloutAttempts, "rainford.rollout.attempts", "Attempts at targets of a service that a version is brought in of, by version.", "service", "version", "outcome")
 	counter(&m.targetCrashes, "rainford.target.ends", "Targets that ended while they had requests of this instance.")
+	counter(&m.hedges, "rainford.hedges", "Second attempts that were sent while the first had no response, by what became of them.", "service", "outcome")
+	counter(&m.hedgesWithheld, "rainford.hedges.withheld", "Requests that were due for a hedge and got none, by reason.", "service", "reason")
 	counter(&m.handovers, "rainford.handovers", "Requests handed over to another instance, by direction and what became of them.", "direction", "outcome")
 	counter(&m.targetReports, "rainford.target.reports", "Reports on targets that instances pass to each other, by direction and content.", "direction", "content")
 	return errors.Join(errs...)
--- a/gateway/missed_departures_test.go
+++ b/gateway/missed_departures_test.go
@@ -93,7 +93,7 @@
 	require.Equal(t, upstream.Send, d.Action)
 	d.Target.Addr = server.Addr()
 	g.pools.applyDepartures(g.clock.Now(), availability.DepartureList{{ID: availability.IDOf("i-1")}}, availability.SourcePeer)
-	a := g.sendAttempt(ex, http.Header{}, p, d)
+	a := g.sendAttempt(ex, http.Header{}, p, d, nil)
 	require.ErrorIs(t, a.Err, forward.ErrWithheld)
 	require.False(t, a.Sent)
 	require.Empty(t, server.Runs())
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/rainford/rainford/availability"
+	"github.com/rainford/rainford/hedge"
 	"github.com/rainford/rainford/internal/clock"
 	"github.com/rainford/rainford/ratelimit"
 	"github.com/rainford/rainford/retry"
@@ -24,6 +25,7 @@
 	mu             sync.Mutex
 	upstream       *upstream.Pool
 	retryBudget    *retry.TokenBucket
+	hedgeBudget    hedge.Budget
 	waiting        map[uint64]chan upstream.Decision
 	lastID         uint64
 	ticking        bool
@@ -235,11 +237,37 @@
 	p.logEvents()
 }
 
-// recordArrival counts a client's request, which earns a part of a retry.
+// recordArrival counts a client's request, which earns a part of a retry and of a hedge.
 func (p *pool) recordArrival() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.retryBudget.Earn()
+	p.hedgeBudget.Earn()
+}
+
+// acquireHedge returns the target of a hedge, which is then paid for, or why there is none. It does not wait.
+func (p *pool) acquireHedge(r upstream.Request) (d upstream.Decision, withheld string) {
+	p.mu.Lock()
+	defer p.unlock()
+	if p.retryBudget.Available() < 1 || !p.hedgeBudget.HasHedge() {
+		return d, "no-budget"
+	}
+	p.lastID++
+	r.ID = p.lastID
+	d = p.upstream.AcquireHedge(p.clock.Now(), r)
+	if d.Action != upstream.Send {
+		return d, string(d.Reason)
+	}
+	p.retryBudget.Spend()
+	p.hedgeBudget.Spend()
+	return d, ""
+}
+
+// isSuspected reports whether a target is suspected to have failed.
+func (p *pool) isSuspected(target string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.upstream.IsSuspected(target)
 }
 
 // spendRetry takes one retry from the budget. It reports false if the budget is exhausted.
--- a/gateway/rollout_observations.go
+++ b/gateway/rollout_observations.go
@@ -69,6 +69,11 @@
 // rolloutOutcome returns what an attempt shows about the version of its target. It returns false if
 // the attempt shows nothing: the target was full or unreachable, or the client disconnected.
 func rolloutOutcome(r upstream.Result) (rollout.Outcome, bool) {
+	if r.Outpaced && !r.NotSent {
+		// The response would have taken longer still. Without this observation, a slow version would
+		// look as fast as its fastest responses.
+		return rollout.Answered, true
+	}
 	switch r.Outcome {
 	case upstream.Answered:
 		if r.ServerError {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -69,6 +69,8 @@
 	// answered is true if a target has answered the request. heldForAccount is true if the request
 	// was refused because other requests of its account crash targets.
 	answered, heldForAccount bool
+	// hedged is true if a hedge was sent.
+	hedged bool
 	// handover is set if another instance has handed the request over to this one.
 	handover *handoverRequest
 }
@@ -88,6 +90,11 @@
 	Reused  bool    `json:"reused,omitempty"`
 	Error   string  `json:"error,omitempty"`
 	TookMs  int64   `json:"took_ms"`
+	// Hedge is set if the attempt was sent because the first one had no response for HedgeAfterMs, and
+	// Outpaced if the attempt was ended because the hedge was answered first.
+	Hedge        bool  `json:"hedge,omitempty"`
+	HedgeAfterMs int64 `json:"hedge_after_ms,omitempty"`
+	Outpaced     bool  `json:"outpaced,omitempty"`
 	// Leaving, BackoffMs and Limit are what the target reported about itself with its response.
 	Leaving   bool  `json:"leaves,omitempty"`
 	BackoffMs int64 `json:"rest_ms,omitempty"`
