--- a/upstream/hedge.go
+++ b/upstream/hedge.go
@@ -24,7 +24,8 @@
 		// The attempt would find out whether the target answers again. That is left to requests that
 		// have no other one.
 		return Decision{Action: Refuse, Reason: ReasonNoTarget}
-	case c.target.load(now)+1 > float64(c.target.spec.Slots):
+	case c.target.load(now)+1 > float64(c.target.spec.Slots), c.target.region.utilization.at(now) >= busyThreshold:
+		// Where most targets are busy, one with a free slot will have none in a moment.
 		return Decision{Action: Refuse, Reason: ReasonFull}
 	case p.mostlyCold(now, &r, c.target.region.name):
 		return Decision{Action: Refuse, Reason: ReasonCold}
