--- a/cmd/rainford/explain.go
+++ b/cmd/rainford/explain.go
@@ -86,6 +86,11 @@
 	HelperReason string `json:"helper_reason"`
 	// Reused is set if the connection was open before the request arrived.
 	Reused bool `json:"reused"`
+	// Hedge is set if the attempt was sent because the first one had no complete response for
+	// HedgeAfterMs, and Outpaced if it was ended because the other one was answered first.
+	Hedge        bool  `json:"hedge"`
+	HedgeAfterMs int64 `json:"hedge_after_ms"`
+	Outpaced     bool  `json:"outpaced"`
 	// Leaves, RestMs and Limit are the notices in the target's response: that it is leaving,
 	// the requested back-off, and its rate limit. Limit is nil if the target announced none.
 	Leaves bool  `json:"leaves"`
@@ -346,6 +351,12 @@
 	}
 	fmt.Fprintf(w, "  attempt %d: target %s in %s (%s, load %.2f): %s after %d ms %s\n",
 		number, t.Target, t.Region, t.Reason, t.Load, t.Outcome, t.TookMs, t.Error)
+	if t.Hedge {
+		fmt.Fprintf(w, "    a hedge: the first attempt had no complete response after %d ms, longer than nearly all attempts of the route take\n", t.HedgeAfterMs)
+	}
+	if t.Outpaced {
+		fmt.Fprintln(w, "    given up, since the other attempt was answered first")
+	}
 	t.printNotices(w)
 }
 
--- a/cmd/rainford/explain_test.go
+++ b/cmd/rainford/explain_test.go
@@ -89,6 +89,20 @@
 	require.Contains(t, text, "configuration in force", "the configuration that rejected the key must be shown")
 }
 
+const hedgeLog = `{"time":"2026-01-01T00:00:01Z","level":"WARN","msg":"target belief","instance":"n1","target":"i-1","belief":"suspected","cause":"silent"}
+{"time":"2026-01-01T00:00:02Z","level":"WARN","msg":"request","instance":"n1","request_id":"q1","route":"r","service":"s","config":4,"status":200,"reason":"answered","took_ms":191,"attempts":[{"target":"i-1","region":"a","reason":"first-choice","load":0.5,"outcome":"unknown","error":"forward: attempt was aborted","took_ms":190,"outpaced":true},{"target":"i-2","region":"a","reason":"first-choice","load":0.2,"outcome":"ran","took_ms":40,"hedge":true,"hedge_after_ms":150}]}
+`
+
+// TestExplainHedge checks that the explanation of a hedged request says why the second attempt was sent, and
+// which one was given up.
+func TestExplainHedge(t *testing.T) {
+	text, code := explain(t, hedgeLog, "q1", "-")
+	require.Zero(t, code, text)
+	require.Contains(t, text, "request q1: 200, a target answered")
+	require.Regexp(t, `(?s)attempt 1: target i-1 .* unknown after 190 ms.*given up, since the other attempt was answered first.*attempt 2: target i-2 .* ran after 40 ms.*a hedge: the first attempt had no complete response after 150 ms`, text)
+	require.Contains(t, text, "suspected")
+}
+
 const handoverLog = `{"time":"2026-01-01T00:00:01Z","level":"WARN","msg":"targets lost","instance":"n1","failed":3}
 {"time":"2026-01-01T00:00:02Z","level":"INFO","msg":"request","instance":"n2","handed_over_by":"n1","request_id":"q1","route":"r","service":"s","config":4,"status":200,"reason":"answered","took_ms":19,"attempts":[{"target":"i-1","region":"a","reason":"first-choice","load":0.5,"outcome":"ran","took_ms":18}]}
 {"time":"2026-01-01T00:00:02.1Z","level":"INFO","msg":"request","instance":"n1","request_id":"q1","route":"r","service":"s","config":4,"status":200,"reason":"answered","took_ms":22,"attempts":[{"target":"","region":"","reason":"handed-over","helper":"n3","helper_reason":"targets-lost","outcome":"not-run","took_ms":1},{"target":"i-1","region":"a","reason":"handed-over","helper":"n2","outcome":"ran","took_ms":20}]}
--- a/gateway/doc.go
+++ b/gateway/doc.go
@@ -5,13 +5,13 @@
 //
 // The decisions are made in packages that perform no I/O, among them catalog (routes),
 // locality (regions), upstream (targets), warmup (slow start), retry (retry budgets),
-// quarantine (requests that crash targets), ratelimit (limits of client accounts), rollout
+// hedge (second attempts while the first one hangs), quarantine (requests that crash targets), ratelimit (limits of client accounts), rollout
 // (canary analysis), feed (replication) and fleet (membership). This package provides them
 // with time, locks and connections.
 //
 // A request passes through these files: serve.go reads it and finds its route, attempt.go
-// sends it to targets until one responds or no attempt is left, and pools.go holds the
-// targets of each service.
+// sends it to targets until one responds or no attempt is left, hedging.go sends a second attempt
+// while the first one hangs, and pools.go holds the targets of each service.
 //
 // A change of an object passes through these files: watch.go reads it from the store, or
 // gossip.go and delta.go receive it from another instance, and apply.go applies it. Each
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"errors"
 	"net/http"
 	"time"
 
@@ -89,9 +90,7 @@
 	if s.hedgeDelay > 0 {
 		h.Hedge, h.HedgeAfterMs = true, s.hedgeDelay.Milliseconds()
 	}
-	if a.TargetResult.Outpaced {
-		h.Outpaced = true
-	}
+	h.Outpaced = errors.Is(a.Err, forward.ErrAborted)
 	if a.TargetResult.SelfReport.HasLimit {
 		h.Limit = &a.TargetResult.SelfReport.RateLimit
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -93,7 +93,7 @@
 	Error   string  `json:"error,omitempty"`
 	TookMs  int64   `json:"took_ms"`
 	// Hedge is set if the attempt was sent because the first one had no response for HedgeAfterMs, and
-	// Outpaced if the attempt was ended because the hedge was answered first.
+	// Outpaced if the attempt was ended because the other one was answered first.
 	Hedge        bool  `json:"hedge,omitempty"`
 	HedgeAfterMs int64 `json:"hedge_after_ms,omitempty"`
 	Outpaced     bool  `json:"outpaced,omitempty"`
@@ -370,7 +370,7 @@
 // was computed for another reason, such as a look-up in the quarantine. A client that repeats such a request uses another ID, and the
 // digest identifies the request in both lines.
 func (ex *exchange) contentAttrs() []slog.Attr {
-	interrupted := slices.ContainsFunc(ex.attempts, func(h attemptRecord) bool { return h.Outcome == retry.Unknown.String() })
+	interrupted := slices.ContainsFunc(ex.attempts, func(h attemptRecord) bool { return h.Outcome == retry.Unknown.String() && !h.Outpaced })
 	if !interrupted && !ex.heldForAccount && ex.digest == (quarantine.Digest{}) {
 		return nil
 	}
