--- a/gateway/hedging.go
+++ b/gateway/hedging.go
@@ -96,7 +96,7 @@
 
 // join returns the result of both attempts after the first one has ended.
 func (h *hedgedAttempt) join(first sentAttempt) (last sentAttempt, other *sentAttempt) {
-	outpaced := first.Response == nil && h.abortFirst.Aborted()
+	outpaced := first.TargetResult.Outcome == upstream.Abandoned && h.abortFirst.Aborted()
 	if outpaced {
 		first.TargetResult.Outpaced = true
 		first.TargetResult.Silent = first.NoResponse || !first.Sent
--- a/gateway/hedging_test.go
+++ b/gateway/hedging_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/rainford/rainford/internal/standin/link"
 	"github.com/rainford/rainford/internal/standin/origin"
 )
 
@@ -27,6 +28,10 @@
 
 func newHedgeSite(t *testing.T, routes ...route) *hedgeSite {
 	s := &hedgeSite{site: newSite(t)}
+	links, err := link.New()
+	require.NoError(t, err)
+	t.Cleanup(links.Close)
+	s.targetLink = links
 	if len(routes) == 0 {
 		routes = []route{idempotentRoute}
 	}
@@ -79,6 +84,26 @@
 	}
 }
 
+// TestUnreachableTargetIsHedged checks that requests are served at once while the links to their first target
+// are cut, also if new connections to it hang, and that the target is suspected.
+func TestUnreachableTargetIsHedged(t *testing.T) {
+	for _, mode := range link.Modes() {
+		t.Run(mode.String(), func(t *testing.T) {
+			s := newHedgeSite(t)
+			s.targetLink.Cut(mode, func(addr string) bool { return addr == s.first.Addr() })
+			s.first.ResetConnections()
+			for range 3 {
+				began := time.Now()
+				r := s.in.send("GET", "/x/", "")
+				require.Equal(t, 200, r.status)
+				require.Equal(t, "answer of "+s.second.ID+" to "+r.id, r.body)
+				require.Less(t, time.Since(began), time.Second)
+			}
+			require.Contains(t, s.in.scrape(), `state="suspect"} 1`)
+		})
+	}
+}
+
 // TestFirstResponseWins checks that the hedge is cancelled at its target if the first one responds.
 func TestFirstResponseWins(t *testing.T) {
 	s := newHedgeSite(t)
