--- a/forward/message.go
+++ b/forward/message.go
@@ -72,6 +72,8 @@
 	// ExchangeContext ends the wait for the response when it is done, if it is not nil. The outcome of
 	// the request is then unknown.
 	ExchangeContext context.Context
+	// Aborter, if it is not nil, ends the attempt when its Abort method is called.
+	Aborter *Aborter
 }
 
 // endpoint returns the key of the request's connections. It contains the address because
@@ -101,6 +103,8 @@
 	Sent bool
 	// Reused is set if the connection was open before the request was made.
 	Reused bool
+	// NoResponse is set if the request was sent and no byte of a response was received.
+	NoResponse bool
 	// Err is why there is no response. It is nil if a response says that the request was
 	// not run.
 	Err error
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -69,6 +69,10 @@
 	// answered is true if a target has answered the request. heldForAccount is true if the request
 	// was refused because other requests of its account crash targets.
 	answered, heldForAccount bool
+	// hedge is the attempt that may be hedged. hedgeTried is true once the delay of an attempt has passed.
+	// There is at most one hedge for a request.
+	hedge      hedgedAttempt
+	hedgeTried bool
 	// handover is set if another instance has handed the request over to this one.
 	handover *handoverRequest
 }
@@ -88,6 +92,11 @@
 	Reused  bool    `json:"reused,omitempty"`
 	Error   string  `json:"error,omitempty"`
 	TookMs  int64   `json:"took_ms"`
+	// Hedge is set if the attempt was sent because the first one had no response for HedgeAfterMs, and
+	// Outpaced if the attempt was ended because the other one was answered first.
+	Hedge        bool  `json:"hedge,omitempty"`
+	HedgeAfterMs int64 `json:"hedge_after_ms,omitempty"`
+	Outpaced     bool  `json:"outpaced,omitempty"`
 	// Leaving, BackoffMs and Limit are what the target reported about itself with its response.
 	Leaving   bool  `json:"leaves,omitempty"`
 	BackoffMs int64 `json:"rest_ms,omitempty"`
@@ -361,7 +370,7 @@
 // was computed for another reason, such as a look-up in the quarantine. A client that repeats such a request uses another ID, and the
 // digest identifies the request in both lines.
 func (ex *exchange) contentAttrs() []slog.Attr {
-	interrupted := slices.ContainsFunc(ex.attempts, func(h attemptRecord) bool { return h.Outcome == retry.Unknown.String() })
+	interrupted := slices.ContainsFunc(ex.attempts, func(h attemptRecord) bool { return h.Outcome == retry.Unknown.String() && !h.Outpaced })
 	if !interrupted && !ex.heldForAccount && ex.digest == (quarantine.Digest{}) {
 		return nil
 	}
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -253,7 +253,11 @@
 	if until := t.state.BackoffUntil(); until.After(p.backoffUntil) {
 		p.backoffUntil = until
 	}
-	p.recordEvent(t, before, r.Outcome)
+	cause := r.Outcome
+	if r.Silent {
+		cause = TimedOut
+	}
+	p.recordEvent(t, before, cause)
 	if r.Outcome == Answered && !full {
 		p.updateTypicalLatency(r.Latency)
 	}
@@ -312,7 +316,7 @@
 
 // endSuspicion ends the suspicion of a target, if there is one.
 func (p *Pool) endSuspicion(t *target) {
-	if t.stats.suspectBackoff == 0 && t.stats.failures == 0 {
+	if t.stats.suspectBackoff == 0 && t.stats.failures+t.stats.silences == 0 {
 		return
 	}
 	before := t.eventState()
