--- a/endpoints/doc.go
+++ b/endpoints/doc.go
@@ -11,7 +11,9 @@
 //   - The region spare: one entry of another region, for clients that lose their region.
 //
 // The weight of an instance is its capacity, in requests per second, or a quarter of it while the
-// instance is overloaded. Instances of unknown capacity count as the average of the known ones.
+// instance is overloaded. Instances of unknown capacity count as the average of the known ones. An
+// instance is overloaded while its own timers fire late, since its processor has a queue; an
+// OverloadDetector determines that.
 //
 // If the weights are small multiples of a common unit, each response contains each instance in
 // proportion to its weight. Otherwise a response is a systematic sample (W. G. Madow and L. H. Madow,
