gateway: targets that start in a lost hall may get requests

The whole package failed at TestRestartedTargetsAreUsedAtOnce/2 (503): the targets had started while their hall was lost, and an instance that had just lost all targets still took them for unreachable.

go test ./upstream -run 'Unreachable|EndSusp': passes.

--- a/upstream/target_list.go
+++ b/upstream/target_list.go
@@ -102,7 +102,6 @@
 	t.state.SetListed(now, spec.Leaving)
 	t.state.SetDrained(now, spec.Drained)
 	t.state.SetEvacuated(now, evacuated)
-	t.state.SetUnreachable(now, p.unreachable[spec.Hall])
 	p.applyRateLimit(now, t, availability.SourcePeer)
 	if at, ok := p.departures.FirstHeard(availability.ID(t.hash)); ok {
 		t.state.SetLeaving(at, availability.SourcePeer)
