gateway: the failures of a check do not confirm themselves

A check that ended after the states of the halls had been reset lost its hall by its own failures, and requests were refused with halls-lost while all targets were lost (seen in TestClientsAreServedWithoutWayToTargets/2-silent, 4 of 128 refused, 1 of 6 runs at a load average of 27).

go test ./reach; go test ./gateway -run 'TestHallCutOffFromEverything|TestLostHallIsDown': passes.

--- a/gateway/halls.go
+++ b/gateway/halls.go
@@ -255,13 +255,15 @@
 	h.mu.Lock()
 	if r.Succeeded > 0 {
 		h.responsive[c.Hall] = reached
-	} else if !c.ByResponse && !r.IsLate() {
+	}
+	before := h.tracker.Loss(c.Hall)
+	changed := h.tracker.Checked(r)
+	if r.Succeeded == 0 && !c.ByResponse && !r.IsLate() && !h.tracker.IsLost(c.Hall) {
+		// These failures do not confirm themselves: another check has to.
 		for _, t := range targets {
 			h.tracker.Failed(r.EndedAt, c.Hall, t.ID, reach.Unconnected)
 		}
 	}
-	before := h.tracker.Loss(c.Hall)
-	changed := h.tracker.Checked(r)
 	after, lost := h.tracker.Loss(c.Hall), h.tracker.Lost()
 	h.mu.Unlock()
 	if changed {
--- a/reach/halls_test.go
+++ b/reach/halls_test.go
@@ -247,8 +247,8 @@
 	h.Inspect("a", at(5))
 	c, due := h.NextCheck(at(10))
 	require.True(t, due)
-	failAll(h, 10, "a", c.Size, Unconnected)
 	require.False(t, h.Checked(result(10, c, 0)))
+	failAll(h, 10, "a", c.Size, Unconnected)
 	h.Inspect("a", at(5))
 	c, due = h.NextCheck(at(11))
 	require.True(t, due)
@@ -257,6 +257,22 @@
 	require.Equal(t, []string{"a"}, h.Lost())
 }
 
+// TestSuccessDuringCheck guards against a hall that is lost by a check although a target was connected to
+// meanwhile, or although the states of the halls were reset.
+func TestSuccessDuringCheck(t *testing.T) {
+	for name, during := range map[string]func(*Halls){
+		"connected": func(h *Halls) { h.Connected(at(20), "a", "i-9") },
+		"reset":     (*Halls).Reset,
+	} {
+		h := newHalls("a", "b")
+		failAll(h, 0, "a", 3, Unconnected)
+		c, _ := h.NextCheck(at(10))
+		during(h)
+		require.False(t, h.Checked(result(30, c, 0)), name)
+		require.Empty(t, h.Lost(), name)
+	}
+}
+
 func TestAllLostBut(t *testing.T) {
 	h := newHalls("a", "b", "c")
 	require.False(t, h.AllLostBut("a"))
