reach: a hall that responds again is checked by connections first

A check by response stayed due after responses had arrived, so that the next suspicion could have lost the hall by a single health request.

go test ./reach; go test ./gateway -run 'TestOneHallCutOff/accept|TestRequestsSentIntoCut' -count=2: passes.

--- a/reach/hall_checks.go
+++ b/reach/hall_checks.go
@@ -93,9 +93,11 @@
 		return !now.Before(h.probedUntil) && (s.confirming || since >= probeInterval)
 	case s.inspecting:
 		return true
-	case s.unproven && now.Sub(s.respondingAt) < responseCheckInterval:
-		return false
-	case s.unproven || s.repeat || since >= minCheckInterval:
+	case s.unproven:
+		// Once responses arrive, the next suspicion is checked by connections first.
+		s.unproven = h.isSuspicious(now, name, s)
+		return s.unproven && now.Sub(s.respondingAt) >= responseCheckInterval
+	case s.repeat || since >= minCheckInterval:
 		return h.isSuspicious(now, name, s)
 	default:
 		return false
--- a/reach/halls_test.go
+++ b/reach/halls_test.go
@@ -179,6 +179,23 @@
 	require.Empty(t, h.Abandon(at(900)))
 }
 
+// TestUnprovenHallRecovers guards against a hall that is lost by a single health request, because an earlier
+// check by connection succeeded while requests stalled for a moment.
+func TestUnprovenHallRecovers(t *testing.T) {
+	h := newHalls("a", "b")
+	stallAll(h, 0, "a", 3)
+	respond(h, 400, "b")
+	c, _ := h.NextCheck(at(500))
+	h.Checked(result(501, c, 1))
+	respond(h, 510, "a")
+	_, due := h.NextCheck(at(600))
+	require.False(t, due)
+	failAll(h, 2000, "a", 3, Unconnected)
+	c, due = h.NextCheck(at(2001))
+	require.True(t, due)
+	require.Equal(t, HallCheck{Hall: "a", Size: CheckTargets}, c)
+}
+
 // TestLateCheckIsRepeated guards against halls that are lost because the process got no processor time.
 func TestLateCheckIsRepeated(t *testing.T) {
 	h := newHalls("a", "b")
