--- a/reach/halls_test.go
+++ b/reach/halls_test.go
@@ -179,6 +179,23 @@
 	require.Empty(t, h.Abandon(at(900)))
 }
 
+// TestUnprovenHallRecovers guards against a hall that is lost by a single health request, because an earlier
+// check by connection succeeded while requests stalled for a moment.
+func TestUnprovenHallRecovers(t *testing.T) {
+	h := newHalls("a", "b")
+	stallAll(h, 0, "a", 3)
+	respond(h, 400, "b")
+	c, _ := h.NextCheck(at(500))
+	h.Checked(result(501, c, 1))
+	respond(h, 510, "a")
+	_, due := h.NextCheck(at(600))
+	require.False(t, due)
+	failAll(h, 2000, "a", 3, Unconnected)
+	c, due = h.NextCheck(at(2001))
+	require.True(t, due)
+	require.Equal(t, HallCheck{Hall: "a", Size: CheckTargets}, c)
+}
+
 // TestLateCheckIsRepeated guards against halls that are lost because the process got no processor time.
 func TestLateCheckIsRepeated(t *testing.T) {
 	h := newHalls("a", "b")
@@ -247,8 +264,8 @@
 	h.Inspect("a", at(5))
 	c, due := h.NextCheck(at(10))
 	require.True(t, due)
-	failAll(h, 10, "a", c.Size, Unconnected)
 	require.False(t, h.Checked(result(10, c, 0)))
+	failAll(h, 10, "a", c.Size, Unconnected)
 	h.Inspect("a", at(5))
 	c, due = h.NextCheck(at(11))
 	require.True(t, due)
@@ -257,6 +274,22 @@
 	require.Equal(t, []string{"a"}, h.Lost())
 }
 
+// TestSuccessDuringCheck guards against a hall that is lost by a check although a target was connected to
+// meanwhile, or although the states of the halls were reset.
+func TestSuccessDuringCheck(t *testing.T) {
+	for name, during := range map[string]func(*Halls){
+		"connected": func(h *Halls) { h.Connected(at(20), "a", "i-9") },
+		"reset":     (*Halls).Reset,
+	} {
+		h := newHalls("a", "b")
+		failAll(h, 0, "a", 3, Unconnected)
+		c, _ := h.NextCheck(at(10))
+		during(h)
+		require.False(t, h.Checked(result(30, c, 0)), name)
+		require.Empty(t, h.Lost(), name)
+	}
+}
+
 func TestAllLostBut(t *testing.T) {
 	h := newHalls("a", "b", "c")
 	require.False(t, h.AllLostBut("a"))
