rollout: a canary of a service with few requests keeps the exposure bound

A bad version of a service with 5 requests a second exceeded its exposure bound in 2 of 100 rollouts, whatever the number of instances: half of the versions that fail on one route are not seen in so few requests, and get all of them before the order ends.

The canary now has a budget: what the bound leaves after the requests that are expected from a last move at 0.8 of the order's duration, less 2.2 standard deviations. It applies only where it can keep the bound.

The kinds of TestBadVersions moved to a variable; draws, seeds and checks are the same.

--- a/rollout/leader.go
+++ b/rollout/leader.go
@@ -288,16 +288,19 @@
 		l.stage.KeyShare = l.canaryShare / l.stage.InstanceShare
 		l.stage.RequestShare, l.stage.TargetShare = 1, l.canaryShare
 	default:
-		l.enforceBound()
+		l.enforceBound(elapsed)
 	}
 }
 
 // enforceBound pauses the canary while new targets have got more requests than intended.
-func (l *Leader) enforceBound() {
+func (l *Leader) enforceBound(elapsed time.Duration) {
 	sent, sentNew := l.Counts()
 	intended := l.canaryShare / l.stage.InstanceShare
 	excess := float64(sentNew) - 1.5*intended*float64(sent) - canarySlackFraction*l.bound.Slack
 	full := min(1, intended/max(l.stage.KeyShare, intended))
+	if budget, limited := l.canaryBudget(elapsed); limited {
+		excess = max(excess, float64(sentNew)-budget)
+	}
 	switch {
 	case excess > 0:
 		l.stage.RequestShare = 0
--- a/rollout/model_test.go
+++ b/rollout/model_test.go
@@ -368,31 +368,41 @@
 	}
 }
 
+// Faults of a new version, drawn at random.
+func failing(s *simulation) { s.fault.failureRate = 0.2 + 0.5*s.rng.Float64() }
+
+func slow(s *simulation) {
+	s.fault.slowRate, s.fault.slowFactor = 0.3+0.7*s.rng.Float64(), 3+5*s.rng.Float64()
+}
+
+func later(s *simulation)      { s.fault.startFraction = 0.5 * s.rng.Float64() }
+func underLoad(s *simulation)  { s.fault.minLoad = 0.2 + 0.6*s.rng.Float64() }
+func onOneRoute(s *simulation) { s.fault.route = s.rng.IntN(routes) }
+
+// versionKind is a kind of versions, given by the faults that are drawn for them.
+type versionKind struct {
+	name   string
+	faults []func(s *simulation)
+}
+
+// badKinds are the kinds of bad versions that each run of the tests draws.
+var badKinds = []versionKind{
+	{"fails", []func(s *simulation){failing}},
+	{"slow", []func(s *simulation){slow}},
+	{"fails later", []func(s *simulation){failing, later}},
+	{"slow later", []func(s *simulation){slow, later}},
+	{"fails on one route", []func(s *simulation){failing, onOneRoute}},
+	{"fails under load", []func(s *simulation){failing, underLoad}},
+	{"slow under load", []func(s *simulation){slow, underLoad}},
+}
+
 // TestBadVersions simulates rollouts of bad versions. It bounds the number of those that are not
 // rolled back, at request rates from smallRate on, and of those in which the version gets more
 // requests than the exposure bound allows.
 // No rolled back version may get requests later than 5 s after its 50th bad response.
 func TestBadVersions(t *testing.T) {
-	failing := func(s *simulation) { s.fault.failureRate = 0.2 + 0.5*s.rng.Float64() }
-	slow := func(s *simulation) {
-		s.fault.slowRate, s.fault.slowFactor = 0.3+0.7*s.rng.Float64(), 3+5*s.rng.Float64()
-	}
-	later := func(s *simulation) { s.fault.startFraction = 0.5 * s.rng.Float64() }
-	underLoad := func(s *simulation) { s.fault.minLoad = 0.2 + 0.6*s.rng.Float64() }
-	onOneRoute := func(s *simulation) { s.fault.route = s.rng.IntN(routes) }
 	for _, size := range sizes {
-		for _, c := range []struct {
-			name   string
-			faults []func(s *simulation)
-		}{
-			{"fails", []func(s *simulation){failing}},
-			{"slow", []func(s *simulation){slow}},
-			{"fails later", []func(s *simulation){failing, later}},
-			{"slow later", []func(s *simulation){slow, later}},
-			{"fails on one route", []func(s *simulation){failing, onOneRoute}},
-			{"fails under load", []func(s *simulation){failing, underLoad}},
-			{"slow under load", []func(s *simulation){slow, underLoad}},
-		} {
+		for _, c := range badKinds {
 			t.Run(fmt.Sprintf("instances=%d,rate=%g,%s", size.instances, size.rate, c.name), func(t *testing.T) {
 				undetected, exceeded, late := 0, 0, 0
 				for seed := range uint64(*runs) {
