--- a/internal/soak/halls.go
+++ b/internal/soak/halls.go
@@ -55,6 +55,8 @@
 type outage struct {
 	hall        string
 	from, until time.Time
+	// instances are those of the hall.
+	instances map[string]bool
 }
 
 // cutPower ends the instances and the servers of a hall at the same time, without a word to their
@@ -62,11 +64,12 @@
 func (r *runner) cutPower(f Fault) {
 	s := r.site
 	hall := places[f.Which%len(places)].hall
-	lost := &outage{hall: hall, from: time.Now(), until: time.Now().Add(f.For)}
+	lost := &outage{hall: hall, from: time.Now(), until: time.Now().Add(f.For), instances: make(map[string]bool)}
 	var instances []*instance
 	for _, in := range s.instances {
 		if in.place.hall == hall {
 			instances = append(instances, in)
+			lost.instances[in.name] = true
 		}
 	}
 	for _, in := range instances {
@@ -145,7 +148,7 @@
 	}
 	o.cutResults = append(o.cutResults, fmt.Sprintf("hall %s without power: its clients %.1f/s of %.1f/s, others %.1f/s of %.1f/s",
 		lost.hall, own.during, own.before, others.during, others.before))
-	if own.before < minOutageRate || others.before < minOutageRate {
+	if own.before < minOutageRate || others.before < minOutageRate || o.othersDisturbed(lost) {
 		return
 	}
 	o.checks["POWER"]++
@@ -155,6 +158,17 @@
 	}
 }
 
+// othersDisturbed reports whether another fault disturbed an instance of another hall during the outage,
+// so that the hall's clients may have had nowhere to go. The caller holds mu.
+func (o *oracle) othersDisturbed(lost *outage) bool {
+	for name, at := range o.undisturbedSince {
+		if !lost.instances[name] && at.After(lost.from) {
+			return true
+		}
+	}
+	return false
+}
+
 // countsAsFirst reports whether the attempt is a client's first one at a request and has an end.
 func (a *attempt) countsAsFirst() bool {
 	return a.probe == 0 && !a.hot && !a.repeated && a.leftAt.IsZero() && !a.doneAt.IsZero()
