soak: the newest lost write is repeated after two restores in a row

The second restore had lost writes of objects whose newer value was still to be written again after the first. The older value was written first, and the newer one was then taken for overwritten.

An object whose write is still to be repeated is now left out at the second restore.

--- a/internal/soak/restore.go
+++ b/internal/soak/restore.go
@@ -27,15 +27,43 @@
 	age := time.Duration(f.Which) * maxCopyAge / (1 << 16)
 	s.store.SetFaults(objects.Faults{Down: f.How%2 == 0, Silent: f.How%2 == 1})
 	r.later(f.For, func() {
-		lost := s.store.RestoreAge(f.For + age)
+		lost := s.scheduleRewrites(s.store.RestoreAge(f.For + age))
 		s.oracle.restored()
 		s.store.SetFaults(objects.Faults{})
 		for i, w := range lost {
-			r.later(time.Duration(i)*rewriteTime/time.Duration(len(lost)), func() { s.store.Reapply(w) })
+			r.later(time.Duration(i)*rewriteTime/time.Duration(len(lost)), func() { s.rewrite(w) })
 		}
 	})
 }
 
+// scheduleRewrites returns the lost writes that are to be repeated after a restore. It leaves out objects
+// whose write is still to be repeated after an earlier restore: that one is newer than what the store
+// held since.
+func (s *site) scheduleRewrites(lost []objects.LostWrite) []objects.LostWrite {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.rewrites == nil {
+		s.rewrites = make(map[string]bool)
+	}
+	var out []objects.LostWrite
+	for _, w := range lost {
+		key := string(w.Kind) + "/" + w.Name
+		if !s.rewrites[key] {
+			s.rewrites[key] = true
+			out = append(out, w)
+		}
+	}
+	return out
+}
+
+// rewrite repeats a lost write that scheduleRewrites returned.
+func (s *site) rewrite(w objects.LostWrite) {
+	s.mu.Lock()
+	delete(s.rewrites, string(w.Kind)+"/"+w.Name)
+	s.mu.Unlock()
+	s.store.Reapply(w)
+}
+
 // restored records that the store was restored from a copy.
 func (o *oracle) restored() {
 	o.mu.Lock()
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -77,6 +77,8 @@
 	// rejected holds the versions whose rollout did not succeed. The platform stops their
 	// servers.
 	rejected map[string]bool
+	// rewrites holds the objects whose lost writes are still to be repeated after a restore of the store.
+	rewrites map[string]bool
 	// rolling is set while a rollout is in progress.
 	rolling atomic.Bool
 }
