--- a/rollout/leader.go
+++ b/rollout/leader.go
@@ -321,7 +321,6 @@
 	case elapsed >= l.fraction(verdictDeadline):
 		l.rollBack(ReasonNoTime)
 	case !l.stagePassed(now, elapsed, s) || !l.hasCapacity(movingShares[l.step+1], s):
-	case movingShares[l.step+1] >= 1 && l.delaysLastMove(elapsed):
 	default:
 		l.step++
 		l.stage.RequestShare = movingShares[l.step]
