--- a/cmd/rainfordd/lookup_server.go
+++ b/cmd/rainfordd/lookup_server.go
@@ -23,8 +23,9 @@
 	lookupIdleTimeout = 30 * time.Second
 	// maxLookupHeader bounds the header of a look-up in bytes.
 	maxLookupHeader = 8 << 10
-	// lookupStopTime bounds the end of the requests in flight. It is longer than a fetch.
-	lookupStopTime = 800 * time.Millisecond
+	// lookupStopTime bounds the end of the requests in flight. It is longer than a fetch, and leaves
+	// time for an exit within one second.
+	lookupStopTime = 700 * time.Millisecond
 )
 
 // Results of look-ups, as label values.
--- a/cmd/rainfordd/lookup_test.go
+++ b/cmd/rainfordd/lookup_test.go
@@ -40,6 +40,34 @@
 	}
 }
 
+// TestGatewayLookupOffset guards against an instance whose look-up address is not the one derived by
+// the look-up process, or is that of its messages or metrics.
+func TestGatewayLookupOffset(t *testing.T) {
+	for _, test := range []struct {
+		offset string
+		// want is the look-up address, or part of the error if invalid.
+		want    string
+		invalid bool
+	}{
+		{"0", "10.0.0.1:9000", false},
+		{"2", "10.0.0.1:9002", false},
+		{"9", "leads to 10.0.0.1:9009", true},
+		{"1", "leads to 10.0.0.1:9001", true},
+		{"-1", "must not be negative", true},
+		{"60000", "over 65535", true},
+	} {
+		s, err := readGatewaySettings([]string{"-name", "n1", "-hall", "h", "-region", "r", "-halls", "h=r", "-store", "10.0.0.9:1",
+			"-listen", "10.0.0.1:80", "-ready-listen", "10.0.0.1:82", "-peer-listen", "10.0.0.1:9001", "-admin-listen", "10.0.0.1:9009",
+			"-lookup-listen", "10.0.0.1:9000", "-lookup-port-offset", test.offset}, io.Discard)
+		if test.invalid {
+			require.ErrorContains(t, err, test.want, test.offset)
+			continue
+		}
+		require.NoError(t, err, test.offset)
+		require.Equal(t, test.want, s.LookupListen)
+	}
+}
+
 // TestLookupSettingsAreCheckedTogether guards against settings that are found to be wrong only one
 // after the other, or not at all.
 func TestLookupSettingsAreCheckedTogether(t *testing.T) {
--- a/resolver/cache_test.go
+++ b/resolver/cache_test.go
@@ -170,6 +170,20 @@
 	}
 }
 
+// TestResponseForAnotherHall guards against instances of another hall that are taken for near ones,
+// since the response for that hall repeats them and names the own one too.
+func TestResponseForAnotherHall(t *testing.T) {
+	c := newCache(t)
+	c.Lookup(query, start)
+	hosts := append(repeated(5, "10.1.0.1", "10.1.0.2"), "10.0.0.1", "10.2.0.1")
+	c.Store(query, ownAddr, Response{Body: []byte("b"), Hosts: hosts}, start)
+	second := make(map[string]bool)
+	for seed := range uint64(50) {
+		second[c.Candidates(start, rand.New(rand.NewPCG(seed, 0)))[1]] = true
+	}
+	require.Len(t, second, 3, "all are distant, in random order")
+}
+
 // TestFailureExpires guards against an instance that is not asked any more after it has recovered.
 func TestFailureExpires(t *testing.T) {
 	c := newCache(t)
