gateway: a hedge whose timer is late waits until arrived responses are read

An instance with a sixth of a core does not run for 100 ms at a time. Its timer then expires together with the arrival of the response, and the hedge would be sent although the response is there.

--- a/gateway/hedge_delays.go
+++ b/gateway/hedge_delays.go
@@ -11,6 +11,10 @@
 	"github.com/rainford/rainford/upstream"
 )
 
+// maxTimerLag is how late the timer of a hedge may be. If it is later, this process has not run for a while.
+// A response may have arrived that it has not read yet, and gets as much time to be read.
+const maxTimerLag = 20 * time.Millisecond
+
 // hedgeDelays holds how long nearly all attempts of each route take. It is safe for concurrent use.
 type hedgeDelays struct {
 	mu         sync.Mutex
--- a/gateway/hedge_delays_test.go
+++ b/gateway/hedge_delays_test.go
@@ -151,3 +151,22 @@
 	}
 	require.Equal(t, reach.ProbeTargets, g.reach.tracker.CheckSize(g.clock.Now()), "one target is not enough for a check")
 }
+
+// TestLateTimer guards against hedges that are sent because this process has not run, while the response of the
+// first attempt waits to be read.
+func TestLateTimer(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		g, ex, request, first := newHedgedExchange(t)
+		h := &hedgedAttempt{g: g, ex: ex, p: g.pools.get("s"), request: request, first: first, dueAt: g.clock.Now()}
+		if late {
+			h.dueAt = h.dueAt.Add(-time.Second)
+		}
+		h.firstEnded = true
+		began := time.Now()
+		h.sendHedge()
+		require.Nil(t, h.hedgeEnded)
+		if late {
+			require.GreaterOrEqual(t, time.Since(began), maxTimerLag)
+		}
+	}
+}
--- a/gateway/hedging.go
+++ b/gateway/hedging.go
@@ -9,13 +9,6 @@
 	"github.com/rainford/rainford/upstream"
 )
 
-// Outcomes of hedges, as label values.
-const (
-	hedgeWon    = "won"
-	hedgeLost   = "lost"
-	hedgeFailed = "failed"
-)
-
 // hedgedAttempt is an attempt of which a hedge is sent if it has no response after a delay. It is a part of its
 // exchange, which saves an allocation, and is used again for the next attempt unless its timer has expired.
 type hedgedAttempt struct {
@@ -26,6 +19,8 @@
 	request upstream.Request
 	first   upstream.Decision
 	delay   time.Duration
+	// dueAt is when the hedge is to be sent.
+	dueAt time.Time
 
 	// mu also guards the exchange from the time at which the hedge is started until both attempts have ended.
 	mu sync.Mutex
@@ -49,7 +44,7 @@
 		return first, nil
 	}
 	h := &ex.hedge
-	h.g, h.ex, h.p, h.header, h.request, h.first, h.delay = g, ex, p, header, request, d, delay
+	h.g, h.ex, h.p, h.header, h.request, h.first, h.delay, h.dueAt = g, ex, p, header, request, d, delay, g.clock.Now().Add(delay)
 	timer := time.AfterFunc(delay, h.sendHedge)
 	first := g.sendAttempt(ex, header, p, d, &h.abortFirst)
 	if timer.Stop() {
@@ -62,6 +57,9 @@
 
 // sendHedge sends the second attempt unless the first one has ended.
 func (h *hedgedAttempt) sendHedge() {
+	if h.g.clock.Since(h.dueAt) > maxTimerLag {
+		time.Sleep(maxTimerLag)
+	}
 	d, ok := h.acquire()
 	if !ok {
 		return
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -52,6 +52,13 @@
 	readBehind      = "behind"
 )
 
+// Outcomes of hedges, as label values.
+const (
+	hedgeWon    = "won"
+	hedgeLost   = "lost"
+	hedgeFailed = "failed"
+)
+
 // newMetrics registers the metrics of an instance.
 func newMetrics(g *Gateway) (*metrics, error) {
 	t, err := telemetry.New()
