--- a/gateway/hedging_test.go
+++ b/gateway/hedging_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
@@ -267,3 +268,61 @@
 	}
 	require.LessOrEqual(t, len(s.second.Runs()), s.second.Slots, "hedges exceed the slots")
 }
+
+// TestHedgesUnderFaults sends requests while the targets show faults at random. It checks that no request is sent
+// to a target twice or to more targets than the route allows, that responses belong to their requests, and that
+// each attempt is released once.
+func TestHedgesUnderFaults(t *testing.T) {
+	s := newHedgeSite(t, route{prefix: "/x/", service: "s", kind: "idempotent", timeout: "900ms"})
+	servers := []*origin.Server{s.first, s.second, s.server("i-3", "s", "a1"), s.server("i-4", "s", "a2")}
+	// One in ten requests meets a fault, so that the retries leave a part of their budget to hedges.
+	faults := [40]origin.Fault{origin.Silent, origin.Stalled, origin.Cut, origin.LostResponse}
+	for i, server := range servers {
+		var mu sync.Mutex
+		rnd := rand.New(rand.NewPCG(1, uint64(i)))
+		server.SetServiceTime(30 * time.Millisecond)
+		server.SetScript(func(*http.Request) origin.Fault {
+			mu.Lock()
+			defer mu.Unlock()
+			return faults[rnd.IntN(len(faults))]
+		})
+	}
+	var group sync.WaitGroup
+	replies := make(chan reply, 8*40)
+	for i := range 8 {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			for j := range 40 {
+				replies <- s.in.sendWith(context.Background(), s.newID(), "GET", "/x/", "", http.Header{"Affinity-Key": {fmt.Sprint(i*j%11)}})
+			}
+		}()
+	}
+	group.Wait()
+	close(replies)
+	succeeded := 0
+	for r := range replies {
+		total := 0
+		for _, server := range servers {
+			n := runsOf(server, r.id)
+			require.LessOrEqual(t, n, 1, "sent to a target twice")
+			total += n
+		}
+		require.LessOrEqual(t, total, 2)
+		if r.status == 200 {
+			succeeded++
+			require.True(t, strings.HasSuffix(r.body, " to "+r.id), r.body)
+		}
+	}
+	t.Logf("succeeded %d", succeeded)
+	require.Greater(t, succeeded, 100)
+	for _, line := range strings.Split(s.in.scrape(), "\n") {
+		if strings.HasPrefix(line, "rainford_hedges") {
+			t.Log(line)
+		}
+	}
+	require.Positive(t, s.in.counted("rainford_hedges_total", `outcome="won"`))
+	for _, hall := range []string{"a1", "a2"} {
+		require.Zero(t, s.in.counted("rainford_attempts_in_flight", `hall="`+hall+`"`), "an attempt was not released once")
+	}
+}
