gateway: targets from which nothing comes back are found by a connection

With 41 of 294 targets cut one way, hedges were withheld in 238 of 250 cases, since the targets that were left were full, and each instance found out about each target by several requests of its own that timed out.

An attempt that takes longer than nearly all now has its target checked by opening a connection. If that can't be established, the target is recorded as unreachable, and others are told; a request that may be repeated goes on to another target. TestSilentTargetIsFoundByConnection fails without the check.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -58,6 +58,7 @@
 	lookups          lookupCache
 	bodySizes        bodySizes
 	hedging          hedgeDelays
+	targetChecks     targetChecks
 	metrics          *metrics
 
 	listeners   listeners
--- a/gateway/hedge_delays.go
+++ b/gateway/hedge_delays.go
@@ -33,7 +33,7 @@
 
 // record records the duration of an attempt that was answered.
 func (h *hedgeDelays) record(now time.Time, ex *exchange, d upstream.Decision, r upstream.Result) {
-	if r.Outcome != upstream.Answered || ex.route.Kind != catalog.Idempotent {
+	if r.Outcome != upstream.Answered {
 		return
 	}
 	h.mu.Lock()
--- a/gateway/hedging.go
+++ b/gateway/hedging.go
@@ -40,6 +40,7 @@
 func (g *Gateway) sendWithHedge(ex *exchange, p *pool, request upstream.Request, header http.Header, sent int, d upstream.Decision) (last sentAttempt, other *sentAttempt) {
 	delay, ok := g.hedgeDelay(ex, sent, d)
 	if !ok {
+		defer g.checkTargetIfSlow(ex, p, d).Stop()
 		first := g.sendAttempt(ex, header, p, d, nil)
 		g.recordAttempt(ex, p, request, first)
 		return first, nil
@@ -56,13 +57,24 @@
 	return h.join(first)
 }
 
-// sendHedge sends the second attempt unless the first one has ended.
+// sendHedge sends the second attempt unless the first one has ended, and checks the target of the first one.
+// If there is no target for a hedge, an attempt at an unreachable target is ended, so that the request is sent
+// to another one as after any failure.
 func (h *hedgedAttempt) sendHedge() {
 	if h.g.clock.Since(h.dueAt) > maxTimerLag {
 		time.Sleep(maxTimerLag)
 	}
 	d, ok := h.acquire()
-	if !ok {
+	target := h.first.Target
+	switch {
+	case ok:
+		go h.g.checkTarget(h.p, target)
+	case h.isFirstEnded():
+		return
+	default:
+		if !h.g.checkTarget(h.p, target) {
+			h.abortFirst.Abort()
+		}
 		return
 	}
 	defer close(h.hedgeEnded)
@@ -77,6 +89,13 @@
 	h.g.recordAttempt(h.ex, h.p, h.request, hedge)
 }
 
+// isFirstEnded reports whether the first attempt has ended.
+func (h *hedgedAttempt) isFirstEnded() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.firstEnded
+}
+
 // acquire returns the target of the hedge, or false if the request is not hedged.
 func (h *hedgedAttempt) acquire() (upstream.Decision, bool) {
 	h.mu.Lock()
@@ -137,6 +156,17 @@
 	return last, other
 }
 
+// targetUnreachable records that a target has neither responded to a request nor accepted a connection.
+func (r *reachability) targetUnreachable(target upstream.Choice) {
+	now := r.clock.Now()
+	r.halls.failed(now, target, reach.Unconnected)
+	r.proveSoon(target)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.tracker.Failed(now, target.ID)
+	r.wake(now)
+}
+
 // targetSilent records that a target is suspected because attempts there had no response.
 func (r *reachability) targetSilent(target upstream.Choice) {
 	now := r.clock.Now()
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -31,6 +31,7 @@
 	handovers       *telemetry.Counter
 	hedges          *telemetry.Counter
 	hedgesWithheld  *telemetry.Counter
+	silentTargets   *telemetry.Counter
 	refusedEntries  *telemetry.Counter
 	rolloutAttempts *telemetry.Counter
 	lookupAddresses *telemetry.Counter
@@ -91,6 +92,7 @@
 	counter(&m.rolloutAttempts, "rainford.rollout.attempts", "Attempts at targets of a service that a version is brought in of, by version.", "service", "version", "outcome")
 	counter(&m.targetCrashes, "rainford.target.ends", "Targets that ended while they had requests of this instance.")
 	counter(&m.hedges, "rainford.hedges", "Second attempts that were sent while the first had no response, by what became of them.", "service", "outcome")
+	counter(&m.silentTargets, "rainford.silent.targets", "Targets that did not respond for long and could not be connected to.", "hall")
 	counter(&m.hedgesWithheld, "rainford.hedges.withheld", "Requests that were due for a hedge and got none, by reason.", "service", "reason")
 	counter(&m.handovers, "rainford.handovers", "Requests handed over to another instance, by direction and what became of them.", "direction", "outcome")
 	counter(&m.lookupAddresses, "rainford.lookup.addresses", "Addresses in responses to look-ups, by where the instance is, as seen from the client.", "composition", "place")
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -263,6 +263,12 @@
 	return d, ""
 }
 
+// recordUnreachable records that no connection to a target could be established while no request opened one.
+func (p *pool) recordUnreachable(target string) {
+	now := p.clock.Now()
+	p.update(func(u *upstream.Pool) []upstream.Grant { return u.RecordUnreachable(now, target) })
+}
+
 // isSuspected reports whether a target is suspected to have failed.
 func (p *pool) isSuspected(target string) bool {
 	p.mu.Lock()
--- a/upstream/hedge.go
+++ b/upstream/hedge.go
@@ -71,3 +71,19 @@
 	t := p.byID[id]
 	return t != nil && t.stats.suspectBackoff > 0
 }
+
+// RecordUnreachable records that no connection to a target could be established, as Release does for a request,
+// and returns the grants that follow.
+func (p *Pool) RecordUnreachable(now time.Time, id string) []Grant {
+	t := p.byID[id]
+	if t == nil {
+		return nil
+	}
+	p.markActive(now, t)
+	before := t.eventState()
+	t.stats.downAt = now
+	t.suspect(now)
+	p.recordEvent(t, before, Unreachable)
+	p.count(t)
+	return p.dispatch(now)
+}
