--- a/endpoints/endpoints.go
+++ b/endpoints/endpoints.go
@@ -14,7 +14,7 @@
 	// the least one, the one that is chosen if the weights allow it, and the largest one. With fewer
 	// than minMain, the region spare would receive 1 in 25 connections or more.
 	minMain     = 25
-	typicalMain = 30
+	typicalMain = 62
 	maxMain     = MaxEntries - maxSpares
 	// A hall is complemented by its region if fewer than minHallInstances of it serve, or less than
 	// the fraction minHallFraction of its known instances. Otherwise the few remaining instances
