gateway: failures are judged by all targets first, then by the hall

TestOwnLinksAreNotTakenForCrashes failed in a run of the whole package (1 crash recorded at n1): the links to all targets were back before the failure was judged 0.3 s later. The proof of all targets is now requested at once, as before, and the hall is asked only after it.

go test ./gateway -run 'TestOwnLinks|TestDownTarget|TestRequestsBeside|Crash' -count=2, two processes at once: passes.

--- a/gateway/hall_proofs.go
+++ b/gateway/hall_proofs.go
@@ -22,25 +22,15 @@
 }
 
 // verifyIn calls a function with true if the failure of a target is its own, since others of its hall can be
-// connected to, and with false if this instance has lost its links to the hall. If neither is found, all
-// targets decide.
+// connected to, and with false if this instance has lost its links to all targets or to the hall. If neither is
+// found, a connection to any target since the failure decides. Any of these may take the given delay.
 func (r *reachability) verifyIn(target upstream.Choice, delay time.Duration, call func(reached bool)) {
-	time.AfterFunc(delay, func() {
-		switch {
-		case r.mayBeCutOff(target.Hall):
-			call(false)
-			return
-		case r.proveHall(target):
-			call(true)
+	r.verify(delay, func(reached bool) {
+		if !reached || r.mayBeCutOff(target.Hall) || r.proveHall(target) {
+			call(reached && !r.mayBeCutOff(target.Hall))
 			return
 		}
-		time.AfterFunc(hallVerdictTime, func() {
-			if r.mayBeCutOff(target.Hall) {
-				call(false)
-				return
-			}
-			r.verify(reach.AtOnce, call)
-		})
+		time.AfterFunc(hallVerdictTime, func() { call(!r.mayBeCutOff(target.Hall)) })
 	})
 }
 
