--- a/gateway/lost_halls_test.go
+++ b/gateway/lost_halls_test.go
@@ -266,3 +266,31 @@
 		require.Equal(t, "a2", s.instances[name].lostHalls(), name)
 	}
 }
+
+// TestLinksToHallAreNotTakenForCrashes guards against requests that are held everywhere, and targets that other
+// instances don't use, because one instance lost its links to a hall while requests were at its targets.
+func TestLinksToHallAreNotTakenForCrashes(t *testing.T) {
+	t.Parallel()
+	s := newCutSite(t)
+	s.warmUp()
+	for _, server := range s.servers {
+		server.SetServiceTime(200 * time.Millisecond)
+	}
+	in := s.instances["n1"]
+	for range 3 {
+		for i := range 24 {
+			go in.sendKey(fmt.Sprint(i % 12))
+		}
+		time.Sleep(100 * time.Millisecond)
+		s.links["n1"].Cut(link.Reset, s.hallIs("a2"))
+		in.loadUntil(t, noticeTime, readPath, func() bool { return in.lostHalls() == "a2" })
+		time.Sleep(400 * time.Millisecond)
+		s.links["n1"].Restore()
+		in.loadUntil(t, noticeTime, readPath, func() bool { return in.lostHalls() == "" })
+	}
+	for name, in := range s.instances {
+		require.LessOrEqual(t, in.metric("rainford_target_ends_total"), 0, name)
+		require.Zero(t, in.metric("rainford_requests_held"), name)
+	}
+	require.LessOrEqual(t, in.counted("rainford_target_reports_total", `content="down",direction="sent"`), 0)
+}
