--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -57,6 +57,7 @@
 	lookups          lookupCache
 	bodySizes        bodySizes
 	hedging          hedgeDelays
+	hedgeTimers      hedgeTimers
 	metrics          *metrics
 
 	listeners   listeners
@@ -146,6 +147,7 @@
 		targetList:           newTargetList(),
 		startedAt:            config.Clock.Now(),
 		clock:                config.Clock,
+		hedgeTimers:          hedgeTimers{clock: config.Clock},
 		readiness:            readiness{reached: make(chan struct{})},
 		catchUp:              make(map[feed.Kind]*feed.CatchUp),
 		deltaCache:           make(deltaCache),
--- a/gateway/hedging.go
+++ b/gateway/hedging.go
@@ -21,6 +21,7 @@
 	delay   time.Duration
 	// dueAt is when the hedge is to be sent.
 	dueAt time.Time
+	state hedgeState
 
 	// mu also guards the exchange from the time at which the hedge is started until both attempts have ended.
 	mu sync.Mutex
@@ -45,9 +46,9 @@
 	}
 	h := &ex.hedge
 	h.g, h.ex, h.p, h.header, h.request, h.first, h.delay, h.dueAt = g, ex, p, header, request, d, delay, g.clock.Now().Add(delay)
-	timer := time.AfterFunc(delay, h.sendHedge)
+	state := g.hedgeTimers.start(h)
 	first := g.sendAttempt(ex, header, p, d, &h.abortFirst)
-	if timer.Stop() {
+	if h.state.end(state) {
 		g.recordAttempt(ex, p, request, first)
 		return first, nil
 	}
--- a/gateway/hedging_test.go
+++ b/gateway/hedging_test.go
@@ -294,7 +294,7 @@
 		go func() {
 			defer group.Done()
 			for j := range 40 {
-				replies <- s.in.sendWith(context.Background(), s.newID(), "GET", "/x/", "", http.Header{"Affinity-Key": {fmt.Sprint(i*j%11)}})
+				replies <- s.in.sendWith(context.Background(), s.newID(), "GET", "/x/", "", http.Header{"Affinity-Key": {fmt.Sprint(i * j % 11)}})
 			}
 		}()
 	}
