--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -59,6 +59,7 @@
 	bodySizes        bodySizes
 	hedging          hedgeDelays
 	targetChecks     targetChecks
+	hedgeTimers      hedgeTimers
 	metrics          *metrics
 
 	listeners   listeners
@@ -153,6 +154,7 @@
 		targetList:           newTargetList(),
 		startedAt:            config.Clock.Now(),
 		clock:                config.Clock,
+		hedgeTimers:          hedgeTimers{clock: config.Clock},
 		readiness:            readiness{reached: make(chan struct{})},
 		catchUp:              make(map[feed.Kind]*feed.CatchUp),
 		deltaCache:           make(deltaCache),
