--- a/gateway/hedge_delays.go
+++ b/gateway/hedge_delays.go
@@ -87,9 +87,10 @@
 	}
 }
 
-// hedgeDelay returns how long after its start an attempt is hedged. The result is false if it is not.
-func (g *Gateway) hedgeDelay(ex *exchange, sent int, d upstream.Decision) (time.Duration, bool) {
-	if ex.route.Kind != catalog.Idempotent || ex.hedgeTried || ex.isTrial() || ex.handover != nil || sent+2 > ex.maxAttempts() {
+// hedgeDelay returns how long after its start an attempt is hedged, or its target checked. The result is false
+// if neither is done.
+func (g *Gateway) hedgeDelay(ex *exchange, d upstream.Decision) (time.Duration, bool) {
+	if ex.hedgeTried {
 		return 0, false
 	}
 	now := g.clock.Now()
@@ -97,6 +98,11 @@
 	return delay, ok && now.Add(delay).Before(ex.deadline)
 }
 
+// mayHedge reports whether a request that was sent the given number of times before may be hedged.
+func (g *Gateway) mayHedge(ex *exchange, sent int) bool {
+	return ex.route.Kind == catalog.Idempotent && !ex.isTrial() && ex.handover == nil && sent+2 <= ex.maxAttempts()
+}
+
 // acquireHedge returns the target of a hedge, or why there is none.
 func (g *Gateway) acquireHedge(ex *exchange, p *pool, request upstream.Request, first upstream.Decision) (d upstream.Decision, withheld string) {
 	now := g.clock.Now()
--- a/gateway/hedge_delays_test.go
+++ b/gateway/hedge_delays_test.go
@@ -66,8 +66,8 @@
 		t.Run(c.name, func(t *testing.T) {
 			g, ex, _, first := newHedgedExchange(t)
 			c.change(ex)
-			delay, ok := g.hedgeDelay(ex, c.sent, first)
-			require.Equal(t, c.hedged, ok)
+			delay, ok := g.hedgeDelay(ex, first)
+			require.Equal(t, c.hedged, ok && g.mayHedge(ex, c.sent))
 			if ok {
 				require.InDelta(t, 75, delay.Milliseconds(), 10)
 			}
--- a/gateway/hedge_timers.go
+++ b/gateway/hedge_timers.go
@@ -9,10 +9,13 @@
 )
 
 const (
-	// hedgeTick is the interval at which due hedges are looked for while requests are sent.
-	hedgeTick = 10 * time.Millisecond
-	// idleHedgeTicks is the number of ticks without an attempt after which the search ends.
-	idleHedgeTicks = 100
+	// Due hedges are looked for when the next one is due, but at intervals between minHedgeTick and
+	// maxHedgeTick. The latter is how late a hedge may be if it is due before all that were started before
+	// it.
+	minHedgeTick = 10 * time.Millisecond
+	maxHedgeTick = 50 * time.Millisecond
+	// hedgeIdleTime is the time without an attempt after which the search ends.
+	hedgeIdleTime = time.Second
 )
 
 // hedgeTimers starts the hedges that are due. A timer of its own for each attempt would wake the runtime's
@@ -55,16 +58,17 @@
 
 // loop starts due hedges until there has been no attempt for a while.
 func (ts *hedgeTimers) loop() {
-	ticker := time.NewTicker(hedgeTick)
-	defer ticker.Stop()
-	for idle := 0; ; idle++ {
-		<-ticker.C
+	busyAt := ts.clock.Now()
+	wait := minHedgeTick
+	for {
+		time.Sleep(wait)
 		ts.mu.Lock()
+		now := ts.clock.Now()
 		if len(ts.pending) > 0 {
-			idle = 0
+			busyAt = now
 		}
-		ts.startDue()
-		if idle >= idleHedgeTicks {
+		wait = min(max(ts.startDue(now), minHedgeTick), maxHedgeTick)
+		if now.Sub(busyAt) >= hedgeIdleTime {
 			ts.running = false
 			ts.mu.Unlock()
 			return
@@ -73,9 +77,10 @@
 	}
 }
 
-// startDue starts the hedges that are due, and drops the attempts that have ended. The caller holds mu.
-func (ts *hedgeTimers) startDue() {
-	now := ts.clock.Now()
+// startDue starts the hedges that are due, and drops the attempts that have ended. It returns the time until
+// the next one is due, at most maxHedgeTick. The caller holds mu.
+func (ts *hedgeTimers) startDue(now time.Time) time.Duration {
+	next := maxHedgeTick
 	kept := ts.pending[:0]
 	for _, p := range ts.pending {
 		h := p.attempt
@@ -83,10 +88,12 @@
 		case h.state.Load() != p.state:
 		case now.Before(p.dueAt):
 			kept = append(kept, p)
+			next = min(next, p.dueAt.Sub(now))
 		case h.state.end(p.state):
 			go h.sendHedge()
 		}
 	}
 	clear(ts.pending[len(kept):])
 	ts.pending = kept
+	return next
 }
--- a/gateway/hedge_timers_test.go
+++ b/gateway/hedge_timers_test.go
@@ -28,7 +28,7 @@
 		require.False(t, due.state.end(states[1]), "it was hedged")
 		require.False(t, ended.state.end(again), "the attempt that was started later was hedged")
 		require.True(t, later.state.end(states[2]))
-		time.Sleep((idleHedgeTicks + 2) * hedgeTick)
+		time.Sleep(hedgeIdleTime + 2*maxHedgeTick)
 		ts.mu.Lock()
 		defer ts.mu.Unlock()
 		require.Empty(t, ts.pending)
--- a/gateway/hedging.go
+++ b/gateway/hedging.go
@@ -20,6 +20,8 @@
 	request upstream.Request
 	first   upstream.Decision
 	delay   time.Duration
+	// checkOnly means that no hedge is sent. Only the target is checked.
+	checkOnly bool
 	// dueAt is when the hedge is to be sent.
 	dueAt time.Time
 	state hedgeState
@@ -36,18 +38,18 @@
 }
 
 // sendWithHedge sends the request to a target, and to a second one if the first has not responded when the
-// hedge delay has passed. It returns the attempt that was answered, or the last one, and the other if there was
+// hedge delay has passed, or checks the first target then if the request may not be hedged. It returns the attempt that was answered, or the last one, and the other if there was
 // a hedge. The request was sent the given number of times before.
 func (g *Gateway) sendWithHedge(ex *exchange, p *pool, request upstream.Request, header http.Header, sent int, d upstream.Decision) (last sentAttempt, other *sentAttempt) {
-	delay, ok := g.hedgeDelay(ex, sent, d)
+	delay, ok := g.hedgeDelay(ex, d)
 	if !ok {
-		defer g.checkTargetIfSlow(ex, p, d).Stop()
 		first := g.sendAttempt(ex, header, p, d, nil)
 		g.recordAttempt(ex, p, request, first)
 		return first, nil
 	}
 	h := &ex.hedge
 	h.g, h.ex, h.p, h.header, h.request, h.first, h.delay, h.dueAt = g, ex, p, header, request, d, delay, g.clock.Now().Add(delay)
+	h.checkOnly = !g.mayHedge(ex, sent)
 	state := g.hedgeTimers.start(h)
 	first := g.sendAttempt(ex, header, p, d, &h.abortFirst)
 	if h.state.end(state) {
@@ -65,19 +67,19 @@
 	if h.g.clock.Since(h.dueAt) > maxTimerLag {
 		time.Sleep(maxTimerLag)
 	}
-	d, ok := h.acquire()
 	target := h.first.Target
-	switch {
-	case ok:
-		go h.g.checkTarget(h.p, target)
-	case h.isFirstEnded():
+	if h.checkOnly {
+		h.g.checkTarget(h.p, target)
 		return
-	default:
-		if !h.g.checkTarget(h.p, target) {
+	}
+	d, ok := h.acquire()
+	if !ok {
+		if !h.isFirstEnded() && !h.g.checkTarget(h.p, target) {
 			h.abortFirst.Abort()
 		}
 		return
 	}
+	go h.g.checkTarget(h.p, target)
 	defer close(h.hedgeEnded)
 	hedge := h.g.sendAttempt(h.ex, h.header, h.p, d, &h.abortHedge)
 	hedge.hedgeDelay = h.delay
--- a/gateway/target_check.go
+++ b/gateway/target_check.go
@@ -19,16 +19,6 @@
 // targetChecks counts the checks of targets that are under way.
 type targetChecks struct{ running atomic.Int32 }
 
-// checkTargetIfSlow checks the target of an attempt that is not hedged unless the returned timer is stopped
-// before nearly all attempts of the route have a response.
-func (g *Gateway) checkTargetIfSlow(ex *exchange, p *pool, d upstream.Decision) *time.Timer {
-	delay, ok := g.hedging.delay(g.clock.Now(), ex.route, isWarm(d))
-	if !ok {
-		delay = g.clock.Until(ex.deadline)
-	}
-	return time.AfterFunc(delay, func() { g.checkTarget(p, d.Target) })
-}
-
 // checkTarget opens a connection to a target that has not responded for longer than usual. A target that is
 // only slow accepts it. If the connection can't be established, this is recorded like the failure of a request
 // to connect, so that later requests, also those of other instances, go elsewhere. Without it each instance
