--- a/cmd/rainfordd/templates_test.go
+++ b/cmd/rainfordd/templates_test.go
@@ -23,7 +23,7 @@
 
 var (
 	templateGap     = regexp.MustCompile(`\{\{([^#/{}]+)\}\}`)
-	templateSection = regexp.MustCompile(`(?m)^.*\{\{#bounds\..*$`)
+	templateSection = regexp.MustCompile(`(?m)^.*\{\{#(bounds|limits)\..*$`)
 )
 
 // renderTemplate fills in a template of deploy and returns the path of the settings file.
