--- a/forward/client.go
+++ b/forward/client.go
@@ -104,13 +104,9 @@
 		}
 		return a
 	}
-	withheld := ErrWithheld
-	if r.Aborter.Aborted() {
-		withheld = ErrAborted
-	}
-	if withheld == ErrAborted || r.MaySend != nil && !r.MaySend() {
+	if err := r.checkMaySend(); err != nil {
 		c.idle.release(r.endpoint(), cn)
-		a := Attempt{Outcome: retry.NotRun, Err: withheld}
+		a := Attempt{Outcome: retry.NotRun, Err: err}
 		a.TargetResult.Outcome = upstream.Abandoned
 		return a
 	}
--- a/forward/message.go
+++ b/forward/message.go
@@ -73,6 +73,18 @@
 	Aborter *Aborter
 }
 
+// checkMaySend returns why the request may not be sent any more, or nil if it may.
+func (r *Request) checkMaySend() error {
+	switch {
+	case r.Aborter.Aborted():
+		return ErrAborted
+	case r.MaySend != nil && !r.MaySend():
+		return ErrWithheld
+	default:
+		return nil
+	}
+}
+
 // endpoint returns the key of the request's connections. It contains the address because
 // the address of a target may change, and connections to the previous address do not lead
 // to the target.
