Review: confirmed ends of losses, usual times of requests, isolation after the store is lost, bounded flags

Twice the usual time counts now, 2 s at most. - One response of the store after the last heartbeat kept an instance from being isolated for the whole cut. - One target that accepts connections and stands still could make its hall lost by response; three are asked. - An attempt ended because its target is unreachable counted as a response for rollouts. - A single lost packet made a target unreachable; two connections have to fail. - An isolated instance's response had up to 65 entries; a starting instance named itself alone; it could name unknown spares beside living ones. - The look-up process forgot other instances when a response named few. - Lists of flagged members are left out when they would be long.

--- a/availability/state.go
+++ b/availability/state.go
@@ -100,7 +100,7 @@
 // State is not safe for concurrent use.
 type State struct {
 	// persistent reports whether a persistent condition is active, unreachable whether this instance
-	// reaches the target's hall, and until is the latest end of the timed conditions. For most targets
+	// has lost its links to the target's hall, and until is the latest end of the timed conditions. For most targets
 	// only these fields are read. They come first, so that they share a cache line with the field that
 	// precedes a State.
 	persistent, unreachable bool
--- a/endpoints/doc.go
+++ b/endpoints/doc.go
@@ -22,8 +22,9 @@
 // offset of the sample advances slowly with time, so that a client keeps most of its connections
 // when it gets the next response.
 //
-// An instance is isolated if it has lost its links to all other halls. It then directs most clients
-// to the instances of the other halls, since a client that reaches these is served better there.
+// An instance is isolated if it is cut off from everything outside its hall, see package reach. It then
+// directs most clients to the instances of the other halls, since a client that reaches these is served
+// better there.
 //
 // The package performs no I/O and reads no clock: the time is passed in as an argument.
 package endpoints
--- a/endpoints/endpoints.go
+++ b/endpoints/endpoints.go
@@ -53,7 +53,7 @@
 	// Addr and Hall are its own.
 	Addr, Hall string
 	// Discovering is set while it is still discovering the others after its start. Isolated is set
-	// if it has lost its links to all other halls.
+	// if it is cut off from everything outside its hall.
 	Discovering, Isolated bool
 }
 
--- a/endpoints/endpoints_test.go
+++ b/endpoints/endpoints_test.go
@@ -172,6 +172,11 @@
 	require.Zero(t, entries["a2-384-00:1"], "had left")
 	require.Positive(t, entries["a2-192-00:1"])
 
+	for n := range 6 {
+		instances := join(hall("a1", n+1, 192), silent(join(hall("a2", 5, 192), hall("b1", 5, 192), hall("c1", 5, 192))))
+		require.LessOrEqual(t, len(endpoints.Choose(start, query, instances, isolated).Addresses), endpoints.MaxEntries)
+	}
+
 	noRegion := join(hall("a1", 3, 192), silent(hall("b1", 3, 192)))
 	got = endpoints.Choose(start, query, noRegion, isolated)
 	require.InDelta(t, 0.75, float64(got.OtherRegion)/float64(len(got.Addresses)), 0.03)
@@ -181,6 +186,19 @@
 	require.Len(t, alone.Addresses, 3)
 }
 
+// TestSparesServe guards against a spare that ended long ago, which an instance that has just started takes for
+// serving, beside living ones of its region.
+func TestSparesServe(t *testing.T) {
+	starting := self
+	starting.Discovering = true
+	unknown := change(silent(hall("b1", 20, 768)), func(m *endpoints.Instance) { m.MayServe = true })
+	instances := join(hall("a1", 3, 192), hall("b2", 1, 192), unknown)
+	for step := range 50 {
+		got := endpoints.Choose(start.Add(time.Duration(step)*time.Second), query, instances, starting)
+		require.Equal(t, 1, count(got.Addresses)["b2-192-00:1"])
+	}
+}
+
 // fleetOf draws a fleet of up to four regions with up to three halls each.
 func fleetOf(t *rapid.T) []endpoints.Instance {
 	var out []endpoints.Instance
--- a/endpoints/spares.go
+++ b/endpoints/spares.go
@@ -44,8 +44,17 @@
 	return Query{Region: main[0].Region, Hall: main[0].Hall}
 }
 
-// draw returns a candidate by weighted rendezvous hashing.
+// draw returns a candidate by weighted rendezvous hashing. One that is only assumed to serve, by an instance
+// that has just started, is drawn if no other is eligible.
 func draw(list []candidate, key uint64, eligible func(candidate) bool) (candidate, bool) {
+	known, ok := drawFrom(list, key, func(c candidate) bool { return c.Serves && eligible(c) })
+	if ok {
+		return known, true
+	}
+	return drawFrom(list, key, eligible)
+}
+
+func drawFrom(list []candidate, key uint64, eligible func(candidate) bool) (candidate, bool) {
 	var best candidate
 	bestScore, found := 0.0, false
 	for _, c := range list {
--- a/endpoints/weights.go
+++ b/endpoints/weights.go
@@ -15,11 +15,8 @@
 	// none, its load would move to the others at once and overload the next one.
 	fullWeight       = 4
 	overloadedWeight = 1
-	// samplesPerInstance is the number of entries for each instance in a sample. It leaves an
-	// instance of average weight in each response.
-	samplesPerInstance = 2
 	// sampleCycle is the time in which the offset of samples passes through all its values. Within
-	// the TTL of lookups of 2 s, the offset moves by a sixteenth of the distance between entries, so
+	// a TTL of 2 to 5 s the offset moves by a sixteenth to a sixth of the distance between entries, so
 	// that few of them pass to the next instance.
 	sampleCycle = 32 * time.Second
 )
@@ -55,9 +52,12 @@
 // mainEntries returns the main entries of a response.
 func mainEntries(now time.Time, q Query, s State, groups []group, hasSpares bool) []candidate {
 	var out []candidate
-	for _, g := range groups {
+	for i, g := range groups {
 		reduce(g.candidates)
 		n := int(math.Round(g.fraction * typicalMain))
+		if i == len(groups)-1 {
+			n = typicalMain - len(out)
+		}
 		if len(groups) == 1 {
 			n = mainSize(g.candidates, hasSpares)
 		}
@@ -94,7 +94,7 @@
 		least, typical = 1, 1
 	}
 	if sum > maxMain {
-		return min(max(samplesPerInstance*len(list), typicalMain), maxMain)
+		return maxMain
 	}
 	best := sum * ((least + sum - 1) / sum)
 	for n := best; n <= maxMain; n += sum {
--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -123,7 +123,6 @@
 		}
 		g.pools.setTargets(now, g.targetList.specs, g.evacuated)
 		g.updateHallSizes()
-		g.updateHallSizes()
 	case KindInstances:
 		g.applyInstances(now, changes, from)
 		g.updateInstanceShares(now)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -313,6 +313,7 @@
 			g.accountPermits.evictIdle(now)
 			g.quarantine.expire(now)
 			g.hedging.expire(now)
+			g.reach.halls.setUsualTime(g.hedging.usualTime(now))
 			g.departures.expire(now)
 			g.expireLimits(now)
 			g.reviewTargetLimits(now)
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -71,8 +71,14 @@
 	all(func(in *instance) bool { return in.send("GET", "/x/", "").status == 200 })
 	s.configure(2, idempotentRoute, route{prefix: "/new/", service: "s", kind: "idempotent"})
 	all(func(in *instance) bool { return in.send("GET", "/new/", "").status == 200 })
-	answeredBy := func(in *instance) string { return in.send("GET", "/x/", "").body[len("answer of "):][:3] }
-
+	// A hall that is taken back is cold, and its target may refuse some of the requests of a poll.
+	answeredBy := func(in *instance) string {
+		body, answered := strings.CutPrefix(in.send("GET", "/x/", "").body, "answer of ")
+		if !answered {
+			return ""
+		}
+		return body[:len(one.ID)]
+	}
 	s.store.Set("evacuations", "a1", struct{}{})
 	all(func(in *instance) bool { return answeredBy(in) == two.ID })
 	s.store.Remove("evacuations", "a1")
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -132,8 +132,8 @@
 
 // newGossip returns a message with the given heartbeats.
 func newGossip(heartbeats fleet.Heartbeats) *peer.Gossip {
-	return &peer.Gossip{Heartbeats: heartbeats, TargetsLost: heartbeats.With(fleet.TargetsLost), HallsLost: heartbeats.With(fleet.HallsLost),
-		OverloadedInstances: overloadedAmong(heartbeats)}
+	return &peer.Gossip{Heartbeats: heartbeats, TargetsLost: heartbeats.With(fleet.TargetsLost), HallsLost: flagged(heartbeats, fleet.HallsLost),
+		OverloadedInstances: flagged(heartbeats, fleet.Overloaded)}
 }
 
 // flags returns the flags for the heartbeat of this instance.
--- a/gateway/halls.go
+++ b/gateway/halls.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -273,15 +274,25 @@
 }
 
 // targetsToCheck returns the targets of a check. A check by response asks the target to which the check
-// before has connected, since it is to find out whether targets that can be connected to respond.
+// before has connected first, since it is to find out whether targets that can be connected to respond. A check
+// that confirms the end of a loss tries the target first that was reached.
 func (h *hallLinks) targetsToCheck(c reach.HallCheck) []reach.Target {
 	drawn := h.sample(c.Hall, c.Size)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if t, ok := h.responsive[c.Hall]; ok && c.ByResponse && !h.tracker.IsLost(c.Hall) {
-		return []reach.Target{t}
+	t, ok := h.responsive[c.Hall]
+	if !ok || !c.Confirming && (!c.ByResponse || h.tracker.IsLost(c.Hall)) {
+		return h.recentIn(c.Hall).Pick(c.Size, drawn)
 	}
-	return h.recentIn(c.Hall).Pick(c.Size, drawn)
+	others := slices.DeleteFunc(drawn, func(other reach.Target) bool { return other == t })
+	return append([]reach.Target{t}, others[:min(len(others), c.Size-1)]...)
+}
+
+// setUsualTime sets how long requests usually take.
+func (h *hallLinks) setUsualTime(usual time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.tracker.SetUsualTime(usual)
 }
 
 // apply makes a change of a hall's loss take effect, and logs it. The caller holds changing.
--- a/gateway/hedge_delays.go
+++ b/gateway/hedge_delays.go
@@ -76,6 +76,19 @@
 	return longest
 }
 
+// usualTime returns the longest median of the attempts of all routes, or 0 if too little is known.
+func (h *hedgeDelays) usualTime(now time.Time) time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	longest := time.Duration(0)
+	for _, e := range h.estimators {
+		if median, ok := e.Median(now); ok {
+			longest = max(longest, median)
+		}
+	}
+	return longest
+}
+
 // expire drops the estimators of routes without recent responses.
 func (h *hedgeDelays) expire(now time.Time) {
 	h.mu.Lock()
--- a/gateway/hedging.go
+++ b/gateway/hedging.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rainford/rainford/forward"
@@ -33,6 +34,8 @@
 	firstEnded bool
 	hedgeEnded chan struct{}
 	hedge      *sentAttempt
+	// hedgeAnswered is true before the first attempt is aborted because the hedge was answered.
+	hedgeAnswered atomic.Bool
 
 	abortFirst, abortHedge forward.Aborter
 }
@@ -74,7 +77,7 @@
 	}
 	d, ok := h.acquire()
 	if !ok {
-		if !h.isFirstEnded() && !h.g.checkTarget(h.p, target) {
+		if !h.isFirstEnded() && !h.g.checkTarget(h.p, target) && h.p.mayRetry() {
 			h.abortFirst.Abort()
 		}
 		return
@@ -84,6 +87,7 @@
 	hedge := h.g.sendAttempt(h.ex, h.header, h.p, d, &h.abortHedge)
 	hedge.hedgeDelay = h.delay
 	if hedge.Response != nil {
+		h.hedgeAnswered.Store(true)
 		h.abortFirst.Abort()
 	}
 	h.mu.Lock()
@@ -117,8 +121,12 @@
 
 // join returns the result of both attempts after the first one has ended.
 func (h *hedgedAttempt) join(first sentAttempt) (last sentAttempt, other *sentAttempt) {
-	outpaced := first.TargetResult.Outcome == upstream.Abandoned && h.abortFirst.Aborted()
-	if outpaced {
+	aborted := first.TargetResult.Outcome == upstream.Abandoned && h.abortFirst.Aborted()
+	switch {
+	case aborted && !h.hedgeAnswered.Load():
+		// Its target is unreachable, and there was none for a hedge.
+		first.TargetResult.Outcome = upstream.TimedOut
+	case aborted:
 		first.TargetResult.Outpaced = true
 		first.TargetResult.Silent = first.NoResponse || !first.Sent
 	}
--- a/gateway/isolation.go
+++ b/gateway/isolation.go
@@ -54,9 +54,9 @@
 	}
 }
 
-// probeStore finds out whether the store responds, unless it has since the other halls were last heard from.
+// probeStore finds out whether the store responds, unless it has lately.
 func (g *Gateway) probeStore(ctx context.Context) {
-	if contacts := g.contacts(); contacts.StoreAt.After(contacts.MembersAt) {
+	if g.contacts().StoreResponds(g.clock.Now()) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, isolationProbeTimeout)
--- a/gateway/lookup.go
+++ b/gateway/lookup.go
@@ -71,9 +71,12 @@
 	return cached.body
 }
 
-// newLookup returns the response to clients of a hall at the given time, or nil if it cannot be
-// encoded.
+// newLookup returns the response to clients of a hall at the given time, or nil if there is none. An instance
+// that has just started and does not know the others yet would send all clients of its hall to itself.
 func (g *Gateway) newLookup(now time.Time, q endpoints.Query) *cachedLookup {
+	if !g.readiness.instancesLoaded.Load() && now.Sub(g.startedAt) < discoveryTime {
+		return nil
+	}
 	response := g.chooseEndpoints(now, q)
 	body, err := g.codec.LookupAnswer(response.Addresses, g.config.LookupTTL)
 	if err != nil {
--- a/gateway/lookup_status.go
+++ b/gateway/lookup_status.go
@@ -12,8 +12,6 @@
 // LookupStatus is the response to look-ups of clients of the instance's own hall.
 type LookupStatus struct {
 	Composition endpoints.Composition `json:"composition"`
-	// Isolated is set if the instance has lost its links to all other halls.
-	Isolated bool `json:"isolated,omitempty"`
 	// Entries lists the named instances, those of the own hall first.
 	Entries []LookupEntry `json:"entries"`
 }
@@ -39,7 +37,7 @@
 	for _, addr := range response.Addresses {
 		named[addr]++
 	}
-	out := LookupStatus{Composition: response.Composition, Isolated: g.isIsolated(now)}
+	out := LookupStatus{Composition: response.Composition}
 	for _, m := range members {
 		if n := named[m.FrontAddr]; n > 0 {
 			out.Entries = append(out.Entries, LookupEntry{Instance: m.Name, Hall: m.Hall, Entries: n, CapacityPerSecond: m.Capacity, Overloaded: m.Flags&fleet.Overloaded != 0})
--- a/gateway/lookup_test.go
+++ b/gateway/lookup_test.go
@@ -101,6 +101,22 @@
 	require.LessOrEqual(t, len(g.lookups.responses), maxCachedLookups)
 }
 
+// TestStartingInstanceNamesNobody guards against an instance that has just started, knows no other one, and sends
+// all clients that ask it to itself.
+func TestStartingInstanceNamesNobody(t *testing.T) {
+	g := newTestGateway(t)
+	g.codec = lookupCodec{}
+	g.startedAt = g.clock.Now()
+	q := endpoints.Query{Region: "a", Hall: "a1"}
+	require.Nil(t, g.lookup(q))
+	g.readiness.instancesLoaded.Store(true)
+	require.NotNil(t, g.lookup(q))
+	g.readiness.instancesLoaded.Store(false)
+	g.startedAt = g.clock.Now().Add(-discoveryTime)
+	g.lookups.responses = nil
+	require.NotNil(t, g.lookup(q), "it does not wait for longer")
+}
+
 // TestLookupCompositionIsLogged guards against a change of where clients are directed that no log line
 // and no metric shows.
 func TestLookupCompositionIsLogged(t *testing.T) {
--- a/gateway/overload.go
+++ b/gateway/overload.go
@@ -8,15 +8,18 @@
 	"github.com/rainford/rainford/fleet"
 )
 
-// maxOverloadedListed bounds the overloaded instances that a message lists, to 160 bytes. If more are
-// overloaded, their weights are hardly worth telling apart.
-const maxOverloadedListed = 32
+// maxFlagged bounds the members that a message lists for a flag, to 160 bytes.
+const maxFlagged = 32
 
-// overloadedAmong returns the members of heartbeats that are overloaded, the first
-// maxOverloadedListed of them.
-func overloadedAmong(heartbeats fleet.Heartbeats) []fleet.ID {
-	out := heartbeats.With(fleet.Overloaded)
-	return out[:min(len(out), maxOverloadedListed)]
+// flagged returns the members of heartbeats with a flag, or none if there are more than maxFlagged. If that
+// many are overloaded, or have lost a hall, it does not help to tell them apart from the others. With a part
+// of them listed, the flag of the rest would change with each message.
+func flagged(heartbeats fleet.Heartbeats, flag fleet.Flags) []fleet.ID {
+	out := heartbeats.With(flag)
+	if len(out) > maxFlagged {
+		return nil
+	}
+	return out
 }
 
 // overloadLoop measures how late timers fire, until ctx ends, and reports in the heartbeats of this
--- a/gateway/overload_test.go
+++ b/gateway/overload_test.go
@@ -39,11 +39,15 @@
 	}
 	require.Equal(t, []int{1, 4}, []int{entries, response.SameHall - entries})
 
-	many := make(fleet.Heartbeats, 3*maxOverloadedListed)
+	// Where a part of them was listed, the flag of the others changed with each message.
+	many := make(fleet.Heartbeats, maxFlagged+1)
 	for i := range many {
-		many[i].Flags = fleet.Overloaded
+		many[i].Flags = fleet.Overloaded | fleet.HallsLost
 	}
-	require.Len(t, newGossip(many).OverloadedInstances, maxOverloadedListed)
+	require.Empty(t, newGossip(many).OverloadedInstances)
+	require.Empty(t, newGossip(many).HallsLost)
+	require.Len(t, newGossip(many[1:]).OverloadedInstances, maxFlagged)
+	require.Len(t, newGossip(many[1:]).HallsLost, maxFlagged)
 }
 
 // deliver passes a message to an instance as it is encoded.
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -276,6 +276,20 @@
 	return p.upstream.IsSuspected(target)
 }
 
+// mayRetry reports whether the budget holds a retry.
+func (p *pool) mayRetry() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.retryBudget.Available() >= 1
+}
+
+// isUnreachable reports whether a target is suspected because it could not be connected to.
+func (p *pool) isUnreachable(target string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.upstream.IsUnreachable(target)
+}
+
 // spendRetry takes one retry from the budget. It reports false if the budget is exhausted.
 func (p *pool) spendRetry() bool {
 	p.mu.Lock()
--- a/gateway/quarantine_gossip.go
+++ b/gateway/quarantine_gossip.go
@@ -36,8 +36,8 @@
 	defer g.mu.Unlock()
 	own := fleet.Heartbeats{g.view.OwnHeartbeat()}
 	message.Heartbeats, message.Reply = own, true
-	message.TargetsLost, message.HallsLost = own.With(fleet.TargetsLost), own.With(fleet.HallsLost)
-	message.OverloadedInstances = overloadedAmong(own)
+	message.TargetsLost, message.HallsLost = own.With(fleet.TargetsLost), flagged(own, fleet.HallsLost)
+	message.OverloadedInstances = flagged(own, fleet.Overloaded)
 	if g.view.Len() <= maxDirectRecipients {
 		for _, m := range g.partners(now, true) {
 			g.mesh.Send(m.PeerAddr, &message)
--- a/gateway/target_check.go
+++ b/gateway/target_check.go
@@ -1,7 +1,7 @@
 package gateway
 
 import (
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/rainford/rainford/upstream"
@@ -11,33 +11,63 @@
 	// maxTargetChecks bounds the targets that are checked at the same time. Where more targets are
 	// silent, the links of this instance are more likely to be the cause, and package reach checks these.
 	maxTargetChecks = 16
-	// maxCheckDelay is how much later than checkTimeout a check may end. If it ends later, the process
-	// did not run, and a connection may have been established in time.
+	// targetCheckTries is the number of connections that have to fail in a row. The first packet of one
+	// may be lost, and is sent again only after a second.
+	targetCheckTries = 2
+	// maxCheckDelay is how much later than checkTimeout a connection may fail. If it fails later, the
+	// process did not run, and the connection may have been established in time.
 	maxCheckDelay = 100 * time.Millisecond
 )
 
-// targetChecks counts the checks of targets that are under way.
-type targetChecks struct{ running atomic.Int32 }
+// targetChecks holds the IDs of the targets that are being checked. It is safe for concurrent use.
+type targetChecks struct {
+	mu      sync.Mutex
+	running map[string]bool
+}
+
+// start reports whether a target may be checked now. The caller must call end after a result of true.
+func (c *targetChecks) start(target string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.running == nil {
+		c.running = make(map[string]bool)
+	}
+	if len(c.running) >= maxTargetChecks || c.running[target] {
+		return false
+	}
+	c.running[target] = true
+	return true
+}
+
+func (c *targetChecks) end(target string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.running, target)
+}
 
 // checkTarget opens a connection to a target that has not responded for longer than usual. A target that is
-// only slow accepts it. If the connection can't be established, this is recorded like the failure of a request
+// only slow accepts it. If no connection can be established, this is recorded like the failure of a request
 // to connect, so that later requests, also those of other instances, go elsewhere. Without it each instance
 // would learn only from several requests of its own that nothing comes back from the target. The result is
-// false if the target is unreachable.
+// false if the target is known to be unreachable.
 func (g *Gateway) checkTarget(p *pool, target upstream.Choice) bool {
-	defer g.targetChecks.running.Add(-1)
-	if g.targetChecks.running.Add(1) > maxTargetChecks || g.reach.isHallLost(target.Hall) || p.isSuspected(target.ID) {
+	switch {
+	case p.isUnreachable(target.ID):
+		return false
+	case p.isSuspected(target.ID) || g.reach.isHallLost(target.Hall) || !g.targetChecks.start(target.ID):
 		return true
 	}
-	startedAt := g.clock.Now()
-	err := g.targets.Preconnect(target.ID, target.Addr, checkTimeout)
-	now := g.clock.Now()
-	if err == nil || now.Sub(startedAt) > checkTimeout+maxCheckDelay {
-		return true
+	defer g.targetChecks.end(target.ID)
+	for range targetCheckTries {
+		startedAt := g.clock.Now()
+		err := g.targets.Preconnect(target.ID, target.Addr, checkTimeout)
+		if err == nil || g.clock.Since(startedAt) > checkTimeout+maxCheckDelay {
+			return true
+		}
 	}
+	g.reach.targetUnreachable(target)
 	p.recordUnreachable(target.ID)
 	g.targets.CloseIdleTo(target.ID, target.Addr)
-	g.reach.targetUnreachable(target)
 	g.metrics.silentTargets.Add(1, target.Hall)
 	return false
 }
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -54,7 +54,10 @@
 
 // unlikeSettings holds settings of instances that are not alike, such as their limits of processor time
 // and bandwidth. They are assigned to the instances in turn. All instances are alike if it is empty.
-var unlikeSettings [][]string
+var unlikeSettings = [][]string{
+	{"-cpu-cores", "0.8", "-link-mbps", "200"},
+	{"-cpu-cores", "0.16", "-link-mbps", "10"},
+}
 
 // site holds the store, the servers and the instances of a run.
 type site struct {
--- a/reach/hall_checks.go
+++ b/reach/hall_checks.go
@@ -11,6 +11,9 @@
 	// lateCheckTime is how much longer than its time-out a failed check may take. A check that takes
 	// longer shows that the process did not run meanwhile, and nothing of the targets.
 	lateCheckTime = 100 * time.Millisecond
+	// responseCheckTargets is the number of targets that a check by response asks before a hall is taken
+	// for lost. A target that stands still may accept connections without responding.
+	responseCheckTargets = 3
 )
 
 // HallCheck is a check of one hall that should be made.
@@ -19,6 +22,9 @@
 	// ByResponse means that a target has to respond to a health request. Otherwise it is enough to
 	// connect to one.
 	ByResponse bool
+	// Confirming means that the check before has reached a target of the lost hall. The same target is
+	// tried first, since few of the hall may be reachable.
+	Confirming bool
 	// Size is the number of targets to try, at most.
 	Size int
 }
@@ -48,10 +54,12 @@
 		return HallCheck{}, false
 	}
 	s := h.halls[name]
-	c := HallCheck{Hall: name, ByResponse: s.unproven || s.loss.ByResponse, Size: CheckTargets}
+	c := HallCheck{Hall: name, ByResponse: s.unproven || s.loss.ByResponse, Confirming: s.confirming, Size: CheckTargets}
 	switch {
-	case c.ByResponse || s.confirming:
+	case c.ByResponse && s.isLost() && !c.Confirming:
 		c.Size = 1
+	case c.ByResponse && !s.isLost():
+		c.Size = responseCheckTargets
 	case s.isLost():
 		c.Size = ProbeTargets
 	}
@@ -98,7 +106,9 @@
 		s.unproven = h.isSuspicious(now, name, s)
 		return s.unproven && now.Sub(s.respondingAt) >= responseCheckInterval
 	case s.repeat || since >= minCheckInterval:
-		return h.isSuspicious(now, name, s)
+		suspicious := h.isSuspicious(now, name, s)
+		s.repeat = s.repeat && suspicious
+		return suspicious
 	default:
 		return false
 	}
--- a/reach/halls.go
+++ b/reach/halls.go
@@ -87,6 +87,8 @@
 	halls map[string]*hall
 	// probedUntil is the time until which the connections of the last probe use up the rate of probes.
 	probedUntil time.Time
+	// usualTime is how long requests usually take, or 0 if it is not known.
+	usualTime time.Duration
 }
 
 func (h *Halls) hall(name string) *hall {
@@ -278,7 +280,7 @@
 			e.Unconnected++
 		case !t.failedAt.IsZero():
 			e.Unanswered++
-		case t.running > 0 && now.Sub(stalledSince) >= stallTime && others.After(stalledSince):
+		case t.running > 0 && now.Sub(stalledSince) >= h.stallTime() && others.After(stalledSince):
 			e.Stalled++
 			at = stalledSince
 		default:
@@ -310,17 +312,27 @@
 
 // NeedsAttention reports whether a check of a hall may become due without a further event.
 func (h *Halls) NeedsAttention(now time.Time, name string) bool {
-	return h.hall(name).needsAttention(now)
+	return h.needsAttention(now, h.hall(name))
 }
 
-func (s *hall) needsAttention(now time.Time) bool {
-	return s.isLost() || s.inspecting || s.failing > 0 || s.running > 0 && now.Sub(later(s.waitingSince, s.respondedAt)) >= stallTime/2
+func (h *Halls) needsAttention(now time.Time, s *hall) bool {
+	return s.isLost() || s.inspecting || s.failing > 0 || s.running > 0 && now.Sub(later(s.waitingSince, s.respondedAt)) >= h.stallTime()/2
 }
 
+// SetUsualTime sets how long requests usually take. A target at which a request has run for twice as long,
+// and for stallTime at least, without a response from its hall, counts as failed.
+func (h *Halls) SetUsualTime(usual time.Duration) { h.usualTime = usual }
+
+// maxStallTime is the longest time after which a target without a response counts as failed.
+const maxStallTime = 2 * time.Second
+
+// stallTime returns the time without a response from a hall after which its targets count as failed.
+func (h *Halls) stallTime() time.Duration { return min(max(stallTime, 2*h.usualTime), maxStallTime) }
+
 // IsIdle reports whether no check of any hall becomes due without a further event.
 func (h *Halls) IsIdle(now time.Time) bool {
 	for _, s := range h.halls {
-		if s.needsAttention(now) {
+		if h.needsAttention(now, s) {
 			return false
 		}
 	}
--- a/reach/halls_test.go
+++ b/reach/halls_test.go
@@ -148,7 +148,7 @@
 	require.False(t, h.Checked(result(501, c, 1)))
 	c, due := h.NextCheck(at(501))
 	require.True(t, due, "the check by response follows at once")
-	require.Equal(t, HallCheck{Hall: "a", ByResponse: true, Size: 1}, c)
+	require.Equal(t, HallCheck{Hall: "a", ByResponse: true, Size: responseCheckTargets}, c)
 	require.True(t, h.Checked(HallResult{HallCheck: c, StartedAt: at(501), EndedAt: at(901), Timeout: 400 * time.Millisecond, Tried: 1}))
 	require.True(t, h.Loss("a").ByResponse)
 	require.Equal(t, []string{"a"}, h.Abandon(at(901)))
@@ -389,6 +389,7 @@
 		{"members are heard from, no targets are reached", Contacts{MembersAt: at(900), StoreAt: at(-10), HallsLost: true}, false, false},
 		{"nothing reachable after a start", Contacts{HallsLost: true}, false, false},
 		{"only the store unavailable", Contacts{MembersAt: at(900)}, false, false},
+		{"the way to the store lost after that to the members", Contacts{MembersAt: at(-2100), StoreAt: at(-2000), HallsLost: true}, true, true},
 		{"all other halls without power, store reachable", Contacts{MembersAt: at(0), StoreAt: at(950), HallsLost: true}, true, false},
 		{"all other halls without power, store also unavailable", Contacts{MembersAt: at(0), HallsLost: true}, true, true},
 		{"other instances ended, their targets serve", Contacts{MembersAt: at(0), StoreAt: at(-10)}, false, false},
@@ -397,3 +398,36 @@
 		require.Equal(t, c.isSet, c.contacts.IsIsolated(at(1000)), c.name)
 	}
 }
+
+// TestConfirmingCheck guards against a hall that stays lost although some of its targets can be connected to,
+// since each check draws others.
+func TestConfirmingCheck(t *testing.T) {
+	h := newHalls("a", "b")
+	for i := range 3 {
+		h.Failed(at(0), "a", fmt.Sprint(i), Unconnected)
+	}
+	c, _ := h.NextCheck(at(1))
+	require.True(t, h.Checked(result(2, c, 0)))
+	c, due := h.NextCheck(at(300))
+	require.True(t, due)
+	require.False(t, c.Confirming)
+	require.False(t, h.Checked(result(301, c, 1)))
+	c, due = h.NextCheck(at(302 + 1000*ProbeTargets/maxProbeRate))
+	require.True(t, due)
+	require.Equal(t, HallCheck{Hall: "a", Confirming: true, Size: ProbeTargets}, c)
+	require.True(t, h.Checked(result(500, c, 1)))
+}
+
+// TestUsualTime guards against halls that are checked again and again because requests there take long.
+func TestUsualTime(t *testing.T) {
+	h := newHalls("a", "b")
+	h.SetUsualTime(700 * time.Millisecond)
+	stallAll(h, 0, "a", 3)
+	respond(h, 1300, "b")
+	_, due := h.NextCheck(at(1399))
+	require.False(t, due)
+	_, due = h.NextCheck(at(1400))
+	require.True(t, due)
+	h.SetUsualTime(time.Hour)
+	require.Equal(t, maxStallTime, h.stallTime())
+}
--- a/reach/isolation.go
+++ b/reach/isolation.go
@@ -6,6 +6,9 @@
 // be isolated. Two rounds of gossip pass in it.
 const isolationTime = time.Second
 
+// storeResponseTime is how long a response of the store shows that this instance is not cut off.
+const storeResponseTime = 2 * time.Second
+
 // Contacts are an instance's last contacts with what is outside its hall.
 type Contacts struct {
 	// MembersAt is when a heartbeat of a member of another hall last arrived, or zero if none has since
@@ -27,8 +30,15 @@
 	return c.HallsLost && c.MembersLost(now)
 }
 
-// IsIsolated reports whether an instance is isolated. If the store has responded since the members of other
-// halls were last heard from, these are down.
+// IsIsolated reports whether an instance is isolated. If the store has responded lately, and since the members
+// of other halls were last heard from, these are down.
 func (c Contacts) IsIsolated(now time.Time) bool {
-	return c.MayBeIsolated(now) && !c.StoreAt.After(c.MembersAt)
+	return c.MayBeIsolated(now) && !c.StoreResponds(now)
+}
+
+// StoreResponds reports whether the store has responded lately, and since the members of other halls were last
+// heard from. A response long ago says nothing: the way to the store may have been lost shortly after that to the
+// members.
+func (c Contacts) StoreResponds(now time.Time) bool {
+	return c.StoreAt.After(c.MembersAt) && now.Sub(c.StoreAt) < storeResponseTime
 }
--- a/resolver/cache.go
+++ b/resolver/cache.go
@@ -64,6 +64,9 @@
 	entries map[Query]*entry
 	// failedAt holds the time of the last failure of the instances that have failed recently.
 	failedAt map[string]time.Time
+	// namedAt holds, by host, when a response last named an instance. An instance that has just started
+	// names few others, and the own one may end while its last response is the only one kept.
+	namedAt map[string]time.Time
 }
 
 // New returns an empty cache. own is the look-up address, in the form HOST:PORT, of the instance of
@@ -74,7 +77,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Cache{own: addr, entries: make(map[Query]*entry), failedAt: make(map[string]time.Time)}, nil
+	return &Cache{own: addr, entries: make(map[Query]*entry), failedAt: make(map[string]time.Time), namedAt: make(map[string]time.Time)}, nil
 }
 
 // Lookup returns the answer to a look-up at the time now. It allocates only for a query that is not
@@ -123,6 +126,7 @@
 		e.response = r
 		e.askedAt = askedAt
 	}
+	c.recordNamed(r.Hosts, askedAt)
 }
 
 // Abandon ends a fetch to which no instance has responded.
--- a/resolver/candidates.go
+++ b/resolver/candidates.go
@@ -15,6 +15,10 @@
 	// maxCandidates bounds the instances that are tried in one fetch. Attempts that are refused take
 	// almost no time, so that the time limit of a fetch does not bound them.
 	maxCandidates = 8
+	// namedTime is how long an instance is remembered that no response names any more, and maxNamed the
+	// number of instances that are remembered.
+	namedTime = time.Minute
+	maxNamed  = 64
 )
 
 // address is a network address of the form HOST:PORT in its parts.
@@ -52,6 +56,20 @@
 	return all[:min(len(all), maxCandidates)]
 }
 
+// recordNamed remembers the hosts that a response names.
+func (c *Cache) recordNamed(hosts []string, now time.Time) {
+	for host, at := range c.namedAt {
+		if now.Sub(at) > namedTime {
+			delete(c.namedAt, host)
+		}
+	}
+	for _, host := range hosts {
+		if _, known := c.namedAt[host]; known || len(c.namedAt) < maxNamed {
+			c.namedAt[host] = now
+		}
+	}
+}
+
 // Failed records that the instance at addr did not respond, or not usably.
 func (c *Cache) Failed(addr string, now time.Time) { c.failedAt[addr] = now }
 
@@ -64,7 +82,7 @@
 	}
 }
 
-// namedHosts returns the hosts other than the own one that the kept responses name. A response
+// namedHosts returns the hosts other than the own one that responses have named recently. A response
 // does not state the halls of the instances that it names. It repeats those of the hall that it is
 // for, and names instances of other halls once. A host is therefore near if a response repeats both
 // this host and the own one.
@@ -79,6 +97,9 @@
 			isNear[host] = isNear[host] || n > 1 && count[c.own.host] > 1
 		}
 	}
+	for host := range c.namedAt {
+		isNear[host] = isNear[host]
+	}
 	delete(isNear, c.own.host)
 	for host, yes := range isNear {
 		if yes {
--- a/upstream/hedge.go
+++ b/upstream/hedge.go
@@ -87,3 +87,9 @@
 	p.count(t)
 	return p.dispatch(now)
 }
+
+// IsUnreachable reports whether a target is suspected because no connection to it could be established.
+func (p *Pool) IsUnreachable(id string) bool {
+	t := p.byID[id]
+	return t != nil && t.stats.suspectBackoff > 0 && !t.stats.downAt.IsZero()
+}
--- a/upstream/plan.go
+++ b/upstream/plan.go
@@ -148,9 +148,9 @@
 }
 
 // regionSlots returns the slots of the targets in service by region. Suspicions, back-offs and cold
-// targets are temporary and do not change the shares. Targets in unreachable halls do not count. A target with a rate limit counts only for
-// the slots that it can use under the limit. During a rollout only the cohort that runs most
-// requests counts.
+// targets are temporary and do not change the shares. Targets in unreachable halls do not count. A
+// target with a rate limit counts only for the slots that it can use under the limit. During a
+// rollout only the cohort that runs most requests counts.
 func (p *Pool) regionSlots(r *Request) map[string]float64 {
 	slots := make(map[string]float64, len(p.sortedRegions))
 	majority := p.majorityCohort()
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -58,8 +58,8 @@
 	// groups numbers the halls within each region.
 	groups map[string]int
 	// plans holds the division of requests between regions for each set of home regions.
+	plans map[string]*plan
 	// sharesTakenAt is when TakeShares last returned any.
-	plans         map[string]*plan
 	sharesTakenAt time.Time
 	queue         queue
 	// unreachable holds the halls to which this instance has lost its links.
--- a/upstream/unreachable.go
+++ b/upstream/unreachable.go
@@ -10,9 +10,9 @@
 const unreachableRetryAfter = 500 * time.Millisecond
 
 // SetUnreachableHalls sets the halls to which this instance has lost its links, and returns the grants and
-// refusals that follow. Their targets get no requests and remain in service, so that the shares of the
-// regions do not change. Targets that are listed later may get requests, since they have started after what was
-// seen of the hall. The argument is kept and must not change afterwards.
+// refusals that follow. Their targets get no requests and remain in service. The shares of the regions follow
+// the slots that are left, by bounded steps. Targets that are listed later may get requests, since they have
+// started after what was seen of the hall. The argument is kept and must not change afterwards.
 func (p *Pool) SetUnreachableHalls(now time.Time, halls map[string]bool) []Grant {
 	if maps.Equal(halls, p.unreachable) {
 		return nil
