--- a/gateway/lookup_test.go
+++ b/gateway/lookup_test.go
@@ -91,6 +91,7 @@
 	g := newTestGateway(t)
 	g.codec = lookupCodec{}
 	g.view.SetFlags(fleet.Ready)
+	g.readiness.instancesLoaded.Store(true)
 	q := endpoints.Query{Region: "a", Hall: "a1"}
 	require.NotNil(t, g.lookup(q))
 	g.lookups.responses[q].createdAt = g.clock.Now().Add(time.Hour)
@@ -107,6 +108,7 @@
 	g := newTestGateway(t)
 	g.codec = lookupCodec{}
 	g.startedAt = g.clock.Now()
+	g.view.SetFlags(fleet.Ready)
 	q := endpoints.Query{Region: "a", Hall: "a1"}
 	require.Nil(t, g.lookup(q))
 	g.readiness.instancesLoaded.Store(true)
