--- a/cmd/rainfordd/instance_client.go
+++ b/cmd/rainfordd/instance_client.go
@@ -17,6 +17,8 @@
 	// client waits for one second for its response.
 	askTimeout   = 200 * time.Millisecond
 	fetchTimeout = 600 * time.Millisecond
+	// fetchRoundInterval is the time between two rounds of a fetch.
+	fetchRoundInterval = 50 * time.Millisecond
 	// maxResponseBytes bounds the body of an instance's response, which has up to 64 addresses.
 	maxResponseBytes = 16 << 10
 	// connBufferBytes is the size of the buffers of a connection to an instance.
--- a/cmd/rainfordd/lookup_server.go
+++ b/cmd/rainfordd/lookup_server.go
@@ -12,6 +12,7 @@
 
 	"github.com/rainford/rainford/internal/clock"
 	"github.com/rainford/rainford/internal/listen"
+	"github.com/rainford/rainford/internal/pause"
 	"github.com/rainford/rainford/platform"
 	"github.com/rainford/rainford/resolver"
 )
@@ -175,11 +176,27 @@
 	return s.cache.Last(q, s.clock.Now())
 }
 
-// fetch asks the candidates one after another for a response, until one of them responds or
-// fetchTimeout has passed.
+// fetch asks the candidates one after another for a response, in rounds until one of them responds or
+// fetchTimeout has passed. Instances that start at the same time as this process have no response for a
+// moment, and a client that is refused looks up again only after seconds.
 func (s *lookupServer) fetch(q resolver.Query) {
 	ctx, cancel := context.WithTimeout(context.Background(), fetchTimeout)
 	defer cancel()
+	for {
+		failure, done := s.fetchOnce(ctx, q)
+		if done {
+			return
+		}
+		pause.For(ctx, fetchRoundInterval)
+		if ctx.Err() != nil {
+			s.endFetch(q, "", failure, func() { s.cache.Abandon(q, s.clock.Now()) })
+			return
+		}
+	}
+}
+
+// fetchOnce asks each candidate once. It reports whether one has responded, and otherwise the errors.
+func (s *lookupServer) fetchOnce(ctx context.Context, q resolver.Query) (failure error, done bool) {
 	s.mu.Lock()
 	candidates := s.cache.Candidates(s.clock.Now(), s.rand)
 	s.mu.Unlock()
@@ -192,12 +209,12 @@
 		response, err := s.instances.ask(ctx, addr, q)
 		if err == nil {
 			s.endFetch(q, addr, errors.Join(errs...), func() { s.cache.Store(q, addr, response, askedAt) })
-			return
+			return nil, true
 		}
 		errs = append(errs, err)
 		s.recordFailure(addr)
 	}
-	s.endFetch(q, "", errors.Join(errs...), func() { s.cache.Abandon(q, s.clock.Now()) })
+	return errors.Join(errs...), false
 }
 
 func (s *lookupServer) recordFailure(addr string) {
--- a/gateway/lookup.go
+++ b/gateway/lookup.go
@@ -72,9 +72,10 @@
 }
 
 // newLookup returns the response to clients of a hall at the given time, or nil if there is none. An instance
-// that has just started and does not know the others yet would send all clients of its hall to itself.
+// that has just started, is not ready and does not know the others yet would send all clients of its hall to
+// itself.
 func (g *Gateway) newLookup(now time.Time, q endpoints.Query) *cachedLookup {
-	if !g.readiness.instancesLoaded.Load() && now.Sub(g.startedAt) < discoveryTime {
+	if !g.isReady() && !g.readiness.instancesLoaded.Load() && now.Sub(g.startedAt) < discoveryTime {
 		return nil
 	}
 	response := g.chooseEndpoints(now, q)
