--- a/resolver/cache_test.go
+++ b/resolver/cache_test.go
@@ -263,3 +263,18 @@
 		c.Lookup(query, start)
 	}
 }
+
+// TestNamedInstancesAreRemembered guards against a process that knows no instance but its own, which has ended,
+// since the last response, of an instance that had just started, names no other.
+func TestNamedInstancesAreRemembered(t *testing.T) {
+	c := newCache(t)
+	c.Lookup(query, start)
+	c.Store(query, ownAddr, Response{Body: []byte("b"), Hosts: []string{"10.0.0.2", "10.0.0.3"}}, start)
+	later := start.Add(10 * time.Second)
+	c.Store(query, ownAddr, Response{Body: []byte("b"), Hosts: []string{"10.0.0.1"}}, later)
+	rnd := rand.New(rand.NewPCG(1, 1))
+	require.ElementsMatch(t, addrsOf("10.0.0.1", "10.0.0.2", "10.0.0.3"), c.Candidates(later, rnd))
+	forgotten := start.Add(namedTime + time.Second)
+	c.Store(query, ownAddr, Response{Body: []byte("b"), Hosts: []string{"10.0.0.1"}}, forgotten)
+	require.Equal(t, addrsOf("10.0.0.1"), c.Candidates(forgotten, rnd))
+}
--- a/resolver/candidates.go
+++ b/resolver/candidates.go
@@ -98,7 +98,9 @@
 		}
 	}
 	for host := range c.namedAt {
-		isNear[host] = isNear[host]
+		if _, named := isNear[host]; !named {
+			isNear[host] = false
+		}
 	}
 	delete(isNear, c.own.host)
 	for host, yes := range isNear {
