--- a/internal/e2e/lookup_test.go
+++ b/internal/e2e/lookup_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -18,6 +19,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rainford/rainford/internal/loopback"
+	"github.com/rainford/rainford/internal/standin/objects"
 	"github.com/rainford/rainford/resolver"
 )
 
@@ -322,7 +324,13 @@
 // TestLookupProcessBesideGateway checks that the process understands the responses of a gateway, and
 // that both derive the same look-up address from their settings.
 func TestLookupProcessBesideGateway(t *testing.T) {
-	args := []string{"gateway", "-name", "n1", "-hall", "north-1", "-region", "north", "-halls", "north-1=north", "-store", "127.0.0.1:1"}
+	// Without a configuration the gateway is not ready and refuses look-ups.
+	store := objects.New()
+	store.Configure(objects.Configuration{Version: objects.FormatVersion(1), Routes: map[string]objects.Route{}, Services: map[string]objects.Service{}})
+	platform := httptest.NewServer(store)
+	t.Cleanup(platform.Close)
+	args := []string{"gateway", "-name", "n1", "-hall", "north-1", "-region", "north", "-halls", "north-1=north",
+		"-store", platform.Listener.Addr().String()}
 	var front string
 	for _, name := range []string{"-ready-listen", "-peer-listen", "-admin-listen", "-listen"} {
 		addr, err := loopback.FreeAddr()
