--- a/gateway/check_targets.go
+++ b/gateway/check_targets.go
@@ -15,9 +15,6 @@
 // new connection.
 const healthTimeout = 400 * time.Millisecond
 
-// defaultHealthPath is requested from targets of services without a health path.
-const defaultHealthPath = "/"
-
 // checkedTarget returns a chosen target in the form of those that checks connect to.
 func checkedTarget(c upstream.Choice) reach.Target {
 	return reach.Target{ID: c.ID, Addr: c.Addr, Hall: c.Hall}
@@ -33,25 +30,30 @@
 	return g.targets.Preconnect(t.ID, t.Addr, checkTimeout)
 }
 
-// checkHealth sends a health request to a target.
+// checkHealth sends a health request to a target. A target of a service without a health path is taken for
+// responding: any other path might be run as a request.
 func (g *Gateway) checkHealth(t reach.Target) error {
-	return g.targets.CheckHealth(t.Addr, g.healthPath(t.ID), healthTimeout)
+	path := g.healthPath(t.ID)
+	if path == "" {
+		return nil
+	}
+	return g.targets.CheckHealth(t.Addr, path, healthTimeout)
 }
 
-// healthPath returns the path of the health check of a target.
+// healthPath returns the path of the health check of a target, or "" if there is none.
 func (g *Gateway) healthPath(id string) string {
 	router := g.router.Load()
 	if router == nil {
-		return defaultHealthPath
+		return ""
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, spec := range g.targetList.specs {
-		if path := router.Config().Services[spec.Service].HealthPath; spec.ID == id && path != "" {
-			return path
+		if spec.ID == id {
+			return router.Config().Services[spec.Service].HealthPath
 		}
 	}
-	return defaultHealthPath
+	return ""
 }
 
 // tryAny tries targets, all at the same time, until one succeeds, and returns that. If none does, it
--- a/gateway/lost_halls_test.go
+++ b/gateway/lost_halls_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rainford/rainford/internal/standin/link"
+	"github.com/rainford/rainford/internal/standin/objects"
 	"github.com/rainford/rainford/internal/standin/origin"
 )
 
@@ -294,3 +295,34 @@
 	}
 	require.LessOrEqual(t, in.counted("rainford_target_reports_total", `content="down",direction="sent"`), 0)
 }
+
+// TestNoHealthPath guards against a health request to a target of a service without a health path, which the
+// target might run.
+func TestNoHealthPath(t *testing.T) {
+	s := newSite(t)
+	s.store.Configure(objects.Configuration{
+		Version: objects.FormatVersion(1), Routes: map[string]objects.Route{"r": {Host: "h.example", PathPrefix: "/x/", RouteType: "idempotent",
+			Timeout: "2s", TargetLatency: "500ms", Service: "s", MaxAttempts: 2, AllowedRegions: []string{}}},
+		Services: map[string]objects.Service{"s": {Warmup: "3s", WarmupPerS: 11}}, Limits: objects.Limits{MaxBodyBytes: 1 << 20},
+	})
+	var servers []*origin.Server
+	for i := range 6 {
+		servers = append(servers, s.server(fmt.Sprint("i-", i), "s", []string{"a1", "a2"}[i%2]))
+	}
+	in := s.instance("n1", "a1")
+	in.awaitStatus("/x/", 200)
+	for i := 1; i < 6; i += 2 {
+		servers[i].SetScript(func(*http.Request) origin.Fault { return origin.Silent })
+	}
+	var sent sync.WaitGroup
+	for i := range 60 {
+		sent.Go(func() { in.sendKey(fmt.Sprint(i)) })
+		time.Sleep(20 * time.Millisecond)
+	}
+	sent.Wait()
+	for _, server := range servers {
+		for _, r := range server.Runs() {
+			require.NotEmpty(t, r.ID, "%s %s", r.Method, r.URI)
+		}
+	}
+}
