gateway: a request is not handed over because of one target that is down

Cause: after one connection that could not be opened, a request was handed over to another instance. Hand-overs remain where many fail, as in a partial cut. The second connection of a check begins 0.15 s after the first and not after its end.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -109,6 +109,10 @@
 		p.releaseUnsent(decision)
 		return finalResult{}, false
 	}
+	if state.unreachable && decision.SendState.Probe && !g.reach.manyFail() {
+		g.skipProbe(p, request, decision, state)
+		return finalResult{}, false
+	}
 	if g.wouldWaitAgain(decision, state) {
 		final, done := g.runElsewhere(ex, p, state, reasonUnreachable)
 		if done {
@@ -132,8 +136,18 @@
 	return finalResult{}, false
 }
 
+// skipProbe releases a target that is suspected, so that the request goes to another one. It has waited for one
+// that is down. Whether the other is up again is left to the next request.
+func (g *Gateway) skipProbe(p *pool, request *upstream.Request, decision upstream.Decision, state *progress) {
+	p.releaseUnsent(decision)
+	state.unsent++
+	request.Tried = append(request.Tried, decision.Target.ID)
+}
+
 // wouldWaitAgain reports whether a request that has waited for a connection that could not be opened would
-// have to open one again, or would find out whether a target that is suspected is still down.
+// have to open one again while many targets fail, or would find out whether a target that is suspected is
+// still down. While few fail, the next one can probably be connected to. A helper would begin with the target
+// that has failed here, and wait for it as well.
 func (g *Gateway) wouldWaitAgain(decision upstream.Decision, state *progress) bool {
 	switch {
 	case !state.unreachable:
@@ -141,7 +155,7 @@
 	case decision.SendState.Probe:
 		return true
 	default:
-		return state.waited && !g.targets.HasIdle(decision.Target.ID, decision.Target.Addr)
+		return state.waited && g.reach.manyFail() && !g.targets.HasIdle(decision.Target.ID, decision.Target.Addr)
 	}
 }
 
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -83,6 +83,13 @@
 	return r.tracker.Lost() || now.Sub(r.tracker.ChangedAt()) < regainedDelay
 }
 
+// manyFail reports whether so many targets have failed lately that the cause may be the links of this instance.
+func (r *reachability) manyFail() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.tracker.FailedCount(r.clock.Now()) >= minProvingHall
+}
+
 // dialContext returns the context of connections that are opened to a target for requests.
 func (r *reachability) dialContext(target upstream.Choice) context.Context {
 	r.mu.Lock()
--- a/gateway/target_check.go
+++ b/gateway/target_check.go
@@ -11,9 +11,10 @@
 	// maxTargetChecks bounds the targets that are checked at the same time. Where more targets are
 	// silent, the links of this instance are more likely to be the cause, and package reach checks these.
 	maxTargetChecks = 16
-	// targetCheckTries is the number of connections that have to fail in a row. The first packet of one
-	// may be lost, and is sent again only after a second.
-	targetCheckTries = 2
+	// targetCheckTries is the number of connections that have to fail, begun targetCheckStagger apart. The
+	// first packet of one may be lost, and is sent again only after a second.
+	targetCheckTries   = 2
+	targetCheckStagger = 150 * time.Millisecond
 	// maxCheckDelay is how much later than checkTimeout a connection may fail. If it fails later, the
 	// process did not run, and the connection may have been established in time.
 	maxCheckDelay = 100 * time.Millisecond
@@ -58,12 +59,8 @@
 		return true
 	}
 	defer g.targetChecks.end(target.ID)
-	for range targetCheckTries {
-		startedAt := g.clock.Now()
-		err := g.targets.Preconnect(target.ID, target.Addr, checkTimeout)
-		if err == nil || g.clock.Since(startedAt) > checkTimeout+maxCheckDelay {
-			return true
-		}
+	if g.accepts(target) {
+		return true
 	}
 	g.reach.targetUnreachable(target)
 	p.recordUnreachable(target.ID)
@@ -71,3 +68,22 @@
 	g.metrics.silentTargets.Add(1, target.Hall)
 	return false
 }
+
+// accepts reports whether one of several connections to a target can be established. It also reports true if
+// this can't be told, since the process did not run.
+func (g *Gateway) accepts(target upstream.Choice) bool {
+	results := make(chan bool, targetCheckTries)
+	for i := range targetCheckTries {
+		time.AfterFunc(time.Duration(i)*targetCheckStagger, func() {
+			startedAt := g.clock.Now()
+			err := g.targets.Preconnect(target.ID, target.Addr, checkTimeout)
+			results <- err == nil || g.clock.Since(startedAt) > checkTimeout+maxCheckDelay
+		})
+	}
+	for range targetCheckTries {
+		if <-results {
+			return true
+		}
+	}
+	return false
+}
