--- a/cmd/rainfordd/lookup.go
+++ b/cmd/rainfordd/lookup.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"fmt"
 	"io"
@@ -53,12 +52,8 @@
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	s, err := readLookupSettings(args, stderr)
-	if errors.Is(err, flag.ErrHelp) {
-		return exitOK
-	}
 	if err != nil {
-		fmt.Fprintln(stderr, err)
-		return exitUsage
+		return settingsExit(err, stderr)
 	}
 	queue := logqueue.New(stdout)
 	defer queue.Close()
--- a/cmd/rainfordd/lookup_server.go
+++ b/cmd/rainfordd/lookup_server.go
@@ -154,7 +154,7 @@
 }
 
 // lookup returns the response to a look-up, or nil if there is none. It waits for a fetch if the
-// cache says so, but no longer than ctx.
+// cache says so, until ctx ends at the latest.
 func (s *lookupServer) lookup(ctx context.Context, q resolver.Query) []byte {
 	s.mu.Lock()
 	answer := s.cache.Lookup(q, s.clock.Now())
--- a/cmd/rainfordd/main.go
+++ b/cmd/rainfordd/main.go
@@ -54,12 +54,8 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	config, err := readSettings(args, stderr)
-	if errors.Is(err, flag.ErrHelp) {
-		return exitOK
-	}
 	if err != nil {
-		fmt.Fprintln(stderr, err)
-		return exitUsage
+		return settingsExit(err, stderr)
 	}
 	n, err := node.New(*config)
 	if err != nil {
@@ -74,6 +70,15 @@
 	return exitOK
 }
 
+// settingsExit prints an error of the settings, unless help was requested, and returns the exit code.
+func settingsExit(err error, stderr io.Writer) int {
+	if errors.Is(err, flag.ErrHelp) {
+		return exitOK
+	}
+	fmt.Fprintln(stderr, err)
+	return exitUsage
+}
+
 // readSettings reads the flags and the environment variables with the prefix RAINFORD_. It
 // checks all settings and returns all findings together as one error.
 func readSettings(args []string, stderr io.Writer) (*node.Config, error) {
--- a/endpoints/overload.go
+++ b/endpoints/overload.go
@@ -7,7 +7,7 @@
 
 const (
 	// overloadedLateness is the mean lateness of timers from which on an instance is overloaded, and
-	// relievedLateness the one under which it no longer is. A request takes about 1 ms of a core, so
+	// relievedLateness the one under which it is not. A request takes about 1 ms of a core, so
 	// that 20 ms are a queue of many requests.
 	overloadedLateness = 20 * time.Millisecond
 	relievedLateness   = 10 * time.Millisecond
