--- a/review/harness/cluster.go
+++ b/review/harness/cluster.go
@@ -281,3 +281,10 @@
 	w.Header().Del("Store-Era")
 	w.ResponseWriter.WriteHeader(status)
 }
+
+// Signal sends a signal to a process of the machine.
+func (m *Machine) Signal(role string, s syscall.Signal) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.processes[role].Process.Signal(s)
+}
