pipelining: bytes of a body are never read as a head

Cause: the header that ends the connection was looked for in each write of a response, and is omitted while other requests run. net/http writes through a buffer of 4 kB, so that a write needs not begin with a head: bodies over 4 kB, behind a flush, behind an interim response or behind a large head were searched as well. A header that two writes divide was missed, and reached the client while further responses followed. The size of a waiting response was read from the first write too. Why this fix works: each response has a state that collects its head until the end is written, and passes on everything after it unread. However the writes divide a response, only its complete final head is searched.

--- a/pipelining/close.go
+++ b/pipelining/close.go
@@ -9,32 +9,43 @@
 
 // Write implements net.Conn.
 func (c *conn) Write(p []byte) (int, error) {
-	return c.write(&c.current, p)
+	return c.writePart(&c.current, c.response.add(p), p)
 }
 
-// write writes a part of the response to the request of an entry.
-func (c *conn) write(e *entry, p []byte) (int, error) {
-	at, closes := findConnectionClose(p)
-	if !closes {
-		return c.Conn.Write(p)
+// writePart writes the part of the response to the request of an entry that results from p,
+// and returns the result of Write.
+func (c *conn) writePart(e *entry, part responsePart, p []byte) (int, error) {
+	if part.size() == 0 {
+		return len(p), nil
 	}
-	c.mu.Lock()
-	isLast := c.queue.isLast(e)
-	c.draining = c.draining || isLast
-	c.mu.Unlock()
-	if isLast {
-		return c.Conn.Write(p)
+	if c.mustOmitClose(e, part.head) {
+		part.head, part.isWritten = withoutClose(part.head), false
 	}
-	// Requests behind this one are running, and their responses follow. The header that
-	// announces the end of the connection is therefore omitted.
-	shorter := append(append(make([]byte, 0, len(p)), p[:at]...), p[at+len(closeLine)-len("\r\n"):]...)
-	_, err := c.Conn.Write(shorter)
+	out := p
+	if !part.isWritten {
+		out = part.bytes()
+	}
+	_, err := c.Conn.Write(out)
 	if err != nil {
 		return 0, err
 	}
 	return len(p), nil
 }
 
+// mustOmitClose reports whether a final head, which may be empty, says that the connection
+// ends although the responses to other requests follow. If none follow, no further requests
+// are run.
+func (c *conn) mustOmitClose(e *entry, head []byte) bool {
+	if !closesConnection(head) {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	isLast := c.queue.isLast(e)
+	c.draining = c.draining || isLast
+	return !isLast
+}
+
 // Close implements net.Conn. The server closes a connection after the last response, when
 // it has been idle for too long, or when a request ends without a response. Responses to
 // other requests that were read before are still written, except those behind a request that
--- a/pipelining/conn.go
+++ b/pipelining/conn.go
@@ -51,7 +51,8 @@
 	net.Conn
 	listener *Listener
 
-	// The server reads from one goroutine at a time. The fields up to mu are used by it only.
+	// The server reads from one goroutine at a time, and writes from one. The fields up to mu
+	// are used by these only.
 
 	// readAhead contains the bytes that were read ahead, and chunk is the buffer to read
 	// them into.
@@ -61,6 +62,8 @@
 	head []byte
 	// bodyLeft is the number of bytes of the body that have not arrived.
 	bodyLeft int64
+	// response is the head of the response that the server writes.
+	response responseHead
 
 	mu    sync.Mutex
 	phase phase
@@ -343,6 +346,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.serving = false
+	c.response = responseHead{}
 	c.queue.finish(&c.current)
 	switch c.phase {
 	case afterRequest:
--- a/pipelining/head.go
+++ b/pipelining/head.go
@@ -9,7 +9,10 @@
 // requests of the connection are passed to the server as they arrive.
 const maxHeadBytes = 64 << 10
 
-var endOfHead = []byte("\r\n\r\n")
+var (
+	endOfLine = []byte("\r\n")
+	endOfHead = []byte("\r\n\r\n")
+)
 
 // framing says where a request ends.
 type framing int
@@ -38,15 +41,15 @@
 // of its body in bytes. It is strict: if a lenient parser might see the end of a line or
 // another field somewhere, the request is ambiguous. This guards against request smuggling.
 func classify(head []byte) (framing, int64) {
-	head = head[:len(head)-len("\r\n")]
-	line, rest, _ := bytes.Cut(head, []byte("\r\n"))
+	head = head[:len(head)-len(endOfLine)]
+	line, rest, _ := bytes.Cut(head, endOfLine)
 	isPlain, ok := classifyRequestLine(line)
 	if !ok {
 		return ambiguous, 0
 	}
 	length, hosts := int64(-1), 0
 	for len(rest) > 0 {
-		line, rest, _ = bytes.Cut(rest, []byte("\r\n"))
+		line, rest, _ = bytes.Cut(rest, endOfLine)
 		name, value, found := bytes.Cut(line, []byte(":"))
 		if !found || !isToken(name) || bytes.ContainsAny(value, "\r\n") {
 			return ambiguous, 0
@@ -103,16 +106,3 @@
 	}
 	return len(text) > 0
 }
-
-var closeLine = []byte("\r\nConnection: close\r\n")
-
-// findConnectionClose returns the position of the header that closes the connection in the
-// response head at the beginning of text, and whether there is one.
-func findConnectionClose(text []byte) (at int, ok bool) {
-	length := headLength(text)
-	if length == 0 {
-		length = len(text)
-	}
-	at = bytes.Index(text[:length], closeLine)
-	return at, at >= 0
-}
--- a/pipelining/virtual_conn.go
+++ b/pipelining/virtual_conn.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"os"
-	"strconv"
 	"sync"
 	"time"
 )
@@ -17,6 +16,8 @@
 type virtualConn struct {
 	conn  *conn
 	entry *entry
+	// response is the head of the response. Only Write uses it.
+	response responseHead
 
 	mu sync.Mutex
 	// head is the part of the request that the server has not read.
@@ -68,19 +69,23 @@
 
 // Write implements net.Conn.
 func (v *virtualConn) Write(p []byte) (int, error) {
-	v.addHeld(p)
+	part := v.response.add(p)
+	if part.size() == 0 {
+		return len(p), nil
+	}
+	v.addHeld(part)
 	select {
 	case <-v.entry.front:
 	case <-v.entry.aborted:
 		return 0, net.ErrClosed
 	}
 	v.releaseHeld()
-	return v.conn.write(v.entry, p)
+	return v.conn.writePart(v.entry, part, p)
 }
 
-// addHeld adds a response that waits for earlier ones to the listener's held bytes. Text is
-// the beginning of the response.
-func (v *virtualConn) addHeld(text []byte) {
+// addHeld adds a response that waits for earlier ones to the listener's held bytes. The
+// part is its beginning.
+func (v *virtualConn) addHeld(part responsePart) {
 	select {
 	case <-v.entry.front:
 		return
@@ -89,7 +94,7 @@
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	if v.heldBytes == 0 {
-		v.heldBytes = responseLength(text)
+		v.heldBytes = max(int64(part.size()), contentLength(part.head))
 		v.conn.listener.heldBytes.Add(v.heldBytes)
 	}
 }
@@ -105,21 +110,6 @@
 	_ = v.conn.Conn.SetWriteDeadline(v.writeDeadline)
 }
 
-var lengthField = []byte("\r\nContent-Length: ")
-
-// responseLength returns the content length that the head of a response states, or the
-// length of text if that is larger or the head states none.
-func responseLength(text []byte) int64 {
-	length := int64(len(text))
-	_, rest, ok := bytes.Cut(text, lengthField)
-	digits, _, _ := bytes.Cut(rest, []byte("\r\n"))
-	n, err := strconv.ParseInt(string(digits), 10, 64)
-	if !ok || err != nil {
-		return length
-	}
-	return max(length, n)
-}
-
 // Close implements net.Conn.
 func (v *virtualConn) Close() error {
 	v.closeOnce.Do(func() {
