forward: a response to an earlier send never counts for a later one

Cause: a response was told by its request ID alone. A target that rejects a request may send that rejection a second time, late. The request was sent to it again over the same connection, so that the copy, which carries the ID of both sends, counted for the second one. Load and status do not matter. Why this fix works: a connection carries no request ID twice. Whatever comes late comes on the connection of its own send, which never has another send of that ID in progress. A response without an ID counts only if its connection has carried nothing else, and a request without one gets such a connection. This holds for retries, hedges, hand-overs and trials, and for clients that repeat an ID. The log says how many responses an attempt skipped.

--- a/cmd/rainford/explain.go
+++ b/cmd/rainford/explain.go
@@ -91,6 +91,9 @@
 	Hedge        bool  `json:"hedge"`
 	HedgeAfterMs int64 `json:"hedge_after_ms"`
 	Outpaced     bool  `json:"outpaced"`
+	// Surplus is the number of responses from the target that were skipped because they belong to
+	// no request in progress.
+	Surplus int `json:"surplus"`
 	// Leaves, RestMs and Limit are the notices in the target's response: that it is leaving,
 	// the requested back-off, and its rate limit. Limit is nil if the target announced none.
 	Leaves bool  `json:"leaves"`
@@ -363,6 +366,9 @@
 	if t.Outpaced {
 		fmt.Fprintln(w, "    given up, since the other attempt was answered first")
 	}
+	if t.Surplus > 0 {
+		fmt.Fprintf(w, "    %d responses to earlier requests were skipped: the target sends some twice, or late\n", t.Surplus)
+	}
 	t.printNotices(w)
 }
 
--- a/cmd/rainford/explain_test.go
+++ b/cmd/rainford/explain_test.go
@@ -103,6 +103,16 @@
 	require.Contains(t, text, "suspected")
 }
 
+const surplusLog = `{"time":"2026-01-01T00:00:02Z","level":"WARN","msg":"request","instance":"n1","request_id":"q1","route":"r","service":"s","config":4,"status":200,"reason":"answered","took_ms":70,"attempts":[{"target":"i-1","region":"a","reason":"first-choice","load":0.5,"outcome":"ran","took_ms":70,"reused":true,"surplus":2}]}
+`
+
+// TestExplainSurplus checks that the explanation of a request names responses that were skipped.
+func TestExplainSurplus(t *testing.T) {
+	text, code := explain(t, surplusLog, "q1", "-")
+	require.Zero(t, code, text)
+	require.Regexp(t, `(?s)attempt 1: target i-1 .* ran after 70 ms.*2 responses to earlier requests were skipped`, text)
+}
+
 const handoverLog = `{"time":"2026-01-01T00:00:01Z","level":"WARN","msg":"targets lost","instance":"n1","failed":3}
 {"time":"2026-01-01T00:00:02Z","level":"INFO","msg":"request","instance":"n2","handed_over_by":"n1","request_id":"q1","route":"r","service":"s","config":4,"status":200,"reason":"answered","took_ms":19,"attempts":[{"target":"i-1","region":"a","reason":"first-choice","load":0.5,"outcome":"ran","took_ms":18}]}
 {"time":"2026-01-01T00:00:02.1Z","level":"INFO","msg":"request","instance":"n1","request_id":"q1","route":"r","service":"s","config":4,"status":200,"reason":"answered","took_ms":22,"attempts":[{"target":"","region":"","reason":"handed-over","helper":"n3","helper_reason":"targets-lost","outcome":"not-run","took_ms":1},{"target":"i-1","region":"a","reason":"handed-over","helper":"n2","outcome":"ran","took_ms":20}]}
--- a/forward/client.go
+++ b/forward/client.go
@@ -115,7 +115,7 @@
 	if r.NonIdempotent {
 		limit = maxIdleNonIdempotent
 	}
-	cn := c.idle.take(r.endpoint(), limit)
+	cn := c.idle.take(r.endpoint(), limit, hashID(r.ID))
 	if !r.IdleConnOnly && c.idle.size(r.endpoint()) < minIdleConns && c.spares.startOpening(c.clock.Now(), r.Target) {
 		go c.openSpare(r.Target, r.Addr)
 	}
@@ -167,13 +167,14 @@
 	if r.ExchangeContext != nil {
 		stopAbandoning = context.AfterFunc(r.ExchangeContext, interrupt)
 	}
-	cn.received = false
+	cn.begin(hashID(r.ID))
 	if !r.Aborter.set(nil, cn) {
 		interrupt()
 	}
 	written := c.write(cn, r)
 	resp, err := c.read(cn, r)
-	keep := err == nil && !resp.Close && cn.reader.Buffered() == 0 && isDone(written)
+	surplus := cn.surplus
+	keep := err == nil && !resp.Close && cn.reader.Buffered() == 0 && isDone(written) && !cn.carried.isSpent()
 	aborted := !r.Aborter.set(nil, nil)
 	if interrupted := !stop(); !stopAbandoning() || interrupted || aborted {
 		keep = false
@@ -186,7 +187,7 @@
 	}
 	if err != nil {
 		a := c.failed(ctx, r, resp, err, aborted)
-		a.NoResponse = !cn.received
+		a.NoResponse, a.Surplus = !cn.received, surplus
 		if reused && resp == nil && a.TargetResult.Outcome != upstream.Abandoned {
 			// What made a kept connection silent, or made the target forget it, has usually
 			// affected all connections that were open at the time. New ones may well work.
@@ -194,7 +195,9 @@
 		}
 		return a
 	}
-	return c.completed(resp)
+	a := c.completed(resp)
+	a.Surplus = surplus
+	return a
 }
 
 // write sends the request. It returns a channel that is closed once the whole request is
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -42,6 +43,17 @@
 	reused bool
 	// received is set once a byte has arrived for the current request.
 	received bool
+	// surplus is the number of responses that arrived during the current request and belong
+	// to no request that is in progress.
+	surplus int
+	// carried are the requests that were sent over the connection.
+	carried carriedIDs
+}
+
+// begin records that a request is sent over the connection.
+func (c *conn) begin(id requestID) {
+	c.carried = append(c.carried, id)
+	c.received, c.surplus = false, 0
 }
 
 // Dialer opens a TCP connection to an address within a time-out.
@@ -80,12 +92,13 @@
 	conns map[string][]*conn
 }
 
-// take returns the most recently used connection that is quiet, or nil if there is none or
-// it has been idle for limit or longer. It closes connections that can no longer be used.
-func (i *idlePool) take(target string, limit time.Duration) *conn {
+// take returns the most recently used connection that may carry a request and is quiet, or
+// nil if there is none or it has been idle for limit or longer. It closes connections that
+// can no longer be used.
+func (i *idlePool) take(target string, limit time.Duration, id requestID) *conn {
 	now := i.clock.Now()
 	for {
-		c := i.pop(target)
+		c := i.pop(target, id)
 		if c == nil {
 			return nil
 		}
@@ -103,17 +116,19 @@
 	}
 }
 
-// pop removes and returns the connection that was added last, or nil.
-func (i *idlePool) pop(target string) *conn {
+// pop removes and returns the connection that was added last of those that may carry a
+// request, or nil.
+func (i *idlePool) pop(target string, id requestID) *conn {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	list := i.conns[target]
-	if len(list) == 0 {
-		return nil
+	for at, c := range slices.Backward(list) {
+		if c.carried.mayCarry(id) {
+			i.conns[target] = slices.Delete(list, at, at+1)
+			return c
+		}
 	}
-	c := list[len(list)-1]
-	i.conns[target] = list[:len(list)-1]
-	return c
+	return nil
 }
 
 // size returns the number of idle connections to a target.
--- a/forward/response.go
+++ b/forward/response.go
@@ -18,7 +18,7 @@
 
 const (
 	// maxSkippedResponses bounds the number of responses that are read for a request.
-	// Interim responses (1xx) and responses to other requests are skipped.
+	// Interim responses (1xx) and responses that belong to other requests are skipped.
 	maxSkippedResponses = 8
 	// bufferedReadTimeout is the time to read a response that had arrived when the deadline
 	// passed. Its bytes are already in the receive buffer of the kernel.
@@ -50,7 +50,8 @@
 		if resp.StatusCode/100 == 1 {
 			continue
 		}
-		if !c.matches(resp, r) {
+		if !c.matches(cn, resp, r) {
+			cn.surplus++
 			_, err = io.Copy(io.Discard, resp.Body)
 			if err != nil || resp.Close {
 				return nil, fmt.Errorf("%w: %w", ErrMismatched, firstError(err, io.EOF))
@@ -88,12 +89,14 @@
 	return fallback
 }
 
-// matches reports whether a response belongs to the request. A response that says that the
-// request was not run may lack the request ID, unless the request has none itself.
-func (c *Client) matches(resp *http.Response, r *Request) bool {
+// matches reports whether a response belongs to the request. The connection has carried no
+// other request with the same ID. A response without an ID can only be told if the connection
+// has carried no other request at all, and then may say that the request was not run, or
+// belong to a request without an ID.
+func (c *Client) matches(cn *conn, resp *http.Response, r *Request) bool {
 	id := resp.Header.Get(c.headers.RequestID)
 	if id == "" {
-		return c.notRun(resp) && r.ID != ""
+		return len(cn.carried) == 1 && (c.notRun(resp) || r.ID == "")
 	}
 	return id == r.ID
 }
--- a/forward/spare_test.go
+++ b/forward/spare_test.go
@@ -83,7 +83,7 @@
 	require.NoError(t, err)
 	require.NoError(t, server.Close())
 	require.Eventually(t, func() bool {
-		cn := c.idle.take(place, maxIdle)
+		cn := c.idle.take(place, maxIdle, hashID("q"))
 		if cn != nil {
 			c.idle.put(place, cn)
 		}
--- a/gateway/refusal_test.go
+++ b/gateway/refusal_test.go
@@ -46,6 +46,38 @@
 	require.ElementsMatch(t, []int64{2, 0}, []int64{arrivals[0].Load(), arrivals[1].Load()})
 }
 
+// TestLateRejectionDoesNotCountForRetry guards against a client that is told that its request has
+// not run although it runs: a late copy of the rejection of the first attempt must not count for the
+// second attempt at the same target.
+func TestLateRejectionDoesNotCountForRetry(t *testing.T) {
+	for _, status := range []string{"503 Service Unavailable", "429 Too Many Requests", "400 Bad Request"} {
+		t.Run(status, func(t *testing.T) {
+			s := newSite(t)
+			s.configure(1, route{prefix: "/x/", service: "s", kind: "non_idempotent"})
+			server := s.server("i-1", "s", "a1")
+			in := s.instance("n1", "a1")
+			in.awaitStatus("/x/", 200)
+			for range 10 {
+				// Requests earn the budget for retries.
+				in.send("POST", "/x/", "")
+			}
+			server.SetServiceTime(100 * time.Millisecond)
+			server.SetShedStatus(status)
+			var arrivals atomic.Int64
+			server.SetScript(func(*http.Request) origin.Fault {
+				if arrivals.Add(1) == 1 {
+					return origin.ShedTwice
+				}
+				return origin.None
+			})
+			got := in.send("POST", "/x/", "body")
+			require.Equal(t, 200, got.status)
+			require.Equal(t, "answer of i-1 to "+got.id, got.body)
+			require.EqualValues(t, 2, arrivals.Load())
+		})
+	}
+}
+
 // TestRejectedRequestGetsShortRetryAfter checks that a request that targets with free slots keep
 // rejecting is refused at once as not run, with a Retry-After that is short enough for another try
 // in time.
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -85,6 +85,7 @@
 		Load:      d.SendState.Load,
 		Outcome:   a.Outcome.String(),
 		Reused:    a.Reused,
+		Surplus:   a.Surplus,
 		TookMs:    a.TargetResult.Latency.Milliseconds(),
 		Leaving:   a.TargetResult.SelfReport.Leaving,
 		BackoffMs: a.TargetResult.SelfReport.Backoff.Milliseconds(),
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -97,6 +97,9 @@
 	Hedge        bool  `json:"hedge,omitempty"`
 	HedgeAfterMs int64 `json:"hedge_after_ms,omitempty"`
 	Outpaced     bool  `json:"outpaced,omitempty"`
+	// Surplus is the number of responses from the target that were skipped during the attempt because
+	// they belong to no request in progress.
+	Surplus int `json:"surplus,omitempty"`
 	// Leaving, BackoffMs and Limit are what the target reported about itself with its response.
 	Leaving   bool  `json:"leaves,omitempty"`
 	BackoffMs int64 `json:"rest_ms,omitempty"`
--- a/internal/standin/origin/server.go
+++ b/internal/standin/origin/server.go
@@ -57,8 +57,13 @@
 	Stalled
 	// Unmarked503 runs the request and responds with status 503, without the header Not-Executed.
 	Unmarked503
+	// ShedTwice refuses the request as Shed does, and sends the refusal again after repeatDelay.
+	ShedTwice
 )
 
+// repeatDelay is the time after which ShedTwice sends a refusal again.
+const repeatDelay = 30 * time.Millisecond
+
 // Run records a request that a server has run.
 type Run struct {
 	ID, Method, URI string
@@ -316,10 +321,16 @@
 		lines += fmt.Sprintf("Retry-After: %g\r\n", retryAfter.Seconds())
 	}
 	switch fault {
-	case Shed:
+	case Shed, ShedTwice:
 		_, _ = io.Copy(io.Discard, req.Body)
 		s.notifyArrival(req, Arrival{RetryAfter: retryAfter})
-		return writeResponse(c, s.currentShedStatus(), "Not-Executed: 1\r\nRequest-Id: "+id+"\r\n"+lines, "") == nil
+		refuse := func() error {
+			return writeResponse(c, s.currentShedStatus(), "Not-Executed: 1\r\nRequest-Id: "+id+"\r\n"+lines, "")
+		}
+		if fault == ShedTwice {
+			time.AfterFunc(repeatDelay, func() { _ = refuse() })
+		}
+		return refuse() == nil
 	case EarlyRefusal:
 		_ = writeResponse(c, "413 Request Entity Too Large", s.headers(id)+lines, "no")
 		time.Sleep(50 * time.Millisecond)
