gateway: a late reply to a trial request does not count for the next one

What callers could have seen: two trials at once of a request that crashes targets, which may cost two targets. Seen in tests only; found while looking for the cause of the late rejections on related paths. Cause: replies to trial requests were told by the digest of the content, and leases by the instance, both of which several requests share. Why this fix works: each trial request has a number of its own, which its reply, its lease and its end repeat. Until all instances are of this version, the grants of older coordinators do not count.

--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -36,7 +36,7 @@
 	table         quarantine.Table
 	correlator    quarantine.CrashCorrelator
 	coordinator   quarantine.TrialCoordinator
-	pendingTrials map[quarantine.Digest]chan trialReply
+	pendingTrials map[quarantine.Digest]pendingTrial
 	// answered holds the accounts' requests that targets have answered recently, to this instance
 	// or to another one that has sent them.
 	answered answeredRequests
@@ -63,7 +63,7 @@
 }
 
 func newQuarantineState() *quarantineState {
-	return &quarantineState{pendingTrials: make(map[quarantine.Digest]chan trialReply), unresponsive: make(map[string]time.Time)}
+	return &quarantineState{pendingTrials: make(map[quarantine.Digest]pendingTrial), unresponsive: make(map[string]time.Time)}
 }
 
 // updateNonEmpty recomputes nonEmpty. The caller holds mu.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -62,9 +62,10 @@
 	// requests that were not answered before. It is zero for other requests.
 	digest quarantine.Digest
 	trial  quarantine.Digest
-	// coordinator is the instance that granted the trial. interrupted is true if an attempt's
-	// connection broke before the response.
+	// coordinator is the instance that granted the trial, and trialNumber that of the request to it.
+	// interrupted is true if an attempt's connection broke before the response.
 	coordinator fleet.Member
+	trialNumber uint64
 	interrupted bool
 	// answered is true if a target has answered the request. heldForAccount is true if the request
 	// was refused because other requests of its account crash targets.
--- a/gateway/trial.go
+++ b/gateway/trial.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"github.com/rainford/rainford/fleet"
@@ -23,6 +25,17 @@
 	retryAfter time.Duration
 }
 
+// pendingTrial is a trial request that waits for the reply with its number.
+type pendingTrial struct {
+	number uint64
+	reply  chan trialReply
+}
+
+// trialHolder identifies one trial of an instance to the coordinator.
+func trialHolder(instance string, number uint64) string {
+	return instance + " " + strconv.FormatUint(number, 16)
+}
+
 // acquireTrial requests a trial for a suspect request or a flagged account from its coordinator. If
 // the trial is not granted, it returns the time at which to request it again. At most one request
 // per digest is pending.
@@ -30,24 +43,24 @@
 	now := g.clock.Now()
 	status, _ := g.quarantine.status(now, d)
 	coordinator := g.coordinatorFor(now, d, status.FailedTrials > 0)
-	ex.coordinator = coordinator
+	ex.coordinator, ex.trialNumber = coordinator, rand.Uint64()
 	until := ex.deadline.Add(lateResponseMargin)
 	if coordinator.Name == g.config.Name {
 		g.quarantine.mu.Lock()
 		defer g.quarantine.mu.Unlock()
-		return g.quarantine.coordinator.Acquire(now, &g.quarantine.table, d, g.config.Name, until)
+		return g.quarantine.coordinator.Acquire(now, &g.quarantine.table, d, trialHolder(g.config.Name, ex.trialNumber), until)
 	}
 	wait := make(chan trialReply, 1)
 	g.quarantine.mu.Lock()
-	if g.quarantine.pendingTrials[d] != nil {
+	if _, pending := g.quarantine.pendingTrials[d]; pending {
 		g.quarantine.mu.Unlock()
 		return false, now.Add(defaultRetryAfter)
 	}
-	g.quarantine.pendingTrials[d] = wait
+	g.quarantine.pendingTrials[d] = pendingTrial{number: ex.trialNumber, reply: wait}
 	updates := g.quarantine.table.Updates(now, d)
 	g.quarantine.mu.Unlock()
 	defer g.endTrialRequest(d)
-	g.mesh.Send(coordinator.PeerAddr, &peer.TrialRequest{Digest: d, From: g.config.Name, ReplyTo: g.view.Self().PeerAddr, Timeout: until.Sub(now), Updates: updates})
+	g.mesh.Send(coordinator.PeerAddr, &peer.TrialRequest{Digest: d, From: g.config.Name, ReplyTo: g.view.Self().PeerAddr, Number: ex.trialNumber, Timeout: until.Sub(now), Updates: updates})
 	select {
 	case reply := <-wait:
 		return reply.granted, now.Add(reply.retryAfter)
@@ -125,10 +138,10 @@
 		return
 	}
 	if ex.coordinator.Name != g.config.Name {
-		g.mesh.Send(ex.coordinator.PeerAddr, &peer.TrialRequest{Digest: ex.trial, From: g.config.Name, Done: true, Answered: ex.answered})
+		g.mesh.Send(ex.coordinator.PeerAddr, &peer.TrialRequest{Digest: ex.trial, From: g.config.Name, Number: ex.trialNumber, Done: true, Answered: ex.answered})
 		return
 	}
-	g.releaseTrial(ex.trial, g.config.Name, ex.answered)
+	g.releaseTrial(ex.trial, trialHolder(g.config.Name, ex.trialNumber), ex.answered)
 }
 
 // isTrial reports whether the request is sent as a trial.
@@ -136,10 +149,10 @@
 
 // releaseTrial records, at the coordinator, the end of a trial that did not crash its target. An
 // account is released after several answered trials in a row.
-func (g *Gateway) releaseTrial(d quarantine.Digest, from string, answered bool) {
+func (g *Gateway) releaseTrial(d quarantine.Digest, holder string, answered bool) {
 	now := g.clock.Now()
 	g.quarantine.mu.Lock()
-	released := g.quarantine.coordinator.Release(&g.quarantine.table, now, d, from, answered)
+	released := g.quarantine.coordinator.Release(&g.quarantine.table, now, d, holder, answered)
 	g.quarantine.mu.Unlock()
 	if !released {
 		return
@@ -151,8 +164,9 @@
 
 // receiveTrialRequest handles another instance's trial request as the coordinator.
 func (g *Gateway) receiveTrialRequest(m *peer.TrialRequest) {
+	holder := trialHolder(m.From, m.Number)
 	if m.Done {
-		g.releaseTrial(m.Digest, m.From, m.Answered)
+		g.releaseTrial(m.Digest, holder, m.Answered)
 		return
 	}
 	now := g.clock.Now()
@@ -160,24 +174,24 @@
 	defer g.quarantine.mu.Unlock()
 	g.quarantine.table.Merge(now, m.Updates)
 	g.quarantine.updateNonEmpty()
-	granted, retryAt := g.quarantine.coordinator.Acquire(now, &g.quarantine.table, m.Digest, m.From, now.Add(m.Timeout))
-	reply := &peer.TrialReply{Digest: m.Digest, Granted: granted}
+	granted, retryAt := g.quarantine.coordinator.Acquire(now, &g.quarantine.table, m.Digest, holder, now.Add(m.Timeout))
+	reply := &peer.TrialReply{Digest: m.Digest, Number: m.Number, Granted: granted}
 	if !granted {
 		reply.RetryAfter = retryAt.Sub(now)
 	}
 	g.mesh.Send(m.ReplyTo, reply)
 }
 
-// receiveTrialReply handles a coordinator's reply.
+// receiveTrialReply handles a coordinator's reply. A late one to an earlier request does not count.
 func (g *Gateway) receiveTrialReply(m *peer.TrialReply) {
 	g.quarantine.mu.Lock()
 	defer g.quarantine.mu.Unlock()
-	wait := g.quarantine.pendingTrials[m.Digest]
-	if wait == nil {
+	pending, ok := g.quarantine.pendingTrials[m.Digest]
+	if !ok || pending.number != m.Number {
 		return
 	}
 	select {
-	case wait <- trialReply{granted: m.Granted, retryAfter: m.RetryAfter}:
+	case pending.reply <- trialReply{granted: m.Granted, retryAfter: m.RetryAfter}:
 	default:
 	}
 }
--- a/peer/message.go
+++ b/peer/message.go
@@ -151,6 +151,8 @@
 	// From is the name of the requesting instance, and ReplyTo its peer address.
 	From    string `msgpack:"f"`
 	ReplyTo string `msgpack:"a"`
+	// Number tells this request and its trial from others of the instance. The reply repeats it.
+	Number uint64 `msgpack:"n"`
 	// Timeout is the maximum duration of the trial.
 	Timeout time.Duration `msgpack:"t"`
 	// Updates are the facts about the request that the requesting instance knows.
@@ -163,8 +165,10 @@
 
 // TrialReply replies to a TrialRequest.
 type TrialReply struct {
-	Digest  quarantine.Digest `msgpack:"d"`
-	Granted bool              `msgpack:"g"`
+	Digest quarantine.Digest `msgpack:"d"`
+	// Number is that of the request.
+	Number  uint64 `msgpack:"n"`
+	Granted bool   `msgpack:"g"`
 	// RetryAfter is when to ask again if the trial was not granted.
 	RetryAfter time.Duration `msgpack:"t"`
 }
--- a/quarantine/coordinator.go
+++ b/quarantine/coordinator.go
@@ -22,8 +22,9 @@
 	last         time.Time
 }
 
-// trialLease is the right of an instance to run a trial.
+// trialLease is the right to run a trial.
 type trialLease struct {
+	// holder identifies the trial.
 	holder string
 	// expiresAt is the time by which the trial has ended at the latest.
 	expiresAt time.Time
@@ -36,10 +37,11 @@
 // lease. Most trials are answered within that time.
 const leaseRetryDelay = 500 * time.Millisecond
 
-// Acquire decides whether an instance may send a request as a trial, under a lease that lasts until
-// the given time. If not, it returns the time at which the instance may ask again. Acquire grants
-// requests that are Allowed without regard to other leases.
-func (c *TrialCoordinator) Acquire(now time.Time, t *Table, d Digest, instance string, until time.Time) (granted bool, next time.Time) {
+// Acquire decides whether a request may be sent as a trial, under a lease that lasts until the given
+// time. If not, it returns the time at which the instance may ask again. The holder identifies the
+// trial, and differs for each trial of an instance. Acquire grants requests that are Allowed without
+// regard to other leases.
+func (c *TrialCoordinator) Acquire(now time.Time, t *Table, d Digest, holder string, until time.Time) (granted bool, next time.Time) {
 	status := t.Status(now, d)
 	if status.Verdict == Held {
 		return false, status.Until
@@ -50,15 +52,15 @@
 	if c.leases == nil {
 		c.leases = make(map[Digest]trialLease)
 	}
-	c.leases[d] = trialLease{holder: instance, expiresAt: until, failedTrials: status.FailedTrials}
+	c.leases[d] = trialLease{holder: holder, expiresAt: until, failedTrials: status.FailedTrials}
 	return true, time.Time{}
 }
 
 // Release ends the lease of a trial during which the target did not crash. The argument answered
 // states whether the trial was answered. Release reports whether an account becomes Allowed by
 // that.
-func (c *TrialCoordinator) Release(t *Table, now time.Time, d Digest, instance string, answered bool) bool {
-	if c.leases[d].holder != instance {
+func (c *TrialCoordinator) Release(t *Table, now time.Time, d Digest, holder string, answered bool) bool {
+	if c.leases[d].holder != holder {
 		return false
 	}
 	failed := c.leases[d].failedTrials
