pipelining, peer: listeners accept again after errors

Cause: the listener for clients ended for good with the first error of Accept, and Mesh.Serve, for other instances, too. The socket stayed open. Why this fix works: both accept through listen.Retrying, which tries again after any error until the listener is closed; so do the instance's other listeners. The log says "accept failed". Open: while no descriptor is free, the instance takes no client and says that it is ready.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -230,6 +230,9 @@
 	if err != nil {
 		return fmt.Errorf("gateway: %w", err)
 	}
+	for i, ln := range open {
+		open[i] = listen.Retrying(ln, func(err error) { g.log.Error(logAcceptFailed, "addr", ln.Addr().String(), "error", err.Error()) })
+	}
 	g.listeners = listeners{front: open[0], lookup: open[1], ready: open[2], peer: open[3], admin: open[4]}
 	return nil
 }
--- a/gateway/logs.go
+++ b/gateway/logs.go
@@ -38,6 +38,7 @@
 	logIsolated               = "isolated"
 	logNotIsolated            = "not isolated"
 	logHandoverRejected       = "handover rejected"
+	logAcceptFailed           = "accept failed"
 	logRollout                = "rollout"
 	logRolloutRefused         = "rollout refused"
 	logRolloutLeads           = "rollout led here"
--- a/internal/listen/listen.go
+++ b/internal/listen/listen.go
@@ -1,4 +1,5 @@
-// Package listen opens several TCP listeners, or none if one of them fails.
+// Package listen opens several TCP listeners, or none if one of them fails, and keeps them accepting
+// connections after errors.
 package listen
 
 import (
--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rainford/rainford/internal/listen"
 	"github.com/rainford/rainford/internal/pause"
 	"github.com/rainford/rainford/internal/sockopt"
 )
@@ -94,10 +95,11 @@
 	return m.sentBytes.Load(), m.receivedBytes.Load(), m.dropped.Load()
 }
 
-// Serve accepts connections on ln until ln is closed.
+// Serve accepts connections on ln until ln is closed, whatever errors come before.
 func (m *Mesh) Serve(ln net.Listener) error {
+	accepting := listen.Retrying(ln, nil)
 	for {
-		conn, err := ln.Accept()
+		conn, err := accepting.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return nil
 		}
--- a/pipelining/listener.go
+++ b/pipelining/listener.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+
+	"github.com/rainford/rainford/internal/listen"
 )
 
 // Limits bound what is read and run ahead.
@@ -43,7 +45,7 @@
 // NewListener returns a listener that passes the connections of inner to a server. It sets
 // the server's ConnState and ConnContext, which must not be in use, and wraps its Handler.
 func NewListener(server *http.Server, inner net.Listener, limits Limits) *Listener {
-	l := &Listener{inner: inner, limits: limits, conns: make(chan net.Conn, limits.Total), closed: make(chan struct{})}
+	l := &Listener{inner: listen.Retrying(inner, nil), limits: limits, conns: make(chan net.Conn, limits.Total), closed: make(chan struct{})}
 	server.Handler = reportReturns(server.Handler)
 	server.ConnState = connState
 	server.ConnContext = withServerConn
@@ -55,7 +57,8 @@
 // that wait for earlier ones.
 func (l *Listener) Usage() (requests, held int64) { return l.ahead.Load(), l.heldBytes.Load() }
 
-// accept accepts connections of clients until the listener is closed.
+// accept accepts connections of clients until the listener is closed, whatever errors come
+// before.
 func (l *Listener) accept() {
 	for {
 		c, err := l.inner.Accept()
