pipelining, forward: status 101 ends the heads of a response; comments

A head with status 101 is the last one of its response, since another protocol follows it: it was taken for an interim one, so that what follows would have been kept. No handler sends it so far. The comments on surplus responses and hashes say more.

--- a/forward/carried.go
+++ b/forward/carried.go
@@ -15,8 +15,8 @@
 // idSeed is the seed of all hashes of request IDs.
 var idSeed = maphash.MakeSeed()
 
-// hashID returns the hash of a request ID. Equal IDs have equal hashes. Different ones may
-// have, rarely.
+// hashID returns the hash of a request ID, which is not 0 unless the ID is empty. Equal IDs
+// have equal hashes. Different ones rarely have, and then use different connections too.
 func hashID(id string) requestID {
 	if id == "" {
 		return 0
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -43,8 +43,8 @@
 	reused bool
 	// received is set once a byte has arrived for the current request.
 	received bool
-	// surplus is the number of responses that arrived during the current request and belong
-	// to no request that is in progress.
+	// surplus is the number of responses that arrived during the current request and do not
+	// belong to it.
 	surplus int
 	// carried are the requests that were sent over the connection.
 	carried carriedIDs
--- a/forward/message.go
+++ b/forward/message.go
@@ -117,8 +117,8 @@
 	Reused bool
 	// NoResponse is set if the request was sent and no byte of a response was received.
 	NoResponse bool
-	// Surplus is the number of responses that arrived on the connection before the one to
-	// this request and do not belong to it.
+	// Surplus is the number of responses that arrived on the connection during the attempt
+	// and belong to no request that is in progress.
 	Surplus int
 	// Err is why there is no response. It is nil if a response says that the request was
 	// not run.
--- a/pipelining/accept_test.go
+++ b/pipelining/accept_test.go
@@ -27,7 +27,10 @@
 		inner.SetError(syscall.EMFILE)
 		enough := inner.Failed() + 2
 		require.Eventually(t, func() bool {
-			_, err := client.Get(url)
+			resp, err := client.Get(url)
+			if err == nil {
+				_ = resp.Body.Close()
+			}
 			return err != nil && inner.Failed() >= enough
 		}, wait, poll)
 		inner.SetError(nil)
--- a/pipelining/response_head.go
+++ b/pipelining/response_head.go
@@ -61,12 +61,12 @@
 	return bytes.Join([][]byte{p.interim, p.head, p.body}, nil)
 }
 
-// statusOffset is the position of the status code in the status line.
-const statusOffset = len("HTTP/1.1 ")
-
 // isInterim reports whether a head is that of an interim response, which another head
-// follows.
-func isInterim(head []byte) bool { return len(head) > statusOffset && head[statusOffset] == '1' }
+// follows. Status 101 is final, since another protocol follows it.
+func isInterim(head []byte) bool {
+	_, status, _ := bytes.Cut(head, []byte(" "))
+	return bytes.HasPrefix(status, []byte("1")) && !bytes.HasPrefix(status, []byte("101 "))
+}
 
 // field is a header in a head: its value, and where its line begins and ends.
 type field struct {
--- a/pipelining/response_model_test.go
+++ b/pipelining/response_model_test.go
@@ -78,6 +78,27 @@
 	return w
 }
 
+// TestSwitchingProtocolsIsFinal guards against bytes behind a head with status 101 that are kept as
+// if they were another head.
+func TestSwitchingProtocolsIsFinal(t *testing.T) {
+	client := newScriptedConn([][]byte{[]byte(get("/1"))})
+	server := &http.Server{Handler: http.NotFoundHandler()}
+	listener := pipelining.NewListener(server, &singleConnListener{conn: client, done: make(chan struct{})}, defaultLimits)
+	defer func() { _ = listener.Close() }()
+	conn, err := listener.Accept()
+	require.NoError(t, err)
+	_, err = http.ReadRequest(bufio.NewReader(conn))
+	require.NoError(t, err)
+	const head = "HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n\r\n"
+	for _, piece := range []string{head[:20], head[20:] + "a", "b"} {
+		_, err = conn.Write([]byte(piece))
+		require.NoError(t, err)
+	}
+	client.mu.Lock()
+	defer client.mu.Unlock()
+	require.Equal(t, head+"ab", client.got.String())
+}
+
 // TestResponsesModel guards against bytes of a body that are read as a head, and against
 // heads that are not read because they take several writes. However the writes divide the
 // responses and whatever their order, the client must receive exactly their bytes, except
