--- a/forward/carried_test.go
+++ b/forward/carried_test.go
@@ -35,7 +35,7 @@
 type received struct {
 	id string
 	// send is the number of the request among those of the target, and position that among those of
-	// its connection, from 0.
+	// its connection, both from 0.
 	send, position int
 }
 
@@ -47,6 +47,8 @@
 	work time.Duration
 	// copies are the copies of the response that the target sends later on the connection.
 	copies []time.Duration
+	// repeats is how often the target repeats its previous response on the connection before this one.
+	repeats int
 	// withoutID omits the request ID from the response.
 	withoutID bool
 }
@@ -81,6 +83,7 @@
 		_, _ = io.WriteString(c, text)
 	}
 	reader := bufio.NewReader(c)
+	var previous string
 	for position := 0; ; position++ {
 		r, err := http.ReadRequest(reader)
 		if err != nil {
@@ -93,7 +96,11 @@
 		s.mu.Unlock()
 		answer := s.reply(got)
 		time.Sleep(answer.work)
+		for range answer.repeats {
+			write(previous)
+		}
 		text := answer.text(got)
+		previous = text
 		write(text)
 		for _, delay := range answer.copies {
 			time.AfterFunc(delay, func() { write(text) })
@@ -122,7 +129,7 @@
 
 // send sends a request with an ID, or without one if it is "".
 func (s *repeatingTarget) send(c *forward.Client, id string) forward.Attempt {
-	return s.sendWithin(c, id, time.Second)
+	return s.sendWithin(c, id, 5*time.Second)
 }
 
 // sendWithin is send with a time-out.
@@ -274,7 +281,15 @@
 // TestOtherConnectionIsUsed checks that a request that is sent again uses another connection that
 // is idle, and opens one only if there is none.
 func TestOtherConnectionIsUsed(t *testing.T) {
-	s := startRepeatingTarget(t, func(r received) reply { return reply{rejection: rejections[0], work: 20 * time.Millisecond} })
+	var arrived sync.WaitGroup
+	arrived.Add(2)
+	s := startRepeatingTarget(t, func(r received) reply {
+		if r.send < 2 {
+			arrived.Done()
+			arrived.Wait()
+		}
+		return reply{rejection: rejections[0]}
+	})
 	defer func() { _ = s.listener.Close() }()
 	c := forward.NewClient(platform.Headers(), platform.Codec{}, nil)
 	var both sync.WaitGroup
@@ -291,17 +306,12 @@
 
 // TestSurplusIsCounted checks that an attempt reports the responses that belong to no request.
 func TestSurplusIsCounted(t *testing.T) {
-	s := startRepeatingTarget(t, func(r received) reply {
-		if r.send == 0 {
-			return reply{copies: []time.Duration{10 * time.Millisecond, 15 * time.Millisecond}}
-		}
-		return reply{work: 50 * time.Millisecond}
-	})
+	s := startRepeatingTarget(t, func(r received) reply { return reply{repeats: 2 * r.position} })
 	defer func() { _ = s.listener.Close() }()
 	c := forward.NewClient(platform.Headers(), platform.Codec{}, nil)
 	require.Zero(t, s.send(c, "a").Surplus)
 	a := s.send(c, "b")
 	require.Equal(t, upstream.Answered, a.TargetResult.Outcome)
 	require.Equal(t, 2, a.Surplus)
-	require.Zero(t, s.send(c, "c").Surplus)
+	require.Equal(t, 4, s.send(c, "c").Surplus)
 }
