--- a/forward/conn.go
+++ b/forward/conn.go
@@ -93,8 +93,8 @@
 }
 
 // take returns the most recently used connection that may carry a request and is quiet, or
-// nil if there is none or it has been idle for limit or longer. It closes connections that
-// can no longer be used.
+// nil if there is none or it has been idle for limit or longer. It closes the connections
+// that it finds closed, not quiet or idle for too long.
 func (i *idlePool) take(target string, limit time.Duration, id requestID) *conn {
 	now := i.clock.Now()
 	for {
--- a/pipelining/response_body_test.go
+++ b/pipelining/response_body_test.go
@@ -78,8 +78,8 @@
 	}
 }
 
-// check sends three requests at once, and three more if the connection stays open. None of the responses may be changed, and only the
-// last one may close the connection.
+// check sends three requests at once, and three more if the connection stays open. None of the
+// responses may be changed, and only the last one may close the connection.
 func (b bodyCase) check(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
