gateway: a request waits for connections for 0.8 s at most, not 0.8 s for each

What callers saw: while some targets can be connected to and others can't, answers after 1.6 to 2.1 s. Cause: that no request waits for two connections held only while three targets had failed in 2 s, and any connection that was opened anywhere made the instance forget these. In a partial cut the reachable targets do so all the time. Why this fix works: each request has a budget for its waits, 0.8 s in all and 0.4 s for one (retry.ConnectBudget). Without a budget it is sent on an open connection, or handed over. What others see of the links has no part in it. The log has connect_ms for an attempt, and rainford explain names long waits.

--- a/cmd/rainford/explain.go
+++ b/cmd/rainford/explain.go
@@ -23,6 +23,10 @@
 // for possible reasons of its result.
 const explainWindow = 15 * time.Second
 
+// slowConnectMs is the time from which on the wait for a connection is named, in milliseconds. A round trip takes
+// up to 120 ms between regions.
+const slowConnectMs = 150
+
 // maxLine is the maximum length of a log line, in bytes. Reading a log stops at a longer line.
 const maxLine = 4 << 20
 
@@ -80,6 +84,8 @@
 	Outcome string  `json:"outcome"`
 	Error   string  `json:"error"`
 	TookMs  int64   `json:"took_ms"`
+	// ConnectMs is how long the request waited for a new connection.
+	ConnectMs int64 `json:"connect_ms"`
 	// Helper is the instance that the request was handed over to, and HelperReason why it did
 	// not return a response of a target.
 	Helper       string `json:"helper"`
@@ -366,6 +372,9 @@
 	if t.Outpaced {
 		fmt.Fprintln(w, "    given up, since the other attempt was answered first")
 	}
+	if t.ConnectMs >= slowConnectMs {
+		fmt.Fprintf(w, "    the request waited %d ms for a connection to the target\n", t.ConnectMs)
+	}
 	if t.Surplus > 0 {
 		fmt.Fprintf(w, "    %d responses to earlier requests were skipped: the target sends some twice, or late\n", t.Surplus)
 	}
--- a/cmd/rainford/explain_test.go
+++ b/cmd/rainford/explain_test.go
@@ -142,3 +142,15 @@
 	require.Contains(t, text, `{"in_force":{"a":0.5,"b":0.5}}`)
 	require.NotContains(t, text, "other")
 }
+
+const slowConnectLog = `{"time":"2026-01-01T00:00:02Z","level":"WARN","msg":"request","instance":"n1","request_id":"q1","route":"r","service":"s","config":4,"status":200,"reason":"answered","took_ms":471,"attempts":[{"target":"i-1","region":"a","reason":"first-choice","load":0.5,"outcome":"not-run","error":"dial tcp: i/o timeout","took_ms":0,"connect_ms":400},{"target":"i-2","region":"a","reason":"by-load","load":0.5,"outcome":"ran","took_ms":71,"connect_ms":40}]}
+`
+
+// TestExplainSlowConnect checks that the explanation of a request names the connections that it waited long for,
+// and only these.
+func TestExplainSlowConnect(t *testing.T) {
+	text, code := explain(t, slowConnectLog, "q1", "-")
+	require.Zero(t, code)
+	require.Equal(t, 1, strings.Count(text, "for a connection to the target"))
+	require.Contains(t, text, "the request waited 400 ms for a connection to the target")
+}
--- a/forward/client.go
+++ b/forward/client.go
@@ -82,8 +82,9 @@
 func (c *Client) Do(ctx context.Context, r *Request) Attempt {
 	start := c.clock.Now()
 	cn, err := c.connect(ctx, r)
+	connectTime := c.clock.Since(start)
 	if err != nil {
-		a := Attempt{Outcome: retry.NotRun, Err: err}
+		a := Attempt{Outcome: retry.NotRun, Err: err, ConnectTime: connectTime}
 		a.TargetResult.Outcome = upstream.Unreachable
 		if ctx.Err() != nil || isDoneContext(r.DialContext) || errors.Is(err, ErrNoIdleConn) {
 			a.TargetResult.Outcome = upstream.Abandoned
@@ -95,7 +96,7 @@
 	}
 	if err := r.checkMaySend(); err != nil {
 		c.idle.release(r.endpoint(), cn)
-		a := Attempt{Outcome: retry.NotRun, Err: err}
+		a := Attempt{Outcome: retry.NotRun, Err: err, ConnectTime: connectTime}
 		a.TargetResult.Outcome = upstream.Abandoned
 		return a
 	}
@@ -104,6 +105,7 @@
 	a := c.exchange(ctx, cn, r)
 	a.Sent = true
 	a.Reused = reused
+	a.ConnectTime = connectTime
 	a.TargetResult.Latency = c.clock.Since(start)
 	return a
 }
@@ -153,7 +155,7 @@
 	if r.OnSlowDial != nil {
 		defer time.AfterFunc(slowDialNotice, r.OnSlowDial).Stop()
 	}
-	return c.dial(ctx, r.Addr, c.clock.Until(r.Deadline))
+	return c.dial(ctx, r.Addr, min(r.dialTimeout(), c.clock.Until(r.Deadline)))
 }
 
 // exchange writes the request and reads the response. It keeps the connection only if it
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -10,11 +10,12 @@
 
 	"github.com/rainford/rainford/internal/clock"
 	"github.com/rainford/rainford/internal/sockopt"
+	"github.com/rainford/rainford/retry"
 )
 
 const (
-	// maxDialTime is the longest time that opening a connection may take.
-	maxDialTime = 800 * time.Millisecond
+	// maxDialTime is the longest time that opening a connection may take if no other limit is given.
+	maxDialTime = retry.MaxDialTime
 	// slowDialNotice is the time after which the opening of a connection is reported as slow. A round
 	// trip takes up to 120 ms between regions.
 	slowDialNotice = 150 * time.Millisecond
@@ -65,9 +66,9 @@
 	return dialer.DialContext(ctx, "tcp", addr)
 }
 
-// dial opens a connection to a target. It takes at most the remaining time left.
-func (c *Client) dial(ctx context.Context, addr string, left time.Duration) (*conn, error) {
-	opened, err := c.dialer(ctx, addr, min(maxDialTime, left))
+// dial opens a connection to a target within a time-out.
+func (c *Client) dial(ctx context.Context, addr string, timeout time.Duration) (*conn, error) {
+	opened, err := c.dialer(ctx, addr, timeout)
 	if err != nil {
 		return nil, err
 	}
--- a/forward/message.go
+++ b/forward/message.go
@@ -56,12 +56,14 @@
 	// Deadline is when the client stops waiting for the response.
 	Deadline time.Time
 	// MaySend reports whether the request may still be sent. If nil, it may. It is called
-	// last, when the connection is established: that takes up to maxDialTime, and the
-	// target may become unavailable in the meantime.
+	// last, when the connection is established: the target may become unavailable while it is
+	// opened.
 	MaySend func() bool
 	// NonIdempotent marks a request that must not run twice. It is not sent over a
 	// connection that has been idle for so long that the target may have closed it.
 	NonIdempotent bool
+	// DialTimeout is the longest time that opening a connection may take, or 0 for maxDialTime.
+	DialTimeout time.Duration
 	// IdleConnOnly means that the request is sent over an idle connection or not at all, since new
 	// connections can't be opened.
 	IdleConnOnly bool
@@ -88,6 +90,14 @@
 	}
 }
 
+// dialTimeout returns the longest time that opening a connection for the request may take.
+func (r *Request) dialTimeout() time.Duration {
+	if r.DialTimeout == 0 {
+		return maxDialTime
+	}
+	return r.DialTimeout
+}
+
 // endpoint returns the key of the request's connections. It contains the address because
 // the address of a target may change, and connections to the previous address do not lead
 // to the target.
@@ -113,6 +123,8 @@
 	TargetResult upstream.Result
 	// Sent is set if some of the request may have reached the target.
 	Sent bool
+	// ConnectTime is the time until a connection was open or could not be opened.
+	ConnectTime time.Duration
 	// Reused is set if the connection was open before the request was made.
 	Reused bool
 	// NoResponse is set if the request was sent and no byte of a response was received.
--- a/forward/spare.go
+++ b/forward/spare.go
@@ -95,7 +95,7 @@
 // Preconnect opens a connection to a target and keeps it for a later request. It gives up after the
 // time-out, or after maxDialTime if that is shorter.
 func (c *Client) Preconnect(target, addr string, timeout time.Duration) error {
-	cn, err := c.dial(context.Background(), addr, timeout)
+	cn, err := c.dial(context.Background(), addr, min(timeout, maxDialTime))
 	if err != nil {
 		return err
 	}
--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -120,7 +120,7 @@
 			return final, true
 		}
 	}
-	last, other := g.sendWithHedge(ex, p, *request, header, state.sent, decision)
+	last, other := g.sendWithHedge(ex, p, *request, header, state, decision)
 	if a := last.Attempt; a.Response != nil {
 		ex.answered = true
 		g.bodySizes.record(ex.route.Name, len(ex.body)+len(a.Response.Body))
@@ -144,19 +144,16 @@
 	request.Tried = append(request.Tried, decision.Target.ID)
 }
 
-// wouldWaitAgain reports whether a request that has waited for a connection that could not be opened would
-// have to open one again while many targets fail, or would find out whether a target that is suspected is
-// still down. While few fail, the next one can probably be connected to. A helper would begin with the target
-// that has failed here, and wait for it as well.
+// wouldWaitAgain reports whether a request that has waited for connections would have to open another one
+// although no time is left for it, or while many targets fail, or would find out whether a target that is
+// suspected is still down. While few fail, the next one can probably be connected to. A helper would begin
+// with the target that has failed here, and wait for it as well.
 func (g *Gateway) wouldWaitAgain(decision upstream.Decision, state *progress) bool {
-	switch {
-	case !state.unreachable:
-		return false
-	case decision.SendState.Probe:
+	if state.unreachable && decision.SendState.Probe {
 		return true
-	default:
-		return state.waited && g.reach.manyFail() && !g.targets.HasIdle(decision.Target.ID, decision.Target.Addr)
 	}
+	avoidsWait := state.connect.Limit() == 0 || state.unreachable && state.connect.HasWaited() && g.reach.manyFail()
+	return avoidsWait && !g.targets.HasIdle(decision.Target.ID, decision.Target.Addr)
 }
 
 // finalResult is the result of a request that ends, with the response of a target if there is one.
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -159,7 +159,7 @@
 // recordHandover records an attempt to hand over the request, for its log line.
 func (ex *exchange) recordHandover(helper string, a forward.Attempt, r handoverResult) {
 	h := attemptRecord{Helper: helper, Target: r.target, Region: r.region, Reason: reasonHandedOver, Outcome: r.outcome.String(),
-		Reused: a.Reused, TookMs: a.TargetResult.Latency.Milliseconds(), HelperReason: r.reason}
+		Reused: a.Reused, TookMs: a.TargetResult.Latency.Milliseconds(), ConnectMs: a.ConnectTime.Milliseconds(), HelperReason: r.reason}
 	if a.Err != nil {
 		h.Error = a.Err.Error()
 	}
--- a/gateway/hedging.go
+++ b/gateway/hedging.go
@@ -21,6 +21,8 @@
 	request upstream.Request
 	first   upstream.Decision
 	delay   time.Duration
+	// dialTimeout is how long the hedge may wait for a connection.
+	dialTimeout time.Duration
 	// checkOnly means that no hedge is sent. Only the target is checked.
 	checkOnly bool
 	// dueAt is when the hedge is to be sent.
@@ -41,21 +43,22 @@
 }
 
 // sendWithHedge sends the request to a target, and to a second one if the first has not responded when the
-// hedge delay has passed, or checks the first target then if the request may not be hedged. It returns the attempt that was answered, or the last one, and the other if there was
-// a hedge. The request was sent the given number of times before.
-func (g *Gateway) sendWithHedge(ex *exchange, p *pool, request upstream.Request, header http.Header, sent int, d upstream.Decision) (last sentAttempt, other *sentAttempt) {
+// hedge delay has passed, or checks the first target then if the request may not be hedged. It returns the
+// attempt that was answered, or the last one, and the other if there was a hedge.
+func (g *Gateway) sendWithHedge(ex *exchange, p *pool, request upstream.Request, header http.Header, state *progress, d upstream.Decision) (last sentAttempt, other *sentAttempt) {
 	delay, ok := g.hedgeDelay(ex, d)
 	if !ok {
-		first := g.sendAttempt(ex, header, p, d, nil)
+		first := g.sendAttempt(ex, header, p, d, state.connect.Limit(), nil)
 		g.recordAttempt(ex, p, request, first)
 		return first, nil
 	}
 	h := &ex.hedge
 	h.g, h.ex, h.p, h.header, h.request, h.first, h.delay, h.dueAt = g, ex, p, header, request, d, delay, g.clock.Now().Add(delay)
-	h.checkOnly = !g.mayHedge(ex, sent)
-	state := g.hedgeTimers.start(h)
-	first := g.sendAttempt(ex, header, p, d, &h.abortFirst)
-	if h.state.end(state) {
+	h.dialTimeout = state.connect.HedgeLimit()
+	h.checkOnly = !g.mayHedge(ex, state.sent)
+	started := g.hedgeTimers.start(h)
+	first := g.sendAttempt(ex, header, p, d, state.connect.Limit(), &h.abortFirst)
+	if h.state.end(started) {
 		g.recordAttempt(ex, p, request, first)
 		return first, nil
 	}
@@ -84,7 +87,7 @@
 	}
 	go h.g.checkTarget(h.p, target)
 	defer close(h.hedgeEnded)
-	hedge := h.g.sendAttempt(h.ex, h.header, h.p, d, &h.abortHedge)
+	hedge := h.g.sendAttempt(h.ex, h.header, h.p, d, h.dialTimeout, &h.abortHedge)
 	hedge.hedgeDelay = h.delay
 	if hedge.Response != nil {
 		h.hedgeAnswered.Store(true)
--- a/gateway/missed_departures_test.go
+++ b/gateway/missed_departures_test.go
@@ -15,6 +15,7 @@
 	"github.com/rainford/rainford/forward"
 	"github.com/rainford/rainford/internal/standin/origin"
 	"github.com/rainford/rainford/peer"
+	"github.com/rainford/rainford/retry"
 	"github.com/rainford/rainford/upstream"
 )
 
@@ -93,7 +94,7 @@
 	require.Equal(t, upstream.Send, d.Action)
 	d.Target.Addr = server.Addr()
 	g.pools.applyDepartures(g.clock.Now(), availability.DepartureList{{ID: availability.IDOf("i-1")}}, availability.SourcePeer)
-	a := g.sendAttempt(ex, http.Header{}, p, d, nil)
+	a := g.sendAttempt(ex, http.Header{}, p, d, retry.MaxDialTime, nil)
 	require.ErrorIs(t, a.Err, forward.ErrWithheld)
 	require.False(t, a.Sent)
 	require.Empty(t, server.Runs())
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -21,8 +21,9 @@
 	hedgeDelay time.Duration
 }
 
-// sendAttempt sends the request to the target of a decision. The aborter, if it is not nil, ends the attempt.
-func (g *Gateway) sendAttempt(ex *exchange, header http.Header, p *pool, d upstream.Decision, aborter *forward.Aborter) sentAttempt {
+// sendAttempt sends the request to the target of a decision. It waits for a connection for at most
+// dialTimeout, and only uses one that is open if that is 0. The aborter, if it is not nil, ends the attempt.
+func (g *Gateway) sendAttempt(ex *exchange, header http.Header, p *pool, d upstream.Decision, dialTimeout time.Duration, aborter *forward.Aborter) sentAttempt {
 	p.recordSent(d)
 	startedAt := g.clock.Now()
 	g.reach.start(d.Target)
@@ -40,7 +41,8 @@
 		Timeout:       ex.deadline.Sub(startedAt) - targetMargin,
 		Deadline:      ex.deadline.Add(lateResponseMargin),
 		NonIdempotent: ex.route.Kind != catalog.Idempotent,
-		IdleConnOnly:  !g.reach.mayDial(d.Target.ID),
+		DialTimeout:   dialTimeout,
+		IdleConnOnly:  dialTimeout == 0 || !g.reach.mayDial(d.Target.ID),
 		DialContext:   g.reach.dialContext(d.Target),
 		OnSlowDial:    func() { g.reach.dialIsSlow(d.Target) },
 		MaySend:       func() bool { return p.maySend(d) },
@@ -87,6 +89,7 @@
 		Reused:    a.Reused,
 		Surplus:   a.Surplus,
 		TookMs:    a.TargetResult.Latency.Milliseconds(),
+		ConnectMs: a.ConnectTime.Milliseconds(),
 		Leaving:   a.TargetResult.SelfReport.Leaving,
 		BackoffMs: a.TargetResult.SelfReport.Backoff.Milliseconds(),
 	}
@@ -110,17 +113,14 @@
 	sent, unsent int
 	// unknown is true if the outcome of one of these is unknown.
 	unknown bool
-	// unreachable is true if the last attempt could not connect to its target, and waited if it took
-	// longer than longDial to find that out.
-	unreachable, waited bool
+	// unreachable is true if the last attempt could not connect to its target.
+	unreachable bool
+	// connect bounds the time for which the request waits for connections.
+	connect retry.ConnectBudget
 	// backoff is the Retry-After if no further attempt is made.
 	backoff time.Duration
 }
 
-// longDial is the time for a connection that can't be opened from which on a request should not wait for
-// another one.
-const longDial = 400 * time.Millisecond
-
 // record records an attempt without a response, and the target as tried.
 func (s *progress) record(sent sentAttempt, request *upstream.Request) {
 	a := sent.Attempt
@@ -131,7 +131,7 @@
 	}
 	s.unknown = s.unknown || a.Outcome == retry.Unknown
 	s.unreachable = a.TargetResult.Outcome == upstream.Unreachable
-	s.waited = s.unreachable && sent.took >= longDial
+	s.connect.Spend(a.ConnectTime)
 	if a.TargetResult.Outcome == upstream.Rejected && sent.decision.SendState.Load < 1 && !a.TargetResult.SelfReport.Restricts() {
 		// The request may go to the same target again: it was not full, and it probably has the
 		// object cached.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -93,6 +93,8 @@
 	Reused  bool    `json:"reused,omitempty"`
 	Error   string  `json:"error,omitempty"`
 	TookMs  int64   `json:"took_ms"`
+	// ConnectMs is how long the request waited for a new connection.
+	ConnectMs int64 `json:"connect_ms,omitempty"`
 	// Hedge is set if the attempt was sent because the first one had no response for HedgeAfterMs, and
 	// Outpaced if the attempt was ended because the other one was answered first.
 	Hedge        bool  `json:"hedge,omitempty"`
