gateway: a request is not refused because others wait for connections

What callers saw: 503 targets-full after 65 ms while new connections to some targets hang, up to 13 of 144 requests of a run of TestPartialCut/hang-new, though other instances reach these targets. Cause: a request that waits for a connection holds a slot of its target. Those of a region were taken by requests that waited, and another instance was asked only once a hall had been found to be lost as a whole. Why this fix works: a request for which no target is free or usable is handed over while a connection to any hall has failed or takes longer than 0.15 s, and none has been opened there since (reach.Halls.MayBeLost). One dead target is refuted by the proof that follows its failure, and full targets alone hand nothing over.

--- a/gateway/attempt.go
+++ b/gateway/attempt.go
@@ -185,10 +185,10 @@
 	return decision, withoutResponse(result), false
 }
 
-// withoutTarget returns the result of a request for which this instance has no target. If that is only
-// because it could not reach any, another instance may have one.
+// withoutTarget returns the result of a request for which this instance has no target. If that may be because
+// it can't reach some, another instance may have one.
 func (g *Gateway) withoutTarget(ex *exchange, p *pool, decision upstream.Decision, state *progress) finalResult {
-	if decision.Unreachable {
+	if decision.Unreachable || ex.handover == nil && g.mayLackConnections(decision.Reason) {
 		final, done := g.runElsewhere(ex, p, state, reasonUnreachable)
 		if done {
 			return final
@@ -197,6 +197,18 @@
 	return withoutResponse(failedResult(state.unknown, string(decision.Reason), decision.RetryAfter))
 }
 
+// mayLackConnections reports whether a request may be refused for the given reason because connections to
+// targets can't be opened: requests that wait for these take the place of others, and targets that can't be
+// connected to are suspected.
+func (g *Gateway) mayLackConnections(reason upstream.Reason) bool {
+	switch reason {
+	case upstream.ReasonFull, upstream.ReasonQueueFull, upstream.ReasonNoTarget:
+		return g.reach.halls.mayBeLost()
+	default:
+		return false
+	}
+}
+
 // finalRefusal returns the result of a request that is not sent to another target. If none of the
 // targets is available for a while, the result has that as its reason, and its Retry-After is the
 // time until one is available. Otherwise the result has the given reason and Retry-After.
--- a/gateway/connect_wait_test.go
+++ b/gateway/connect_wait_test.go
@@ -58,3 +58,32 @@
 		}
 	}
 }
+
+// TestRequestsAreServedBesideWaitsForConnections guards against requests that are refused because others, which
+// wait for connections that can't be opened, have taken the slots of all targets: another instance serves them.
+func TestRequestsAreServedBesideWaitsForConnections(t *testing.T) {
+	const burst = 60
+	s := newCutSite(t)
+	in := s.instances["n1"]
+	s.links["n1"].Cut(link.HangNew, s.hallIs("a1", "a2"))
+	result := &tally{}
+	var sent sync.WaitGroup
+	send := func(key string) {
+		sent.Go(func() {
+			began := time.Now()
+			result.add(in.sendKey(key), time.Since(began))
+		})
+	}
+	for i := range 3 {
+		send(fmt.Sprint("first", i))
+	}
+	time.Sleep(noticeOfSlowDial)
+	for i := range burst {
+		send(fmt.Sprint(i))
+	}
+	sent.Wait()
+	require.GreaterOrEqual(t, 50*result.served, 49*(burst+3), "refused: %d, longest answer %v", len(result.refused), result.longest)
+}
+
+// noticeOfSlowDial is the time after which the opening of a connection is noticed to take long, and a little more.
+const noticeOfSlowDial = 200 * time.Millisecond
--- a/gateway/halls.go
+++ b/gateway/halls.go
@@ -87,6 +87,14 @@
 	return h.tracker.IsLost(hall)
 }
 
+// mayBeLost reports whether connections to a hall have failed, or take long to open, and none has been opened
+// there since.
+func (h *hallLinks) mayBeLost() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.tracker.MayBeLost(h.clock.Now())
+}
+
 // lost returns the lost halls in order of their names.
 func (h *hallLinks) lost() []string {
 	h.mu.Lock()
--- a/reach/halls.go
+++ b/reach/halls.go
@@ -310,6 +310,30 @@
 	return s.suffices(h.evidence(now, name, s))
 }
 
+// MayBeLost reports whether connections to any hall have failed, or take long to open, and none has been opened
+// there since. That may be due to the targets or to the links of the instance.
+func (h *Halls) MayBeLost(now time.Time) bool {
+	for _, s := range h.halls {
+		if s.hasUnconnected(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// hasUnconnected reports whether a target of the hall has an unrefuted failure of the kind Unconnected.
+func (s *hall) hasUnconnected(now time.Time) bool {
+	if s.failing == 0 {
+		return false
+	}
+	for _, t := range s.targets {
+		if !t.failedAt.IsZero() && t.failure == Unconnected && now.Sub(t.failedAt) < hallFailureWindow {
+			return true
+		}
+	}
+	return false
+}
+
 // NeedsAttention reports whether a check of a hall may become due without a further event.
 func (h *Halls) NeedsAttention(now time.Time, name string) bool {
 	return h.needsAttention(now, h.hall(name))
