--- a/retry/connect_budget_test.go
+++ b/retry/connect_budget_test.go
@@ -42,7 +42,7 @@
 }
 
 // TestConnectBudgetModel checks over random sequences of attempts, some with a hedge, that a request waits
-// no longer than MaxConnectTime in all, that no connection gets less time than a round trip takes, and
+// for MaxConnectTime at most, that no connection gets less time than a round trip takes, and
 // that one that can't be opened leaves time for another.
 func TestConnectBudgetModel(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
