--- a/feed/catchup.go
+++ b/feed/catchup.go
@@ -148,6 +148,14 @@
 // Pending returns the last request, and whether no changes have arrived since it was sent.
 func (c *CatchUp) Pending() (Request, bool) { return c.last, c.pending }
 
+// BehindFor returns how long the replica has been known to be behind.
+func (c *CatchUp) BehindFor(now time.Time) time.Duration {
+	if len(c.sources) == 0 {
+		return 0
+	}
+	return now.Sub(c.behindSince)
+}
+
 // Received records that changes have arrived from any instance. It reports whether a
 // request was pending.
 func (c *CatchUp) Received() bool {
--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -53,6 +53,7 @@
 	}
 	if source != sourceStore && g.catchUp[d.Kind].Received() {
 		g.metrics.deltaRequest(d.Kind, deltaRequestAnswered)
+		g.reportLateDelta(d, source)
 	}
 	at := replica.Position()
 	if at == before {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -83,6 +83,9 @@
 	targetList targetList
 	// catchUp chooses, for each kind, the instance from which missing changes are requested.
 	catchUp map[feed.Kind]*feed.CatchUp
+	// reportedDiffer holds, by kind, the position at which a difference to another replica was
+	// logged last.
+	reportedDiffer map[feed.Kind]feed.Position
 	// probed holds the members that the last round of gossip probed directly.
 	probed map[string]bool
 	// reconnectedAt is the time of the last reconnection to each instance that reported that it
@@ -157,6 +160,7 @@
 		hedgeTimers:          hedgeTimers{clock: config.Clock},
 		readiness:            readiness{reached: make(chan struct{})},
 		catchUp:              make(map[feed.Kind]*feed.CatchUp),
+		reportedDiffer:       make(map[feed.Kind]feed.Position),
 		deltaCache:           make(deltaCache),
 		pendingDeltaRequests: make(map[feed.Kind][]*peer.DeltaRequest),
 		reconnectedAt:        make(map[string]time.Time),
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -120,8 +120,10 @@
 	m := newGossip(g.view.HeartbeatsFor(now, region))
 	m.Positions = make([]feed.Position, 0, len(g.kinds))
 	m.QuarantineChecksum, m.DeparturesChecksum, m.LimitsChecksum = g.quarantineChecksum(), g.departures.checksum(now), g.targetLimits.checksum(now)
+	m.Digests = make([]uint32, 0, len(g.kinds))
 	for _, kind := range g.kinds {
 		m.Positions = append(m.Positions, g.replicas[kind].Position())
+		m.Digests = append(m.Digests, checksumOf(g.replicas[kind]))
 	}
 	if now.Sub(g.startedAt) < introduceFor || g.gossipRounds%introduceEvery == 0 {
 		self := g.view.Self()
@@ -305,6 +307,7 @@
 	if m.NotReceiving {
 		g.reconnectTo(now, sender.PeerAddr)
 	}
+	g.compareDigests(sender, m)
 	ahead := g.comparePositions(now, sender, m.Positions)
 	newer, newerKnown := g.view.NewerHeartbeat(m.Heartbeats)
 	var missed quarantine.Updates
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -26,6 +26,7 @@
 	permits         *telemetry.Counter
 	storeReads      *telemetry.Counter
 	deltaRequests   *telemetry.Counter
+	replicasDiffer  *telemetry.Counter
 	targetCrashes   *telemetry.Counter
 	targetReports   *telemetry.Counter
 	handovers       *telemetry.Counter
@@ -88,6 +89,7 @@
 	counter(&m.permits, "rainford.permits", "Requests of accounts with a limit, by what became of their permit.", "result")
 	counter(&m.storeReads, "rainford.store.reads", "Reads of the store, by what became of them.", "kind", "result")
 	counter(&m.deltaRequests, "rainford.questions", "Questions to other instances for changes that this one lacks, by what became of them.", "kind", "result")
+	counter(&m.replicasDiffer, "rainford.replicas.differ", "Messages of other instances that hold other objects as of the same position of the store.", "kind")
 	counter(&m.refusedEntries, "rainford.entries.refused", "Entries of the store that could not be taken, by the field at fault.", "kind", "field")
 	counter(&m.rolloutAttempts, "rainford.rollout.attempts", "Attempts at targets of a service that a version is brought in of, by version.", "service", "version", "outcome")
 	counter(&m.targetCrashes, "rainford.target.ends", "Targets that ended while they had requests of this instance.")
--- a/gateway/targets.go
+++ b/gateway/targets.go
@@ -64,6 +64,16 @@
 	return spec.StartedAt > 0 && spec.StartedAt < l.startedAt(spec.Name)
 }
 
+// isOlder reports whether the same incarnation has written a later entry than the given one, and returns
+// the sequence number of the latest known one.
+func (l *targetList) isOlder(spec catalog.Target) (sequence int64, older bool) {
+	if known := l.specs[spec.Name]; known != nil {
+		return known.Sequence, known.ID == spec.ID && spec.Sequence < known.Sequence
+	}
+	last, removed := l.removed[spec.Name]
+	return last.sequence, removed && last.startedAt == spec.StartedAt && spec.Sequence < last.sequence
+}
+
 // put records the entry of a usable target.
 func (l *targetList) put(spec catalog.Target) {
 	spec.Service, spec.Version, spec.Hall = l.intern(spec.Service), l.intern(spec.Version), l.intern(spec.Hall)
@@ -169,6 +179,9 @@
 			g.log.Log(ctx, level, logTargetFromBackup, "target", c.Name, "sequence", spec.Sequence, "source", from.source, "revision", from.revision)
 			continue
 		}
+		if sequence, older := g.targetList.isOlder(spec); older {
+			g.log.Warn(logTargetOlder, "target", spec.ID, "sequence", spec.Sequence, "known", sequence, "leaves", spec.Leaving, "source", from.source, "revision", from.revision)
+		}
 		held.tombstones.Rewritten(c.Name)
 		g.targetList.put(spec)
 		g.log.Log(ctx, level, logTarget, "target", spec.ID, "service", spec.Service, "version", spec.Version, "hall", spec.Hall, "addr", spec.Addr,
--- a/peer/message.go
+++ b/peer/message.go
@@ -114,6 +114,9 @@
 	// Positions are the positions of the sender's replicas, in an order of kinds that all
 	// instances share. New kinds are appended.
 	Positions []feed.Position `msgpack:"p,omitempty"`
+	// Digests are the checksums of the objects of the sender's replicas, in the order of
+	// Positions. Replicas at the same position have the same checksum.
+	Digests []uint32 `msgpack:"i,omitempty"`
 	// Overloaded contains the loads of targets that have more requests than slots.
 	Overloaded upstream.TargetReports `msgpack:"l,omitempty"`
 	// Reply marks a reply to gossip. A reply is not replied to.
