feed, platform: a replica holds exactly the store's objects at its position, or says that it is in doubt

Cause (class): positions were compared, objects never. A list of several pages holds objects newer than its position. An exact delta made from it left these changes out and applied to any replica at that position, so that instances at one position held different objects for good. Why the fix works: a list of pages of different ages is completed by the changes between them (one watch), so that it is one state of the store; if these are lost, it is read again, at last marked as torn. An exact delta names the digest of the objects that it leads from and applies only to a replica that holds these. What is made of a torn list is in doubt, says so to others, and is listed again.

--- a/feed/doc.go
+++ b/feed/doc.go
@@ -12,7 +12,11 @@
 // after it. A replica therefore only moves forward and misses no change, even if deltas are
 // lost, delayed or duplicated, and whichever instance sends them. Only a full or an exact
 // delta leads to another era. An exact delta is the difference of two states and applies
-// only to a replica at the first of them.
+// only to a replica that holds the objects of the first of them, which their digest shows.
+//
+// A replica holds exactly the objects that the store had at its position. It is in doubt if it
+// was made of a torn list, whose pages are of different ages, or if another replica holds other
+// objects at the same position. What it sends then says so. A list of the store ends the doubt.
 //
 // CatchUp chooses the instance from which a replica that is behind requests the missing
 // changes. RemovalHold delays removals that follow an outage of the store. Tombstones
--- a/feed/replica.go
+++ b/feed/replica.go
@@ -29,11 +29,16 @@
 // zero. An exact delta carries only the difference between two states: it omits objects
 // that were created and removed in between. It may lead from one era to a later one.
 type Delta struct {
-	Kind    Kind     `msgpack:"k"`
-	From    Position `msgpack:"b"`
-	To      Position `msgpack:"u"`
-	Full    bool     `msgpack:"a,omitempty"`
-	Exact   bool     `msgpack:"e,omitempty"`
+	Kind  Kind     `msgpack:"k"`
+	From  Position `msgpack:"b"`
+	To    Position `msgpack:"u"`
+	Full  bool     `msgpack:"a,omitempty"`
+	Exact bool     `msgpack:"e,omitempty"`
+	// Digest is, in an exact delta, the digest of the objects that it leads from.
+	Digest uint64 `msgpack:"d,omitempty"`
+	// Torn is set if the objects that a full or an exact delta leads to may not be those of
+	// the position To: some may be newer, or were removed by then.
+	Torn    bool     `msgpack:"t,omitempty"`
 	Changes []Change `msgpack:"c"`
 }
 
@@ -41,14 +46,25 @@
 const maxHistory = 128
 
 // Replica holds the objects of one kind. It is not safe for concurrent use.
+//
+// Unless the replica is in doubt, its objects are exactly those of the store at its position.
 type Replica struct {
 	kind     Kind
 	position Position
 	objects  map[string][]byte
 	// digest is the XOR of the digests of all objects.
 	digest uint64
+	// inDoubt is set while the objects may not be those of the position, and needsAll while
+	// an exact delta has shown that another replica holds other objects at the position.
+	inDoubt, needsAll bool
 	// history holds the latest deltas. Each begins at the end of the one before.
-	history []Delta
+	history []historyEntry
+}
+
+// historyEntry is a delta, with the digest of the objects before it.
+type historyEntry struct {
+	Delta
+	before uint64
 }
 
 // NewReplica returns an empty replica at the zero position.
@@ -61,9 +77,34 @@
 func (r *Replica) Position() Position { return r.position }
 
 // Digest returns a value that is equal for replicas with the same objects, whatever their
-// positions. Replicas with the same objects differ in their positions if one was read from
-// the store anew and the other is still at the last change.
-func (r *Replica) Digest() uint64 { return r.digest }
+// positions. It is not 0. Replicas with the same objects differ in their positions if one was
+// read from the store anew and the other is still at the last change.
+func (r *Replica) Digest() uint64 {
+	if r.digest == 0 {
+		return emptyDigest
+	}
+	return r.digest
+}
+
+// emptyDigest is the digest of a replica without objects.
+const emptyDigest = 1
+
+// InDoubt reports whether the objects may not be those of the position. A list of the store
+// that is not torn ends the doubt.
+func (r *Replica) InDoubt() bool { return r.inDoubt }
+
+// MarkInDoubt records that the objects may not be those of the position, as when another replica
+// holds other objects at the same position. The differences that led to them are forgotten.
+func (r *Replica) MarkInDoubt() { r.inDoubt, r.history = true, nil }
+
+// Missing returns the position and the digest with which missing changes have to be requested. Both
+// are zero if all objects are needed.
+func (r *Replica) Missing() (Position, uint64) {
+	if r.needsAll {
+		return Position{}, 0
+	}
+	return r.position, r.Digest()
+}
 
 // Len returns the number of objects.
 func (r *Replica) Len() int { return len(r.objects) }
@@ -90,41 +131,50 @@
 // Apply applies a delta. It returns the changes that it made, and whether the replica now
 // reflects at least the position at the end of the delta. If not, the delta left a gap, and
 // the missing changes have to be requested.
+//
+// A full delta to the replica's own position takes effect only if the replica is in doubt and
+// the delta is not torn.
 func (r *Replica) Apply(d Delta) (changes []Change, ok bool) {
-	if !d.To.After(r.position) {
+	if !d.To.After(r.position) && !r.isRepairedBy(d) {
 		return nil, true
 	}
 	if !r.canApply(d) {
+		r.needsAll = r.needsAll || d.Exact && d.From == r.position
 		return nil, false
 	}
+	before := r.Digest()
 	if d.Full {
 		changes = r.replaceAll(d)
-		d = ExactDelta(d.Kind, r.position, d.To, changes)
+		d = Delta{Kind: d.Kind, From: r.position, To: d.To, Exact: true, Digest: before, Torn: d.Torn, Changes: changes}
 	} else {
 		changes = r.applyChanges(d)
 	}
-	r.appendHistory(d)
-	r.position = d.To
+	r.appendHistory(d, before)
+	r.position, r.needsAll = d.To, false
+	if d.Exact {
+		r.inDoubt = d.Torn
+	}
 	return changes, true
 }
 
+// isRepairedBy reports whether a delta replaces the objects of a replica that is in doubt, at its
+// position.
+func (r *Replica) isRepairedBy(d Delta) bool {
+	return r.inDoubt && d.Full && !d.Torn && d.To == r.position
+}
+
 // canApply reports whether the delta can be applied to the replica's state.
 func (r *Replica) canApply(d Delta) bool {
 	switch {
 	case d.Full:
 		return true
 	case d.Exact:
-		return !r.position.IsZero() && d.From == r.position
+		return !r.position.IsZero() && d.From == r.position && d.Digest == r.Digest()
 	default:
 		return !r.position.IsZero() && d.From.Era == r.position.Era && d.To.Era == r.position.Era && !d.From.After(r.position)
 	}
 }
 
-// ExactDelta returns the exact delta between two states whose differences are changes.
-func ExactDelta(kind Kind, from, to Position, changes []Change) Delta {
-	return Delta{Kind: kind, From: from, To: to, Exact: true, Changes: changes}
-}
-
 // applyChanges applies the changes of a delta, and returns those that had an effect.
 func (r *Replica) applyChanges(d Delta) []Change {
 	var made []Change
@@ -164,21 +214,27 @@
 }
 
 // appendHistory adds a delta to the history, unless the replica was at the zero
-// position before. An empty
+// position before. Before is the digest of the objects before the delta. A torn delta, or one
+// that does not advance the replica, clears the history instead, since no other replica can
+// follow it. An empty
 // delta only extends the last delta of the history. An empty exact delta extends only an
 // exact one: objects may have been created and removed within it, so that the extended
 // delta must be exact.
-func (r *Replica) appendHistory(d Delta) {
+func (r *Replica) appendHistory(d Delta, before uint64) {
 	if r.position.IsZero() {
 		return
 	}
+	if d.Torn || d.To == r.position {
+		r.history = nil
+		return
+	}
 	d.From = r.position
 	last := len(r.history) - 1
 	if len(d.Changes) == 0 && last >= 0 && (!d.Exact || r.history[last].Exact) {
 		r.history[last].To = d.To
 		return
 	}
-	r.history = append(r.history, d)
+	r.history = append(r.history, historyEntry{d, before})
 	if len(r.history) > maxHistory {
 		r.history = append(r.history[:0:0], r.history[len(r.history)-maxHistory/2:]...)
 	}
@@ -190,15 +246,16 @@
 // DeltaSince returns a delta that leads from the position from to that of the replica.
 // Digest is the digest of the objects at from, 0 if it is not known. The delta is empty
 // if from is the replica's position, and empty and exact if only the digest is the same.
-// Otherwise it joins the deltas of the history after from, or is a full delta if the
-// history does not reach back that far.
+// Otherwise it joins the deltas of the history after from. It is a full delta if the
+// history does not reach back that far, or contains an exact delta and the objects at from
+// were not those of the digest here.
 func (r *Replica) DeltaSince(from Position, digest uint64) Delta {
 	start := r.historyIndex(from)
 	switch {
 	case from == r.position && !r.position.IsZero():
 		return Delta{Kind: r.kind, From: from, To: r.position}
-	case !from.IsZero() && digest != 0 && digest == r.digest:
-		return ExactDelta(r.kind, from, r.position, nil)
+	case !from.IsZero() && digest == r.Digest():
+		return Delta{Kind: r.kind, From: from, To: r.position, Exact: true, Digest: digest, Torn: r.inDoubt}
 	case start < 0 || from.IsZero():
 		return r.fullDelta()
 	}
@@ -207,6 +264,13 @@
 		d.Exact = d.Exact || h.Exact
 		d.Changes = append(d.Changes, h.Changes...)
 	}
+	if !d.Exact {
+		return d
+	}
+	if first := r.history[start]; first.From != from || first.before != digest {
+		return r.fullDelta()
+	}
+	d.Digest, d.Torn = digest, r.inDoubt
 	return d
 }
 
@@ -230,7 +294,7 @@
 
 // fullDelta returns a full delta with all objects, ordered by name.
 func (r *Replica) fullDelta() Delta {
-	d := Delta{Kind: r.kind, To: r.position, Full: true}
+	d := Delta{Kind: r.kind, To: r.position, Full: true, Torn: r.inDoubt}
 	for name, value := range r.objects {
 		d.Changes = append(d.Changes, Change{Object: Object{Name: name, Value: value}})
 	}
--- a/feed/replica_test.go
+++ b/feed/replica_test.go
@@ -108,13 +108,13 @@
 		}
 		list := func(r *feed.Replica) {
 			d := s.fullDelta()
-			before := r.Position()
-			changes, ok := r.Apply(d)
+			before, digest := r.Position(), r.Digest()
+			_, ok := r.Apply(d)
 			require.True(t, ok)
 			check(r, before)
 			wire = append(wire, d)
 			if !before.IsZero() && r.Position().After(before) {
-				wire = append(wire, feed.ExactDelta("k", before, r.Position(), changes))
+				wire = append(wire, r.DeltaSince(before, digest))
 			}
 		}
 		ask := func(r, other *feed.Replica) {
@@ -179,7 +179,7 @@
 	follower.Apply(feed.Delta{Kind: "k", To: feed.At(0, 126), Full: true, Changes: []feed.Change{object}})
 	anew.Apply(feed.Delta{Kind: "k", To: feed.At(0, 128), Full: true, Changes: []feed.Change{object}})
 	d := anew.DeltaSince(follower.Position(), follower.Digest())
-	require.Equal(t, feed.ExactDelta("k", feed.At(0, 126), feed.At(0, 128), nil), d)
+	require.Equal(t, feed.Delta{Kind: "k", From: feed.At(0, 126), To: feed.At(0, 128), Exact: true, Digest: follower.Digest()}, d)
 	_, ok := follower.Apply(d)
 	require.True(t, ok)
 	object.Value = []byte("2")
--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -45,7 +45,7 @@
 	if replica == nil {
 		return false
 	}
-	before := replica.Position()
+	before, digest := replica.Position(), replica.Digest()
 	own := g.ownObjectsBeforeRestore(d)
 	changes, ok := replica.Apply(d)
 	if !ok {
@@ -56,7 +56,7 @@
 		g.reportLateDelta(d, source)
 	}
 	at := replica.Position()
-	if at == before {
+	if at == before && len(changes) == 0 {
 		return true
 	}
 	now := g.clock.Now()
@@ -79,9 +79,9 @@
 		g.onKindLoaded(now, d.Kind)
 	}
 	g.signalReady()
-	if !before.IsZero() && (len(changes) > 0 || from.restored) {
+	if !before.IsZero() && at != before && (len(changes) > 0 || from.restored) {
 		if d.Full {
-			d = feed.ExactDelta(d.Kind, before, d.To, changes)
+			d = replica.DeltaSince(before, digest)
 		}
 		g.pushDelta(d, source)
 	}
--- a/gateway/delta.go
+++ b/gateway/delta.go
@@ -26,6 +26,10 @@
 	if !fromStore && !g.watch.isWatching() {
 		return
 	}
+	if d.Torn {
+		// Replicas that are not in doubt wait for the next list.
+		return
+	}
 	message, err := peer.NewDelta(d)
 	if err != nil {
 		g.log.Error(logDeltaRefused, "kind", d.Kind, "error", err.Error())
@@ -140,22 +144,21 @@
 
 // cachedDelta is a packed delta with the states that it leads from and to.
 type cachedDelta struct {
-	from    feed.Position
-	digest  uint64
-	to      feed.Position
-	message *peer.Delta
+	from, to             feed.Position
+	fromDigest, toDigest uint64
+	message              *peer.Delta
 }
 
 // message returns the delta from the state of the requesting instance to that of the replica.
 func (a deltaCache) message(replica *feed.Replica, m *peer.DeltaRequest) (peer.Delta, error) {
 	held, ok := a[m.Kind]
-	if !ok || held.from != m.Position || held.digest != m.Digest || held.to != replica.Position() {
-		message, err := peer.NewDelta(replica.DeltaSince(m.Position, m.Digest))
-		if err != nil {
-			return peer.Delta{}, err
-		}
-		held = cachedDelta{from: m.Position, digest: m.Digest, to: replica.Position(), message: message}
-		a[m.Kind] = held
-	}
-	return *held.message, nil
+	if ok && held.from == m.Position && held.fromDigest == m.Digest && held.to == replica.Position() && held.toDigest == replica.Digest() {
+		return *held.message, nil
+	}
+	message, err := peer.NewDelta(replica.DeltaSince(m.Position, m.Digest))
+	if err != nil {
+		return peer.Delta{}, err
+	}
+	a[m.Kind] = cachedDelta{from: m.Position, fromDigest: m.Digest, to: replica.Position(), toDigest: replica.Digest(), message: message}
+	return *message, nil
 }
--- a/gateway/delta_request_test.go
+++ b/gateway/delta_request_test.go
@@ -183,9 +183,11 @@
 	other.gossip(g, 1)
 	whole := feed.Delta{Kind: KindTargets, To: feed.At(0, 1), Full: true, Changes: []feed.Change{change("i-1", false), change("i-2", false)}}
 	require.True(t, g.applyDelta(whole, sourceStore))
+	digest := g.replicas[KindTargets].Digest()
 	whole.To, whole.Changes = feed.At(0, 5), []feed.Change{whole.Changes[0], leavingChange("i-2")}
 	require.True(t, g.applyDelta(whole, sourceStore))
-	require.Equal(t, feed.ExactDelta(KindTargets, feed.At(0, 1), feed.At(0, 5), []feed.Change{leavingChange("i-2")}), other.nextDelta(t))
+	expected := feed.Delta{Kind: KindTargets, From: feed.At(0, 1), To: feed.At(0, 5), Exact: true, Digest: digest, Changes: []feed.Change{leavingChange("i-2")}}
+	require.Equal(t, expected, other.nextDelta(t))
 }
 
 // TestDeltasReceivedByWatcherArePushed checks that the first watcher of a region also pushes a delta that
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -86,6 +86,8 @@
 	// reportedDiffer holds, by kind, the position at which a difference to another replica was
 	// logged last.
 	reportedDiffer map[feed.Kind]feed.Position
+	// verifications decides, for each kind, when a replica that is in doubt is listed.
+	verifications map[feed.Kind]*feed.Verification
 	// probed holds the members that the last round of gossip probed directly.
 	probed map[string]bool
 	// reconnectedAt is the time of the last reconnection to each instance that reported that it
@@ -161,6 +163,7 @@
 		readiness:            readiness{reached: make(chan struct{})},
 		catchUp:              make(map[feed.Kind]*feed.CatchUp),
 		reportedDiffer:       make(map[feed.Kind]feed.Position),
+		verifications:        make(map[feed.Kind]*feed.Verification),
 		deltaCache:           make(deltaCache),
 		pendingDeltaRequests: make(map[feed.Kind][]*peer.DeltaRequest),
 		reconnectedAt:        make(map[string]time.Time),
@@ -177,6 +180,7 @@
 	for _, kind := range g.kinds {
 		g.replicas[kind] = feed.NewReplica(kind)
 		g.catchUp[kind] = &feed.CatchUp{}
+		g.verifications[kind] = &feed.Verification{}
 	}
 	err := g.listen()
 	if err != nil {
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -394,5 +394,6 @@
 		g.metrics.deltaRequest(kind, deltaRequestUnanswered)
 		g.log.Warn(logDeltaRequestUnanswered, "kind", kind, "asked", last.To, "for_ms", now.Sub(last.SentAt).Milliseconds(), "revision", at.Revision)
 	}
-	g.mesh.Send(addr, &peer.DeltaRequest{Kind: kind, Position: at, Digest: g.replicas[kind].Digest(), ReplyTo: g.view.Self().PeerAddr})
+	from, digest := g.replicas[kind].Missing()
+	g.mesh.Send(addr, &peer.DeltaRequest{Kind: kind, Position: from, Digest: digest, ReplyTo: g.view.Self().PeerAddr})
 }
--- a/gateway/logs.go
+++ b/gateway/logs.go
@@ -66,6 +66,7 @@
 	logDeltaRequestUnanswered = "question not answered"
 	logDeltaLate              = "question answered late"
 	logReplicaDiffers         = "replica differs"
+	logReplicaVerified        = "replica listed again"
 	logProcessPaused          = "was away"
 	logNotReceivedByPeer      = "not heard by another instance"
 	logTargetLimit            = "target limit"
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -192,6 +192,15 @@
 	delete(w.missedAt, kind)
 }
 
+// cancelKind cancels the pending watch of a kind.
+func (w *watchState) cancelKind(kind feed.Kind) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if cancel := w.cancels[kind]; cancel != nil {
+		cancel()
+	}
+}
+
 // recordMissed records that another instance has sent a change of a kind before the pending watch
 // has returned it.
 func (w *watchState) recordMissed(kind feed.Kind, now time.Time) {
@@ -234,6 +243,10 @@
 	g.firstRead(ctx, kind)
 	wait := minRetryInterval
 	for ctx.Err() == nil {
+		if g.needsVerification(kind) {
+			g.verify(ctx, kind)
+			continue
+		}
 		if !g.watch.isWatcher() {
 			pause.For(ctx, idleCheckInterval)
 			continue
--- a/peer/fuzz_test.go
+++ b/peer/fuzz_test.go
@@ -13,7 +13,7 @@
 	for _, d := range []feed.Delta{
 		targetDelta(3),
 		{Kind: "targets", To: feed.At(0, 9), Full: true, Changes: targetDelta(2).Changes},
-		feed.ExactDelta("targets", feed.At(0, 5), feed.At(0, 9), targetDelta(1).Changes),
+		{Kind: "targets", From: feed.At(0, 5), To: feed.At(0, 9), Exact: true, Digest: feed.NewReplica("targets").Digest(), Changes: targetDelta(1).Changes},
 		{Kind: "targets", From: feed.At(0, -1), To: feed.At(0, -7)},
 	} {
 		m, err := peer.NewDelta(d)
