feed: the end of a held removal is fixed when it is observed; an outage needs calls that fail for a second

What callers saw: a target whose entry was removed got requests for longer than it goes on serving. Cause: a removal that is seen within 2 s after an outage waits until the end of the hold, and each message of an instance that had an outage of its own, and each further one here, moved that end, also for removals that were held already. An instance that rarely calls the store counted the time since its last answer as an outage after a single failed call. Why the fix works: the end is fixed for each removal when it is observed, 2 s later at most; only another restore of the store moves it. An outage counts from 2 s before the first failed call, the longest time in which probes find it.

--- a/gateway/held_changes.go
+++ b/gateway/held_changes.go
@@ -116,8 +116,8 @@
 func (g *Gateway) scheduleHeldChanges(now time.Time, kind feed.Kind) {
 	look := func() { g.applyExpiredHolds(kind) }
 	h := g.heldChanges[kind]
-	if h.removals.Holding() {
-		time.AfterFunc(h.removals.Remaining(now)+time.Millisecond, look)
+	if next, holding := h.removals.NextExpiry(now); holding {
+		time.AfterFunc(next+time.Millisecond, look)
 	}
 	if h.tombstones.Holding() {
 		time.AfterFunc(h.tombstones.Remaining(now)+time.Millisecond, look)
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -402,7 +402,7 @@
 		g.heldChanges[KindTargets].removals.StoreAnswered(g.clock.Now())
 		return
 	}
-	g.heldChanges[KindTargets].removals.StoreFailed()
+	g.heldChanges[KindTargets].removals.StoreFailed(g.clock.Now())
 }
 
 // recordStoreContact records that the store has answered.
