gateway: of two writes of one target the one with the higher sequence number holds, whichever the store does last

Cause: a write without an answer may be done seconds later. The later revision was taken for the later statement; sequence numbers were compared only after a restore of the store. Evidence: TestLateWriteDoesNotBringTargetBack (orders of writes and removals) and TestOlderEntryThatStaysListedIsUsed, both red on the code before.

--- a/feed/tombstones_test.go
+++ b/feed/tombstones_test.go
@@ -29,7 +29,8 @@
 				delete(held, name)
 				delete(removed, name)
 			}
-			require.Equal(t, len(held) > 0, ts.Holding())
+			_, holding := ts.NextExpiry(now)
+			require.Equal(t, len(held) > 0, holding)
 		}
 		for range 60 {
 			now = now.Add(time.Duration(rapid.IntRange(1, 8000).Draw(t, "ms")) * time.Millisecond)
--- a/gateway/held_changes.go
+++ b/gateway/held_changes.go
@@ -119,8 +119,8 @@
 	if next, holding := h.removals.NextExpiry(now); holding {
 		time.AfterFunc(next+time.Millisecond, look)
 	}
-	if h.tombstones.Holding() {
-		time.AfterFunc(h.tombstones.Remaining(now)+time.Millisecond, look)
+	if next, holding := h.tombstones.NextExpiry(now); holding {
+		time.AfterFunc(next+time.Millisecond, look)
 	}
 }
 
--- /dev/null
+++ b/gateway/older_entry_test.go
@@ -0,0 +1,58 @@
+package gateway
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/rainford/rainford/feed"
+)
+
+// TestLateWriteDoesNotBringTargetBack guards against requests to a target that has stated that it leaves, after
+// the store has done an earlier write of the target late. In any order of a target's writes, and of the removal
+// of its entry, the write with the highest sequence number so far holds.
+func TestLateWriteDoesNotBringTargetBack(t *testing.T) {
+	g := newTestGateway(t)
+	g.codec = sequencedCodec{}
+	at := feed.At(1, 10)
+	g.applyDelta(listDelta(at, entryChange("other", sequencedEntry{Sequence: 1})), sourceStore)
+	targets := 0
+	rapid.Check(t, func(rt *rapid.T) {
+		targets++
+		name := fmt.Sprint("i-", targets)
+		leavesFrom := rapid.Int64Range(2, 6).Draw(rt, "leaves from")
+		highest, listed := int64(0), false
+		for range rapid.IntRange(1, 12).Draw(rt, "steps") {
+			c := removalChange(name)
+			if rapid.IntRange(0, 3).Draw(rt, "step") > 0 {
+				sequence := rapid.Int64Range(1, 8).Draw(rt, "sequence")
+				c = entryChange(name, sequencedEntry{Sequence: sequence, Leaves: sequence >= leavesFrom})
+				listed = listed || sequence >= highest
+				highest = max(highest, sequence)
+			} else {
+				listed = false
+			}
+			d := watchDelta(at, c)
+			require.True(rt, g.applyDelta(d, sourceStore))
+			at = d.To
+			require.Equal(rt, listed && highest < leavesFrom, g.usesTarget(name))
+		}
+	})
+}
+
+func TestOlderEntryThatStaysListedIsUsed(t *testing.T) {
+	t.Parallel()
+	g := newTestGateway(t)
+	g.codec = sequencedCodec{}
+	at := feed.At(1, 10)
+	g.applyDelta(listDelta(at, entryChange("i", sequencedEntry{Sequence: 9}), entryChange("gone", sequencedEntry{Sequence: 9})), sourceStore)
+	d := watchDelta(at, removalChange("i"), removalChange("gone"), entryChange("i", sequencedEntry{Sequence: 2}), entryChange("gone", sequencedEntry{Sequence: 2}))
+	require.True(t, g.applyDelta(d, sourceStore))
+	require.False(t, g.usesTarget("i"), "an earlier write that was done late")
+	require.True(t, g.applyDelta(watchDelta(d.To, removalChange("gone")), sourceStore))
+	require.Eventually(t, func() bool { return g.usesTarget("i") }, 2*entryTTL, 10*time.Millisecond, "its writer keeps it alive")
+	require.False(t, g.usesTarget("gone"))
+}
--- a/gateway/targets.go
+++ b/gateway/targets.go
@@ -179,8 +179,10 @@
 			g.log.Log(ctx, level, logTargetFromBackup, "target", c.Name, "sequence", spec.Sequence, "source", from.source, "revision", from.revision)
 			continue
 		}
-		if sequence, older := g.targetList.isOlder(spec); older {
+		if sequence, older := g.targetList.isOlder(spec); older && from.source != sourceHoldExpired {
 			g.log.Warn(logTargetOlder, "target", spec.ID, "sequence", spec.Sequence, "known", sequence, "leaves", spec.Leaving, "source", from.source, "revision", from.revision)
+			held.tombstones.Suppress(now, c.Name, entryTTL)
+			continue
 		}
 		held.tombstones.Rewritten(c.Name)
 		g.targetList.put(spec)
