fleet: the first watcher of a region is the first instance that watches

News of targets reached a region late while its first instance by name had restarted: it counted as the first watcher and did not watch yet (1.5 to 5 s), and the one that watched did not push. Cause: instances that are alive and reach the store counted, not those that watch. Why the fix works: instances that agree on each other's states agree on exactly one first watcher, which watches. While they do not agree yet, two may push, which costs bytes only.

--- a/fleet/watchers.go
+++ b/fleet/watchers.go
@@ -23,14 +23,15 @@
 	return true
 }
 
-// IsFirstWatcher reports whether the own process is the first watcher of its region. It is not if
-// it can't reach the store.
+// IsFirstWatcher reports whether the own process is the first of its region by name that watches, if it
+// does. It is not if it can't reach the store. An instance that has just started precedes others
+// and does not watch yet.
 func (v *View) IsFirstWatcher(now time.Time) bool {
 	for _, r := range v.byName {
 		if r.member.Name > v.self.Name {
 			break
 		}
-		if r.member.Region == v.self.Region && v.state(now, r) == Alive && r.heartbeat.Flags&StoreUnreachable == 0 {
+		if r.member.Region == v.self.Region && v.state(now, r) == Alive && r.heartbeat.Flags&Watching != 0 {
 			return false
 		}
 	}
