gateway: a target whose entry names another service leaves the pool of the former one

A target that is assigned to another service, under its ID, stayed ready in the pool of the former one, and was never told there that it leaves. Evidence: TestTargetOfAnotherServiceIsNotUsed, red on the code before. Why the fix works: a changed target is removed from every pool but that of its service.

--- a/gateway/pools.go
+++ b/gateway/pools.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -89,7 +90,8 @@
 	}
 }
 
-// changeTargets applies changed targets and the IDs of removed ones.
+// changeTargets applies changed targets and the IDs of removed ones. A changed target is removed from the
+// pools of all other services, to one of which it may have belonged.
 func (ps *pools) changeTargets(now time.Time, changed []*catalog.Target, removed []string, evacuated map[string]bool) {
 	ps.mu.Lock()
 	defer ps.mu.Unlock()
@@ -101,8 +103,14 @@
 		}
 	}
 	for service, p := range ps.pools {
+		gone := slices.Clone(removed)
+		for _, spec := range changed {
+			if spec.Service != service {
+				gone = append(gone, spec.ID)
+			}
+		}
 		p.update(func(u *upstream.Pool) []upstream.Grant {
-			return u.ChangeTargets(now, byService[service], removed, evacuated)
+			return u.ChangeTargets(now, byService[service], gone, evacuated)
 		})
 	}
 }
