gateway: only an entry that counts cancels a held removal, and a removal is held once

A removal that was held was dropped by any entry of that name, also by one that is passed over as older; and when its hold ended it was held again if a message had extended the hold meanwhile. Why the fix works: removals are cancelled where an entry is put in force or refused; one whose hold has ended is applied as it is.

--- a/gateway/apply_test.go
+++ b/gateway/apply_test.go
@@ -63,9 +63,9 @@
 	}
 }
 
-// TestRemovalHoldIsExtended checks that a held removal of a target is applied in the end, also if the
-// hold is extended before it ends.
-func TestRemovalHoldIsExtended(t *testing.T) {
+// TestHeldRemovalIsAppliedWhileHoldIsExtended checks that a held removal of a target is applied, also if
+// other instances extend the hold again and again.
+func TestHeldRemovalIsAppliedWhileHoldIsExtended(t *testing.T) {
 	g := newTestGateway(t)
 	g.applyDelta(feed.Delta{Kind: KindTargets, To: feed.At(0, 1), Full: true, Changes: []feed.Change{change("kept", false), change("lapsed", false)}}, sourceStore)
 	inheritHold := func(remaining time.Duration) {
@@ -83,6 +83,10 @@
 	g.applyDelta(feed.Delta{Kind: KindTargets, From: feed.At(0, 1), To: feed.At(0, 2), Changes: []feed.Change{change("lapsed", true)}}, sourceStore)
 	inheritHold(300 * time.Millisecond)
 	require.True(t, isListed("lapsed"))
-	require.Eventually(t, func() bool { return !isListed("lapsed") }, 10*time.Second, 5*time.Millisecond)
+	gone := func() bool {
+		inheritHold(300 * time.Millisecond)
+		return !isListed("lapsed")
+	}
+	require.Eventually(t, gone, 10*time.Second, 5*time.Millisecond)
 	require.True(t, isListed("kept"))
 }
--- a/gateway/older_entry_test.go
+++ b/gateway/older_entry_test.go
@@ -56,3 +56,20 @@
 	require.Eventually(t, func() bool { return g.usesTarget("i") }, 2*entryTTL, 10*time.Millisecond, "its writer keeps it alive")
 	require.False(t, g.usesTarget("gone"))
 }
+
+// TestLateWriteDoesNotCancelHeldRemoval guards against a removed target that is used again because the store
+// has done an earlier write of it while its removal was held.
+func TestLateWriteDoesNotCancelHeldRemoval(t *testing.T) {
+	g := newTestGateway(t)
+	g.codec = sequencedCodec{}
+	at := feed.At(1, 10)
+	g.applyDelta(listDelta(at, entryChange("i", sequencedEntry{Sequence: 9}), entryChange("reborn", sequencedEntry{Born: 5, Sequence: 1})), sourceStore)
+	g.mu.Lock()
+	g.heldChanges[KindTargets].removals.Inherit(g.clock.Now(), 50*time.Millisecond)
+	g.mu.Unlock()
+	removed := watchDelta(at, removalChange("i"), removalChange("reborn"))
+	require.True(t, g.applyDelta(removed, sourceStore))
+	late := watchDelta(removed.To, entryChange("i", sequencedEntry{Sequence: 2}), entryChange("reborn", sequencedEntry{Born: 4, Sequence: 9}))
+	require.True(t, g.applyDelta(late, sourceStore))
+	require.Eventually(t, func() bool { return !g.usesTarget("i") && !g.usesTarget("reborn") }, entryTTL/2, time.Millisecond)
+}
--- a/gateway/targets.go
+++ b/gateway/targets.go
@@ -147,47 +147,20 @@
 		g.log.Info(logTargets, "changes", len(changes), "held", g.replicas[KindTargets].Len(), "source", from.source, "revision", from.revision)
 	}
 	before := make(map[string]*catalog.Target, len(changes))
-	held := g.heldChanges[KindTargets]
 	refused := 0
-	ctx := context.Background()
 	for _, c := range changes {
 		if _, ok := before[c.Name]; !ok {
 			before[c.Name] = g.targetList.specs[c.Name]
 		}
-		if c.Removed && !g.hasAnnouncedLeaving(c.Name) && held.removals.Hold(now, c.Name) {
-			g.log.Log(ctx, level, logTargetExpired, "target", c.Name, "for_ms", held.removals.Remaining(now).Milliseconds(), "source", from.source, "revision", from.revision)
-			continue
-		}
-		held.removals.Cancel(c.Name)
 		if c.Removed {
-			g.targetList.remove(now, c.Name)
-			held.tombstones.Add(now, c.Name)
-			g.log.Log(ctx, level, logTargetGone, "target", c.Name, "source", from.source, "revision", from.revision)
+			g.removeTarget(now, c.Name, from, level)
 			continue
 		}
-		spec, err := g.decodeTarget(c)
+		err := g.applyEntry(now, c, from, level)
 		if err != nil {
 			refused++
 			g.rejectTarget(now, c, err, refused, from)
-			continue
-		}
-		if g.targetList.isOutdated(spec) {
-			g.log.Log(ctx, level, logTargetOld, "target", c.Name, "born", spec.StartedAt, "known", g.targetList.startedAt(c.Name), "source", from.source, "revision", from.revision)
-			continue
 		}
-		if from.restored && g.isStaleAfterRestore(now, spec) {
-			g.log.Log(ctx, level, logTargetFromBackup, "target", c.Name, "sequence", spec.Sequence, "source", from.source, "revision", from.revision)
-			continue
-		}
-		if sequence, older := g.targetList.isOlder(spec); older && from.source != sourceHoldExpired {
-			g.log.Warn(logTargetOlder, "target", spec.ID, "sequence", spec.Sequence, "known", sequence, "leaves", spec.Leaving, "source", from.source, "revision", from.revision)
-			held.tombstones.Suppress(now, c.Name, entryTTL)
-			continue
-		}
-		held.tombstones.Rewritten(c.Name)
-		g.targetList.put(spec)
-		g.log.Log(ctx, level, logTarget, "target", spec.ID, "service", spec.Service, "version", spec.Version, "hall", spec.Hall, "addr", spec.Addr,
-			"leaves", spec.Leaving, "cold_ms", spec.RemainingWarmup.Milliseconds(), "source", from.source, "revision", from.revision)
 	}
 	if refused > maxRefusedLines {
 		g.log.Error(logTargetsRefused, "entries", refused, "source", from.source, "revision", from.revision)
@@ -196,6 +169,55 @@
 	g.scheduleHeldChanges(now, KindTargets)
 }
 
+// removeTarget removes a target whose entry is gone, or holds its removal. The caller holds mu.
+func (g *Gateway) removeTarget(now time.Time, name string, from provenance, level slog.Level) {
+	held := g.heldChanges[KindTargets]
+	ctx := context.Background()
+	expired := from.source == sourceHoldExpired
+	if !expired && !g.hasAnnouncedLeaving(name) && held.removals.Hold(now, name) {
+		g.log.Log(ctx, level, logTargetExpired, "target", name, "for_ms", held.removals.Remaining(now).Milliseconds(), "source", from.source, "revision", from.revision)
+		return
+	}
+	held.removals.Cancel(name)
+	g.targetList.remove(now, name)
+	held.tombstones.Add(now, name)
+	if expired && g.replicas[KindTargets].Has(name) {
+		// The entry that is listed again was passed over.
+		held.tombstones.Suppress(now, name, entryTTL)
+	}
+	g.log.Log(ctx, level, logTargetGone, "target", name, "source", from.source, "revision", from.revision)
+}
+
+// applyEntry puts the entry of a target in force, unless a later one of the same target is known. It
+// returns an error if the entry is invalid. The caller holds mu.
+func (g *Gateway) applyEntry(now time.Time, c feed.Change, from provenance, level slog.Level) error {
+	spec, err := g.decodeTarget(c)
+	if err != nil {
+		return err
+	}
+	held := g.heldChanges[KindTargets]
+	ctx := context.Background()
+	if g.targetList.isOutdated(spec) {
+		g.log.Log(ctx, level, logTargetOld, "target", c.Name, "born", spec.StartedAt, "known", g.targetList.startedAt(c.Name), "source", from.source, "revision", from.revision)
+		return nil
+	}
+	if from.restored && g.isStaleAfterRestore(now, spec) {
+		g.log.Log(ctx, level, logTargetFromBackup, "target", c.Name, "sequence", spec.Sequence, "source", from.source, "revision", from.revision)
+		return nil
+	}
+	if sequence, older := g.targetList.isOlder(spec); older && from.source != sourceHoldExpired {
+		g.log.Warn(logTargetOlder, "target", spec.ID, "sequence", spec.Sequence, "known", sequence, "leaves", spec.Leaving, "source", from.source, "revision", from.revision)
+		held.tombstones.Suppress(now, c.Name, entryTTL)
+		return nil
+	}
+	held.removals.Cancel(c.Name)
+	held.tombstones.Rewritten(c.Name)
+	g.targetList.put(spec)
+	g.log.Log(ctx, level, logTarget, "target", spec.ID, "service", spec.Service, "version", spec.Version, "hall", spec.Hall, "addr", spec.Addr,
+		"leaves", spec.Leaving, "cold_ms", spec.RemainingWarmup.Milliseconds(), "source", from.source, "revision", from.revision)
+	return nil
+}
+
 // hasAnnouncedLeaving reports whether the target of a name has announced that it leaves, in its
 // entry or in a response. The caller holds mu.
 func (g *Gateway) hasAnnouncedLeaving(name string) bool {
@@ -219,6 +241,7 @@
 // rejectTarget records an invalid entry. nth is its number among those of the delta; only the first
 // ones are logged in a line each. The caller holds mu.
 func (g *Gateway) rejectTarget(now time.Time, c feed.Change, err error, nth int, from provenance) {
+	g.heldChanges[KindTargets].removals.Cancel(c.Name)
 	g.targetList.remove(now, c.Name)
 	field := "entry"
 	var entryErr *catalog.EntryError
