feed: a hold that instances pass to each other ends

Each instance passed on what was left of its hold, and the receiver counted it from the arrival, so that a circle of messages extended the hold by the time in transit each time, at the speed of time itself. Evidence: TestHoldsPassedInCircleEnd, red on the code before (1.7 s left, four seconds after the outage, with three instances). Why the fix works: 200 ms are taken off each time, more than a message takes, so that what is passed on shrinks.

--- a/feed/removal_hold.go
+++ b/feed/removal_hold.go
@@ -12,6 +12,9 @@
 	// removalGrace is the time that owners have to write their objects again after an
 	// outage.
 	removalGrace = 2 * time.Second
+	// transitAllowance is what a message may take from one instance to another. Without it,
+	// instances that tell each other of a hold would extend it each time by the time in transit.
+	transitAllowance = 200 * time.Millisecond
 )
 
 // RemovalHold delays removals that follow an outage of the store or its restore from a
@@ -69,10 +72,10 @@
 	}
 }
 
-// Inherit extends the hold to the remaining hold of the instance that sent removals, but by
-// removalGrace at most.
+// Inherit extends the hold to the remaining hold of the instance that sent removals, less
+// transitAllowance, but by removalGrace at most.
 func (h *RemovalHold) Inherit(now time.Time, remaining time.Duration) {
-	h.extend(now, min(remaining, removalGrace))
+	h.extend(now, min(remaining-transitAllowance, removalGrace))
 }
 
 func (h *RemovalHold) extend(now time.Time, hold time.Duration) {
