feed: failed calls that are far apart are no outage; tests of replicas that are listed again

What callers saw: nothing was reported; the same class: an instance that is a watcher for a moment now and then took a failure of long ago for the begin of an outage, and held removals for 2 s. Evidence: TestRareFailuresAreNoOutage, red on the code before. Why the fix works: failures that are more than 5 s apart, longer than any pause between calls to an unreachable store, belong to different outages, and an answer later than that after the last failure ends none.

--- a/feed/removal_hold.go
+++ b/feed/removal_hold.go
@@ -9,6 +9,9 @@
 	// failureDelay is the longest time from the begin of an outage to the first call that
 	// fails: a probe is made each second and may take another.
 	failureDelay = 2 * time.Second
+	// maxFailureGap is the longest time between two calls while the store is unreachable. An
+	// instance that does not call it for longer does not know whether it answers.
+	maxFailureGap = 5 * time.Second
 	// removalGrace is the time that owners have to write their objects again after an
 	// outage.
 	removalGrace = 2 * time.Second
@@ -28,9 +31,10 @@
 //
 // RemovalHold is not safe for concurrent use. The zero value is ready to use.
 type RemovalHold struct {
-	// answeredAt is when the store answered last, and failedAt when a call first failed
-	// since, or zero.
-	answeredAt, failedAt time.Time
+	// answeredAt is when the store answered last, failedAt when the first of the calls that
+	// have failed since did, and lastFailedAt when the last one did. The last two are zero if
+	// none has.
+	answeredAt, failedAt, lastFailedAt time.Time
 	// until is the end of the hold, and held contains the ends of the removals that are
 	// delayed, by object.
 	until time.Time
@@ -39,9 +43,10 @@
 
 // StoreFailed records that a call to the store failed.
 func (h *RemovalHold) StoreFailed(now time.Time) {
-	if h.failedAt.IsZero() {
+	if now.Sub(h.lastFailedAt) > maxFailureGap {
 		h.failedAt = now
 	}
+	h.lastFailedAt = now
 }
 
 // StoreAnswered records that the store answered. The answer ends an outage if calls have
@@ -51,13 +56,13 @@
 	if h.outage(now) >= minOutage {
 		h.until = now.Add(removalGrace)
 	}
-	h.failedAt, h.answeredAt = time.Time{}, now
+	h.failedAt, h.lastFailedAt, h.answeredAt = time.Time{}, time.Time{}, now
 }
 
-// outage returns how long the store has not answered, at most. An instance that rarely calls the
-// store learns little from the time of its last answer.
+// outage returns how long the store has not answered, at most, given that it answers now. An
+// instance that rarely calls the store learns little from the time of its last answer.
 func (h *RemovalHold) outage(now time.Time) time.Duration {
-	if h.failedAt.IsZero() || h.answeredAt.IsZero() {
+	if now.Sub(h.lastFailedAt) > maxFailureGap || h.answeredAt.IsZero() {
 		return 0
 	}
 	return min(now.Sub(h.answeredAt), now.Sub(h.failedAt)+failureDelay)
--- a/feed/removal_hold_test.go
+++ b/feed/removal_hold_test.go
@@ -38,11 +38,13 @@
 				now = now.Add(time.Duration(rapid.IntRange(0, 8).Draw(t, "until the first failure")) * time.Second)
 				failed := now
 				h.StoreFailed(now)
-				now = now.Add(time.Duration(rapid.IntRange(0, 8).Draw(t, "failing")) * time.Second)
+				for range rapid.IntRange(0, 8).Draw(t, "seconds of failing") {
+					now = now.Add(time.Second)
+					h.StoreFailed(now)
+				}
 				for _, name := range h.Expired(now) {
 					delete(missing, name)
 				}
-				h.StoreFailed(now)
 				h.StoreAnswered(now)
 				if now.Sub(heard) >= 3*time.Second && now.Sub(failed) >= time.Second {
 					until = now.Add(2 * time.Second)
@@ -140,3 +142,22 @@
 		}
 	})
 }
+
+// TestRareFailuresAreNoOutage guards against an instance that calls the store rarely and takes a failure of long
+// ago for the begin of an outage.
+func TestRareFailuresAreNoOutage(t *testing.T) {
+	var h feed.RemovalHold
+	now := time.Unix(1000, 0)
+	h.StoreAnswered(now)
+	for range 3 {
+		now = now.Add(time.Minute)
+		h.StoreFailed(now)
+	}
+	now = now.Add(300 * time.Millisecond)
+	h.StoreAnswered(now)
+	require.Zero(t, h.Remaining(now))
+	h.StoreFailed(now.Add(time.Second))
+	now = now.Add(time.Minute)
+	h.StoreAnswered(now)
+	require.Zero(t, h.Remaining(now))
+}
--- a/gateway/replica_check_test.go
+++ b/gateway/replica_check_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -39,3 +41,37 @@
 	g.compareDigests(sender, gossip())
 	require.Equal(t, other.Position(), g.reportedDiffer[KindTargets])
 }
+
+// listingStore is a store that answers lists of targets only.
+type listingStore struct {
+	noStore
+	list feed.Delta
+}
+
+func (s listingStore) List(context.Context, feed.Kind) (feed.Delta, error) { return s.list, nil }
+func (s listingStore) Era() int64                                          { return s.list.To.Era }
+
+// TestWrongReplicaIsListedAgain guards against an instance that keeps a wrong list although its neighbours
+// hold the right one, at the position at which they differ.
+func TestWrongReplicaIsListedAgain(t *testing.T) {
+	g := newTestGateway(t)
+	g.codec = sequencedCodec{}
+	at := feed.At(1, 10)
+	g.applyDelta(listDelta(at, entryChange("i", sequencedEntry{Sequence: 1})), sourceStore)
+	right := listDelta(at, entryChange("i", sequencedEntry{Sequence: 2, Leaves: true}))
+	other := feed.NewReplica(KindTargets)
+	other.Apply(right)
+	m := &peer.Gossip{Positions: make([]feed.Position, len(g.kinds)), Digests: make([]uint32, len(g.kinds))}
+	index := slices.Index(g.kinds, KindTargets)
+	m.Positions[index], m.Digests[index] = at, checksumOf(other)
+	require.False(t, g.needsVerification(KindTargets))
+	g.mu.Lock()
+	g.compareDigests(fleet.Member{Name: "n2"}, m)
+	g.mu.Unlock()
+	require.True(t, g.needsVerification(KindTargets))
+	g.store = listingStore{list: right}
+	g.verify(t.Context(), KindTargets)
+	require.False(t, g.usesTarget("i"))
+	require.False(t, g.replicas[KindTargets].InDoubt())
+	require.False(t, g.needsVerification(KindTargets))
+}
