platform: whatever one entry of the store holds, all others are read

What callers saw (operators of systems like ours): another writer left one odd entry among the targets', and the machines that read the list followed it no more. Cause: a list and the response to a watch were decoded as a whole. A value nested more than 10,000 levels deep, a revision that is too large or a fraction, a name that is a number, metadata that are a list, or an item that is a number made the whole fail, for as long as the entry stood, and the store counted as lost. One that can't be is refused under its name by the kind that reads it (logged, rainford_entries_refused_total), or reported with its place if it has no readable name.

--- a/feed/replica.go
+++ b/feed/replica.go
@@ -40,6 +40,9 @@
 	// the position To: some may be newer, or were removed by then.
 	Torn    bool     `msgpack:"t,omitempty"`
 	Changes []Change `msgpack:"c"`
+	// Unreadable names the places of objects that the store has sent and whose names can't be
+	// read. They are not among the changes.
+	Unreadable []string `msgpack:"-"`
 }
 
 // maxHistory bounds the number of deltas that a replica keeps for other replicas.
--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -41,6 +41,7 @@
 func (g *Gateway) applyDelta(d feed.Delta, source string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	g.reportUnreadable(d)
 	replica := g.replicas[d.Kind]
 	if replica == nil {
 		return false
@@ -91,6 +92,16 @@
 	return true
 }
 
+// reportUnreadable logs and counts the objects that the store has sent and whose names can't be read. The
+// caller holds mu.
+func (g *Gateway) reportUnreadable(d feed.Delta) {
+	if len(d.Unreadable) == 0 {
+		return
+	}
+	g.metrics.refusedEntries.Add(int64(len(d.Unreadable)), string(d.Kind), "name")
+	g.log.Error(logEntriesUnreadable, "kind", d.Kind, "entries", len(d.Unreadable), "first", d.Unreadable[0], "revision", d.To.Revision)
+}
+
 // onKindLoaded updates the state that depends on the first objects of a kind, after they have
 // been applied. The caller holds mu.
 func (g *Gateway) onKindLoaded(now time.Time, kind feed.Kind) {
@@ -157,7 +168,8 @@
 	}
 	config, err := g.codec.Config(c.Name, c.Value)
 	if err != nil {
-		g.log.Error(logConfigRefused, "error", err.Error(), "source", from.source, "revision", from.revision)
+		g.metrics.refusedEntries.Add(1, string(KindConfig), "entry")
+		g.log.Error(logConfigRefused, "name", c.Name, "error", err.Error(), "source", from.source, "revision", from.revision)
 		return
 	}
 	old := g.router.Load()
@@ -191,7 +203,8 @@
 	}
 	doc, err := config.Decode(c.Value)
 	if err != nil {
-		g.log.Error(logTableRefused, "error", err.Error(), "source", from.source, "revision", from.revision)
+		g.metrics.refusedEntries.Add(1, string(KindTable), "entry")
+		g.log.Error(logTableRefused, "name", c.Name, "error", err.Error(), "source", from.source, "revision", from.revision)
 		return
 	}
 	if c.Removed {
--- a/gateway/logs.go
+++ b/gateway/logs.go
@@ -24,6 +24,7 @@
 	logTarget                 = "target"
 	logTargets                = "targets"
 	logTargetRefused          = "target refused"
+	logEntriesUnreadable      = "entries without a readable name"
 	logTargetsRefused         = "targets refused"
 	logTargetOld              = "target is not newer"
 	logTargetOlder            = "target entry is older than the known one"
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -330,7 +330,7 @@
 		return err
 	}
 	g.watch.advance(kind, delta.To)
-	if len(delta.Changes) == 0 {
+	if len(delta.Changes)+len(delta.Unreadable) == 0 {
 		return nil
 	}
 	// Nothing has changed between the replica's position and the cursor.
