peer: a message that is nested deeply is refused

A message of 31 KB packed, with a field that is not known and nested 31 million times, ended the process (stack overflow); one of a million levels took a stack of 128 MB. Cause: the decoder skips unknown fields by recursion. Evidence: TestNestedMessagesAreRefused; the same bytes ended the test program on the code before. Why the fix works: the nesting is counted without recursion before a message or a delta is decoded, and bounded at 64 levels; messages have at most ten. Cost: a delta of 366 changes is unpacked in 511 us and 247 KB, 375 us and 113 KB before.

--- a/peer/delta.go
+++ b/peer/delta.go
@@ -75,7 +75,14 @@
 	if err := r.(flate.Resetter).Reset(bytes.NewReader(m.Packed), nil); err != nil {
 		return d, fmt.Errorf("%w: %w", ErrDelta, err)
 	}
-	if err := msgpack.NewDecoder(io.LimitReader(r, maxDeltaBytes)).Decode(&d); err != nil {
+	raw, err := io.ReadAll(io.LimitReader(r, maxDeltaBytes))
+	if err != nil {
+		return d, fmt.Errorf("%w: %w", ErrDelta, err)
+	}
+	if isNestedTooDeeply(raw) {
+		return d, fmt.Errorf("%w: nested too deeply", ErrDelta)
+	}
+	if err := msgpack.Unmarshal(raw, &d); err != nil {
 		return d, fmt.Errorf("%w: %w", ErrDelta, err)
 	}
 	if d.Kind != m.Kind {
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -71,6 +71,9 @@
 	if m == nil {
 		return nil, fmt.Errorf("%w: unknown kind %d", ErrFrame, body[0])
 	}
+	if isNestedTooDeeply(body[1:]) {
+		return nil, fmt.Errorf("%w: nested too deeply", ErrFrame)
+	}
 	err = msgpack.Unmarshal(body[1:], m)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrFrame, err)
