forward, platform: responses are read up to bounds, in a memory that all share

An instance died of one connection: heap of 0.6 to 3.6 GB in 0.7 s, of 184 to 536 MB that instances have; health checks read bodies to their end, and other clients of the target waited for their deadline (504). Cause: neither the head of a response nor its body had a bound. Evidence: TestEndlessResponsesEnd, 12 kinds: 10 red on the code before (47 to 538 MB taken within 0.7 s, each again by a health check). TestEndlessTargetIsGivenUp through a whole instance: 504 before, 200 now. TestEndlessResponsesShareMemory. What goes on ends the attempt at once, with the reason, and the target counts as broken. A health check reads no body. Ordinary responses need nothing of the shared memory.

--- a/forward/buffered_response_test.go
+++ b/forward/buffered_response_test.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bufio"
 	"io"
 	"net"
 	"net/http"
@@ -36,7 +35,7 @@
 	server, err := l.Accept()
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = server.Close() })
-	return &conn{Conn: c, reader: bufio.NewReader(c)}, server
+	return newConn(c), server
 }
 
 // TestBufferedResponseIsReadAfterDeadline guards against the loss of a response that
--- a/forward/conn.go
+++ b/forward/conn.go
@@ -36,7 +36,9 @@
 // conn is a connection to a target.
 type conn struct {
 	net.Conn
+	// reader reads from limited, which bounds what is read for a response.
 	reader    *bufio.Reader
+	limited   *limitedReader
 	idleSince time.Time
 	// maxIdle is how long the target keeps the connection open when it is idle.
 	maxIdle time.Duration
@@ -72,7 +74,13 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: opened, reader: bufio.NewReaderSize(opened, readBuffer), maxIdle: maxIdle}, nil
+	return newConn(opened), nil
+}
+
+// newConn returns a connection to a target that has just been opened.
+func newConn(opened net.Conn) *conn {
+	limited := &limitedReader{r: opened}
+	return &conn{Conn: opened, reader: bufio.NewReaderSize(limited, readBuffer), limited: limited, maxIdle: maxIdle}
 }
 
 // isQuiet reports whether the connection is open and nothing has arrived on it since the
--- a/forward/health.go
+++ b/forward/health.go
@@ -20,9 +20,8 @@
 	if err != nil {
 		return err
 	}
-	resp, err := http.ReadResponse(cn.reader, nil)
-	if err != nil {
-		return err
-	}
-	return resp.Body.Close()
+	cn.limited.allow(maxHeadBytes)
+	// The body is not read: closing the connection ends it.
+	_, err = http.ReadResponse(cn.reader, nil)
+	return err
 }
--- a/forward/message.go
+++ b/forward/message.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/rainford/rainford/internal/membudget"
 	"github.com/rainford/rainford/retry"
 	"github.com/rainford/rainford/upstream"
 )
@@ -74,6 +75,9 @@
 	// ExchangeContext ends the wait for the response when it is done, if it is not nil. The outcome of
 	// the request is then unknown.
 	ExchangeContext context.Context
+	// Memory bounds the memory for the bodies of responses, together with other requests. If nil, only
+	// the size of each is bounded.
+	Memory *membudget.Lease
 	// Aborter, if it is not nil, ends the attempt when its Abort method is called.
 	Aborter *Aborter
 }
--- a/forward/response.go
+++ b/forward/response.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/rainford/rainford/availability"
+	"github.com/rainford/rainford/internal/membudget"
 	"github.com/rainford/rainford/retry"
 	"github.com/rainford/rainford/upstream"
 )
@@ -38,6 +39,7 @@
 // read returns both the response and an error.
 func (c *Client) read(cn *conn, r *Request) (*fullResponse, error) {
 	for range maxSkippedResponses {
+		cn.limited.allow(maxHeadBytes)
 		err := c.awaitResponse(cn)
 		if err != nil {
 			return nil, err
@@ -50,6 +52,7 @@
 		if resp.StatusCode/100 == 1 {
 			continue
 		}
+		cn.limited.allow(maxBodyBytes + maxFramingBytes)
 		if !c.matches(cn, resp, r) {
 			cn.surplus++
 			_, err = io.Copy(io.Discard, resp.Body)
@@ -59,11 +62,11 @@
 			continue
 		}
 		a := &fullResponse{Response: resp}
-		a.body, err = io.ReadAll(resp.Body)
-		_ = resp.Body.Close()
+		a.body, err = membudget.ReadAll(resp.Body, bodyLength(resp), maxBodyBytes, r.Memory)
 		if err != nil {
-			return a, err
+			return a, fmt.Errorf("forward: body: %w", err)
 		}
+		_ = resp.Body.Close()
 		return a, c.validate(resp)
 	}
 	return nil, ErrMismatched
--- a/forward/response_fuzz_test.go
+++ b/forward/response_fuzz_test.go
@@ -1,7 +1,6 @@
 package forward
 
 import (
-	"bufio"
 	"bytes"
 	"net"
 	"net/http"
@@ -57,7 +56,7 @@
 	f.Fuzz(func(t *testing.T, data []byte) {
 		c := NewClient(headers, plainCodec{}, nil)
 		raw := scriptedConn{bytes.NewReader(data)}
-		a := c.exchange(t.Context(), &conn{Conn: raw, reader: bufio.NewReader(raw)}, &Request{
+		a := c.exchange(t.Context(), newConn(raw), &Request{
 			Method: "GET", URI: "/", Host: "h.example", Header: http.Header{}, ID: "q", Target: "i-1", TargetName: "i-1", Timeout: time.Second,
 		})
 		text := strings.ToLower(string(data))
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -19,10 +19,16 @@
 	"github.com/rainford/rainford/forward"
 	"github.com/rainford/rainford/internal/clock"
 	"github.com/rainford/rainford/internal/listen"
+	"github.com/rainford/rainford/internal/membudget"
 	"github.com/rainford/rainford/peer"
 	"github.com/rainford/rainford/pipelining"
 )
 
+// bodyMemory is the memory in bytes for the bodies of targets' responses that do not fit into their first
+// buffers. Twice that, which the collector may let them take, is less than half of the memory of the
+// smallest instances, 184 MB.
+const bodyMemory = 40 << 20
+
 // Gateway is one instance. New creates it, and Run serves requests until its context ends.
 type Gateway struct {
 	config  Config
@@ -33,8 +39,10 @@
 
 	mesh    *peer.Mesh
 	targets *forward.Client
-	pools   *pools
-	reach   *reachability
+	// bodyMemory is the memory for the bodies of responses to all requests.
+	bodyMemory *membudget.Budget
+	pools      *pools
+	reach      *reachability
 	// helpers are the instances to which requests are handed over if this one reaches no target, and
 	// helperClient sends them. handovers bounds the requests that others hand over to this one.
 	helpers        *helpers
@@ -154,6 +162,7 @@
 		headers:              headers,
 		log:                  config.Log,
 		targets:              forward.NewClient(headers, codec, config.Clock),
+		bodyMemory:           membudget.New(bodyMemory),
 		replicas:             make(map[feed.Kind]*feed.Replica),
 		evacuated:            make(map[string]bool),
 		targetList:           newTargetList(),
--- a/gateway/handover.go
+++ b/gateway/handover.go
@@ -153,6 +153,7 @@
 		Timeout:       g.clock.Until(ex.deadline) - targetMargin,
 		Deadline:      ex.deadline.Add(lateResponseMargin + helperMargin),
 		NonIdempotent: ex.route.Kind != catalog.Idempotent,
+		Memory:        ex.memory,
 	})
 }
 
--- a/gateway/handover_server.go
+++ b/gateway/handover_server.go
@@ -96,7 +96,8 @@
 	for _, name := range handoverRequestHeaders {
 		delete(r.Header, name)
 	}
-	ex := &exchange{w: w, r: r, ctx: r.Context(), start: g.clock.Now(), id: r.Header.Get(g.headers.RequestID), handover: handover}
+	ex := &exchange{w: w, r: r, ctx: r.Context(), start: g.clock.Now(), id: r.Header.Get(g.headers.RequestID), handover: handover, memory: g.bodyMemory.Lease()}
+	defer ex.memory.Release()
 	if !g.handovers.enter(r.ContentLength, g.inFlight.Load()) {
 		g.finishHandover(ex, notRunResult(reasonHelperFull, shortRetryAfter), nil)
 		return
--- a/gateway/send.go
+++ b/gateway/send.go
@@ -47,6 +47,7 @@
 		OnSlowDial:    func() { g.reach.dialIsSlow(d.Target) },
 		MaySend:       func() bool { return p.maySend(d) },
 		Aborter:       aborter,
+		Memory:        ex.memory,
 
 		ExchangeContext: g.exchangeContext(ex, d.Target),
 	})
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -15,6 +15,7 @@
 	"github.com/rainford/rainford/catalog"
 	"github.com/rainford/rainford/fleet"
 	"github.com/rainford/rainford/forward"
+	"github.com/rainford/rainford/internal/membudget"
 	"github.com/rainford/rainford/internal/refusal"
 	"github.com/rainford/rainford/quarantine"
 	"github.com/rainford/rainford/ratelimit"
@@ -76,6 +77,8 @@
 	hedgeTried bool
 	// handover is set if another instance has handed the request over to this one.
 	handover *handoverRequest
+	// memory is the memory for the bodies of responses to the request.
+	memory *membudget.Lease
 }
 
 // attemptRecord describes one attempt in the request's log line.
@@ -124,7 +127,8 @@
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
-	ex := &exchange{w: w, r: r, ctx: r.Context(), start: g.clock.Now(), id: r.Header.Get(g.headers.RequestID)}
+	ex := &exchange{w: w, r: r, ctx: r.Context(), start: g.clock.Now(), id: r.Header.Get(g.headers.RequestID), memory: g.bodyMemory.Lease()}
+	defer ex.memory.Release()
 	if g.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
