internal/standin/objects, soak: pages of few objects, and stale ones of different ages

Why the tests and the soak missed lists of several pages: all targets of the soak came in one page, and all pages were as of now. Now a page of the soak's store has seven objects, and each page of a stale list is up to two seconds old.

--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -167,9 +167,17 @@
 	ended    chan struct{}
 }
 
+// storePageSize is the number of objects in a page of a list, fewer than there are targets, and maxStoreAge the
+// age of the oldest pages of stale lists.
+const (
+	storePageSize = 7
+	maxStoreAge   = 2 * time.Second
+)
+
 func newSite(program, dir string, instances int) (*site, error) {
 	keys := newKeyring()
 	s := &site{program: program, dir: dir, oracle: newOracle(keys), keys: keys, store: objects.New()}
+	s.store.SetPages(storePageSize, maxStoreAge)
 	s.http = httptest.NewServer(s.store)
 	s.configure()
 	for _, p := range places {
--- a/internal/standin/objects/restore.go
+++ b/internal/standin/objects/restore.go
@@ -1,6 +1,9 @@
 package objects
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 const (
 	initialEra = 1
@@ -93,11 +96,34 @@
 	}
 	s.compactedRevision = min(s.compactedRevision, s.revision)
 	s.era.Add(1)
+	s.restoredAt = time.Now()
 	clear(s.writtenSinceRestore)
 	s.wakeWatches()
 	return out
 }
 
+// stateBefore returns the objects of a kind, and the revision, that the store had at a time. The state is not
+// older than the last restore. The caller holds mu.
+func (s *Store) stateBefore(kind string, at time.Time) (map[string]*Object, int64) {
+	state, revision := make(map[string]*Object, len(s.kinds[kind])), s.revision
+	maps.Copy(state, s.kinds[kind])
+	for i := len(s.undo) - 1; i >= 0; i-- {
+		e := s.undo[i]
+		if !e.at.After(at) || e.at.Before(s.restoredAt) {
+			break
+		}
+		revision = e.revision - 1
+		switch {
+		case e.kind != kind:
+		case e.before == nil:
+			delete(state, e.name)
+		default:
+			state[e.name] = e.before
+		}
+	}
+	return state, revision
+}
+
 // setObject stores o without a new revision, or removes the object if o is nil. The caller holds mu.
 func (s *Store) setObject(kind, name string, o *Object) {
 	if o == nil {
--- a/internal/standin/objects/server.go
+++ b/internal/standin/objects/server.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"maps"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -12,8 +14,8 @@
 	"time"
 )
 
-// pageSize is the maximum number of items in a page of a list.
-const pageSize = 50
+// defaultPageSize is the maximum number of items in a page of a list, unless SetPages has set another one.
+const defaultPageSize = 50
 
 const maxBody = 1 << 20
 
@@ -111,7 +113,7 @@
 	case query.Get("watch") != "":
 		s.watch(w, r, kind)
 	default:
-		s.list(w, kind, query.Get("after"))
+		s.list(w, kind, query.Get("after"), query.Get("stale") != "")
 	}
 }
 
@@ -126,19 +128,24 @@
 	writeJSON(w, http.StatusOK, o)
 }
 
-func (s *Store) list(w http.ResponseWriter, kind, after string) {
+// list serves a page of a list. A page of a stale one is of an age of its own.
+func (s *Store) list(w http.ResponseWriter, kind, after string, stale bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	page := listResponse{Items: []Object{}, At: s.revision}
-	for _, name := range s.names(kind) {
+	objects, at := s.kinds[kind], s.revision
+	if stale && s.maxPageAge > 0 {
+		objects, at = s.stateBefore(kind, time.Now().Add(-rand.N(s.maxPageAge)))
+	}
+	page := listResponse{Items: []Object{}, At: at}
+	for _, name := range slices.Sorted(maps.Keys(objects)) {
 		if name <= after {
 			continue
 		}
-		if len(page.Items) == pageSize {
+		if len(page.Items) == s.pageSize {
 			page.More = true
 			break
 		}
-		page.Items = append(page.Items, *s.kinds[kind][name])
+		page.Items = append(page.Items, *objects[name])
 	}
 	writeJSON(w, http.StatusOK, page)
 }
--- a/internal/standin/objects/store.go
+++ b/internal/standin/objects/store.go
@@ -58,22 +58,36 @@
 	compactedRevision int64
 	// era is sent with all responses. Each restore from a backup increments it.
 	era atomic.Int64
+	// restoredAt is the time of the last restore.
+	restoredAt time.Time
 	// undo is the undo log of the writes of the last undoRetention, in their order. writtenSinceRestore
 	// holds the objects that the operator or targets have written or removed since the last restore.
 	undo                []undoEntry
 	writtenSinceRestore map[objectKey]bool
 	changed             chan struct{}
 	faults              Faults
-	calls               int
+	// pageSize is the number of items in a page of a list, and maxPageAge the age of the oldest pages of
+	// stale lists.
+	pageSize   int
+	maxPageAge time.Duration
+	calls      int
 }
 
 // New returns an empty store.
 func New() *Store {
-	s := &Store{kinds: make(map[string]map[string]*Object), writtenSinceRestore: make(map[objectKey]bool), changed: make(chan struct{})}
+	s := &Store{kinds: make(map[string]map[string]*Object), writtenSinceRestore: make(map[objectKey]bool), changed: make(chan struct{}), pageSize: defaultPageSize}
 	s.era.Store(initialEra)
 	return s
 }
 
+// SetPages sets the number of items in a page of a list, and the age of the oldest pages of stale lists, which is
+// at most undoRetention. By default the pages of all lists are as of now.
+func (s *Store) SetPages(size int, maxAge time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pageSize, s.maxPageAge = size, maxAge
+}
+
 // SetFaults replaces the simulated faults.
 func (s *Store) SetFaults(f Faults) {
 	s.mu.Lock()
