--- a/fleet/model_test.go
+++ b/fleet/model_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sort"
@@ -45,6 +46,9 @@
 // positions are the positions that each gossip message carries.
 var positions = slices.Repeat([]feed.Position{feed.At(3, 70_000)}, 5)
 
+// checksumEvery is the number of rounds of which one carries the checksum of a replica.
+const checksumEvery = 8
+
 // busyLoads are the loads that a gossip message carries at most, as while a site is overloaded.
 var busyLoads = make(upstream.TargetReports, 24)
 
@@ -104,6 +108,9 @@
 			if partner.Region == v.Self().Region {
 				message.Overloaded = busyLoads
 			}
+			if m.rounds%checksumEvery == 0 {
+				message.Checksum = &peer.ReplicaChecksum{Kind: 1, Sum: math.MaxUint32}
+			}
 			if m.rounds%introduceEvery == 0 {
 				self := v.Self()
 				message.Member = &self
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -120,10 +120,11 @@
 	m := newGossip(g.view.HeartbeatsFor(now, region))
 	m.Positions = make([]feed.Position, 0, len(g.kinds))
 	m.QuarantineChecksum, m.DeparturesChecksum, m.LimitsChecksum = g.quarantineChecksum(), g.departures.checksum(now), g.targetLimits.checksum(now)
-	m.Digests = make([]uint32, 0, len(g.kinds))
 	for _, kind := range g.kinds {
 		m.Positions = append(m.Positions, g.replicas[kind].Position())
-		m.Digests = append(m.Digests, checksumOf(g.replicas[kind]))
+	}
+	if g.gossipRounds%checksumEvery == 0 {
+		m.Checksum = g.checksum(g.gossipRounds / checksumEvery)
 	}
 	if now.Sub(g.startedAt) < introduceFor || g.gossipRounds%introduceEvery == 0 {
 		self := g.view.Self()
@@ -307,7 +308,7 @@
 	if m.NotReceiving {
 		g.reconnectTo(now, sender.PeerAddr)
 	}
-	g.compareDigests(sender, m)
+	g.compareChecksum(sender, m)
 	ahead := g.comparePositions(now, sender, m.Positions)
 	newer, newerKnown := g.view.NewerHeartbeat(m.Heartbeats)
 	var missed quarantine.Updates
--- a/gateway/replica_check.go
+++ b/gateway/replica_check.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/rainford/rainford/feed"
@@ -19,6 +20,10 @@
 // that their replicas differ.
 const verificationSpread = time.Second
 
+// checksumEvery is the number of rounds of gossip of which one carries the checksum of a replica. With it
+// an instance learns within some seconds that its targets differ from those of others, for 13 bytes a second.
+const checksumEvery = 8
+
 // checksumOf returns the checksum of a replica's objects for gossip, which is shorter than the
 // digest.
 func checksumOf(replica *feed.Replica) uint32 {
@@ -26,31 +31,40 @@
 	return uint32(digest>>32) ^ uint32(digest)
 }
 
-// compareDigests counts the replicas of the sender that are at the position of the one here and hold
-// other objects. The first one at a position is logged. Either may be wrong, so that the own one is
-// verified. The caller holds mu.
-func (g *Gateway) compareDigests(sender fleet.Member, m *peer.Gossip) {
-	for i, kind := range g.kinds {
-		if i >= len(m.Positions) || i >= len(m.Digests) {
-			return
-		}
-		replica := g.replicas[kind]
-		at := replica.Position()
-		if at.IsZero() || m.Positions[i] != at || m.Digests[i] == checksumOf(replica) {
-			continue
-		}
-		g.metrics.replicasDiffer.Add(1, string(kind))
-		if g.verifications[kind].Due(g.clock.Now()) {
-			replica.MarkInDoubt()
-			g.watch.cancelKind(kind)
-		}
-		if g.reportedDiffer[kind] == at {
-			continue
-		}
-		g.reportedDiffer[kind] = at
-		g.log.Error(logReplicaDiffers, "kind", kind, "other", sender.Name, "revision", at.Revision, "era", at.Era,
-			"held", replica.Len(), "digest", checksumOf(replica), "other_digest", m.Digests[i])
+// checksum returns the nth checksum to gossip. Every other one is that of the targets. The other kinds take
+// turns. The caller holds mu.
+func (g *Gateway) checksum(nth int) *peer.ReplicaChecksum {
+	kind := slices.Index(g.kinds, KindTargets)
+	if nth%2 == 1 {
+		kind = nth / 2 % len(g.kinds)
+	}
+	return &peer.ReplicaChecksum{Kind: uint8(kind), Sum: checksumOf(g.replicas[g.kinds[kind]])}
+}
+
+// compareChecksum compares a replica of the sender with the one here, if both are at the same position. If
+// they hold other objects, either may be wrong, so that the own one is verified. The first difference at a
+// position is logged. The caller holds mu.
+func (g *Gateway) compareChecksum(sender fleet.Member, m *peer.Gossip) {
+	if m.Checksum == nil || int(m.Checksum.Kind) >= min(len(g.kinds), len(m.Positions)) {
+		return
+	}
+	kind := g.kinds[m.Checksum.Kind]
+	replica := g.replicas[kind]
+	at := replica.Position()
+	if at.IsZero() || m.Positions[m.Checksum.Kind] != at || m.Checksum.Sum == checksumOf(replica) {
+		return
+	}
+	g.metrics.replicasDiffer.Add(1, string(kind))
+	if g.verifications[kind].Due(g.clock.Now()) {
+		replica.MarkInDoubt()
+		g.watch.cancelKind(kind)
+	}
+	if g.reportedDiffer[kind] == at {
+		return
 	}
+	g.reportedDiffer[kind] = at
+	g.log.Error(logReplicaDiffers, "kind", kind, "other", sender.Name, "revision", at.Revision, "era", at.Era,
+		"held", replica.Len(), "checksum", checksumOf(replica), "other_checksum", m.Checksum.Sum)
 }
 
 // reportLateDelta logs changes that this instance has requested and was behind others for long. The
--- a/gateway/replica_check_test.go
+++ b/gateway/replica_check_test.go
@@ -20,25 +20,19 @@
 	other := feed.NewReplica(KindTargets)
 	other.Apply(listDelta(at, entryChange("i", sequencedEntry{Sequence: 1})))
 	gossip := func() *peer.Gossip {
-		m := &peer.Gossip{Positions: make([]feed.Position, len(g.kinds)), Digests: make([]uint32, len(g.kinds))}
-		for i, kind := range g.kinds {
-			if kind == KindTargets {
-				m.Positions[i], m.Digests[i] = other.Position(), checksumOf(other)
-			}
-		}
-		return m
+		return checksumGossip(g, other)
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	sender := fleet.Member{Name: "n2"}
-	g.compareDigests(sender, gossip())
+	g.compareChecksum(sender, gossip())
 	require.Empty(t, g.reportedDiffer)
 	other.Apply(watchDelta(at, entryChange("i", sequencedEntry{Sequence: 2, Leaves: true})))
-	g.compareDigests(sender, gossip())
+	g.compareChecksum(sender, gossip())
 	require.Empty(t, g.reportedDiffer, "the positions differ")
 	_, ok := g.replicas[KindTargets].Apply(watchDelta(at))
 	require.True(t, ok)
-	g.compareDigests(sender, gossip())
+	g.compareChecksum(sender, gossip())
 	require.Equal(t, other.Position(), g.reportedDiffer[KindTargets])
 }
 
@@ -61,12 +55,9 @@
 	right := listDelta(at, entryChange("i", sequencedEntry{Sequence: 2, Leaves: true}))
 	other := feed.NewReplica(KindTargets)
 	other.Apply(right)
-	m := &peer.Gossip{Positions: make([]feed.Position, len(g.kinds)), Digests: make([]uint32, len(g.kinds))}
-	index := slices.Index(g.kinds, KindTargets)
-	m.Positions[index], m.Digests[index] = at, checksumOf(other)
 	require.False(t, g.needsVerification(KindTargets))
 	g.mu.Lock()
-	g.compareDigests(fleet.Member{Name: "n2"}, m)
+	g.compareChecksum(fleet.Member{Name: "n2"}, checksumGossip(g, other))
 	g.mu.Unlock()
 	require.True(t, g.needsVerification(KindTargets))
 	g.store = listingStore{list: right}
@@ -75,3 +66,12 @@
 	require.False(t, g.replicas[KindTargets].InDoubt())
 	require.False(t, g.needsVerification(KindTargets))
 }
+
+// checksumGossip returns gossip with the position and the checksum of a replica of the targets.
+func checksumGossip(g *Gateway, targets *feed.Replica) *peer.Gossip {
+	m := &peer.Gossip{Positions: make([]feed.Position, len(g.kinds))}
+	index := slices.Index(g.kinds, KindTargets)
+	m.Positions[index] = targets.Position()
+	m.Checksum = &peer.ReplicaChecksum{Kind: uint8(index), Sum: checksumOf(targets)}
+	return m
+}
--- a/peer/message.go
+++ b/peer/message.go
@@ -114,9 +114,8 @@
 	// Positions are the positions of the sender's replicas, in an order of kinds that all
 	// instances share. New kinds are appended.
 	Positions []feed.Position `msgpack:"p,omitempty"`
-	// Digests are the checksums of the objects of the sender's replicas, in the order of
-	// Positions. Replicas at the same position have the same checksum.
-	Digests []uint32 `msgpack:"i,omitempty"`
+	// Checksum is that of one of the sender's replicas. It is nil in most messages.
+	Checksum *ReplicaChecksum `msgpack:"i,omitempty"`
 	// Overloaded contains the loads of targets that have more requests than slots.
 	Overloaded upstream.TargetReports `msgpack:"l,omitempty"`
 	// Reply marks a reply to gossip. A reply is not replied to.
@@ -147,6 +146,14 @@
 	RelayToRegion bool     `msgpack:"w,omitempty"`
 }
 
+// ReplicaChecksum is the checksum of the objects of one replica. Replicas at the same position have the
+// same one.
+type ReplicaChecksum struct {
+	// Kind is the index of the kind in Positions.
+	Kind uint8  `msgpack:"k"`
+	Sum  uint32 `msgpack:"s"`
+}
+
 // TrialRequest asks the trial coordinator of a request that may crash targets whether the
 // request may be sent.
 type TrialRequest struct {
