--- a/feed/catchup.go
+++ b/feed/catchup.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"time"
 )
 
@@ -137,6 +138,24 @@
 	return best.Addr, true
 }
 
+// NextDue returns how long it is until a request may be sent, given the sources that are known now. It returns
+// false if the replica is not known to be behind.
+func (c *CatchUp) NextDue(now time.Time, at Position) (wait time.Duration, behind bool) {
+	c.prune(now, at)
+	if len(c.sources) == 0 {
+		return 0, false
+	}
+	first := time.Duration(math.MaxInt64)
+	for _, s := range c.sources {
+		first = min(first, s.Delay)
+	}
+	if c.skipDelays || c.pending {
+		first = 0
+	}
+	first -= now.Sub(c.behindSince)
+	return max(0, first, requestInterval-now.Sub(c.last.SentAt)), true
+}
+
 // precedes reports whether s is asked before other. The source that was not asked for
 // longer comes first, then the one with the shorter delay, then the one that announced its
 // position last.
--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -52,7 +52,8 @@
 	if !ok {
 		return false
 	}
-	if source != sourceStore && g.catchUp[d.Kind].Received() {
+	requested := source != sourceStore && g.catchUp[d.Kind].Received()
+	if requested {
 		g.metrics.deltaRequest(d.Kind, deltaRequestAnswered)
 		g.reportLateDelta(d, source)
 	}
@@ -61,6 +62,9 @@
 		return true
 	}
 	now := g.clock.Now()
+	if !requested {
+		g.pushedAt[d.Kind] = now
+	}
 	g.enterEra(at.Era, source)
 	if before.IsZero() {
 		g.answerPendingDeltaRequests(d.Kind)
--- a/gateway/delta_test.go
+++ b/gateway/delta_test.go
@@ -59,6 +59,7 @@
 		replicas:             make(map[feed.Kind]*feed.Replica),
 		pendingDeltaRequests: make(map[feed.Kind][]*peer.DeltaRequest),
 		deltaCache:           make(deltaCache),
+		pushedAt:             make(map[feed.Kind]time.Time),
 		view:                 viewOf(time.Now(), 0, 0),
 
 		registered:  make(map[string]fleet.Member),
--- a/gateway/gossip.go
+++ b/gateway/gossip.go
@@ -32,12 +32,6 @@
 	// not receive the messages of this one. Messages over the new connection need this time
 	// to take effect.
 	reconnectInterval = time.Second
-	// localRequestDelay and remoteRequestDelay are the times for which an instance that is
-	// behind waits for the push of a watcher, before it sends a delta request to an instance
-	// of its own region or of another region. An instance that watches waits localRequestDelay for
-	// both.
-	localRequestDelay  = 700 * time.Millisecond
-	remoteRequestDelay = 1400 * time.Millisecond
 )
 
 // gossipLoop sends a round of gossip every fleet.RoundTime. The messages carry heartbeats of the
@@ -123,6 +117,7 @@
 	for _, kind := range g.kinds {
 		m.Positions = append(m.Positions, g.replicas[kind].Position())
 	}
+	m.Fresh = g.freshKinds(now, region == g.config.Region)
 	if g.gossipRounds%checksumEvery == 0 {
 		m.Checksum = g.checksum(g.gossipRounds / checksumEvery)
 	}
@@ -309,7 +304,7 @@
 		g.reconnectTo(now, sender.PeerAddr)
 	}
 	g.compareChecksum(sender, m)
-	ahead := g.comparePositions(now, sender, m.Positions)
+	ahead := g.comparePositions(now, sender, m)
 	newer, newerKnown := g.view.NewerHeartbeat(m.Heartbeats)
 	var missed quarantine.Updates
 	var left availability.DepartureList
@@ -338,18 +333,18 @@
 // instance is ahead in a kind for which the sender needs a reply: an urgent one, or one that the
 // sender lacks altogether. If a sender of the own region has the same rollout orders, they count as
 // loaded. The caller holds mu.
-func (g *Gateway) comparePositions(now time.Time, sender fleet.Member, positions []feed.Position) (ahead bool) {
+func (g *Gateway) comparePositions(now time.Time, sender fleet.Member, m *peer.Gossip) (ahead bool) {
 	for i, kind := range g.kinds {
-		if i >= len(positions) {
+		if i >= len(m.Positions) {
 			break
 		}
 		at := g.replicas[kind].Position()
-		if kind == KindRollouts && positions[i] == at && sender.Region == g.config.Region {
+		if kind == KindRollouts && m.Positions[i] == at && sender.Region == g.config.Region {
 			g.setRolloutsLoaded()
 		}
-		switch position := positions[i]; {
+		switch position := m.Positions[i]; {
 		case position.After(at):
-			after := g.requestDelay(now, kind, !at.IsZero(), sender.Region == g.config.Region)
+			after := g.requestDelay(now, kind, !at.IsZero(), sender.Region == g.config.Region, m.Fresh&(1<<i) != 0)
 			g.catchUp[kind].AddSource(now, at, feed.Source{Addr: sender.PeerAddr, Position: position, Delay: after})
 		case at.After(position) && (position.IsZero() || isUrgent(kind)):
 			ahead = true
@@ -357,44 +352,3 @@
 	}
 	return ahead
 }
-
-// requestDelay returns how long a replica may be behind before a delta request is sent to an
-// instance that is ahead. Held states whether the replica has any objects, and local whether that
-// instance belongs to the region of this one.
-//
-// There is no delay for urgent kinds. A replica without objects waits for the first read of this
-// instance, if the other instance is local, but not at the first start of the system. Otherwise the
-// delay is the time that a push may take. This time is longer for an instance of another region,
-// because a local watcher may be about to push the changes. An instance that watches itself does
-// not wait that long, since its own watch would have returned the changes.
-func (g *Gateway) requestDelay(now time.Time, kind feed.Kind, held, local bool) time.Duration {
-	switch {
-	case isUrgent(kind):
-		return 0
-	case local && !held && g.config.FirstStart:
-		return 0
-	case local && !held:
-		return max(0, firstReadTime-now.Sub(g.startedAt))
-	case local || g.watch.isWatching():
-		return localRequestDelay
-	default:
-		return remoteRequestDelay
-	}
-}
-
-// sendDeltaRequest sends a delta request for a kind to an instance that is ahead, if one is due.
-// If the previous request has had no reply, this is logged and counted. The caller holds mu.
-func (g *Gateway) sendDeltaRequest(now time.Time, kind feed.Kind) {
-	at := g.replicas[kind].Position()
-	last, open := g.catchUp[kind].Pending()
-	addr, ok := g.catchUp[kind].NextRequest(now, at)
-	if !ok {
-		return
-	}
-	if open {
-		g.metrics.deltaRequest(kind, deltaRequestUnanswered)
-		g.log.Warn(logDeltaRequestUnanswered, "kind", kind, "asked", last.To, "for_ms", now.Sub(last.SentAt).Milliseconds(), "revision", at.Revision)
-	}
-	from, digest := g.replicas[kind].Missing()
-	g.mesh.Send(addr, &peer.DeltaRequest{Kind: kind, Position: from, Digest: digest, ReplyTo: g.view.Self().PeerAddr})
-}
--- a/gateway/replica_check.go
+++ b/gateway/replica_check.go
@@ -21,7 +21,7 @@
 const verificationSpread = time.Second
 
 // checksumEvery is the number of rounds of gossip of which one carries the checksum of a replica. With it
-// an instance learns within some seconds that its targets differ from those of others, for 13 bytes a second.
+// an instance learns within some seconds that its targets differ from those of others, for 8 bytes a second.
 const checksumEvery = 8
 
 // checksumOf returns the checksum of a replica's objects for gossip, which is shorter than the
--- a/peer/message.go
+++ b/peer/message.go
@@ -114,6 +114,9 @@
 	// Positions are the positions of the sender's replicas, in an order of kinds that all
 	// instances share. New kinds are appended.
 	Positions []feed.Position `msgpack:"p,omitempty"`
+	// Fresh are the kinds, as bits in the order of Positions, whose last changes may still reach
+	// the receiver by a push.
+	Fresh uint8 `msgpack:"f,omitempty"`
 	// Checksum is that of one of the sender's replicas. It is nil in most messages.
 	Checksum *ReplicaChecksum `msgpack:"i,omitempty"`
 	// Overloaded contains the loads of targets that have more requests than slots.
