--- a/forward/endless_test.go
+++ b/forward/endless_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -15,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/rainford/rainford/internal/membudget"
+	"github.com/rainford/rainford/internal/standin/raw"
 	"github.com/rainford/rainford/retry"
 	"github.com/rainford/rainford/upstream"
 )
@@ -42,48 +41,21 @@
 
 // endlessTarget is a target that sends bytes to each connection until it is closed.
 type endlessTarget struct {
-	listener    net.Listener
-	begin, more string
-	sent        atomic.Int64
+	*raw.Server
+	sent atomic.Int64
 }
 
 func startEndlessTarget(t *testing.T, begin, more string) *endlessTarget {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	target := &endlessTarget{}
+	server, err := raw.Start(raw.Endless(begin, more, &target.sent))
 	require.NoError(t, err)
-	target := &endlessTarget{listener: l, begin: begin, more: more}
-	var serving sync.WaitGroup
-	t.Cleanup(func() {
-		_ = l.Close()
-		serving.Wait()
-	})
-	serving.Go(func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			serving.Go(func() { target.serve(c) })
-		}
-	})
+	t.Cleanup(server.Close)
+	target.Server = server
 	return target
 }
 
-func (s *endlessTarget) serve(c net.Conn) {
-	defer func() { _ = c.Close() }()
-	_, err := io.ReadAtLeast(c, make([]byte, 4096), 1)
-	if err == nil {
-		_, err = io.WriteString(c, s.begin)
-	}
-	more := strings.Repeat(s.more, 1+len(filler)/len(s.more))
-	for err == nil {
-		var n int
-		n, err = io.WriteString(c, more)
-		s.sent.Add(int64(n))
-	}
-}
-
 func endlessRequest(s *endlessTarget, memory *membudget.Lease) *Request {
-	return &Request{Method: http.MethodGet, URI: "/", Host: "h", ID: "q1", Target: "i-1", TargetName: "i-1", Addr: s.listener.Addr().String(),
+	return &Request{Method: http.MethodGet, URI: "/", Host: "h", ID: "q1", Target: "i-1", TargetName: "i-1", Addr: s.Addr(),
 		Timeout: time.Minute, Deadline: time.Now().Add(time.Minute), Memory: memory}
 }
 
--- a/gateway/cut_head_test.go
+++ b/gateway/cut_head_test.go
@@ -17,11 +17,12 @@
 	"github.com/rainford/rainford/gateway"
 	"github.com/rainford/rainford/internal/standin/link"
 	"github.com/rainford/rainford/internal/standin/objects"
+	"github.com/rainford/rainford/internal/standin/raw"
 )
 
 // cutTarget answers each request with the first bytes of a response, and then closes the connection.
 type cutTarget struct {
-	listener net.Listener
+	*raw.Server
 	// length is the number of bytes that are sent, or negative for the whole response.
 	length atomic.Int64
 	// framing is the part of the head that frames the body, and cuts the number of responses that were cut.
@@ -30,24 +31,12 @@
 }
 
 func startCutTarget(t *testing.T, framing string) *cutTarget {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	target := &cutTarget{listener: l, framing: framing}
+	target := &cutTarget{framing: framing}
 	target.length.Store(-1)
-	var serving sync.WaitGroup
-	t.Cleanup(func() {
-		_ = l.Close()
-		serving.Wait()
-	})
-	serving.Go(func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			serving.Go(func() { target.serve(c) })
-		}
-	})
+	server, err := raw.Start(target.serve)
+	require.NoError(t, err)
+	t.Cleanup(server.Close)
+	target.Server = server
 	return target
 }
 
@@ -61,7 +50,6 @@
 }
 
 func (s *cutTarget) serve(c net.Conn) {
-	defer func() { _ = c.Close() }()
 	_ = c.SetDeadline(time.Now().Add(wait))
 	r, err := http.ReadRequest(bufio.NewReader(c))
 	if err != nil {
@@ -130,7 +118,7 @@
 	s.configure(1, route{prefix: "/once/", service: "s", kind: "non_idempotent"}, route{prefix: "/x/", service: "s", kind: "idempotent"})
 	target := startCutTarget(t, framing)
 	for i := range 3 {
-		s.store.SetServer(fmt.Sprint("i-", i), objects.Server{Service: "s", Address: target.listener.Addr().String(), Zone: "a1", Slots: 9,
+		s.store.SetServer(fmt.Sprint("i-", i), objects.Server{Service: "s", Address: target.Addr(), Zone: "a1", Slots: 9,
 			State: "ready", WarmupRemaining: "0ms", Sequence: 1})
 	}
 	helper := s.instance("n2", "a1")
