feed: a removal that is learned late is held for as long as it would have been

An instance that got a change by a request, up to 2.1 s after it was made, held a removal in it for up to 2 s more if the sender had just come back from an outage of its own: together longer than a target goes on serving. Evidence: TestLateRemovalIsHardlyHeld, red without the change. Why the fix works: a hold that is passed on ends 2 s after the instance has heard that it is behind.

--- a/feed/removal_hold.go
+++ b/feed/removal_hold.go
@@ -78,9 +78,10 @@
 }
 
 // Inherit extends the hold to the remaining hold of the instance that sent removals, less
-// transitAllowance, but by removalGrace at most.
-func (h *RemovalHold) Inherit(now time.Time, remaining time.Duration) {
-	h.extend(now, min(remaining-transitAllowance, removalGrace))
+// transitAllowance. Behind is how long the replica has been known to lack these removals. They are
+// held for removalGrace from then on at most.
+func (h *RemovalHold) Inherit(now time.Time, remaining, behind time.Duration) {
+	h.extend(now, min(remaining-transitAllowance, removalGrace-behind))
 }
 
 func (h *RemovalHold) extend(now time.Time, hold time.Duration) {
--- a/feed/removal_hold_test.go
+++ b/feed/removal_hold_test.go
@@ -74,12 +74,17 @@
 	var h feed.RemovalHold
 	now := time.Unix(1000, 0)
 	require.False(t, h.Hold(now, "a"))
-	h.Inherit(now, time.Second)
+	h.Inherit(now, time.Second, 0)
 	require.True(t, h.Hold(now, "a"))
 	require.Empty(t, h.Expired(now.Add(799*time.Millisecond)))
 	require.Equal(t, []string{"a"}, h.Expired(now.Add(800*time.Millisecond)))
-	h.Inherit(now, time.Hour)
+	h.Inherit(now, time.Hour, 0)
 	require.Equal(t, 2*time.Second, h.Remaining(now), "the hold is bounded")
+	var late feed.RemovalHold
+	late.Inherit(now, time.Hour, 1500*time.Millisecond)
+	require.Equal(t, 500*time.Millisecond, late.Remaining(now))
+	late.Inherit(now, time.Hour, 3*time.Second)
+	require.Equal(t, 500*time.Millisecond, late.Remaining(now))
 }
 
 // TestHeldRemovalEndsInTime guards against a target that is used for as long as instances tell each other of
@@ -101,7 +106,7 @@
 			name := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name")
 			switch rapid.IntRange(0, 4).Draw(t, "step") {
 			case 0:
-				h.Inherit(now, time.Duration(rapid.IntRange(0, 10_000).Draw(t, "remaining"))*time.Millisecond)
+				h.Inherit(now, time.Duration(rapid.IntRange(0, 10_000).Draw(t, "remaining"))*time.Millisecond, 0)
 			case 1:
 				h.StoreFailed(now)
 			case 2:
@@ -134,7 +139,7 @@
 			to := (from + rapid.IntRange(1, 2).Draw(t, "to")) % len(holds)
 			remaining := holds[from].Remaining(now)
 			now = now.Add(time.Duration(rapid.IntRange(1, 150).Draw(t, "ms")) * time.Millisecond)
-			holds[to].Inherit(now, remaining)
+			holds[to].Inherit(now, remaining, 0)
 			from = to
 		}
 		for i := range holds {
--- a/gateway/apply_test.go
+++ b/gateway/apply_test.go
@@ -71,7 +71,7 @@
 	inheritHold := func(remaining time.Duration) {
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		g.heldChanges[KindTargets].removals.Inherit(time.Now(), remaining)
+		g.heldChanges[KindTargets].removals.Inherit(time.Now(), remaining, 0)
 	}
 	isListed := func(name string) bool {
 		g.mu.Lock()
--- a/gateway/delta.go
+++ b/gateway/delta.go
@@ -98,7 +98,8 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.heldChanges[KindTargets].removals.Inherit(g.clock.Now(), m.RemovalHold)
+	now := g.clock.Now()
+	g.heldChanges[KindTargets].removals.Inherit(now, m.RemovalHold, g.catchUp[KindTargets].BehindFor(now))
 }
 
 // handleDeltaRequest sends the changes that another instance has requested. If this instance has
--- a/gateway/missed_departures_test.go
+++ b/gateway/missed_departures_test.go
@@ -73,7 +73,7 @@
 		if announced {
 			g.recordDeparture("i-1")
 		}
-		g.heldChanges[KindTargets].removals.Inherit(g.clock.Now(), time.Minute)
+		g.heldChanges[KindTargets].removals.Inherit(g.clock.Now(), time.Minute, 0)
 		g.applyDelta(feed.Delta{Kind: KindTargets, From: feed.At(0, 1), To: feed.At(0, 2), Changes: []feed.Change{change("i-1", true)}}, sourceStore)
 		_, listed := g.targetList.specs["i-1"]
 		require.Equal(t, !announced, listed)
--- a/gateway/older_entry_test.go
+++ b/gateway/older_entry_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/rainford/rainford/feed"
+	"github.com/rainford/rainford/peer"
 )
 
 // TestLateWriteDoesNotBringTargetBack guards against requests to a target that has stated that it leaves, after
@@ -65,7 +66,7 @@
 	at := feed.At(1, 10)
 	g.applyDelta(listDelta(at, entryChange("i", sequencedEntry{Sequence: 9}), entryChange("reborn", sequencedEntry{Born: 5, Sequence: 1})), sourceStore)
 	g.mu.Lock()
-	g.heldChanges[KindTargets].removals.Inherit(g.clock.Now(), 250*time.Millisecond)
+	g.heldChanges[KindTargets].removals.Inherit(g.clock.Now(), 250*time.Millisecond, 0)
 	g.mu.Unlock()
 	removed := watchDelta(at, removalChange("i"), removalChange("reborn"))
 	require.True(t, g.applyDelta(removed, sourceStore))
@@ -73,3 +74,21 @@
 	require.True(t, g.applyDelta(late, sourceStore))
 	require.Eventually(t, func() bool { return !g.usesTarget("i") && !g.usesTarget("reborn") }, entryTTL/2, time.Millisecond)
 }
+
+// TestLateRemovalIsHardlyHeld guards against a removal that an instance learns late, and then holds for as long as
+// the one that it hears it from, which has just come back from an outage of its own.
+func TestLateRemovalIsHardlyHeld(t *testing.T) {
+	g := newTestGateway(t)
+	g.codec = sequencedCodec{}
+	at := feed.At(1, 10)
+	g.applyDelta(listDelta(at, entryChange("i", sequencedEntry{Sequence: 9})), sourceStore)
+	removed := watchDelta(at, removalChange("i"))
+	g.mu.Lock()
+	g.catchUp[KindTargets].AddSource(g.clock.Now().Add(-2*time.Second), at, feed.Source{Addr: "n2", Position: removed.To})
+	g.mu.Unlock()
+	message, err := peer.NewDelta(removed)
+	require.NoError(t, err)
+	message.RemovalHold = time.Minute
+	g.receiveDelta("n2", message)
+	require.False(t, g.usesTarget("i"))
+}
