--- a/feed/catchup.go
+++ b/feed/catchup.go
@@ -167,8 +167,9 @@
 // Pending returns the last request, and whether no changes have arrived since it was sent.
 func (c *CatchUp) Pending() (Request, bool) { return c.last, c.pending }
 
-// BehindFor returns how long the replica has been known to be behind.
-func (c *CatchUp) BehindFor(now time.Time) time.Duration {
+// BehindFor returns how long a replica at position at has been known to be behind.
+func (c *CatchUp) BehindFor(now time.Time, at Position) time.Duration {
+	c.prune(now, at)
 	if len(c.sources) == 0 {
 		return 0
 	}
--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -46,7 +46,9 @@
 	if replica == nil {
 		return false
 	}
+	now := g.clock.Now()
 	before, digest := replica.Position(), replica.Digest()
+	behind := g.catchUp[d.Kind].BehindFor(now, before)
 	own := g.ownObjectsBeforeRestore(d)
 	changes, ok := replica.Apply(d)
 	if !ok {
@@ -54,16 +56,14 @@
 	}
 	requested := source != sourceStore && g.catchUp[d.Kind].Received()
 	if requested {
-		g.metrics.deltaRequest(d.Kind, deltaRequestAnswered)
-		g.reportLateDelta(d, source)
+		g.reportRequested(d, source, behind)
 	}
 	at := replica.Position()
 	if at == before && len(changes) == 0 {
 		return true
 	}
-	now := g.clock.Now()
 	if !requested {
-		g.pushedAt[d.Kind] = now
+		g.replication[d.Kind].pushedAt = now
 	}
 	g.enterEra(at.Era, source)
 	if before.IsZero() {
--- a/gateway/delta.go
+++ b/gateway/delta.go
@@ -99,7 +99,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.clock.Now()
-	g.heldChanges[KindTargets].removals.Inherit(now, m.RemovalHold, g.catchUp[KindTargets].BehindFor(now))
+	g.heldChanges[KindTargets].removals.Inherit(now, m.RemovalHold, g.catchUp[KindTargets].BehindFor(now, g.replicas[KindTargets].Position()))
 }
 
 // handleDeltaRequest sends the changes that another instance has requested. If this instance has
--- a/gateway/delta_request.go
+++ b/gateway/delta_request.go
@@ -29,7 +29,7 @@
 func (g *Gateway) freshKinds(now time.Time, local bool) uint8 {
 	var fresh uint8
 	for i, kind := range g.kinds {
-		if now.Sub(g.pushedAt[kind]) < pushTime(local) {
+		if now.Sub(g.replication[kind].pushedAt) < pushTime(local) {
 			fresh |= 1 << i
 		}
 	}
@@ -83,14 +83,15 @@
 // scheduleDeltaRequest calls sendDeltaRequest when the next request for a kind is due. The caller holds mu.
 func (g *Gateway) scheduleDeltaRequest(now time.Time, kind feed.Kind) {
 	wait, behind := g.catchUp[kind].NextDue(now, g.replicas[kind].Position())
-	if !behind || g.deltaRequestScheduled[kind] {
+	state := g.replication[kind]
+	if !behind || state.requestScheduled {
 		return
 	}
-	g.deltaRequestScheduled[kind] = true
+	state.requestScheduled = true
 	time.AfterFunc(wait+time.Millisecond, func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
-		g.deltaRequestScheduled[kind] = false
+		state.requestScheduled = false
 		g.sendDeltaRequest(g.clock.Now(), kind)
 	})
 }
--- a/gateway/delta_test.go
+++ b/gateway/delta_test.go
@@ -59,7 +59,8 @@
 		replicas:             make(map[feed.Kind]*feed.Replica),
 		pendingDeltaRequests: make(map[feed.Kind][]*peer.DeltaRequest),
 		deltaCache:           make(deltaCache),
-		pushedAt:             make(map[feed.Kind]time.Time),
+		replication:          newReplication(kinds),
+		catchUp:              make(map[feed.Kind]*feed.CatchUp),
 		view:                 viewOf(time.Now(), 0, 0),
 
 		registered:  make(map[string]fleet.Member),
@@ -68,7 +69,7 @@
 	g.targetLimitOwner = newTargetLimitOwner(g.config, g.mesh, g.startedAt, &g.targetLimits)
 	g.pools = newPools(g.config, g.departures.all, g.targetLimits.all, g.requestPermits)
 	for _, kind := range kinds {
-		g.replicas[kind] = feed.NewReplica(kind)
+		g.replicas[kind], g.catchUp[kind] = feed.NewReplica(kind), &feed.CatchUp{}
 	}
 	g.mesh = peer.NewMesh("n0", "", g, log)
 	g.accountPermits = newPermits(g.config, g.mesh, time.Now(), g.limitOf)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -91,15 +91,8 @@
 	targetList targetList
 	// catchUp chooses, for each kind, the instance from which missing changes are requested.
 	catchUp map[feed.Kind]*feed.CatchUp
-	// deltaRequestScheduled holds the kinds for which scheduleDeltaRequest has set a timer, and pushedAt when
-	// the replica of a kind last advanced by a read of the store or by a push.
-	deltaRequestScheduled map[feed.Kind]bool
-	pushedAt              map[feed.Kind]time.Time
-	// reportedDiffer holds, by kind, the position at which a difference to another replica was
-	// logged last.
-	reportedDiffer map[feed.Kind]feed.Position
-	// verifications decides, for each kind, when a replica that is in doubt is listed.
-	verifications map[feed.Kind]*feed.Verification
+	// replication holds the other states of the replication, by kind.
+	replication map[feed.Kind]*replicationState
 	// probed holds the members that the last round of gossip probed directly.
 	probed map[string]bool
 	// reconnectedAt is the time of the last reconnection to each instance that reported that it
@@ -160,31 +153,26 @@
 	}
 	config.Log = config.Log.With("instance", config.Name)
 	g := &Gateway{
-		config:         config,
-		store:          store,
-		codec:          codec,
-		headers:        headers,
-		log:            config.Log,
-		targets:        forward.NewClient(headers, codec, config.Clock),
-		bodyMemory:     membudget.New(bodyMemory),
-		replicas:       make(map[feed.Kind]*feed.Replica),
-		evacuated:      make(map[string]bool),
-		targetList:     newTargetList(),
-		startedAt:      config.Clock.Now(),
-		clock:          config.Clock,
-		hedgeTimers:    hedgeTimers{clock: config.Clock},
-		readiness:      readiness{reached: make(chan struct{})},
-		catchUp:        make(map[feed.Kind]*feed.CatchUp),
-		reportedDiffer: make(map[feed.Kind]feed.Position),
-		pushedAt:       make(map[feed.Kind]time.Time),
-
-		deltaRequestScheduled: make(map[feed.Kind]bool),
-		verifications:         make(map[feed.Kind]*feed.Verification),
-		deltaCache:            make(deltaCache),
-		pendingDeltaRequests:  make(map[feed.Kind][]*peer.DeltaRequest),
-		reconnectedAt:         make(map[string]time.Time),
-		registered:            make(map[string]fleet.Member),
-		heldChanges:           newHeldChanges(),
+		config:               config,
+		store:                store,
+		codec:                codec,
+		headers:              headers,
+		log:                  config.Log,
+		targets:              forward.NewClient(headers, codec, config.Clock),
+		bodyMemory:           membudget.New(bodyMemory),
+		replicas:             make(map[feed.Kind]*feed.Replica),
+		evacuated:            make(map[string]bool),
+		targetList:           newTargetList(),
+		startedAt:            config.Clock.Now(),
+		clock:                config.Clock,
+		hedgeTimers:          hedgeTimers{clock: config.Clock},
+		readiness:            readiness{reached: make(chan struct{})},
+		catchUp:              make(map[feed.Kind]*feed.CatchUp),
+		deltaCache:           make(deltaCache),
+		pendingDeltaRequests: make(map[feed.Kind][]*peer.DeltaRequest),
+		reconnectedAt:        make(map[string]time.Time),
+		registered:           make(map[string]fleet.Member),
+		heldChanges:          newHeldChanges(),
 
 		unregistered: make(chan struct{}, 1),
 		rand:         rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), rand.Uint64())),
@@ -193,10 +181,10 @@
 		g.targets.SetDialer(config.TargetDialer)
 	}
 	g.kinds, g.rollouts = kindsOf(config), newRollouts()
+	g.replication = newReplication(g.kinds)
 	for _, kind := range g.kinds {
 		g.replicas[kind] = feed.NewReplica(kind)
 		g.catchUp[kind] = &feed.CatchUp{}
-		g.verifications[kind] = &feed.Verification{}
 	}
 	err := g.listen()
 	if err != nil {
--- a/gateway/replica_check.go
+++ b/gateway/replica_check.go
@@ -12,6 +12,28 @@
 	"github.com/rainford/rainford/peer"
 )
 
+// replicationState is what an instance knows of the replication of one kind, beside its replica and the
+// choice of sources for missing changes.
+type replicationState struct {
+	// verification decides when a replica that is in doubt is listed, and reportedAt is the position at which
+	// a difference to another replica was logged last.
+	verification feed.Verification
+	reportedAt   feed.Position
+	// pushedAt is when the replica last advanced by a read of the store or by a push.
+	pushedAt time.Time
+	// requestScheduled is set while a timer runs for the next delta request.
+	requestScheduled bool
+}
+
+// newReplication returns the states of kinds.
+func newReplication(kinds []feed.Kind) map[feed.Kind]*replicationState {
+	states := make(map[feed.Kind]*replicationState, len(kinds))
+	for _, kind := range kinds {
+		states[kind] = &replicationState{}
+	}
+	return states
+}
+
 // lateDelta is the time behind others from which on the arrival of the missing changes is logged.
 // Targets may be used for a few seconds after they have stated that they leave.
 const lateDelta = time.Second
@@ -55,22 +77,23 @@
 		return
 	}
 	g.metrics.replicasDiffer.Add(1, string(kind))
-	if g.verifications[kind].Due(g.clock.Now()) {
+	state := g.replication[kind]
+	if state.verification.Due(g.clock.Now()) {
 		replica.MarkInDoubt()
 		g.watch.cancelKind(kind)
 	}
-	if g.reportedDiffer[kind] == at {
+	if state.reportedAt == at {
 		return
 	}
-	g.reportedDiffer[kind] = at
+	state.reportedAt = at
 	g.log.Error(logReplicaDiffers, "kind", kind, "other", sender.Name, "revision", at.Revision, "era", at.Era,
 		"held", replica.Len(), "checksum", checksumOf(replica), "other_checksum", m.Checksum.Sum)
 }
 
-// reportLateDelta logs changes that this instance has requested and was behind others for long. The
-// caller holds mu.
-func (g *Gateway) reportLateDelta(d feed.Delta, source string) {
-	behind := g.catchUp[d.Kind].BehindFor(g.clock.Now())
+// reportRequested counts a delta that this instance has requested, and logs it if the instance was known to be
+// behind for long.
+func (g *Gateway) reportRequested(d feed.Delta, source string, behind time.Duration) {
+	g.metrics.deltaRequest(d.Kind, deltaRequestAnswered)
 	if behind < lateDelta {
 		return
 	}
@@ -81,7 +104,7 @@
 func (g *Gateway) needsVerification(kind feed.Kind) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.replicas[kind].InDoubt() && g.verifications[kind].Due(g.clock.Now())
+	return g.replicas[kind].InDoubt() && g.replication[kind].verification.Due(g.clock.Now())
 }
 
 // verify lists a kind whose replica is in doubt, unless the doubt has ended meanwhile.
@@ -93,7 +116,7 @@
 	err := g.listKind(ctx, kind)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.verifications[kind].Done(g.clock.Now())
+	g.replication[kind].verification.Done(g.clock.Now())
 	replica := g.replicas[kind]
 	attrs := []any{"kind", kind, "in_doubt", replica.InDoubt(), "held", replica.Len(), "revision", replica.Position().Revision}
 	if err != nil {
--- a/gateway/replica_check_test.go
+++ b/gateway/replica_check_test.go
@@ -26,14 +26,14 @@
 	defer g.mu.Unlock()
 	sender := fleet.Member{Name: "n2"}
 	g.compareChecksum(sender, gossip())
-	require.Empty(t, g.reportedDiffer)
+	require.Zero(t, g.replication[KindTargets].reportedAt)
 	other.Apply(watchDelta(at, entryChange("i", sequencedEntry{Sequence: 2, Leaves: true})))
 	g.compareChecksum(sender, gossip())
-	require.Empty(t, g.reportedDiffer, "the positions differ")
+	require.Zero(t, g.replication[KindTargets].reportedAt, "the positions differ")
 	_, ok := g.replicas[KindTargets].Apply(watchDelta(at))
 	require.True(t, ok)
 	g.compareChecksum(sender, gossip())
-	require.Equal(t, other.Position(), g.reportedDiffer[KindTargets])
+	require.Equal(t, other.Position(), g.replication[KindTargets].reportedAt)
 }
 
 // listingStore is a store that answers lists of targets only.
--- a/gateway/restored_rollout_orders_test.go
+++ b/gateway/restored_rollout_orders_test.go
@@ -66,7 +66,7 @@
 			t.Parallel()
 			g := newTestGateway(t)
 			g.codec = orderCodec{}
-			g.replicas[KindRollouts], g.catchUp[KindRollouts] = feed.NewReplica(KindRollouts), &feed.CatchUp{}
+			g.replicas[KindRollouts], g.catchUp[KindRollouts], g.replication[KindRollouts] = feed.NewReplica(KindRollouts), &feed.CatchUp{}, &replicationState{}
 			at := feed.At(1, 10)
 			take := func(d feed.Delta) {
 				d.Kind = KindRollouts
--- a/gateway/rollback_before_targets_test.go
+++ b/gateway/rollback_before_targets_test.go
@@ -26,7 +26,7 @@
 func TestRollbackKnownBeforeTargets(t *testing.T) {
 	g := newTestGateway(t)
 	g.codec = versionCodec{}
-	g.replicas[KindRollouts], g.catchUp[KindRollouts] = feed.NewReplica(KindRollouts), &feed.CatchUp{}
+	g.replicas[KindRollouts], g.catchUp[KindRollouts], g.replication[KindRollouts] = feed.NewReplica(KindRollouts), &feed.CatchUp{}, &replicationState{}
 	orders := listDelta(feed.At(1, 10), orderChange("v2", 5, rollout.RolledBack))
 	orders.Kind = KindRollouts
 	require.True(t, g.applyDelta(orders, sourceStore))
