feed: a replica in doubt still passes on the changes of the store

Instances that were told that they differ forgot their history and sent all objects as torn, which would have made others doubt theirs. The changes that came after the last difference of two states are those of the store, and are sent as before.

--- a/feed/replica.go
+++ b/feed/replica.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"slices"
 	"sort"
 
 	"github.com/rainford/rainford/internal/mix"
@@ -97,8 +98,17 @@
 func (r *Replica) InDoubt() bool { return r.inDoubt }
 
 // MarkInDoubt records that the objects may not be those of the position, as when another replica
-// holds other objects at the same position. The differences that led to them are forgotten.
-func (r *Replica) MarkInDoubt() { r.inDoubt, r.history = true, nil }
+// holds other objects at the same position. The history up to the last difference of states is
+// forgotten, since one of these may be wrong. The changes after it are those of the store.
+func (r *Replica) MarkInDoubt() {
+	r.inDoubt = true
+	for i, h := range slices.Backward(r.history) {
+		if h.Exact {
+			r.history = r.history[i+1:]
+			return
+		}
+	}
+}
 
 // Missing returns the position and the digest with which missing changes have to be requested. Both
 // are zero if all objects are needed.
@@ -257,8 +267,8 @@
 	switch {
 	case from == r.position && !r.position.IsZero():
 		return Delta{Kind: r.kind, From: from, To: r.position}
-	case !from.IsZero() && digest == r.Digest():
-		return Delta{Kind: r.kind, From: from, To: r.position, Exact: true, Digest: digest, Torn: r.inDoubt}
+	case !from.IsZero() && digest == r.Digest() && !r.inDoubt:
+		return Delta{Kind: r.kind, From: from, To: r.position, Exact: true, Digest: digest}
 	case start < 0 || from.IsZero():
 		return r.fullDelta()
 	}
--- a/feed/replica_test.go
+++ b/feed/replica_test.go
@@ -228,3 +228,36 @@
 		})
 	}
 }
+
+// TestReplicaInDoubt checks what a replica that is in doubt sends. The changes of the store that it has applied are
+// as good as any, whereas all of its objects, and the differences that led to them, are said to be torn or
+// not sent.
+func TestReplicaInDoubt(t *testing.T) {
+	object := func(value string) []feed.Change {
+		return []feed.Change{{Object: feed.Object{Name: "o", Value: []byte(value)}}}
+	}
+	r := feed.NewReplica("k")
+	apply := func(d feed.Delta) {
+		_, ok := r.Apply(d)
+		require.True(t, ok)
+	}
+	apply(feed.Delta{Kind: "k", To: feed.At(0, 1), Full: true, Changes: object("1")})
+	first := r.Digest()
+	apply(feed.Delta{Kind: "k", To: feed.At(0, 5), Full: true, Changes: object("5")})
+	apply(feed.Delta{Kind: "k", From: feed.At(0, 5), To: feed.At(0, 6), Changes: object("6")})
+	require.True(t, r.DeltaSince(feed.At(0, 1), first).Exact)
+	require.True(t, r.DeltaSince(feed.At(0, 1), first+1).Full, "other objects than those of the difference")
+	r.MarkInDoubt()
+	require.Equal(t, feed.Delta{Kind: "k", From: feed.At(0, 5), To: feed.At(0, 6), Changes: object("6")}, r.DeltaSince(feed.At(0, 5), 9))
+	for _, digest := range []uint64{first, r.Digest()} {
+		d := r.DeltaSince(feed.At(0, 1), digest)
+		require.True(t, d.Full && d.Torn)
+	}
+	apply(feed.Delta{Kind: "k", To: feed.At(0, 6), Full: true, Torn: true, Changes: object("7")})
+	require.True(t, r.InDoubt())
+	require.Equal(t, map[string]string{"o": "6"}, objectsOf(r))
+	apply(feed.Delta{Kind: "k", To: feed.At(0, 6), Full: true, Changes: object("7")})
+	require.False(t, r.InDoubt())
+	require.Equal(t, map[string]string{"o": "7"}, objectsOf(r))
+	require.False(t, r.DeltaSince(feed.At(0, 1), 0).Torn)
+}
