internal/standin/objects: a stale page is not older than the first write

Traced: the stale list of instances that they read at their start was as of revision 0, before the store's first write, so that their replicas had no position and none of them watched for 5 s. The platform's revisions begin above 0.

--- a/internal/standin/objects/pages_test.go
+++ b/internal/standin/objects/pages_test.go
@@ -55,6 +55,7 @@
 			got = append(got, o.Metadata.Name)
 		}
 		require.Equal(t, want[:min(len(want), 3)], got)
+		require.Positive(t, page.At)
 		ages[page.At] = true
 	}
 	require.Greater(t, len(ages), 5)
--- a/internal/standin/objects/restore.go
+++ b/internal/standin/objects/restore.go
@@ -103,13 +103,13 @@
 }
 
 // stateBefore returns the objects of a kind, and the revision, that the store had at a time. The state is not
-// older than the last restore. The caller holds mu.
+// older than the last restore or the first write, since the platform's revisions begin above 0. The caller holds mu.
 func (s *Store) stateBefore(kind string, at time.Time) (map[string]*Object, int64) {
 	state, revision := make(map[string]*Object, len(s.kinds[kind])), s.revision
 	maps.Copy(state, s.kinds[kind])
 	for i := len(s.undo) - 1; i >= 0; i-- {
 		e := s.undo[i]
-		if !e.at.After(at) || e.at.Before(s.restoredAt) {
+		if !e.at.After(at) || e.at.Before(s.restoredAt) || e.revision == 1 {
 			break
 		}
 		revision = e.revision - 1
