review: two leaders of one rollout (case 5)

Cause: a leader that hears nobody counts itself as the whole fleet, since members that are suspect are not counted, and takes its own report for all (gateway/rollouts.go, rollout/leader.go). The case cuts the leader of six instances off from the others for 5.5 s while a version that is bad under load is brought in.

--- a/review/harness2/evacuation.go
+++ b/review/harness2/evacuation.go
@@ -72,9 +72,8 @@
 	generation int
 	zoneA      []*server
 	// bound is the time in Unix nanoseconds from which no request may arrive in the zone, or 0.
-	bound                atomic.Int64
-	answered, late, cut  atomic.Int64
-	requests, unanswered atomic.Int64
+	bound               atomic.Int64
+	answered, late, cut atomic.Int64
 }
 
 // startServers starts three servers in a zone.
--- a/review/harness2/link.go
+++ b/review/harness2/link.go
@@ -14,7 +14,6 @@
 
 	mu     sync.Mutex
 	silent bool
-	lost   int
 	// watching counts the connections with a pending watch of the evacuations.
 	watching int
 }
@@ -52,13 +51,6 @@
 	return l.watching > 0
 }
 
-// lostAnswers returns the number of answers that were lost.
-func (l *link) lostAnswers() int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.lost
-}
-
 // carry carries one connection.
 func (l *link) carry(c net.Conn) {
 	defer func() { _ = c.Close() }()
@@ -110,7 +102,6 @@
 		setWatching(false)
 		if n > 0 && l.silent && !dead {
 			dead = true
-			l.lost++
 		}
 		pass := !dead
 		l.mu.Unlock()
--- a/review/harness2/world.go
+++ b/review/harness2/world.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -43,13 +44,16 @@
 	startedAt time.Time
 	store     *objects.Store
 	storeAddr string
+	// settings are further lines of the settings of all instances, and linkPeers states that instances reach
+	// each other by links.
+	settings  []string
+	linkPeers bool
 	// net is the second byte of all addresses, so that two worlds can run side by side.
 	net int
 
 	mu        sync.Mutex
 	servers   []*server
 	instances []*instance
-	lines     []string
 }
 
 // newWorld returns a world with a store.
@@ -62,16 +66,38 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{dir: dir, log: log, startedAt: time.Now(), store: objects.New(), net: 100 + os.Getpid()%100}
+	w := &world{dir: dir, log: log, startedAt: time.Now(), store: objects.New(), net: freeNet()}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	w.storeAddr = ln.Addr().String()
 	go func() { _ = http.Serve(ln, withoutEra{w.store}) }()
+	go func() {
+		stop := make(chan os.Signal, 1)
+		signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+		<-stop
+		w.close()
+		os.Exit(exitNotRun)
+	}()
 	return w, nil
 }
 
+// freeNet returns the second byte of loopback addresses whose ports are free.
+func freeNet() int {
+	first := os.Getpid() % 100
+	for i := range 100 {
+		n := 100 + (first+i)%100
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.1.1:%d", n, frontPort))
+		if err != nil {
+			continue
+		}
+		_ = ln.Close()
+		return n
+	}
+	return 100 + first
+}
+
 // withoutEra serves the store without the header of eras, which the users' pages don't name.
 type withoutEra struct{ inner http.Handler }
 
@@ -117,17 +143,21 @@
 
 // server is a stand-in of a server.
 type server struct {
-	w                 *world
-	id, service, zone string
-	ln                net.Listener
-	http              *http.Server
-	slots             chan struct{}
-	work              time.Duration
-	state             string
-	sequence          int64
-	ended             atomic.Bool
+	w                          *world
+	version, id, service, zone string
+	ln                         net.Listener
+	http                       *http.Server
+	slots                      chan struct{}
+	work                       time.Duration
+	state                      string
+	sequence                   int64
+	ended                      atomic.Bool
 	// slow is set while the server works slowFactor times as long.
 	slow atomic.Bool
+	// fails, if not nil, reports whether the run of a request fails.
+	fails func() bool
+	// running, if not nil, counts the requests that the servers of a version run.
+	running *atomic.Int64
 	// onArrival, if not nil, is called with the id of each request that arrives.
 	onArrival func(s *server, id string)
 
@@ -137,11 +167,16 @@
 
 // startServer starts a server of a service and registers it.
 func (w *world) startServer(id, service, zone string, slots int, work time.Duration) (*server, error) {
+	return w.startVersion("v1", id, service, zone, slots, work)
+}
+
+// startVersion starts a server of a service in a version and registers it.
+func (w *world) startVersion(version, id, service, zone string, slots int, work time.Duration) (*server, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	s := &server{w: w, id: id, service: service, zone: zone, ln: ln, slots: make(chan struct{}, slots), work: work, state: "ready", runs: make(map[string]int)}
+	s := &server{w: w, version: version, id: id, service: service, zone: zone, ln: ln, slots: make(chan struct{}, slots), work: work, state: "ready", runs: make(map[string]int)}
 	s.http = &http.Server{Handler: s}
 	go func() { _ = s.http.Serve(ln) }()
 	s.beat()
@@ -173,7 +208,7 @@
 	defer s.mu.Unlock()
 	s.sequence++
 	s.w.store.Set(objects.KindServers, s.id, map[string]any{
-		"service": s.service, "address": s.ln.Addr().String(), "zone": s.zone, "version": "v1", "slots": cap(s.slots),
+		"service": s.service, "address": s.ln.Addr().String(), "zone": s.zone, "version": s.version, "slots": cap(s.slots),
 		"state": s.state, "warmupRemaining": "0ms", "sequence": s.sequence,
 	})
 }
@@ -216,12 +251,21 @@
 	if s.slow.Load() {
 		work *= slowFactor
 	}
+	if s.running != nil {
+		s.running.Add(1)
+		defer s.running.Add(-1)
+	}
 	select {
 	case <-time.After(work):
 	case <-r.Context().Done():
 		s.w.record("server %s: %s dropped, its connection has ended", s.id, id)
 		return
 	}
+	if s.fails != nil && s.fails() {
+		h.Set("Server-Signature", "sig."+s.id+"."+id)
+		rw.WriteHeader(http.StatusInternalServerError)
+		return
+	}
 	h.Set("Server-Signature", "sig."+s.id+"."+id)
 	h.Set("Body-Digest", hex.EncodeToString(sum.Sum(nil)))
 	_, _ = io.WriteString(rw, "done "+id)
@@ -234,8 +278,10 @@
 	zone     string
 	cmd      *exec.Cmd
 	link     *link
-	ended    chan struct{}
-	seeds    []string
+	// peers is the link to the instance for the others, or nil if they reach it directly.
+	peers *peerLink
+	ended chan struct{}
+	seeds []string
 	// ends counts the ends of its processes because of their memory, and largest is the most that one had.
 	ends    int
 	largest int64
@@ -247,15 +293,22 @@
 // settings returns the settings of an instance, as the platform fills in deploy/instance.conf.
 func (in *instance) settings(seeds []string, first bool) string {
 	internal := net.JoinHostPort(in.ip, strconv.Itoa(internalPort))
+	peers := []string{"peer-listen " + internal}
+	if in.peers != nil {
+		// The address of the instance is that of its link.
+		peers = []string{"peer-listen " + in.peers.behind, "advertise-peer " + internal}
+	}
 	lines := []string{
 		"name " + in.name, "hall " + in.zone, "region " + region,
 		"halls " + zoneA + "=" + region + "," + zoneB + "=" + region,
 		"listen " + in.front(), "lookup-listen " + internal, "lookup-port-offset 2", "ready-listen " + in.ready(),
-		"peer-listen " + internal, "admin-listen " + net.JoinHostPort(in.ip, strconv.Itoa(internalPort+15)),
+		"admin-listen " + net.JoinHostPort(in.ip, strconv.Itoa(internalPort+15)),
 		"store " + in.link.ln.Addr().String(), "seeds " + strings.Join(seeds, ","),
 		"grace 6s", "retry-ratio 0.2", "retry-slack 64", "shift-most 0.15",
 		"link-mbps 1000", "cpu-cores 1", "cpu-share 0.32", "first-start " + strconv.FormatBool(first),
 	}
+	lines = append(lines, peers...)
+	lines = append(lines, in.w.settings...)
 	return strings.Join(lines, "\n") + "\n"
 }
 
@@ -268,6 +321,12 @@
 			return err
 		}
 		in := &instance{link: toStore, w: w, name: fmt.Sprintf("edge-%s-%d", zone, i+1), ip: fmt.Sprintf("127.%d.%d.1", w.net, i+1), zone: zone}
+		if w.linkPeers {
+			in.peers, err = newPeerLink(in)
+			if err != nil {
+				return err
+			}
+		}
 		w.instances = append(w.instances, in)
 		if len(seeds) < 3 {
 			seeds = append(seeds, net.JoinHostPort(in.ip, strconv.Itoa(controlPort)))
