--- a/review/harness2/link.go
+++ b/review/harness2/link.go
@@ -14,17 +14,18 @@
 
 	mu     sync.Mutex
 	silent bool
-	// watching counts the connections with a pending watch of the evacuations.
+	// watching counts the connections with a pending watch of the kind.
+	kind     string
 	watching int
 }
 
-// newLink opens the path of one instance to the store.
-func newLink(store string) (*link, error) {
+// newLink opens the path of one instance to the store. It tells whether a watch of the kind is pending.
+func newLink(store, kind string) (*link, error) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	l := &link{ln: ln, store: store}
+	l := &link{ln: ln, store: store, kind: kind}
 	go func() {
 		for {
 			c, err := ln.Accept()
@@ -44,7 +45,7 @@
 	l.silent = silent
 }
 
-// watches reports whether a watch of the evacuations is pending.
+// watches reports whether a watch of the kind is pending.
 func (l *link) watches() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -81,7 +82,7 @@
 			n, err := c.Read(buf)
 			l.mu.Lock()
 			call := buf[:n]
-			if bytes.HasPrefix(call, []byte("GET /objects/evacuations?")) && bytes.Contains(call, []byte("watch=")) {
+			if bytes.HasPrefix(call, []byte("GET /objects/"+l.kind+"?")) && bytes.Contains(call, []byte("watch=")) {
 				setWatching(true)
 			}
 			pass := !dead
--- a/review/harness2/memory.go
+++ b/review/harness2/memory.go
@@ -58,7 +58,7 @@
 		fmt.Println(err)
 		return exitNotRun
 	}
-	m := &memoryCase{w: w, body: bytes.Repeat([]byte("scan"), uploadBytes/4)}
+	m := &memoryCase{w: w, limit: memoryLimit, body: bytes.Repeat([]byte("scan"), uploadBytes/4)}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	var running sync.WaitGroup
@@ -84,10 +84,7 @@
 	time.Sleep(5 * time.Second)
 	cancel()
 	running.Wait()
-	for _, in := range w.instances {
-		w.record("instance %s: %d times over its memory, at most %d MB", in.name, in.ends, in.largest>>20)
-		fmt.Printf("%s: over %d, most %d MB\n", in.name, in.ends, in.largest>>20)
-	}
+	m.tellMemory()
 	w.record("result: %d payments and %d uploads answered, %d payments were running at a server and got no answer", m.paid.Load(), m.uploaded.Load(), m.lost.Load())
 	fmt.Printf("paid %d, uploaded %d, lost %d\n", m.paid.Load(), m.uploaded.Load(), m.lost.Load())
 	switch {
@@ -102,22 +99,32 @@
 
 // memoryCase is the state of the case.
 type memoryCase struct {
-	w                    *world
+	w *world
+	// limit is the memory of an instance in bytes.
+	limit                int64
 	body                 []byte
 	paid, uploaded, lost atomic.Int64
 }
 
+// tellMemory tells how often each instance was over its memory.
+func (m *memoryCase) tellMemory() {
+	for _, in := range m.w.instances {
+		m.w.record("instance %s: %d times over its memory, at most %d MB", in.name, in.ends, in.largest>>20)
+		fmt.Printf("%s: over %d, most %d MB\n", in.name, in.ends, in.largest>>20)
+	}
+}
+
 // supervise kills the process of an instance when it goes over its memory, and starts it again.
 func (m *memoryCase) supervise(ctx context.Context, in *instance) {
 	for ctx.Err() == nil {
 		time.Sleep(5 * time.Millisecond)
 		now, peak := in.memory()
 		in.largest = max(in.largest, peak)
-		if now <= memoryLimit {
+		if now <= m.limit {
 			continue
 		}
 		in.ends++
-		m.w.record("platform: %s has %d MB, over its %d MB", in.name, now>>20, memoryLimit>>20)
+		m.w.record("platform: %s has %d MB, over its %d MB", in.name, now>>20, m.limit>>20)
 		in.signal(syscall.SIGKILL)
 		<-in.ended
 		time.Sleep(restartDelay)
--- a/review/harness2/world.go
+++ b/review/harness2/world.go
@@ -48,6 +48,8 @@
 	// each other by links.
 	settings  []string
 	linkPeers bool
+	// watched is the kind of objects whose readers the links tell.
+	watched string
 	// net is the second byte of all addresses, so that two worlds can run side by side.
 	net int
 
@@ -66,7 +68,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{dir: dir, log: log, startedAt: time.Now(), store: objects.New(), net: freeNet()}
+	w := &world{dir: dir, log: log, startedAt: time.Now(), store: objects.New(), net: freeNet(), watched: objects.KindEvacuations}
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -316,7 +318,7 @@
 func (w *world) startInstances(zones ...string) error {
 	var seeds []string
 	for i, zone := range zones {
-		toStore, err := newLink(w.storeAddr)
+		toStore, err := newLink(w.storeAddr, w.watched)
 		if err != nil {
 			return err
 		}
