--- a/review/harness2/world.go
+++ b/review/harness2/world.go
@@ -74,7 +74,7 @@
 		return nil, err
 	}
 	w.storeAddr = ln.Addr().String()
-	go func() { _ = http.Serve(ln, withoutEra{w.store}) }()
+	go func() { _ = http.Serve(ln, w.store) }()
 	go func() {
 		stop := make(chan os.Signal, 1)
 		signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
@@ -100,20 +100,6 @@
 	return 100 + first
 }
 
-// withoutEra serves the store without the header of eras, which the users' pages don't name.
-type withoutEra struct{ inner http.Handler }
-
-func (h withoutEra) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
-	h.inner.ServeHTTP(eraRemover{rw}, r)
-}
-
-type eraRemover struct{ http.ResponseWriter }
-
-func (e eraRemover) WriteHeader(status int) {
-	e.Header().Del("Store-Era")
-	e.ResponseWriter.WriteHeader(status)
-}
-
 // record writes a line into the record.
 func (w *world) record(format string, args ...any) {
 	w.mu.Lock()
