review: cases 7 and 8 check LOST with its excuses

The check counted any error of a client whose payment had run. It now asks for a kept connection, a close rather than the client's own time-out, and a process that was in touch.

--- a/review/harness2/memory.go
+++ b/review/harness2/memory.go
@@ -3,9 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -135,21 +138,27 @@
 	}
 }
 
-// pay sends payments over a kept connection, one after the other.
+// pay sends payments over a kept connection, one after the other. A payment is lost if the instance has taken it from
+// a kept connection, a server has run it, and the instance has closed the connection with no answer. The client's
+// own time-out doesn't count, nor a request to a process that has started less than contact before.
 func (m *memoryCase) pay(ctx context.Context, n, c int, in *instance) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}, Timeout: 4 * time.Second}
 	for i := 0; ctx.Err() == nil; i++ {
 		id := fmt.Sprintf("pay-%d-%d-%d", n, c, i)
-		status, err := m.send(client, in, "/pay/rent", id, strings.NewReader("rent "+id))
+		inTouch := time.Since(time.Unix(0, in.startedAt.Load())) > contact
+		kept := false
+		status, err := m.send(client, in, "/pay/rent", id, strings.NewReader("rent "+id), &kept)
+		var timeout net.Error
+		isTimeout := errors.As(err, &timeout) && timeout.Timeout()
 		switch {
-		case status == http.StatusOK:
+		case status == http.StatusOK && err == nil:
 			m.paid.Add(1)
-		case err != nil && m.w.hasRun(id):
+		case err != nil && !isTimeout && kept && inTouch && m.w.hasRun(id):
 			m.lost.Add(1)
 			m.w.record("BROKEN: %s by %s has run and got no answer: %v", id, in.name, err)
 			time.Sleep(200 * time.Millisecond)
 		default:
-			m.w.record("client: %s by %s: status %d, %v", id, in.name, status, err)
+			m.w.record("client: %s by %s: status %d, kept %v, in touch %v, %v", id, in.name, status, kept, inTouch, err)
 			time.Sleep(200 * time.Millisecond)
 		}
 		time.Sleep(100 * time.Millisecond)
@@ -169,7 +178,7 @@
 		}
 		running.Go(func() {
 			id := fmt.Sprintf("scan-%d-%d", n, i)
-			status, err := m.send(client, in, "/scan/lease", id, bytes.NewReader(m.body))
+			status, err := m.send(client, in, "/scan/lease", id, bytes.NewReader(m.body), new(bool))
 			if status == http.StatusOK {
 				m.uploaded.Add(1)
 				return
@@ -179,9 +188,11 @@
 	}
 }
 
-// send sends one request and returns the status, or 0 without an answer.
-func (m *memoryCase) send(client *http.Client, in *instance, path, id string, body io.Reader) (int, error) {
-	req, err := http.NewRequest(http.MethodPost, "http://"+in.front()+path, body)
+// send sends one request and returns the status, or 0 without an answer. It sets kept if the connection was open
+// before.
+func (m *memoryCase) send(client *http.Client, in *instance, path, id string, body io.Reader, kept *bool) (int, error) {
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { *kept = info.Reused }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(context.Background(), trace), http.MethodPost, "http://"+in.front()+path, body)
 	if err != nil {
 		return 0, err
 	}
--- a/review/harness2/world.go
+++ b/review/harness2/world.go
@@ -270,6 +270,8 @@
 	peers *peerLink
 	ended chan struct{}
 	seeds []string
+	// startedAt is when the process was started, in Unix nanoseconds.
+	startedAt atomic.Int64
 	// ends counts the ends of its processes because of their memory, and largest is the most that one had.
 	ends    int
 	largest int64
@@ -345,6 +347,7 @@
 	if err := in.cmd.Start(); err != nil {
 		return err
 	}
+	in.startedAt.Store(time.Now().UnixNano())
 	ended := make(chan struct{})
 	in.ended = ended
 	in.w.record("platform: instance %s started", in.name)
