feed, gateway: whatever a replica lacks fits into messages

Cause: an answer to a delta request joined all deltas that the other lacked, each with the whole value of the object; a read of several versions was pushed with all of them; a whole state had no bound. What exceeded a frame was dropped by Mesh.Send, which logs it and tells nobody. All instances have the same history, so that none could answer.

Evidence: TestManyChangesOfLargeObjectAreAnswered and TestManyChangesInOneReadArePushed failed on the code before, with 'peer message not sent', bodies of 1638875 and 6390593 bytes.

Now a replica knows the position of each object's last change and of each removal (bounded), and a delta has each object once. NewDelta refuses what can't be sent; an answer then comes in parts, which the receiver joins before it applies them, and a push becomes an empty one that leaves a gap. A replica whose requests aren't answered reads the store. TestWhateverIsMissingArrives draws sizes, counts, changes and lost messages.

--- a/feed/catchup.go
+++ b/feed/catchup.go
@@ -15,6 +15,10 @@
 	// spans six rounds of gossip, in which an instance of another region announces its
 	// position twice.
 	sourceTTL = 3 * time.Second
+	// maxUnanswered is the number of requests without a reply after which other instances are not
+	// relied on. With requestInterval they take less than half of the time in which a change of a
+	// configuration has to be in force.
+	maxUnanswered = 3
 )
 
 // Source is an instance that has announced a later position than that of the local replica.
@@ -56,6 +60,9 @@
 	// last is the last request. It is pending until changes arrive.
 	last    Request
 	pending bool
+	// unanswered is the number of requests since the replica's last progress that had no reply when the
+	// next one was sent.
+	unanswered int
 }
 
 // candidate is a source, with the times of its last announcement and of the last request to
@@ -98,7 +105,7 @@
 // announcement has expired.
 func (c *CatchUp) prune(now time.Time, at Position) {
 	if at != c.position {
-		c.position, c.behindSince, c.skipDelays = at, now, false
+		c.position, c.behindSince, c.skipDelays, c.unanswered = at, now, false, 0
 	}
 	for addr, s := range c.sources {
 		if !s.Position.After(at) || now.Sub(s.announcedAt) > sourceTTL {
@@ -106,7 +113,7 @@
 		}
 	}
 	if len(c.sources) == 0 {
-		c.skipDelays = false
+		c.skipDelays, c.unanswered = false, 0
 	}
 }
 
@@ -134,10 +141,23 @@
 		return "", false
 	}
 	best.askedAt = now
+	if c.pending {
+		c.unanswered++
+	}
 	c.last, c.pending = Request{To: best.Addr, SentAt: now}, true
 	return best.Addr, true
 }
 
+// Continue records that a part of the missing changes has arrived from an instance, and that the next part
+// was requested there.
+func (c *CatchUp) Continue(now time.Time, addr string) {
+	c.last, c.pending, c.unanswered = Request{To: addr, SentAt: now}, true, 0
+}
+
+// IsStuck reports whether other instances have not replied to several requests in a row. The store has to be
+// read then.
+func (c *CatchUp) IsStuck() bool { return c.unanswered >= maxUnanswered }
+
 // NextDue returns how long it is until a request may be sent, given the sources that are known now. It returns
 // false if the replica is not known to be behind.
 func (c *CatchUp) NextDue(now time.Time, at Position) (wait time.Duration, behind bool) {
--- a/feed/replica.go
+++ b/feed/replica.go
@@ -2,78 +2,35 @@
 
 import (
 	"slices"
-	"sort"
 
 	"github.com/rainford/rainford/internal/mix"
 )
 
-// Kind names a kind of object. The gateway defines the kinds.
-type Kind string
-
-// Object is one object of the store. The package does not interpret its value.
-type Object struct {
-	Name  string `msgpack:"n"`
-	Value []byte `msgpack:"v"`
-	// Revision is the revision of the object's last change, 0 if the store does not report
-	// it.
-	Revision int64 `msgpack:"-"`
-}
-
-// Change is the new state of an object, or its removal.
-type Change struct {
-	Object
-	Removed bool `msgpack:"g,omitempty"`
-}
-
-// Delta carries all changes of a kind after the position From up to and including the
-// position To of the same era. A full delta carries all objects instead, and its From is
-// zero. An exact delta carries only the difference between two states: it omits objects
-// that were created and removed in between. It may lead from one era to a later one.
-type Delta struct {
-	Kind  Kind     `msgpack:"k"`
-	From  Position `msgpack:"b"`
-	To    Position `msgpack:"u"`
-	Full  bool     `msgpack:"a,omitempty"`
-	Exact bool     `msgpack:"e,omitempty"`
-	// Digest is, in an exact delta, the digest of the objects that it leads from.
-	Digest uint64 `msgpack:"d,omitempty"`
-	// Torn is set if the objects that a full or an exact delta leads to may not be those of
-	// the position To: some may be newer, or were removed by then.
-	Torn    bool     `msgpack:"t,omitempty"`
-	Changes []Change `msgpack:"c"`
-	// Unreadable names the places of objects that the store has sent and whose names can't be
-	// read. They are not among the changes.
-	Unreadable []string `msgpack:"-"`
-}
-
-// maxHistory bounds the number of deltas that a replica keeps for other replicas.
-const maxHistory = 128
-
 // Replica holds the objects of one kind. It is not safe for concurrent use.
 //
 // Unless the replica is in doubt, its objects are exactly those of the store at its position.
 type Replica struct {
 	kind     Kind
 	position Position
-	objects  map[string][]byte
+	objects  map[string]entry
 	// digest is the XOR of the digests of all objects.
 	digest uint64
 	// inDoubt is set while the objects may not be those of the position, and needsAll while
 	// an exact delta has shown that another replica holds other objects at the position.
 	inDoubt, needsAll bool
-	// history holds the latest deltas. Each begins at the end of the one before.
-	history []historyEntry
+	history           history
 }
 
-// historyEntry is a delta, with the digest of the objects before it.
-type historyEntry struct {
-	Delta
-	before uint64
+// entry is an object of a replica.
+type entry struct {
+	value []byte
+	// changed is the position that the replica reached by the delta with the object's last change.
+	changed Position
 }
 
 // NewReplica returns an empty replica at the zero position.
 func NewReplica(kind Kind) *Replica {
-	return &Replica{kind: kind, objects: make(map[string][]byte)}
+	return &Replica{kind: kind, objects: make(map[string]entry)}
 }
 
 // Position returns the position that the replica reflects. It is zero before the first
@@ -102,12 +59,7 @@
 // forgotten, since one of these may be wrong. The changes after it are those of the store.
 func (r *Replica) MarkInDoubt() {
 	r.inDoubt = true
-	for i, h := range slices.Backward(r.history) {
-		if h.Exact {
-			r.history = r.history[i+1:]
-			return
-		}
-	}
+	r.history.dropDifferences()
 }
 
 // Missing returns the position and the digest with which missing changes have to be requested. Both
@@ -130,14 +82,14 @@
 
 // Get returns the value of the object with the name, and whether it exists.
 func (r *Replica) Get(name string) ([]byte, bool) {
-	value, ok := r.objects[name]
-	return value, ok
+	held, ok := r.objects[name]
+	return held.value, ok
 }
 
 // Range calls f for each object, in no particular order.
 func (r *Replica) Range(f func(Object)) {
-	for name, value := range r.objects {
-		f(Object{Name: name, Value: value})
+	for name, held := range r.objects {
+		f(Object{Name: name, Value: held.value})
 	}
 }
 
@@ -162,7 +114,7 @@
 	} else {
 		changes = r.applyChanges(d)
 	}
-	r.appendHistory(d, before)
+	r.recordStep(d, before)
 	r.position, r.needsAll = d.To, false
 	if d.Exact {
 		r.inDoubt = d.Torn
@@ -188,22 +140,27 @@
 	}
 }
 
-// applyChanges applies the changes of a delta, and returns those that had an effect.
+// applyChanges applies the changes of a delta, and returns those that had an effect. A change without one
+// counts as the object's last change too: the object may have had another state within the delta.
 func (r *Replica) applyChanges(d Delta) []Change {
 	var made []Change
 	for _, c := range d.Changes {
 		held, known := r.objects[c.Name]
-		switch {
-		case c.Removed && known:
+		if c.Removed {
 			delete(r.objects, c.Name)
-		case !c.Removed && (!known || string(held) != string(c.Value)):
-			r.objects[c.Name] = c.Value
-			r.digest ^= objectDigest(c.Name, c.Value)
-		default:
+			r.history.removed.add(c.Name, d.To)
+		} else {
+			r.objects[c.Name] = entry{c.Value, d.To}
+			r.history.removed.drop(c.Name)
+		}
+		if known == !c.Removed && string(held.value) == string(c.Value) || !known && c.Removed {
 			continue
 		}
 		if known {
-			r.digest ^= objectDigest(c.Name, held)
+			r.digest ^= objectDigest(c.Name, held.value)
+		}
+		if !c.Removed {
+			r.digest ^= objectDigest(c.Name, c.Value)
 		}
 		made = append(made, c)
 	}
@@ -222,33 +179,27 @@
 			all = append(all, Change{Object: Object{Name: name}, Removed: true})
 		}
 	}
-	sort.Slice(all, func(i, j int) bool { return all[i].Name < all[j].Name })
-	return r.applyChanges(Delta{Changes: append(all, d.Changes...)})
+	slices.SortFunc(all, byName)
+	for _, c := range d.Changes {
+		held, known := r.objects[c.Name]
+		if !known || c.Removed || string(held.value) != string(c.Value) {
+			all = append(all, c)
+		}
+	}
+	return r.applyChanges(Delta{To: d.To, Changes: all})
 }
 
-// appendHistory adds a delta to the history, unless the replica was at the zero position
-// before. Before is the digest of the objects before the delta. A torn delta, or one that does
-// not advance the replica, clears the history instead, since no other replica can follow it. An
-// empty delta only extends the last delta of the history. An empty exact delta extends only an
-// exact one: objects may have been created and removed within it, so that the extended delta
-// must be exact.
-func (r *Replica) appendHistory(d Delta, before uint64) {
-	if r.position.IsZero() {
-		return
-	}
-	if d.Torn || d.To == r.position {
-		r.history = nil
-		return
-	}
-	d.From = r.position
-	last := len(r.history) - 1
-	if len(d.Changes) == 0 && last >= 0 && (!d.Exact || r.history[last].Exact) {
-		r.history[last].To = d.To
-		return
-	}
-	r.history = append(r.history, historyEntry{d, before})
-	if len(r.history) > maxHistory {
-		r.history = append(r.history[:0:0], r.history[len(r.history)-maxHistory/2:]...)
+// recordStep records a delta in the history, unless the replica was at the zero position before.
+// Before is the digest of the objects before the delta. A torn delta, or one that does not advance the
+// replica, clears the history instead, since no other replica can follow it.
+func (r *Replica) recordStep(d Delta, before uint64) {
+	switch {
+	case r.position.IsZero():
+		r.history.clear()
+	case d.Torn || d.To == r.position:
+		r.history.clear()
+	default:
+		r.history.add(step{from: r.position, to: d.To, exact: d.Exact, before: before}, len(d.Changes) == 0)
 	}
 }
 
@@ -258,58 +209,53 @@
 // DeltaSince returns a delta that leads from the position from to that of the replica.
 // Digest is the digest of the objects at from, 0 if it is not known. The delta is empty
 // if from is the replica's position, and empty and exact if only the digest is the same.
-// Otherwise it joins the deltas of the history after from. It is a full delta if the
-// history does not reach back that far, or contains an exact delta and the objects at from
-// were not those of the digest here.
+// Otherwise it has the objects that changed after from, and is exact if the history after from
+// contains an exact delta. It is a full delta if the history does not reach back that far, or if it
+// would be exact and the objects at from were not those of the digest here. It never has more than
+// the replica's objects and the removals that the history knows.
 func (r *Replica) DeltaSince(from Position, digest uint64) Delta {
-	start := r.historyIndex(from)
+	d := r.header(from, digest)
+	d.Changes = r.changes(d, nil)
+	return d
+}
+
+// header returns the delta that DeltaSince returns, without its changes.
+func (r *Replica) header(from Position, digest uint64) Delta {
+	whole := Delta{Kind: r.kind, To: r.position, Full: true, Torn: r.inDoubt}
+	start := r.history.indexFrom(from)
 	switch {
 	case from == r.position && !r.position.IsZero():
 		return Delta{Kind: r.kind, From: from, To: r.position}
 	case !from.IsZero() && digest == r.Digest() && !r.inDoubt:
 		return Delta{Kind: r.kind, From: from, To: r.position, Exact: true, Digest: digest}
 	case start < 0 || from.IsZero():
-		return r.fullDelta()
-	}
-	d := Delta{Kind: r.kind, From: from, To: r.position}
-	for _, h := range r.history[start:] {
-		d.Exact = d.Exact || h.Exact
-		d.Changes = append(d.Changes, h.Changes...)
-	}
-	if !d.Exact {
-		return d
+		return whole
+	case !r.history.hasDifference(start):
+		return Delta{Kind: r.kind, From: from, To: r.position}
 	}
-	if first := r.history[start]; first.From != from || first.before != digest {
-		return r.fullDelta()
+	if first := r.history.steps[start]; first.from != from || first.before != digest {
+		return whole
 	}
-	d.Digest, d.Torn = digest, r.inDoubt
-	return d
+	return Delta{Kind: r.kind, From: from, To: r.position, Exact: true, Digest: digest, Torn: r.inDoubt}
 }
 
-// historyIndex returns the index of the first delta of the history that a replica at the
-// position from needs, or -1 if the history does not serve it. It does not serve a position
-// within an exact delta.
-func (r *Replica) historyIndex(from Position) int {
-	start := -1
-	for i, h := range r.history {
-		switch {
-		case h.From.After(from):
-			return start
-		case h.From == from || !h.Exact:
-			start = i
-		default:
-			start = -1
+// changes returns the changes of a delta with the given header, ordered by name, without those that a
+// receiver with some parts of the delta has already.
+func (r *Replica) changes(header Delta, got *Progress) []Change {
+	var out []Change
+	if header.Exact && header.Digest == r.Digest() {
+		return nil
+	}
+	for name, held := range r.objects {
+		if header.Full && !got.covers(name) || held.changed.After(got.since(name, header.From)) {
+			out = append(out, Change{Object: Object{Name: name, Value: held.value}})
 		}
 	}
-	return start
-}
-
-// fullDelta returns a full delta with all objects, ordered by name.
-func (r *Replica) fullDelta() Delta {
-	d := Delta{Kind: r.kind, To: r.position, Full: true, Torn: r.inDoubt}
-	for name, value := range r.objects {
-		d.Changes = append(d.Changes, Change{Object: Object{Name: name, Value: value}})
+	for name, at := range r.history.removed.at {
+		if (!header.Full || got.covers(name)) && at.After(got.since(name, header.From)) {
+			out = append(out, Change{Object: Object{Name: name}, Removed: true})
+		}
 	}
-	sort.Slice(d.Changes, func(i, j int) bool { return d.Changes[i].Name < d.Changes[j].Name })
-	return d
+	slices.SortFunc(out, byName)
+	return out
 }
--- a/gateway/delta.go
+++ b/gateway/delta.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"errors"
+
 	"github.com/rainford/rainford/feed"
 	"github.com/rainford/rainford/peer"
 )
@@ -30,7 +32,11 @@
 		// Replicas that are not in doubt wait for the next list.
 		return
 	}
-	message, err := peer.NewDelta(d)
+	message, err := peer.NewDelta(d.Compact())
+	if errors.Is(err, peer.ErrDeltaTooLong) {
+		// Its receivers find that they are behind, and request the changes in parts.
+		message, err = peer.NewDelta(feed.Delta{Kind: d.Kind, From: d.To, To: d.To})
+	}
 	if err != nil {
 		g.log.Error(logDeltaRefused, "kind", d.Kind, "error", err.Error())
 		return
@@ -57,11 +63,34 @@
 		return
 	}
 	g.inheritRemovalHold(m)
+	if delta.IsPart() {
+		whole, done := g.addPart(from, delta)
+		if !done {
+			return
+		}
+		delta = whole
+	}
 	if !g.applyDelta(delta, from) {
 		g.requestAfterGap(from, delta)
 	}
 }
 
+// addPart adds a part of a delta to those received so far, and requests the next part from the sender. It
+// returns the whole delta once all parts have arrived.
+func (g *Gateway) addPart(from string, part feed.Delta) (whole feed.Delta, done bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.replicas[part.Kind] == nil {
+		return feed.Delta{}, false
+	}
+	whole, done, progress := g.replication[part.Kind].assembly.Add(part)
+	if progress && !done {
+		g.catchUp[part.Kind].Continue(g.clock.Now(), from)
+		g.requestDelta(from, part.Kind)
+	}
+	return whole, done
+}
+
 // relayDelta sends a delta to the next instances of the broadcast tree, if it is part of a
 // broadcast.
 func (g *Gateway) relayDelta(m *peer.Delta) {
@@ -143,23 +172,48 @@
 // same time request the same delta.
 type deltaCache map[feed.Kind]cachedDelta
 
-// cachedDelta is a packed delta with the states that it leads from and to.
+// cachedDelta is a packed delta with the states that it leads from and to. Got is the progress of the
+// requesting instance.
 type cachedDelta struct {
 	from, to             feed.Position
 	fromDigest, toDigest uint64
+	got                  feed.Progress
+	takesParts           bool
 	message              *peer.Delta
 }
 
-// message returns the delta from the state of the requesting instance to that of the replica.
+// message returns the delta from the state of the requesting instance to that of the replica, or its next
+// part.
 func (a deltaCache) message(replica *feed.Replica, m *peer.DeltaRequest) (peer.Delta, error) {
-	held, ok := a[m.Kind]
-	if ok && held.from == m.Position && held.fromDigest == m.Digest && held.to == replica.Position() && held.toDigest == replica.Digest() {
+	wanted := cachedDelta{from: m.Position, fromDigest: m.Digest, to: replica.Position(), toDigest: replica.Digest(), takesParts: m.Got != nil}
+	if m.Got != nil {
+		wanted.got = *m.Got
+	}
+	held := a[m.Kind]
+	wanted.message = held.message
+	if held.message != nil && held == wanted {
 		return *held.message, nil
 	}
-	message, err := peer.NewDelta(replica.DeltaSince(m.Position, m.Digest))
+	message, err := packPart(replica, m.Query())
 	if err != nil {
 		return peer.Delta{}, err
 	}
-	a[m.Kind] = cachedDelta{from: m.Position, fromDigest: m.Digest, to: replica.Position(), toDigest: replica.Digest(), message: message}
+	wanted.message = message
+	a[m.Kind] = wanted
 	return *message, nil
 }
+
+// maxPartBytes is the size of a part of a delta before compression, at most. The targets of the largest
+// deployments take less than half of it.
+const maxPartBytes = 2 << 20
+
+// packPart packs the delta that a query asks for, or as much of it as fits into a message.
+func packPart(replica *feed.Replica, q feed.Query) (*peer.Delta, error) {
+	for limit := maxPartBytes; ; limit /= 2 {
+		part := replica.Part(q, limit)
+		message, err := peer.NewDelta(part)
+		if !errors.Is(err, peer.ErrDeltaTooLong) || q.Got == nil || len(part.Changes) <= 1 {
+			return message, err
+		}
+	}
+}
--- a/gateway/delta_request.go
+++ b/gateway/delta_request.go
@@ -76,8 +76,14 @@
 		g.metrics.deltaRequest(kind, deltaRequestUnanswered)
 		g.log.Warn(logDeltaRequestUnanswered, "kind", kind, "asked", last.To, "for_ms", now.Sub(last.SentAt).Milliseconds(), "revision", at.Revision)
 	}
-	from, digest := g.replicas[kind].Missing()
-	g.mesh.Send(addr, &peer.DeltaRequest{Kind: kind, Position: from, Digest: digest, ReplyTo: g.view.Self().PeerAddr})
+	g.requestDelta(addr, kind)
+}
+
+// requestDelta requests what the replica of a kind lacks from the instance with a peer address. The caller
+// holds mu.
+func (g *Gateway) requestDelta(addr string, kind feed.Kind) {
+	missing := g.replication[kind].assembly.Query(g.replicas[kind])
+	g.mesh.Send(addr, peer.NewDeltaRequest(kind, missing, g.view.Self().PeerAddr))
 }
 
 // scheduleDeltaRequest calls sendDeltaRequest when the next request for a kind is due. The caller holds mu.
--- a/gateway/replica_check.go
+++ b/gateway/replica_check.go
@@ -15,12 +15,14 @@
 // replicationState is what an instance knows of the replication of one kind, beside its replica and the
 // choice of sources for missing changes.
 type replicationState struct {
-	// verification decides when a replica that is in doubt is listed, and reportedAt is the position at which
-	// a difference to another replica was logged last.
+	// verification decides when a replica that is in doubt, or that gets no changes from others, is listed.
+	// reportedAt is the position at which a difference to another replica was logged last.
 	verification feed.Verification
 	reportedAt   feed.Position
 	// pushedAt is when the replica last advanced by a read of the store or by a push.
 	pushedAt time.Time
+	// assembly holds the parts of a delta that comes in parts.
+	assembly feed.Assembly
 	// requestScheduled is set while a timer runs for the next delta request.
 	requestScheduled bool
 }
@@ -100,14 +102,16 @@
 	g.log.Warn(logDeltaLate, "kind", d.Kind, "source", source, "behind_ms", behind.Milliseconds(), "changes", len(d.Changes), "revision", d.To.Revision)
 }
 
-// needsVerification reports whether the replica of a kind is in doubt and may be listed now.
+// needsVerification reports whether the replica of a kind is in doubt, or is behind while others don't send
+// the changes, and may be listed now.
 func (g *Gateway) needsVerification(kind feed.Kind) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.replicas[kind].InDoubt() && g.replication[kind].verification.Due(g.clock.Now())
+	suspect := g.replicas[kind].InDoubt() || g.catchUp[kind].IsStuck()
+	return suspect && g.replication[kind].verification.Due(g.clock.Now())
 }
 
-// verify lists a kind whose replica is in doubt, unless the doubt has ended meanwhile.
+// verify lists a kind that needs it, unless the reason has ended meanwhile.
 func (g *Gateway) verify(ctx context.Context, kind feed.Kind) {
 	pause.For(ctx, rand.N(verificationSpread))
 	if ctx.Err() != nil || !g.needsVerification(kind) {
--- a/gateway/start.go
+++ b/gateway/start.go
@@ -8,7 +8,6 @@
 	"github.com/rainford/rainford/fleet"
 	"github.com/rainford/rainford/internal/mix"
 	"github.com/rainford/rainford/internal/pause"
-	"github.com/rainford/rainford/peer"
 )
 
 const (
@@ -105,11 +104,18 @@
 		if !g.position(KindTargets).IsZero() {
 			return
 		}
-		g.mesh.Send(reader.PeerAddr, &peer.DeltaRequest{Kind: KindTargets, ReplyTo: g.view.Self().PeerAddr})
+		g.requestTargets(reader.PeerAddr)
 		g.awaitKind(ctx, KindTargets, readerTimeout)
 	}
 }
 
+// requestTargets requests the targets from the instance with a peer address.
+func (g *Gateway) requestTargets(addr string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.requestDelta(addr, KindTargets)
+}
+
 // readers returns up to maxReaders readers of the hall in the order in which to try them. The
 // order depends on the name of this instance, so that the load is spread over the readers.
 func (g *Gateway) readers() []fleet.Member {
--- a/peer/delta.go
+++ b/peer/delta.go
@@ -19,6 +19,17 @@
 // objects of 300 bytes.
 const maxDeltaBytes = 32 << 20
 
+// maxPackedBytes is the largest delta that fits into a frame after compression. The rest of the message
+// takes less than deltaOverhead.
+const (
+	deltaOverhead  = 1 << 10
+	maxPackedBytes = maxFrameBytes - deltaOverhead
+)
+
+// ErrDeltaTooLong is returned for a delta that doesn't fit into a frame. Its changes have to be
+// sent in parts.
+var ErrDeltaTooLong = errors.New("peer: delta is too long for a frame")
+
 // ErrDelta is returned for a delta that can't be decompressed or decoded.
 var ErrDelta = errors.New("peer: malformed delta")
 
@@ -49,13 +60,15 @@
 	decompressors = sync.Pool{New: func() any { return flate.NewReader(nil) }}
 )
 
-// NewDelta encodes and compresses a delta.
+// NewDelta encodes and compresses a delta. The error wraps ErrDeltaTooLong if the message can't be sent, or
+// if Unpack would refuse it.
 func NewDelta(d feed.Delta) (*Delta, error) {
 	var buf bytes.Buffer
 	w := compressors.Get().(*flate.Writer)
 	defer compressors.Put(w)
 	w.Reset(&buf)
-	enc := msgpack.NewEncoder(w)
+	raw := &countingWriter{w: w}
+	enc := msgpack.NewEncoder(raw)
 	enc.UseCompactInts(true)
 	if err := enc.Encode(&d); err != nil {
 		return nil, fmt.Errorf("peer: delta of %s: %w", d.Kind, err)
@@ -63,6 +76,9 @@
 	if err := w.Close(); err != nil {
 		return nil, fmt.Errorf("peer: delta of %s: %w", d.Kind, err)
 	}
+	if raw.n >= maxDeltaBytes || buf.Len() > maxPackedBytes {
+		return nil, fmt.Errorf("%w: %s, %d bytes, %d compressed", ErrDeltaTooLong, d.Kind, raw.n, buf.Len())
+	}
 	return &Delta{Kind: d.Kind, Packed: buf.Bytes()}, nil
 }
 
@@ -98,3 +114,15 @@
 	relayed.Relay, relayed.RelayUntil = true, b.Until
 	return &relayed
 }
+
+// countingWriter counts the bytes written to w.
+type countingWriter struct {
+	w io.Writer
+	n int
+}
+
+func (c *countingWriter) Write(p []byte) (int, error) {
+	n, err := c.w.Write(p)
+	c.n += n
+	return n, err
+}
--- a/peer/message.go
+++ b/peer/message.go
@@ -206,10 +206,23 @@
 	// Digest is the digest of the objects that the requesting instance holds at the
 	// position.
 	Digest uint64 `msgpack:"d,omitempty"`
+	// Got is the progress of the requesting instance if the delta comes in parts. It is nil if
+	// that instance takes no parts.
+	Got *feed.Progress `msgpack:"g,omitempty"`
 	// ReplyTo is the peer address of the requesting instance.
 	ReplyTo string `msgpack:"a"`
 }
 
+// NewDeltaRequest returns the message for a request of a kind.
+func NewDeltaRequest(kind feed.Kind, r feed.Query, replyTo string) *DeltaRequest {
+	return &DeltaRequest{Kind: kind, Position: r.From, Digest: r.Digest, Got: r.Got, ReplyTo: replyTo}
+}
+
+// Query returns what the requesting instance lacks.
+func (m *DeltaRequest) Query() feed.Query {
+	return feed.Query{From: m.Position, Digest: m.Digest, Got: m.Got}
+}
+
 // Probe checks whether the receiver is alive. The receiver replies with Gossip that
 // contains only its own heartbeat.
 type Probe struct {
