peer, feed: what is kept for other instances is bounded in bytes

Cause: the history of a replica kept up to 128 deltas with their values, and the queue of each peer up to 64 messages of any length.

What has no room is dropped as before, and the position in gossip shows that it is missing.

--- a/peer/mesh.go
+++ b/peer/mesh.go
@@ -18,8 +18,7 @@
 )
 
 const (
-	queueCapacity = 64
-	dialTimeout   = 2 * time.Second
+	dialTimeout = 2 * time.Second
 	// unackedTimeout is how long sent bytes may remain unacknowledged before a connection
 	// is closed: an established connection may silently drop all packets while new ones
 	// work. Frames in transit are then lost, which the senders tolerate. The round-trip
@@ -53,6 +52,7 @@
 	sentBytes     atomic.Int64
 	receivedBytes atomic.Int64
 	dropped       atomic.Int64
+	queued        queueBudget
 
 	mu       sync.Mutex
 	links    map[string]*link
@@ -219,8 +219,8 @@
 	return n, err
 }
 
-// Send queues a message for the peer at addr. It drops the message if the queue is full
-// or the mesh is closed.
+// Send queues a message for the peer at addr. It drops the message if there is no room for it
+// or the mesh is closed: messages may be lost in any case.
 func (m *Mesh) Send(addr string, msg Message) {
 	frame, err := Encode(msg)
 	if err != nil {
@@ -231,9 +231,7 @@
 	if l == nil {
 		return
 	}
-	select {
-	case l.queue <- frame:
-	default:
+	if !l.queue.push(frame) {
 		m.dropped.Add(1)
 	}
 }
@@ -249,7 +247,7 @@
 	l := m.links[addr]
 	if l == nil {
 		ctx, cancel := context.WithCancel(context.Background())
-		l = &link{mesh: m, addr: addr, queue: make(chan []byte, queueCapacity), cancel: cancel}
+		l = &link{mesh: m, addr: addr, queue: newSendQueue(&m.queued), cancel: cancel}
 		m.links[addr] = l
 		m.wg.Add(1)
 		go l.run(ctx)
@@ -299,7 +297,7 @@
 type link struct {
 	mesh   *Mesh
 	addr   string
-	queue  chan []byte
+	queue  *sendQueue
 	cancel context.CancelFunc
 	conn   net.Conn
 	// reconnect requests a new connection for the next frame.
@@ -318,9 +316,10 @@
 			return
 		case <-idle.C:
 			return
-		case frame := <-l.queue:
+		case frame := <-l.queue.frames:
 			idle.Reset(idleTimeout)
 			l.deliver(ctx, frame)
+			l.queue.done(frame)
 		}
 	}
 }
@@ -332,6 +331,7 @@
 	l.mesh.mu.Lock()
 	delete(l.mesh.links, l.addr)
 	l.mesh.mu.Unlock()
+	l.mesh.dropped.Add(l.queue.close())
 }
 
 func (l *link) close() {
@@ -356,7 +356,8 @@
 			l.mesh.receiver.Unreachable(l.addr)
 		}
 		pause.For(ctx, redialBackoff)
-		l.drainQueue()
+		// Outdated heartbeats would make the instance appear healthy for that time.
+		l.mesh.dropped.Add(l.queue.drop())
 		return
 	}
 	if !l.write(frame) {
@@ -364,19 +365,6 @@
 	}
 }
 
-// drainQueue drops the frames that were queued while the peer was unreachable. Outdated
-// heartbeats would make the instance appear healthy for that time.
-func (l *link) drainQueue() {
-	for {
-		select {
-		case <-l.queue:
-			l.mesh.dropped.Add(1)
-		default:
-			return
-		}
-	}
-}
-
 // open establishes a connection and sends the Hello. It reports whether both succeeded.
 func (l *link) open(ctx context.Context) bool {
 	conn, err := l.mesh.dial(ctx, l.addr, dialTimeout)
