peer, feed: long messages leave half of a queue free, and take 4 MiB unpacked at most

32 long frames of 17 to 46 KiB would have filled a peer's queue by their number, so that heartbeats had no room; the property test pushes such frames until none has room. Parts that a replica has overtaken are dropped when it advances, not at its next request.

--- a/feed/assembly.go
+++ b/feed/assembly.go
@@ -87,12 +87,17 @@
 	got     Progress
 }
 
-// Query returns what to request for a replica: the next part, or the first one if there is none or the parts
-// are of no use for the replica any more, which are dropped then.
-func (a *Assembly) Query(r *Replica) Query {
+// Prune drops the parts if they are of no use for the replica any more.
+func (a *Assembly) Prune(r *Replica) {
 	if !a.got.At.After(r.Position()) || a.header.Exact && a.header.From != r.Position() {
 		*a = Assembly{}
 	}
+}
+
+// Query returns what to request for a replica: the next part, or the first one if there is none or the parts
+// are of no use any more, see Prune.
+func (a *Assembly) Query(r *Replica) Query {
+	a.Prune(r)
 	got := a.got
 	if got.At.IsZero() {
 		from, digest := r.Missing()
@@ -109,6 +114,7 @@
 		return Delta{}, false, false
 	case part.Begin == nil:
 		a.header, a.changes = part, make(map[string]Change, len(part.Changes))
+		a.header.Changes = nil
 	case a.got.At.IsZero() || *part.Begin != a.got:
 		return Delta{}, false, false
 	}
--- a/feed/delta.go
+++ b/feed/delta.go
@@ -24,6 +24,14 @@
 	Removed bool `msgpack:"g,omitempty"`
 }
 
+// alters reports whether the change alters an object with a value, or that is not known.
+func (c Change) alters(value []byte, known bool) bool {
+	if c.Removed || !known {
+		return known != !c.Removed
+	}
+	return string(value) != string(c.Value)
+}
+
 // Delta carries all changes of a kind after the position From up to and including the
 // position To of the same era. A full delta carries all objects instead, and its From is
 // zero. An exact delta carries only the difference between two states: it omits objects
--- a/feed/replica.go
+++ b/feed/replica.go
@@ -153,7 +153,7 @@
 			r.objects[c.Name] = entry{c.Value, d.To}
 			r.history.removed.drop(c.Name)
 		}
-		if known == !c.Removed && string(held.value) == string(c.Value) || !known && c.Removed {
+		if !c.alters(held.value, known) {
 			continue
 		}
 		if known {
@@ -181,26 +181,22 @@
 	}
 	slices.SortFunc(all, byName)
 	for _, c := range d.Changes {
-		held, known := r.objects[c.Name]
-		if !known || c.Removed || string(held.value) != string(c.Value) {
+		if held, known := r.objects[c.Name]; c.alters(held.value, known) {
 			all = append(all, c)
 		}
 	}
 	return r.applyChanges(Delta{To: d.To, Changes: all})
 }
 
-// recordStep records a delta in the history, unless the replica was at the zero position before.
-// Before is the digest of the objects before the delta. A torn delta, or one that does not advance the
-// replica, clears the history instead, since no other replica can follow it.
+// recordStep records a delta in the history. Before is the digest of the objects before the delta. The
+// first delta, a torn one, or one that does not advance the replica clears the history instead, since no other
+// replica can follow it.
 func (r *Replica) recordStep(d Delta, before uint64) {
-	switch {
-	case r.position.IsZero():
+	if r.position.IsZero() || d.Torn || d.To == r.position {
 		r.history.clear()
-	case d.Torn || d.To == r.position:
-		r.history.clear()
-	default:
-		r.history.add(step{from: r.position, to: d.To, exact: d.Exact, before: before}, len(d.Changes) == 0)
+		return
 	}
+	r.history.add(step{from: r.position, to: d.To, exact: d.Exact, before: before}, len(d.Changes) == 0)
 }
 
 // objectDigest returns the contribution of an object to a replica's digest.
--- a/gateway/apply.go
+++ b/gateway/apply.go
@@ -55,6 +55,7 @@
 	if !ok {
 		return false
 	}
+	g.replication[d.Kind].assembly.Prune(replica)
 	requested := source != sourceStore && g.catchUp[d.Kind].Received()
 	if requested {
 		g.reportRequested(d, source, behind)
--- a/peer/delta.go
+++ b/peer/delta.go
@@ -15,9 +15,14 @@
 	"github.com/rainford/rainford/fleet"
 )
 
-// maxDeltaBytes bounds the decompressed size of a delta. It has room for a kind of 100,000
-// objects of 300 bytes.
-const maxDeltaBytes = 32 << 20
+const (
+	// maxDeltaBytes bounds the decompressed size of a delta that is received.
+	maxDeltaBytes = 32 << 20
+	// maxSentDeltaBytes bounds the size before compression of a delta that is sent. Receivers hold it
+	// several times while they decode it. It has room for 13,000 objects of 300 bytes, or the largest object
+	// beside a part of usual size.
+	maxSentDeltaBytes = 4 << 20
+)
 
 // maxPackedBytes is the largest delta that fits into a frame after compression. The rest of the message
 // takes less than deltaOverhead.
@@ -26,9 +31,9 @@
 	maxPackedBytes = maxFrameBytes - deltaOverhead
 )
 
-// ErrDeltaTooLong is returned for a delta that doesn't fit into a frame. Its changes have to be
-// sent in parts.
-var ErrDeltaTooLong = errors.New("peer: delta is too long for a frame")
+// ErrDeltaTooLong is returned for a delta that is too long for one message. Its changes have to be sent in
+// parts.
+var ErrDeltaTooLong = errors.New("peer: delta is too long for a message")
 
 // ErrDelta is returned for a delta that can't be decompressed or decoded.
 var ErrDelta = errors.New("peer: malformed delta")
@@ -60,8 +65,8 @@
 	decompressors = sync.Pool{New: func() any { return flate.NewReader(nil) }}
 )
 
-// NewDelta encodes and compresses a delta. The error wraps ErrDeltaTooLong if the message can't be sent, or
-// if Unpack would refuse it.
+// NewDelta encodes and compresses a delta. The error wraps ErrDeltaTooLong if the delta exceeds a frame, or
+// maxSentDeltaBytes.
 func NewDelta(d feed.Delta) (*Delta, error) {
 	var buf bytes.Buffer
 	w := compressors.Get().(*flate.Writer)
@@ -76,7 +81,7 @@
 	if err := w.Close(); err != nil {
 		return nil, fmt.Errorf("peer: delta of %s: %w", d.Kind, err)
 	}
-	if raw.n >= maxDeltaBytes || buf.Len() > maxPackedBytes {
+	if raw.n > maxSentDeltaBytes || buf.Len() > maxPackedBytes {
 		return nil, fmt.Errorf("%w: %s, %d bytes, %d compressed", ErrDeltaTooLong, d.Kind, raw.n, buf.Len())
 	}
 	return &Delta{Kind: d.Kind, Packed: buf.Bytes()}, nil
--- a/peer/queue.go
+++ b/peer/queue.go
@@ -9,10 +9,12 @@
 	// of the smallest machines. What is dropped is requested again or superseded.
 	maxQueuedBytes = 16 << 20
 	// Frames of more than smallFrameBytes may take maxLargeBytes of that, so that heartbeats are sent
-	// whatever else is queued, and maxLargePeerBytes for one peer, which is room for two of any length.
+	// whatever else is queued. For one peer there may be maxLargeFrames of them, of maxLargePeerBytes
+	// together, which is room for two of any length.
 	smallFrameBytes   = 16 << 10
 	maxLargeBytes     = 12 << 20
 	maxLargePeerBytes = 3 << 20
+	maxLargeFrames    = queueCapacity / 2
 )
 
 // queueBudget counts the bytes of the frames that are queued for all peers, or being written. It is safe for
@@ -26,10 +28,10 @@
 type sendQueue struct {
 	budget *queueBudget
 	frames chan []byte
-	// large is the number of bytes in large frames, and closed is set once no more frames are taken. Both are
-	// protected by the mutex of the budget.
-	large  int
-	closed bool
+	// large and largeFrames are the number of bytes in large frames and of these frames, and closed is
+	// set once no more frames are taken. All are protected by the mutex of the budget.
+	large, largeFrames int
+	closed             bool
 }
 
 func newSendQueue(budget *queueBudget) *sendQueue {
@@ -57,13 +59,15 @@
 	if q.budget.bytes+n > maxQueuedBytes {
 		return false
 	}
-	return n <= smallFrameBytes || q.large+n <= maxLargePeerBytes && q.budget.large+n <= maxLargeBytes
+	return n <= smallFrameBytes ||
+		q.largeFrames < maxLargeFrames && q.large+n <= maxLargePeerBytes && q.budget.large+n <= maxLargeBytes
 }
 
 // count adds a frame of n bytes, or removes it if sign is -1. The caller holds the mutex of the budget.
 func (q *sendQueue) count(n, sign int) {
 	q.budget.bytes += sign * n
 	if n > smallFrameBytes {
+		q.largeFrames += sign
 		q.large += sign * n
 		q.budget.large += sign * n
 	}
--- a/peer/queue_test.go
+++ b/peer/queue_test.go
@@ -8,8 +8,8 @@
 )
 
 // TestSendQueuesStayWithinBudget draws peers, frames of any size, writes, unreachable peers and links that end. All
-// queues together stay within the budget, a frame of any length has room in an empty mesh, and nothing stays
-// counted once all queues are closed.
+// queues together stay within the budget, a frame of any length has room in an empty mesh, large frames leave room for
+// small ones, and nothing stays counted once all queues are closed.
 func TestSendQueuesStayWithinBudget(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var budget queueBudget
@@ -53,6 +53,12 @@
 			require.Equal(t, sum, budget.bytes)
 			require.LessOrEqual(t, sum, maxQueuedBytes)
 		}
+		if full := newSendQueue(&budget); budget.bytes < maxQueuedBytes-maxLargeBytes {
+			for full.push(buffer[:smallFrameBytes+1]) {
+			}
+			require.True(t, full.push(buffer[:100]))
+			full.close()
+		}
 		for _, q := range queues {
 			q.close()
 		}
