gateway: a watcher looks for changes whose answers were lost

Cause: a pending watch was believed until its time-out of 16 s. A probe each second sees only a silence that it falls into, and other instances help only if one of them got the answer. All kinds are watched in this way.

Evidence: the stand-in of the store can now lose the answers of pending watches.

Now the probe is a look at the configuration from its watch's cursor. Its answer names the store's revision, and kinds whose watches stay behind it are looked at too. A watcher without a store calls it every 1.5 s at most, counted from call to call.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -270,7 +270,7 @@
 	if config := g.config; config.rolloutsEnabled() {
 		g.startGoroutine(func() { g.rolloutLoop(work) })
 	}
-	g.startGoroutine(func() { g.probeLoop(work) })
+	g.startGoroutine(func() { g.checkLoop(work) })
 	g.startGoroutine(func() { g.keepRegistered(work) })
 	g.startGoroutine(func() { g.gossipLoop(work) })
 	g.startGoroutine(func() { g.maintenanceLoop(work) })
--- a/gateway/logs.go
+++ b/gateway/logs.go
@@ -57,6 +57,7 @@
 	logOverloaded             = "overload"
 	logWatching               = "watching"
 	logStoreLost              = "store lost"
+	logWatchMissed            = "watch missed changes"
 	logStoreRegained          = "store regained"
 	logHistoryGone            = "history gone"
 	logStoreEra               = "store era"
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -53,6 +53,7 @@
 	readFailed      = "failed"
 	readHistoryGone = "history-gone"
 	readBehind      = "behind"
+	readMissed      = "missed"
 )
 
 // Outcomes of hedges, as label values.
--- a/gateway/watch.go
+++ b/gateway/watch.go
@@ -35,12 +35,13 @@
 	// recoveryWatchTimeout is the timeout of a watch that checks whether the store answers
 	// again.
 	recoveryWatchTimeout = 100 * time.Millisecond
-	// probeInterval is the time between two probes of the store while watches are pending.
-	probeInterval = time.Second
 	// minRetryInterval and maxRetryInterval bound the exponential back-off between calls to
 	// the store that fail.
 	minRetryInterval = 300 * time.Millisecond
 	maxRetryInterval = 2 * time.Second
+	// maxRecoveryInterval bounds the time from one call to the next of a watcher whose store does not
+	// answer. With the time that a watch takes then, a change is in force within 2.5 s of its return.
+	maxRecoveryInterval = 1500 * time.Millisecond
 )
 
 // watchState is the state of the instance's own watches. It is safe for concurrent use.
@@ -101,11 +102,11 @@
 	return feed.Later(w.cursors[kind], at)
 }
 
-// advance sets the cursor of a kind.
+// advance moves the cursor of a kind, but not back.
 func (w *watchState) advance(kind feed.Kind, to feed.Position) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.cursors[kind] = to
+	w.cursors[kind] = feed.Later(w.cursors[kind], to)
 }
 
 // enterEra records an era of the store. It returns the latest era before, and whether the given
@@ -256,6 +257,7 @@
 			pause.For(ctx, idleCheckInterval)
 			continue
 		}
+		started := g.clock.Now()
 		err := g.readOnce(ctx, kind)
 		switch {
 		case err == nil:
@@ -273,8 +275,8 @@
 		default:
 			g.recordStoreLoss(kind, err)
 		}
-		pause.For(ctx, wait)
-		wait = min(2*wait, maxRetryInterval)
+		pause.For(ctx, wait-g.clock.Since(started))
+		wait = min(2*wait, maxRecoveryInterval)
 	}
 }
 
@@ -286,23 +288,6 @@
 	errNothingNewer = errors.New("gateway: list is not newer than the replica")
 )
 
-// probeLoop probes the store while this instance is a watcher, since a pending watch does not show
-// whether the store still answers.
-func (g *Gateway) probeLoop(ctx context.Context) {
-	for ctx.Err() == nil {
-		pause.For(ctx, probeInterval)
-		if !g.watch.isWatching() || g.position(KindConfig).IsZero() {
-			continue
-		}
-		err := g.store.Probe(ctx)
-		g.updateEra()
-		if err != nil && ctx.Err() == nil {
-			g.recordStoreRead(KindEvacuations, err)
-			g.recordStoreLoss(KindEvacuations, err)
-		}
-	}
-}
-
 // readOnce lists a kind if the replica holds no objects of the store's current era, and otherwise
 // watches it once. If the store has no history for the watch, it lists the kind too. It applies the
 // result.
@@ -329,16 +314,8 @@
 	if err != nil {
 		return err
 	}
-	g.watch.advance(kind, delta.To)
-	if len(delta.Changes)+len(delta.Unreadable) == 0 {
-		return nil
-	}
-	// Nothing has changed between the replica's position and the cursor.
-	if at := g.position(kind); at.Era == delta.From.Era && delta.From.After(at) {
-		delta.From = at
-	}
-	g.applyDelta(delta, sourceStore)
-	if kind == KindTargets || kind == KindInstances {
+	changed := g.applyRead(delta)
+	if changed && (kind == KindTargets || kind == KindInstances) {
 		// These kinds change in bursts. After the pause one call returns several changes.
 		pause.For(ctx, batchInterval)
 	}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -127,7 +127,7 @@
 	case StoreSlow:
 		s.store.SetFaults(objects.Faults{Delay: 250 * time.Millisecond})
 	case StoreLosesReplies:
-		s.store.SetFaults(objects.Faults{LoseReplies: true})
+		s.store.SetFaults(objects.Faults{LoseReplies: true, LoseAnswers: f.How%2 == 1})
 	default:
 		s.store.CompactHistory()
 		return
--- a/internal/standin/objects/server.go
+++ b/internal/standin/objects/server.go
@@ -54,6 +54,16 @@
 		w.WriteHeader(http.StatusNotFound)
 		return
 	}
+	answer := &heldAnswer{ResponseWriter: w}
+	defer func() {
+		if s.losesAnswers() {
+			_, _ = io.Copy(io.Discard, r.Body)
+			<-r.Context().Done()
+			return
+		}
+		answer.send()
+	}()
+	w = answer
 	if faults.LoseReplies && r.Method != http.MethodGet {
 		s.write(discardWriter{header: http.Header{}}, r, kind, name, sub)
 		panic(http.ErrAbortHandler)
@@ -65,6 +75,34 @@
 	s.read(w, r, kind, name)
 }
 
+// losesAnswers reports whether answers are being lost.
+func (s *Store) losesAnswers() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults.LoseAnswers
+}
+
+// heldAnswer holds an answer until it is sent, or lost.
+type heldAnswer struct {
+	http.ResponseWriter
+	status int
+	body   bytes.Buffer
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (a *heldAnswer) WriteHeader(status int) { a.status = status }
+
+// Write implements http.ResponseWriter.
+func (a *heldAnswer) Write(p []byte) (int, error) { return a.body.Write(p) }
+
+func (a *heldAnswer) send() {
+	if a.status == 0 {
+		return
+	}
+	a.ResponseWriter.WriteHeader(a.status)
+	_, _ = a.ResponseWriter.Write(a.body.Bytes())
+}
+
 // discardWriter is an http.ResponseWriter that discards the response.
 type discardWriter struct{ header http.Header }
 
--- a/internal/standin/objects/store.go
+++ b/internal/standin/objects/store.go
@@ -40,6 +40,9 @@
 	Down bool
 	// Silent leaves every request without a response until its connection ends.
 	Silent bool
+	// LoseAnswers carries out every request, and loses the answers that come due while it is set, those
+	// of watches that were pending before included. Their connections say nothing further.
+	LoseAnswers bool
 	// Delay is added to the response time of every request.
 	Delay time.Duration
 	// LoseReplies executes writes and then closes the connection without a response.
