gateway: connections opened to a lost hall are not used once it is back

Cause: the idle connections to a hall that doesn't respond are closed when it is lost. Those opened after that stay idle, and lead nowhere.

--- a/gateway/export_test.go
+++ b/gateway/export_test.go
@@ -9,3 +9,10 @@
 func (g *Gateway) WrapFront(wrap func(net.Listener) net.Listener) {
 	g.listeners.front = wrap(g.listeners.front)
 }
+
+// Preconnect opens a connection to each target of a hall and keeps it, as for a request that is then sent elsewhere.
+func (g *Gateway) Preconnect(hall string) {
+	for _, t := range g.targetsByHall()[hall] {
+		_ = g.connectTo(t)
+	}
+}
--- a/gateway/halls.go
+++ b/gateway/halls.go
@@ -25,7 +25,7 @@
 	all *reachability
 	// onLost is called with all lost halls when one has been lost, and onRegained when the given one
 	// has been regained, whose first failures were seen at since. onSilent is called with a lost hall
-	// whose targets don't respond on open connections.
+	// whose targets don't respond on open connections, and again when such a hall is regained.
 	onLost     func(lost map[string]bool)
 	onRegained func(lost map[string]bool, hall string, since time.Time)
 	onSilent   func(hall string)
@@ -312,6 +312,10 @@
 	}
 	if after.At.IsZero() {
 		h.log.Info(logHallRegained, "hall", hall, "lost_ms", h.clock.Since(before.At).Milliseconds(), "still_lost", lost)
+		if before.ByResponse {
+			// What accepted connections meanwhile may not have been the targets.
+			h.onSilent(hall)
+		}
 		h.onRegained(set, hall, before.Since)
 		return
 	}
--- a/gateway/lost_halls_test.go
+++ b/gateway/lost_halls_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/rainford/rainford/gateway"
 	"github.com/rainford/rainford/internal/standin/link"
 	"github.com/rainford/rainford/internal/standin/objects"
 	"github.com/rainford/rainford/internal/standin/origin"
@@ -127,6 +128,24 @@
 	}
 }
 
+// TestConnectionsOpenedToLostHallAreNotUsed guards against requests that wait for a time-out once a hall is back: they
+// were sent on idle connections that something else had accepted while the hall was lost.
+func TestConnectionsOpenedToLostHallAreNotUsed(t *testing.T) {
+	const hall = "a2"
+	s := newCutSite(t)
+	in := s.instances["n1"]
+	s.warmUp()
+	s.links["n1"].Cut(link.AcceptAndDrop, s.hallIs(hall))
+	in.loadUntil(t, noticeTime, readPath, func() bool { return in.lostHalls() == hall })
+	time.Sleep(time.Second)
+	in.handler.(*gateway.Gateway).Preconnect(hall)
+	s.links["n1"].Restore()
+	require.Eventually(t, func() bool { return in.lostHalls() == "" }, droppedEndTime+100*time.Millisecond, poll)
+	before := len(s.runsIn(hall))
+	requireAtOnce(t, in.load(time.Second), "after the hall is back")
+	require.Greater(t, len(s.runsIn(hall)), before, "requests return to the hall")
+}
+
 // runsIn returns the runs of the servers in a hall.
 func (s *cutSite) runsIn(hall string) []origin.Run {
 	var out []origin.Run
