--- a/feed/doc.go
+++ b/feed/doc.go
@@ -18,6 +18,11 @@
 // was made of a torn list, whose pages are of different ages, or if another replica holds other
 // objects at the same position. What it sends then says so. A list of the store ends the doubt.
 //
+// A replica knows the position of the last change of each object, and of the removals that its
+// history has room for. The delta for another replica has each object once. If it is too long
+// for one message, the other replica requests it in parts, which an Assembly joins: each Part
+// states the Progress that it begins at and the one that it leads to.
+//
 // CatchUp chooses the instance from which a replica that is behind requests the missing
 // changes. RemovalHold delays removals that follow an outage of the store. Tombstones
 // suppresses removed objects that a restored store lists again.
