feed: a difference that has become none begins anew

A fault of the parts of exact deltas, new with: if the objects return to those where the delta began while its parts are sent, the last part was empty and the replica kept the changes of the earlier parts, at the position of the source. Found by reading; no caller has seen it.

TestPartsOfStateThatReturns failed before. Now the source starts such a delta again, which then has no changes. TestPartsLeadToStatesOfTheStore draws sources, reads, reverts, restores, lost and repeated parts: 20,000 draws green.

--- a/feed/assembly.go
+++ b/feed/assembly.go
@@ -67,11 +67,15 @@
 	return d
 }
 
-// continues reports whether a delta with the given header continues the one whose parts were received.
+// continues reports whether a delta with the given header continues the one whose parts were received. One that
+// leads back to the objects where it began does not: it has no changes, whereas the parts have some.
 func (r *Replica) continues(header Delta, got Progress) bool {
 	if header.Full != got.Full || header.Exact != got.Exact || got.At.After(r.position) {
 		return false
 	}
+	if header.Exact && header.Digest == r.Digest() {
+		return false
+	}
 	if got.At == r.position {
 		return true
 	}
